--- /dev/null
+++ b/cmd/comfreylink/main.go
@@ -0,0 +1,4 @@
+// Command comfreylink schedules agent programs.
+package main
+
+func main() {}
--- /dev/null
+++ b/standin/cmd/standin/main.go
@@ -0,0 +1,4 @@
+// Command standin runs small stand-ins of the platform's services.
+package main
+
+func main() {}
