--- /dev/null
+++ b/internal/chat/stream.go
@@ -0,0 +1,79 @@
+package chat
+
+import (
+	"bufio"
+	"encoding/json"
+	"strings"
+
+	"github.com/comfreylink/comfreylink/internal/peer"
+)
+
+// eventWriter writes an answer as server-sent events.
+type eventWriter struct {
+	call    peer.Call
+	created int64
+	w       *bufio.Writer
+	sent    strings.Builder
+}
+
+func (e *eventWriter) delta(text string) error {
+	e.sent.WriteString(text)
+	return e.event(e.chunk(choice{Delta: &delta{Role: "assistant", Content: text}}))
+}
+
+// finish writes what the deltas left out, the finish reason and the usage, or the error that ended the stream.
+func (e *eventWriter) finish(r peer.Result) error {
+	if r.Refusal != nil {
+		if err := e.event(errorBody{r.Refusal}); err != nil {
+			return err
+		}
+		return e.done()
+	}
+	if rest, ok := strings.CutPrefix(r.Chat.Content, e.sent.String()); ok && rest != "" {
+		if err := e.delta(rest); err != nil {
+			return err
+		}
+	}
+	last := e.chunk(choice{Delta: &delta{}, Finish: &r.Chat.Finish})
+	last.Usage = newUsage(r.Chat.Usage)
+	durable := true
+	last.Durable = &durable
+	if err := e.event(last); err != nil {
+		return err
+	}
+	return e.done()
+}
+
+func (e *eventWriter) chunk(c choice) completion {
+	return completion{
+		ID:      string(e.call.RequestKey),
+		Object:  "chat.completion.chunk",
+		Created: e.created,
+		Model:   string(e.call.Chat.Model),
+		Choices: []choice{c},
+	}
+}
+
+func (e *eventWriter) event(v any) error {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	if _, err := e.w.WriteString("data: "); err != nil {
+		return err
+	}
+	if _, err := e.w.Write(data); err != nil {
+		return err
+	}
+	if _, err := e.w.WriteString("\n\n"); err != nil {
+		return err
+	}
+	return e.w.Flush()
+}
+
+func (e *eventWriter) done() error {
+	if _, err := e.w.WriteString("data: [DONE]\n\n"); err != nil {
+		return err
+	}
+	return e.w.Flush()
+}
--- /dev/null
+++ b/internal/peer/messages.go
@@ -0,0 +1,196 @@
+package peer
+
+import (
+	"encoding/json"
+	"errors"
+
+	"github.com/comfreylink/comfreylink/pkg/ids"
+	"github.com/comfreylink/comfreylink/pkg/record"
+)
+
+// Method names a request between daemons.
+type Method string
+
+// Methods that a daemon answers.
+const (
+	// MethodCall runs a caller's request at the owner of its slot.
+	MethodCall Method = "call"
+	// MethodAcquire asks the owner of a workspace's slot for a rate token.
+	MethodAcquire Method = "acquire"
+	// MethodPlace asks the dispatcher of a pool for a target.
+	MethodPlace Method = "place"
+	// MethodDone tells the dispatcher that a placed request has ended.
+	MethodDone Method = "done"
+	// MethodPing probes a peer.
+	MethodPing Method = "ping"
+	// MethodEntries asks for entries of the config stream.
+	MethodEntries Method = "entries"
+
+	methodChunk Method = "chunk"
+)
+
+// ErrUnknownMethod is the answer to a method that a daemon does not know.
+var ErrUnknownMethod = errors.New("unknown method")
+
+type chunkMessage struct {
+	Call string          `json:"call"`
+	Data json.RawMessage `json:"data"`
+}
+
+func errorCode(error) int64 { return codeInternal }
+
+// Kind tells what a call asks for.
+type Kind string
+
+// Kinds of calls.
+const (
+	KindChat    Kind = "chat"
+	KindService Kind = "service"
+	KindEnd     Kind = "end"
+)
+
+// Call is a caller's request on its way from the entry instance to the owner.
+type Call struct {
+	Kind      Kind            `json:"kind"`
+	Workspace ids.WorkspaceID `json:"workspace"`
+	// KeyHash is the hash of the caller's key, checked again before dispatch.
+	KeyHash     string          `json:"keyHash,omitempty"`
+	Program     ids.ProgramID   `json:"program,omitempty"`
+	RequestKey  ids.RequestKey  `json:"requestKey"`
+	Fingerprint ids.Fingerprint `json:"fingerprint"`
+	// DeadlineMillis is the time left when the call is sent.
+	DeadlineMillis int64        `json:"deadlineMillis"`
+	Chat           *ChatCall    `json:"chat,omitempty"`
+	Service        *ServiceCall `json:"service,omitempty"`
+}
+
+// ChatCall is a model call.
+type ChatCall struct {
+	Model     ids.ModelID      `json:"model"`
+	Messages  []record.Message `json:"messages"`
+	MaxTokens ids.Tokens       `json:"maxTokens,omitempty"`
+	Stream    bool             `json:"stream,omitempty"`
+	// Extra holds the request's other fields, which the target receives as they are.
+	Extra json.RawMessage `json:"extra,omitempty"`
+}
+
+// ServiceCall is a call of a plain or tool service.
+type ServiceCall struct {
+	Name        string `json:"name"`
+	Method      string `json:"method"`
+	Path        string `json:"path"`
+	Query       string `json:"query,omitempty"`
+	ContentType string `json:"contentType,omitempty"`
+	Accept      string `json:"accept,omitempty"`
+	Body        []byte `json:"body,omitempty"`
+}
+
+// Result is the answer to a call. Exactly one of Refusal, Redirect, Chat and Service is set, or none after an end.
+type Result struct {
+	Refusal *Refusal `json:"refusal,omitempty"`
+	// Redirect names the owner when the called instance is not.
+	Redirect *Redirect      `json:"redirect,omitempty"`
+	Chat     *ChatResult    `json:"chat,omitempty"`
+	Service  *ServiceResult `json:"service,omitempty"`
+	// Trace tells where the call ran.
+	Trace Trace `json:"trace"`
+}
+
+// Redirect tells that another instance may own the slot.
+type Redirect struct {
+	Owner ids.WriterID `json:"owner,omitempty"`
+	Epoch ids.Epoch    `json:"epoch"`
+}
+
+// Trace tells where a call ran.
+type Trace struct {
+	Owner    ids.InstanceID `json:"owner,omitempty"`
+	Target   ids.TargetID   `json:"target,omitempty"`
+	Turn     int            `json:"turn,omitempty"`
+	Replayed bool           `json:"replayed,omitempty"`
+}
+
+// ChatResult is the whole answer of a model call.
+type ChatResult struct {
+	Content string       `json:"content"`
+	Finish  string       `json:"finish"`
+	Usage   record.Usage `json:"usage"`
+	// Message is the assistant's message as the engine gave it.
+	Message record.Message `json:"message"`
+}
+
+// ServiceResult is the answer of a service.
+type ServiceResult struct {
+	Status      int    `json:"status"`
+	ContentType string `json:"contentType,omitempty"`
+	Body        []byte `json:"body,omitempty"`
+}
+
+// Chunk is a part of a streamed answer.
+type Chunk struct {
+	Delta string `json:"delta"`
+}
+
+// RunState tells whether a refused request ran.
+type RunState string
+
+// Run states.
+const (
+	NotRun  RunState = "notRun"
+	Ran     RunState = "ran"
+	Unknown RunState = "unknown"
+)
+
+// Code is the machine-readable reason of a refusal.
+type Code string
+
+// Refusal is an error that a caller is answered with.
+type Refusal struct {
+	Code             Code           `json:"code"`
+	Message          string         `json:"message"`
+	Run              RunState       `json:"run"`
+	RetryAfterMillis int64          `json:"retryAfterMs,omitempty"`
+	RequestKey       ids.RequestKey `json:"requestKey,omitempty"`
+}
+
+// Error implements error.
+func (r *Refusal) Error() string { return string(r.Code) + ": " + r.Message }
+
+// Codes of refusals.
+const (
+	CodeBadRequest       Code = "badRequest"
+	CodeBodyTooLarge     Code = "bodyTooLarge"
+	CodeUnknownRoute     Code = "unknownRoute"
+	CodeUnknownModel     Code = "unknownModel"
+	CodeUnauthorized     Code = "unauthorized"
+	CodeDeadline         Code = "deadlineExceeded"
+	CodeBudget           Code = "budgetExceeded"
+	CodeTurnLimit        Code = "turnLimit"
+	CodeRate             Code = "rateExceeded"
+	CodeKeyReused        Code = "keyReused"
+	CodeUndecided        Code = "outcomeUnknown"
+	CodeLogUnavailable   Code = "logUnavailable"
+	CodeOwnerUnavailable Code = "ownerUnavailable"
+	CodeOverloaded       Code = "overloaded"
+	CodeNoTarget         Code = "noTarget"
+	CodeTargetFailed     Code = "targetFailed"
+	CodeQuarantined      Code = "quarantined"
+	CodeStale            Code = "stale"
+	CodeStopping         Code = "stopping"
+	CodeAnswerTooLarge   Code = "answerTooLarge"
+)
+
+// Acquire asks for one rate token.
+type Acquire struct {
+	Workspace      ids.WorkspaceID `json:"workspace"`
+	DeadlineMillis int64           `json:"deadlineMillis"`
+}
+
+// Acquired is the answer to Acquire.
+type Acquired struct {
+	Granted bool `json:"granted"`
+	// WaitMillis is the time after which to ask again, if not granted and not refused.
+	WaitMillis int64     `json:"waitMillis,omitempty"`
+	Refused    bool      `json:"refused,omitempty"`
+	Redirect   *Redirect `json:"redirect,omitempty"`
+}
--- a/pkg/record/slot.go
+++ b/pkg/record/slot.go
@@ -13,14 +13,6 @@
 	Owner ids.WriterID `json:"owner"`
 }
 
-// Message is one message of a program's history, as in the chat completions protocol.
-type Message struct {
-	Role    string          `json:"role"`
-	Content json.RawMessage `json:"content,omitempty"`
-	// Extra holds the message's other fields, such as tool calls.
-	Extra json.RawMessage `json:"extra,omitempty"`
-}
-
 // Usage counts the tokens of one model call.
 type Usage struct {
 	Prompt     ids.Tokens `json:"prompt"`
