Add the folds of slot and fleet streams

Cause: the daemon needs the exported API of program and slot. Change: program folds a slot's stream and holds Admit, Execution and Ledger; slot folds the fleet stream and holds Reads and Lease. Open states the owner's time and the key retention, intents and cancels carry an attempt, end names the last use it was decided on, and an outcome may have the status unknown.

--- /dev/null
+++ b/pkg/program/keys.go
@@ -0,0 +1,93 @@
+package program
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/comfreylink/comfreylink/pkg/ids"
+)
+
+// maxTimeStepFraction is the part of the key retention by which a single writer may move the stream's time ahead at
+// once. With a quarter, a single wrong clock shortens the retention of a key by at most a quarter.
+const maxTimeStepFraction = 4
+
+// streamTime is the time by which keys expire: the largest time that the owners stated in counted records. Every
+// reader computes the same.
+//
+// A clock that is behind has no effect. A time that is ahead of the stream's time by more than a quarter of the key
+// retention is only noted, until another writer states a time that far ahead too; then the lower of the two counts.
+// Because the first time of a stream has nothing to be compared with, a clock that is ahead there keeps the keys until
+// the other clocks have caught up: too long, which costs memory, and never too short.
+type streamTime struct {
+	now    int64        // Unix milliseconds, 0 before the first record
+	ahead  int64        // time noted from one writer only, 0 for none
+	writer ids.WriterID // writer of ahead
+}
+
+// next returns the stream's time after a record of w that states the time t.
+func (s streamTime) next(w ids.WriterID, t int64, retention time.Duration) streamTime {
+	if t <= s.now {
+		return s
+	}
+	limit := s.now + retention.Milliseconds()/maxTimeStepFraction
+	if s.now == 0 || t <= limit {
+		s.now = t
+		return s.dropReached()
+	}
+	if s.writer == "" || s.writer == w {
+		s.ahead, s.writer = t, w
+		return s
+	}
+	s.now = min(s.ahead, t)
+	return s.dropReached()
+}
+
+// dropReached forgets the noted time once the stream's time has reached it.
+func (s streamTime) dropReached() streamTime {
+	if s.ahead <= s.now {
+		s.ahead, s.writer = 0, ""
+	}
+	return s
+}
+
+// checkUnused returns an error if a key has an entry that does not expire at the given stream time.
+func (s *Slot) checkUnused(k keyID, t streamTime) error {
+	e := s.keys[k]
+	if e == nil || s.expired(e, t.now) {
+		return nil
+	}
+	return fmt.Errorf("%w: %q", ErrDuplicateKey, k.Key)
+}
+
+// expired reports whether a key's retention is over. An intent of the current epoch is kept, since it may be running.
+func (s *Slot) expired(e *entry, now int64) bool {
+	return e.at+s.retention.Milliseconds() < now && s.keyState(e).Phase != PhaseIntent
+}
+
+func (s *Slot) addKey(k keyID, attempt int64, state KeyState) {
+	s.keys[k] = &entry{state: state, attempt: attempt, at: s.time.now}
+	s.expiry = append(s.expiry, expiring{k, s.time.now})
+}
+
+// advance moves the stream's time and removes the keys whose retention is over.
+func (s *Slot) advance(t streamTime) {
+	s.time = t
+	for len(s.expiry) > 0 && s.expiry[0].at+s.retention.Milliseconds() < t.now {
+		first := s.expiry[0]
+		s.expiry = s.expiry[1:]
+		s.expire(first)
+	}
+}
+
+func (s *Slot) expire(x expiring) {
+	e := s.keys[x.key]
+	if e == nil || e.at != x.at {
+		return // cancelled, or used again since
+	}
+	if s.expired(e, s.time.now) {
+		delete(s.keys, x.key)
+		return
+	}
+	e.at = s.time.now
+	s.expiry = append(s.expiry, expiring{x.key, e.at})
+}
--- /dev/null
+++ b/pkg/program/program.go
@@ -0,0 +1,65 @@
+// Package program folds the stream of one slot: the programs' histories and budgets, and the request keys of
+// at-most-once execution. It also holds the owner's procedure for a non-idempotent request and for spending tokens as
+// state machines without sockets, goroutines or clock.
+package program
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/comfreylink/comfreylink/pkg/ids"
+	"github.com/comfreylink/comfreylink/pkg/record"
+)
+
+// Options configure the fold of a slot.
+type Options struct {
+	// KeyRetention is how long a request key is kept, until an open record states another retention.
+	KeyRetention time.Duration
+}
+
+// Phase says what is known about a request key.
+type Phase string
+
+// Phases of a request key.
+const (
+	// PhaseIntent: the request may be running at the owner of the current epoch.
+	PhaseIntent Phase = "intent"
+	// PhaseUndecided: the request may have run; its answer will never be known.
+	PhaseUndecided Phase = "undecided"
+	// PhaseOutcome: the request ran and its answer is stored.
+	PhaseOutcome Phase = "outcome"
+	// PhaseTurn: the request completed a turn and its response is stored.
+	PhaseTurn Phase = "turn"
+)
+
+// KeyState is what the stream says about a request key. Its byte slices are shared and must not be modified.
+type KeyState struct {
+	Phase       Phase
+	Epoch       ids.Epoch // epoch of the intent or turn
+	Fingerprint ids.Fingerprint
+	Target      ids.TargetID
+	Status      int    // status code of an outcome
+	ContentType string // media type of an outcome
+	Body        []byte // body of an outcome
+	Response    json.RawMessage
+}
+
+// ProgramState is the state of one program.
+type ProgramState struct {
+	// Messages is the history in order. Later turns do not change the slice; callers must not modify its elements.
+	Messages []record.Message
+	// Turns is the number of turns, which is the index of the next one.
+	Turns int
+	// LastUse is the stream's time at the last record that used the program's root or one of its sub-agents.
+	LastUse time.Time
+	// LastAt is the position of that record.
+	LastAt ids.Position
+}
+
+// Spending is the budget use of a root program with its sub-agents.
+type Spending struct {
+	// Spent counts the tokens of the recorded turns and everything that earlier owners reserved and did not settle.
+	Spent ids.Tokens
+	// Reserved is the limit up to which the owner of the current epoch may spend; never below Spent.
+	Reserved ids.Tokens
+}
--- a/pkg/record/slot.go
+++ b/pkg/record/slot.go
@@ -11,6 +11,11 @@
 type Open struct {
 	Epoch ids.Epoch    `json:"epoch"`
 	Owner ids.WriterID `json:"owner"`
+	// UnixMilli is the owner's time; 0 leaves the stream's time as it is.
+	UnixMilli int64 `json:"unixMilli,omitempty"`
+	// KeyRetentionMillis is the retention of request keys from here on. It is part of the stream because readers with
+	// different settings would otherwise disagree on which records count. 0 keeps the retention in force.
+	KeyRetentionMillis int64 `json:"keyRetentionMillis,omitempty"`
 }
 
 // Message is one message of a program's history, as in the chat completions protocol.
@@ -57,7 +62,9 @@
 	Key         ids.RequestKey  `json:"key"`
 	Fingerprint ids.Fingerprint `json:"fingerprint"`
 	Target      ids.TargetID    `json:"target"`
-	UnixMilli   int64           `json:"unixMilli"`
+	// Attempt tells apart the owner's executions with one key, so that a cancel removes only its own intent.
+	Attempt   int64 `json:"attempt,omitempty"`
+	UnixMilli int64 `json:"unixMilli"`
 }
 
 // Cancel withdraws an intent whose request was not and will not be sent.
@@ -65,6 +72,8 @@
 	Epoch     ids.Epoch       `json:"epoch"`
 	Workspace ids.WorkspaceID `json:"workspace"`
 	Key       ids.RequestKey  `json:"key"`
+	// Attempt is the attempt of the intent to withdraw.
+	Attempt int64 `json:"attempt,omitempty"`
 }
 
 // Outcome is the answer to a non-idempotent request.
@@ -72,12 +81,16 @@
 	Epoch     ids.Epoch       `json:"epoch"`
 	Workspace ids.WorkspaceID `json:"workspace"`
 	Key       ids.RequestKey  `json:"key"`
-	Status    int             `json:"status"`
+	// Status is the answer's status code, or StatusUnknown.
+	Status int `json:"status"`
 	// ContentType is the answer's media type.
 	ContentType string `json:"contentType,omitempty"`
 	Body        []byte `json:"body,omitempty"`
 }
 
+// StatusUnknown is the status of an outcome when the request was sent and no answer came.
+const StatusUnknown = 0
+
 // Reserve raises the limit up to which a root program may spend tokens.
 type Reserve struct {
 	Epoch     ids.Epoch       `json:"epoch"`
@@ -99,6 +112,9 @@
 	Epoch     ids.Epoch       `json:"epoch"`
 	Workspace ids.WorkspaceID `json:"workspace"`
 	Program   ids.ProgramID   `json:"program"`
+	// LastUse is the position of the last record that used the program's root or one of its sub-agents when the end was
+	// decided; a later use cancels the end. Nil ends the program in any case.
+	LastUse *ids.Position `json:"lastUse,omitempty"`
 }
 
 // Type implements Body.
@@ -141,6 +157,9 @@
 	if o.Owner == "" {
 		return errNoWriter
 	}
+	if o.KeyRetentionMillis < 0 {
+		return errNegative
+	}
 	return nil
 }
 
