Add the log service stand-in and its adapter

Change: standin/logstore with subcommand `log` (retention by time and count, rate of appends, faults at /faults); internal/logservice with errors that say whether an append may have taken effect. The adapter carries fasthttp requests over its own connections, because fasthttp's client neither ends a request with its context nor tells whether it was sent.

--- /dev/null
+++ b/internal/logservice/conn.go
@@ -0,0 +1,116 @@
+package logservice
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	// maxIdle is the number of connections kept for later requests.
+	maxIdle = 16
+	// maxIdleTime is below the idle timeouts that are usual at servers, which otherwise close a connection while a
+	// request is sent over it.
+	maxIdleTime = 10 * time.Second
+)
+
+// pool keeps connections to one address. It carries fasthttp's requests and responses itself because fasthttp's client
+// neither ends a request with its context nor tells whether a failed request was sent.
+type pool struct {
+	address string
+	dialer  net.Dialer
+
+	mu     sync.Mutex
+	idle   []*conn
+	closed bool
+}
+
+type conn struct {
+	net.Conn
+	r         *bufio.Reader
+	w         *bufio.Writer
+	idleSince time.Time
+}
+
+// do carries out one request until ctx ends. Sent reports whether a part of the request may have left.
+func (p *pool) do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, maxBody int) (sent bool, err error) {
+	if err := ctx.Err(); err != nil {
+		return false, err
+	}
+	c, err := p.get(ctx)
+	if err != nil {
+		return false, err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	err = c.roundTrip(req, resp, maxBody)
+	interrupted := !stop()
+	if err != nil || interrupted || resp.ConnectionClose() {
+		_ = c.Close()
+	} else {
+		p.put(c)
+	}
+	if err != nil && interrupted {
+		err = ctx.Err()
+	}
+	return true, err
+}
+
+func (c *conn) roundTrip(req *fasthttp.Request, resp *fasthttp.Response, maxBody int) (err error) {
+	if err := req.Write(c.w); err != nil {
+		return err
+	}
+	if err := c.w.Flush(); err != nil {
+		return err
+	}
+	return resp.ReadLimitBody(c.r, maxBody)
+}
+
+func (p *pool) get(ctx context.Context) (c *conn, err error) {
+	if c := p.takeIdle(time.Now()); c != nil {
+		return c, nil
+	}
+	n, err := p.dialer.DialContext(ctx, "tcp", p.address)
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: n, r: bufio.NewReader(n), w: bufio.NewWriter(n)}, nil
+}
+
+func (p *pool) takeIdle(now time.Time) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for len(p.idle) > 0 {
+		c := p.idle[len(p.idle)-1]
+		p.idle = p.idle[:len(p.idle)-1]
+		if now.Sub(c.idleSince) < maxIdleTime {
+			return c
+		}
+		_ = c.Close()
+	}
+	return nil
+}
+
+func (p *pool) put(c *conn) {
+	c.idleSince = time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || len(p.idle) >= maxIdle {
+		_ = c.Close()
+		return
+	}
+	p.idle = append(p.idle, c)
+}
+
+func (p *pool) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, c := range p.idle {
+		_ = c.Close()
+	}
+	p.idle = nil
+}
--- /dev/null
+++ b/internal/logservice/logservice_test.go
@@ -0,0 +1,111 @@
+package logservice_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/comfreylink/comfreylink/internal/logservice"
+	"github.com/comfreylink/comfreylink/pkg/ids"
+	"github.com/comfreylink/comfreylink/pkg/record"
+	"github.com/comfreylink/comfreylink/standin/logstore"
+)
+
+const testBytes = 4 << 20
+
+func start(c *qt.C, o logstore.Options) (*logservice.Client, *logstore.Server) {
+	server, address, stop, err := logstore.Start(o)
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(stop)
+	client, cleanup, err := logservice.New(address)
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(cleanup)
+	return client, server
+}
+
+func sent(c *qt.C, err error) bool {
+	var e *logservice.Error
+	c.Assert(errors.As(err, &e), qt.IsTrue, qt.Commentf("%v", err))
+	return e.Sent()
+}
+
+// Guards against entries lost or shifted between append and read, and against a wrong report of the stream's end.
+func TestAppendAndRead(t *testing.T) {
+	c := qt.New(t)
+	client, server := start(c, logstore.Options{})
+	ctx := context.Background()
+	for i, data := range []string{"a", "b", "c"} {
+		o, err := client.Append(ctx, "s", []byte(data))
+		c.Assert(err, qt.IsNil)
+		c.Assert(o, qt.Equals, ids.Offset(i))
+	}
+	p, err := client.Read(ctx, "s", 1, testBytes, 0)
+	c.Assert(err, qt.IsNil)
+	want := []logservice.Entry{{Offset: 1, Data: []byte("b")}, {Offset: 2, Data: []byte("c")}}
+	c.Assert(p, qt.DeepEquals, logservice.Page{Next: 3, Entries: want, AtEnd: true})
+	p, err = client.Read(ctx, "s", 0, 2, 0)
+	c.Assert(err, qt.IsNil)
+	c.Assert(p.Next, qt.Equals, ids.Offset(2))
+	c.Assert(p.AtEnd, qt.IsFalse)
+	server.Store().Trim("s", 2)
+	p, err = client.Read(ctx, "s", 0, testBytes, 0)
+	c.Assert(err, qt.IsNil)
+	c.Assert(p, qt.DeepEquals, logservice.Page{Oldest: 2, Next: 3, Entries: want[1:], AtEnd: true})
+}
+
+// Guards against an error that denies an append which took effect, or that leaves open one which cannot have.
+func TestAppendErrorSaysWhetherItMayHaveBeenAppended(t *testing.T) {
+	c := qt.New(t)
+	client, server := start(c, logstore.Options{AppendsPerSecond: 1})
+	ctx := context.Background()
+	server.SetFaults(logstore.Faults{LoseAnswers: 1})
+	_, err := client.Append(ctx, "s", []byte("a"))
+	c.Assert(sent(c, err), qt.IsTrue)
+	p, err := client.Read(ctx, "s", 0, testBytes, 0)
+	c.Assert(err, qt.IsNil)
+	c.Assert(p.Entries, qt.HasLen, 1)
+
+	_, err = client.Append(ctx, "s", []byte("b"))
+	c.Assert(sent(c, err), qt.IsFalse, qt.Commentf("429"))
+	server.SetFaults(logstore.Faults{Outage: true})
+	_, err = client.Append(ctx, "s", []byte("b"))
+	c.Assert(sent(c, err), qt.IsTrue, qt.Commentf("503"))
+	_, err = client.Append(ctx, "s", make([]byte, record.MaxEntryBytes+1))
+	c.Assert(sent(c, err), qt.IsFalse, qt.Commentf("too large"))
+
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Assert(l.Close(), qt.IsNil)
+	nobody, cleanup, err := logservice.New(l.Addr().String())
+	c.Assert(err, qt.IsNil)
+	defer cleanup()
+	_, err = nobody.Append(ctx, "s", []byte("b"))
+	c.Assert(sent(c, err), qt.IsFalse, qt.Commentf("nobody listens"))
+}
+
+// Guards against a read that outlives its context by the rest of its wait.
+func TestReadEndsWithItsContext(t *testing.T) {
+	c := qt.New(t)
+	client, _ := start(c, logstore.Options{})
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	began := time.Now()
+	_, err := client.Read(ctx, "s", 0, testBytes, 30*time.Second)
+	c.Assert(err, qt.ErrorIs, context.DeadlineExceeded)
+	c.Assert(time.Since(began) < 10*time.Second, qt.IsTrue)
+}
+
+// Guards against a reader that cannot get past an entry larger than the bound of an answer.
+func TestReadPassesOversizedEntry(t *testing.T) {
+	c := qt.New(t)
+	client, server := start(c, logstore.Options{})
+	server.Store().Append(time.Now(), "s", make([]byte, 3*record.MaxEntryBytes))
+	server.Store().Append(time.Now(), "s", []byte("b"))
+	p, err := client.Read(context.Background(), "s", 0, 1000, 0)
+	c.Assert(err, qt.IsNil)
+	c.Assert(p, qt.DeepEquals, logservice.Page{Next: 1, Entries: []logservice.Entry{{}}})
+}
--- a/standin/cmd/standin/main.go
+++ b/standin/cmd/standin/main.go
@@ -1,4 +1,28 @@
 // Command standin runs small stand-ins of the platform's services.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	root := &cli.Command{
+		Name:  "standin",
+		Usage: "run a stand-in of one of the platform's services",
+		Commands: []*cli.Command{
+			logCommand(),
+		},
+	}
+	if err := root.Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "standin:", err)
+		os.Exit(1)
+	}
+}
