--- /dev/null
+++ b/pkg/rate/keeper.go
@@ -0,0 +1,94 @@
+package rate
+
+import (
+	"errors"
+	"time"
+
+	"github.com/comfreylink/comfreylink/pkg/ids"
+)
+
+// ErrNotOwner says that the workspace's slot is not open here.
+var ErrNotOwner = errors.New("the slot of the workspace is not owned here")
+
+// Keeper holds the buckets of the workspaces whose slots one instance owns.
+type Keeper struct {
+	slotCount int
+	grantMax  time.Duration
+	slots     map[ids.Slot]*slotBuckets
+}
+
+type slotBuckets struct {
+	epoch   ids.Epoch
+	opened  time.Time
+	buckets map[ids.WorkspaceID]*Bucket
+}
+
+// NewKeeper returns a keeper without slots.
+func NewKeeper(slotCount int, grantMax time.Duration) *Keeper {
+	return &Keeper{slotCount: slotCount, grantMax: grantMax, slots: make(map[ids.Slot]*slotBuckets)}
+}
+
+// Open starts a slot's epoch at this owner. The earlier owner must have stopped granting before now. A repeated call
+// for the open epoch changes nothing.
+func (k *Keeper) Open(now time.Time, s ids.Slot, e ids.Epoch) {
+	if open := k.slots[s]; open != nil && open.epoch == e {
+		return
+	}
+	k.slots[s] = &slotBuckets{epoch: e, opened: now, buckets: make(map[ids.WorkspaceID]*Bucket)}
+}
+
+// Close drops a slot that another instance owns now.
+func (k *Keeper) Close(s ids.Slot) { delete(k.slots, s) }
+
+// Epoch returns the epoch of an open slot.
+func (k *Keeper) Epoch(s ids.Slot) (e ids.Epoch, ok bool) {
+	open := k.slots[s]
+	if open == nil {
+		return 0, false
+	}
+	return open.epoch, true
+}
+
+// Bucket returns the workspace's bucket with the limit in force. The caller has checked its lease at now.
+func (k *Keeper) Bucket(now time.Time, ws ids.WorkspaceID, l Limit) (b *Bucket, err error) {
+	open := k.slots[ids.SlotOfWorkspace(ws, k.slotCount)]
+	if open == nil {
+		return nil, ErrNotOwner
+	}
+	if err := l.Validate(); err != nil {
+		return nil, err
+	}
+	b = open.buckets[ws]
+	if b == nil {
+		// A bucket that starts at the epoch's beginning holds by now what a dropped full one held, or less.
+		b = New(open.opened, l, true, k.grantMax)
+		b.firstIDs(now)
+		open.buckets[ws] = b
+	}
+	if b.limit != l {
+		b.Reconfigure(now, l)
+	}
+	b.advance(now)
+	return b, nil
+}
+
+// DropIdle drops full buckets, so that memory is bounded by the workspaces in use.
+func (k *Keeper) DropIdle(now time.Time) (dropped int) {
+	for _, open := range k.slots {
+		for ws, b := range open.buckets {
+			if b.Idle(now) {
+				delete(open.buckets, ws)
+				dropped++
+			}
+		}
+	}
+	return dropped
+}
+
+// Len returns the number of buckets.
+func (k *Keeper) Len() (n int) {
+	for _, open := range k.slots {
+		n += len(open.buckets)
+	}
+	return n
+}
