--- /dev/null
+++ b/standin/service/service.go
@@ -0,0 +1,204 @@
+// Package service is a stand-in of plain services and tool services. It accepts every path and method, records each run,
+// and answers with a description of the run.
+package service
+
+import (
+	"os"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/comfreylink/comfreylink/standin/serve"
+	"github.com/valyala/fasthttp"
+)
+
+// exitCode is the exit status of a crash by fault.
+const exitCode = 70
+
+// Run is one execution of a request.
+type Run struct {
+	Method    string `json:"method"`
+	Path      string `json:"path"`
+	Key       string `json:"key"`
+	Workspace string `json:"workspace"`
+	Fence     int64  `json:"fence,omitempty"`
+	Body      string `json:"body,omitempty"`
+	// ArrivedMs is the time of arrival in Unix milliseconds.
+	ArrivedMs int64 `json:"arrivedMs"`
+	// Authorization reports whether the request carried an Authorization header, which no target may see.
+	Authorization bool `json:"authorization"`
+}
+
+// Runs is the body of GET /runs.
+type Runs struct {
+	Runs []Run `json:"runs"`
+	// Refused counts requests that were refused without running.
+	Refused int `json:"refused"`
+}
+
+// Faults are the faults that can be switched on.
+type Faults struct {
+	// HangBefore and HangAfter make requests hang before or after they run, until the faults change.
+	HangBefore bool `json:"hangBefore"`
+	HangAfter  bool `json:"hangAfter"`
+	// DelayMs delays the answer after the run.
+	DelayMs int64 `json:"delayMs"`
+	// CrashAfter ends the process after a run and before its answer.
+	CrashAfter bool `json:"crashAfter"`
+	// CloseBefore and CloseAfter close the connection before or after the run.
+	CloseBefore bool `json:"closeBefore"`
+	CloseAfter  bool `json:"closeAfter"`
+	// Fail answers 500 after the run.
+	Fail bool `json:"fail"`
+	// Leaving answers 503 with "Connection: close" without running.
+	Leaving bool `json:"leaving"`
+	// AnswerBytes pads the answer's body to this size.
+	AnswerBytes int `json:"answerBytes"`
+	// Next limits the other faults to this many requests; 0 for no limit.
+	Next int `json:"next"`
+}
+
+// Options configure a stand-in.
+type Options struct {
+	// CheckFencing refuses requests with a lower X-Fence header than the highest seen.
+	CheckFencing bool
+	// Exit ends the process; os.Exit by default.
+	Exit func(code int)
+}
+
+// Service is the stand-in.
+type Service struct {
+	options Options
+	faults  *serve.Faults[Faults]
+	done    chan struct{}
+
+	mu      sync.Mutex
+	runs    []Run
+	refused int
+	fence   int64
+}
+
+// New returns a service. The cleanup releases requests that hang.
+func New(o Options) (s *Service, cleanup func()) {
+	if o.Exit == nil {
+		o.Exit = os.Exit
+	}
+	s = &Service{options: o, faults: serve.NewFaults[Faults](), done: make(chan struct{})}
+	return s, sync.OnceFunc(func() { close(s.done) })
+}
+
+// SetFaults replaces the faults.
+func (s *Service) SetFaults(f Faults) { s.faults.Set(f) }
+
+// Runs returns the executions so far.
+func (s *Service) Runs() Runs {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Runs{Runs: append([]Run{}, s.runs...), Refused: s.refused}
+}
+
+// Handle serves /faults, /runs, and every other path as a request to run.
+func (s *Service) Handle(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case "/faults":
+		s.faults.Handle(ctx)
+	case "/runs":
+		serve.JSON(ctx, fasthttp.StatusOK, s.Runs())
+	default:
+		s.serve(ctx)
+	}
+}
+
+func (s *Service) serve(ctx *fasthttp.RequestCtx) {
+	f := s.faults.Take(countDown)
+	switch {
+	case f.Leaving:
+		ctx.SetConnectionClose()
+		s.refuse(ctx, fasthttp.StatusServiceUnavailable, "leaving")
+		return
+	case f.CloseBefore:
+		serve.Break(ctx)
+		return
+	case f.HangBefore:
+		s.faults.Hang(s.done)
+	}
+	run, ok := s.run(ctx)
+	if !ok {
+		s.refuse(ctx, fasthttp.StatusConflict, "older fencing number")
+		return
+	}
+	s.answer(ctx, f, run)
+}
+
+func countDown(f *Faults) {
+	if f.Next == 0 {
+		return
+	}
+	if f.Next--; f.Next == 0 {
+		*f = Faults{}
+	}
+}
+
+func (s *Service) refuse(ctx *fasthttp.RequestCtx, status int, message string) {
+	s.mu.Lock()
+	s.refused++
+	s.mu.Unlock()
+	serve.Fail(ctx, status, message)
+}
+
+// run records an execution, unless its fencing number is outdated.
+func (s *Service) run(ctx *fasthttp.RequestCtx) (r Run, ok bool) {
+	h := &ctx.Request.Header
+	r = Run{
+		Method:        string(ctx.Method()),
+		Path:          string(ctx.RequestURI()),
+		Key:           string(h.Peek("Idempotency-Key")),
+		Workspace:     string(h.Peek("X-Workspace")),
+		Body:          string(ctx.PostBody()),
+		ArrivedMs:     time.Now().UnixMilli(),
+		Authorization: len(h.Peek("Authorization")) > 0,
+	}
+	// A request without a fencing number counts as 0, which is older than any other.
+	r.Fence, _ = strconv.ParseInt(string(h.Peek("X-Fence")), 10, 64)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.options.CheckFencing && r.Fence < s.fence {
+		return r, false
+	}
+	s.fence = max(s.fence, r.Fence)
+	s.runs = append(s.runs, r)
+	return r, true
+}
+
+// Answer is the body of an answer.
+type Answer struct {
+	Run
+	// Padding fills the answer to the size that a fault asks for.
+	Padding string `json:"padding,omitempty"`
+}
+
+func (s *Service) answer(ctx *fasthttp.RequestCtx, f Faults, r Run) {
+	serve.Pause(s.done, f.DelayMs)
+	switch {
+	case f.CrashAfter:
+		s.options.Exit(exitCode)
+		serve.Break(ctx)
+	case f.CloseAfter:
+		serve.Break(ctx)
+	case f.Fail:
+		serve.Fail(ctx, fasthttp.StatusInternalServerError, "failed by fault")
+	case f.HangAfter:
+		s.faults.Hang(s.done)
+		fallthrough
+	default:
+		serve.JSON(ctx, fasthttp.StatusOK, Answer{Run: r, Padding: padding(f.AnswerBytes)})
+	}
+}
+
+func padding(n int) string {
+	b := make([]byte, n)
+	for i := range b {
+		b[i] = 'x'
+	}
+	return string(b)
+}
