--- /dev/null
+++ b/internal/engine/message.go
@@ -0,0 +1,180 @@
+package engine
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/comfreylink/comfreylink/pkg/record"
+)
+
+// EncodeMessage returns a message as in the chat completions protocol, with the fields of Extra beside role and content.
+func EncodeMessage(m record.Message) (data []byte, err error) {
+	fields := make(map[string]json.RawMessage)
+	if len(m.Extra) > 0 {
+		if err := json.Unmarshal(m.Extra, &fields); err != nil {
+			return nil, fmt.Errorf("extra fields: %w", err)
+		}
+	}
+	if fields == nil { // the JSON value null
+		fields = make(map[string]json.RawMessage)
+	}
+	if fields["role"], err = json.Marshal(m.Role); err != nil {
+		return nil, err
+	}
+	delete(fields, "content")
+	if len(m.Content) > 0 {
+		fields["content"] = m.Content
+	}
+	return json.Marshal(fields)
+}
+
+// DecodeMessage parses a message of the chat completions protocol.
+func DecodeMessage(data []byte) (m record.Message, err error) {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(data, &fields); err != nil {
+		return record.Message{}, fmt.Errorf("parse message: %w", err)
+	}
+	if err := json.Unmarshal(fields["role"], &m.Role); err != nil || m.Role == "" {
+		return record.Message{}, errors.New("message without role")
+	}
+	m.Content = fields["content"]
+	delete(fields, "role")
+	delete(fields, "content")
+	if len(fields) > 0 {
+		m.Extra, err = json.Marshal(fields)
+	}
+	return m, err
+}
+
+// builder joins the deltas of a stream to a message.
+type builder struct {
+	text  map[string]string // fields that are joined, such as content
+	other map[string]json.RawMessage
+	calls map[int]*toolCall
+	bytes int
+}
+
+type toolCall struct {
+	Index    int          `json:"index,omitempty"`
+	ID       string       `json:"id,omitempty"`
+	Type     string       `json:"type,omitempty"`
+	Function toolFunction `json:"function"`
+}
+
+type toolFunction struct {
+	Name      string `json:"name,omitempty"`
+	Arguments string `json:"arguments"`
+}
+
+// add joins a delta: strings are appended, tool calls merged by index, other values replaced.
+func (b *builder) add(delta json.RawMessage) error {
+	if b.text == nil {
+		b.text, b.other, b.calls = map[string]string{}, map[string]json.RawMessage{}, map[int]*toolCall{}
+	}
+	if b.bytes += len(delta); b.bytes > maxStreamBytes {
+		return errMessageTooLarge
+	}
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(delta, &fields); err != nil {
+		return fmt.Errorf("parse delta: %w", err)
+	}
+	for name, value := range fields {
+		if err := b.field(name, value); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// clone returns a copy that can be continued independently.
+func (b *builder) clone() builder {
+	c := builder{text: maps.Clone(b.text), other: maps.Clone(b.other), bytes: b.bytes}
+	if b.calls != nil {
+		c.calls = make(map[int]*toolCall, len(b.calls))
+	}
+	for i, call := range b.calls {
+		copied := *call
+		c.calls[i] = &copied
+	}
+	return c
+}
+
+func (b *builder) field(name string, value json.RawMessage) error {
+	switch {
+	case string(value) == "null":
+		return nil
+	case name == "role":
+		b.other[name] = value
+		return nil
+	case name == "tool_calls":
+		return b.toolCalls(value)
+	case value[0] != '"':
+		b.other[name] = value
+		return nil
+	}
+	var s string
+	if err := json.Unmarshal(value, &s); err != nil {
+		return fmt.Errorf("parse field %q of delta: %w", name, err)
+	}
+	b.text[name] += s
+	return nil
+}
+
+func (b *builder) toolCalls(value json.RawMessage) error {
+	var parts []toolCall
+	if err := json.Unmarshal(value, &parts); err != nil {
+		return fmt.Errorf("parse tool calls of delta: %w", err)
+	}
+	for _, p := range parts {
+		c := b.calls[p.Index]
+		if c == nil {
+			c = &toolCall{}
+			b.calls[p.Index] = c
+		}
+		if p.ID != "" {
+			c.ID = p.ID
+		}
+		if p.Type != "" {
+			c.Type = p.Type
+		}
+		c.Function.Name += p.Function.Name
+		c.Function.Arguments += p.Function.Arguments
+	}
+	return nil
+}
+
+// message returns the message so far.
+func (b *builder) message() (m record.Message, err error) {
+	fields := make(map[string]any, len(b.other)+len(b.text)+1)
+	for name, value := range b.other {
+		fields[name] = value
+	}
+	for name, s := range b.text {
+		fields[name] = s
+	}
+	if fields["role"] == nil {
+		fields["role"] = "assistant"
+	}
+	if len(b.calls) > 0 {
+		fields["tool_calls"] = b.sortedCalls()
+	}
+	data, err := json.Marshal(fields)
+	if err != nil {
+		return record.Message{}, err
+	}
+	if len(data) > MaxMessageBytes {
+		return record.Message{}, errMessageTooLarge
+	}
+	return DecodeMessage(data)
+}
+
+func (b *builder) sortedCalls() []*toolCall {
+	calls := make([]*toolCall, 0, len(b.calls))
+	for _, i := range slices.Sorted(maps.Keys(b.calls)) {
+		calls = append(calls, b.calls[i])
+	}
+	return calls
+}
--- /dev/null
+++ b/internal/targethttp/error.go
@@ -0,0 +1,87 @@
+package targethttp
+
+import (
+	"fmt"
+	"time"
+)
+
+// Kind tells the ways apart in which an exchange fails.
+type Kind int
+
+// Kinds of failures.
+const (
+	// Refused means that no connection could be made.
+	Refused Kind = iota + 1
+	// Leaving means that the target answered 503 with "Connection: close": it takes no new work.
+	Leaving
+	// Timeout means that the context's deadline passed.
+	Timeout
+	// Aborted means that the context was cancelled or that the reader of a stream returned an error.
+	Aborted
+	// Cut means that the connection broke before the answer was complete.
+	Cut
+	// BadStatus means that the target answered with a status that the adapter does not accept.
+	BadStatus
+	// TooLarge means that the answer exceeded its limit.
+	TooLarge
+	// Malformed means that the answer does not follow the protocol or belongs to another request.
+	Malformed
+)
+
+// String returns the kind's name.
+func (k Kind) String() string {
+	switch k {
+	case Refused:
+		return "refused"
+	case Leaving:
+		return "leaving"
+	case Timeout:
+		return "timeout"
+	case Aborted:
+		return "aborted"
+	case Cut:
+		return "cut"
+	case BadStatus:
+		return "badStatus"
+	case TooLarge:
+		return "tooLarge"
+	case Malformed:
+		return "malformed"
+	default:
+		return fmt.Sprintf("kind %d", int(k))
+	}
+}
+
+// Error is the error of every exchange with a target.
+type Error struct {
+	Kind    Kind
+	Address string
+	// Status is the answer's HTTP status; 0 if none came.
+	Status int
+	// RetryAfter is the wait that the target asked for; 0 if it did not.
+	RetryAfter time.Duration
+	// Body is the start of the answer's body for the kinds Leaving and BadStatus.
+	Body []byte
+	// Err is the cause; nil if the kind says everything.
+	Err error
+
+	sent bool
+}
+
+// Sent reports whether the request may have reached the target: it is true from the first byte written.
+func (e *Error) Sent() bool { return e.sent }
+
+// Error implements error.
+func (e *Error) Error() string {
+	s := fmt.Sprintf("target %s: %s", e.Address, e.Kind)
+	if e.Status != 0 {
+		s += fmt.Sprintf(": status %d", e.Status)
+	}
+	if e.Err != nil {
+		s += ": " + e.Err.Error()
+	}
+	return s
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
