--- a/standin/cmd/standin/main.go
+++ b/standin/cmd/standin/main.go
@@ -1,4 +1,4 @@
-// Command standin runs small stand-ins of the platform's services.
+// Command standin runs small stand-ins of the platform's services, each as a process of its own.
 package main
 
 import (
@@ -19,6 +19,10 @@
 		Usage: "run a stand-in of one of the platform's services",
 		Commands: []*cli.Command{
 			logCommand(),
+			engineCommand(),
+			listCommand(),
+			serviceCommand(),
+			weightsCommand(),
 		},
 	}
 	if err := root.Run(ctx, os.Args); err != nil {
