--- /dev/null
+++ b/pkg/program/admit.go
@@ -0,0 +1,71 @@
+package program
+
+import "github.com/comfreylink/comfreylink/pkg/ids"
+
+// Action says what the owner does with a request.
+type Action string
+
+// Actions on a request.
+const (
+	// ActionRun: start an Execution or a Call.
+	ActionRun Action = "run"
+	// ActionReplay: answer with the stored outcome or turn.
+	ActionReplay Action = "replay"
+	// ActionWait: wait for the request in progress, then decide again.
+	ActionWait Action = "wait"
+	// ActionUnknown: answer that the request may have run.
+	ActionUnknown Action = "unknown"
+	// ActionKeyReused: refuse, the key belongs to a request with another content.
+	ActionKeyReused Action = "keyReused"
+	// ActionNotOwner: forward, or refuse as not run; the epoch is not the current one.
+	ActionNotOwner Action = "notOwner"
+)
+
+// Request is a request to decide on.
+type Request struct {
+	Workspace   ids.WorkspaceID
+	Key         ids.RequestKey
+	Fingerprint ids.Fingerprint
+	// Epoch is the epoch in which the deciding instance owns the slot.
+	Epoch ids.Epoch
+	// Running is the fingerprint of the request with this key that is in progress at this instance; nil for none. A
+	// request is in progress from before its first append until its last one has ended, which may be a cancel.
+	Running *ids.Fingerprint
+}
+
+// Decision is what to do with a request.
+type Decision struct {
+	Action Action
+	// State is the stored outcome or turn for ActionReplay.
+	State KeyState
+}
+
+// Admit decides on a request.
+func (s *Slot) Admit(r Request) Decision {
+	if r.Epoch != s.epoch {
+		return Decision{Action: ActionNotOwner}
+	}
+	state, known := s.Lookup(r.Workspace, r.Key)
+	if known && state.Fingerprint != r.Fingerprint {
+		return Decision{Action: ActionKeyReused}
+	}
+	if r.Running != nil {
+		return admitRunning(r)
+	}
+	switch {
+	case !known:
+		return Decision{Action: ActionRun}
+	case state.Phase == PhaseOutcome || state.Phase == PhaseTurn:
+		return Decision{Action: ActionReplay, State: state}
+	default:
+		// PhaseIntent without a request in progress: the append of its outcome or cancel failed.
+		return Decision{Action: ActionUnknown}
+	}
+}
+
+func admitRunning(r Request) Decision {
+	if *r.Running != r.Fingerprint {
+		return Decision{Action: ActionKeyReused}
+	}
+	return Decision{Action: ActionWait}
+}
--- a/pkg/program/errors.go
+++ b/pkg/program/errors.go
@@ -10,7 +10,7 @@
 	ErrWrongIndex     = errors.New("turn is not the next one")
 	ErrUnknownProgram = errors.New("program does not exist")
 	ErrNoIntent       = errors.New("no intent without outcome")
-	ErrSpending       = errors.New("spending would decrease")
+	ErrSpending       = errors.New("settled less than the recorded spending")
 	ErrInUse          = errors.New("program was used since the end was decided")
 	ErrRecordType     = errors.New("record type does not belong here")
 )
--- a/pkg/program/execution.go
+++ b/pkg/program/execution.go
@@ -1,92 +1,30 @@
 package program
 
 import (
+	"cmp"
 	"errors"
 
-	"github.com/comfreylink/comfreylink/pkg/ids"
 	"github.com/comfreylink/comfreylink/pkg/record"
 )
 
-// Action says what the owner does with a request.
-type Action string
-
-// Actions on a request.
-const (
-	// ActionRun: start an execution.
-	ActionRun Action = "run"
-	// ActionReplay: answer with the stored outcome or turn.
-	ActionReplay Action = "replay"
-	// ActionWait: wait for the execution in progress, then decide again.
-	ActionWait Action = "wait"
-	// ActionUnknown: answer that the request may have run.
-	ActionUnknown Action = "unknown"
-	// ActionKeyReused: refuse, the key belongs to a request with another content.
-	ActionKeyReused Action = "keyReused"
-	// ActionNotOwner: refuse as not run, or forward; the epoch is not the current one.
-	ActionNotOwner Action = "notOwner"
-)
-
-// Request is a request to decide on.
-type Request struct {
-	Workspace   ids.WorkspaceID
-	Key         ids.RequestKey
-	Fingerprint ids.Fingerprint
-	// Epoch is the epoch in which the deciding instance owns the slot.
-	Epoch ids.Epoch
-	// Running is the execution with this key that is in progress at this instance; nil for none.
-	Running *Execution
-}
-
-// Decision is what to do with a request; State is set for ActionReplay.
-type Decision struct {
-	Action Action
-	State  KeyState
-}
-
-// Admit decides on a request.
-func (s *Slot) Admit(r Request) Decision {
-	if r.Epoch != s.epoch {
-		return Decision{Action: ActionNotOwner}
-	}
-	state, known := s.Lookup(r.Workspace, r.Key)
-	if known && state.Fingerprint != r.Fingerprint {
-		return Decision{Action: ActionKeyReused}
-	}
-	if r.Running != nil && !r.Running.Done() {
-		return admitRunning(r)
-	}
-	switch {
-	case !known:
-		return Decision{Action: ActionRun}
-	case state.Phase == PhaseOutcome || state.Phase == PhaseTurn:
-		return Decision{Action: ActionReplay, State: state}
-	default:
-		// An intent without execution in progress: its outcome or cancel was not appended.
-		return Decision{Action: ActionUnknown}
-	}
-}
-
-func admitRunning(r Request) Decision {
-	if r.Running.intent.Fingerprint != r.Fingerprint {
-		return Decision{Action: ActionKeyReused}
-	}
-	return Decision{Action: ActionWait}
-}
-
-// Step is the next step of an execution.
+// Step is the next step of an Execution or a Call.
 type Step string
 
-// Steps of an execution, in order.
+// Steps, in order. An Execution has the intent and the outcome, a Call has the reservation and the turn.
 const (
-	// StepIntent: append Intent and report the verdict to IntentDone.
+	// StepIntent: append Intent and report to IntentDone.
 	StepIntent Step = "intent"
+	// StepReserve: append Reserve and report to ReserveDone.
+	StepReserve Step = "reserve"
 	// StepCheck: check the lease, and whatever else may keep the request from being sent, and report to Checked.
 	StepCheck Step = "check"
-	// StepSend: send the request once and report to Answered, or to Failed.
+	// StepSend: send the request once and report to Answered or Failed.
 	StepSend Step = "send"
-	// StepOutcome: append Outcome and report the verdict to OutcomeDone.
+	// StepOutcome: append Outcome and report to OutcomeDone.
 	StepOutcome Step = "outcome"
-	// StepDone: answer the caller with Answer; append Cancel if there is one.
+	// StepTurn: append Turn and report to TurnDone.
+	StepTurn Step = "turn"
+	// StepDone: answer the caller with Answer. An Execution may have a Cancel to append.
 	StepDone Step = "done"
 )
 
@@ -115,6 +53,9 @@
 
 // Execution is the owner's procedure for one non-idempotent request: append the intent, wait for the verdict, check the
 // lease, send once, append the outcome. A method that is called out of order changes nothing and returns false.
+//
+// The lease check only avoids needless work: an owner that was replaced after its intent was accepted may still send,
+// because every later owner answers this key with "unknown".
 type Execution struct {
 	step   Step
 	intent record.Intent
@@ -131,9 +72,6 @@
 // Step returns the next step.
 func (e *Execution) Step() Step { return e.step }
 
-// Done reports whether the execution has ended.
-func (e *Execution) Done() bool { return e.step == StepDone }
-
 // Intent returns the record to append at StepIntent.
 func (e *Execution) Intent() *record.Intent {
 	i := e.intent
@@ -147,7 +85,7 @@
 	}
 	switch {
 	case err != nil:
-		// The record may still be folded.
+		// The record may be folded later; the cancel follows it in the stream.
 		e.giveUp(err)
 	case verdict != nil:
 		e.refuse(verdict)
@@ -208,12 +146,10 @@
 	if e.step != StepOutcome {
 		return false
 	}
-	e.answer.Durable = verdict == nil && err == nil
-	switch {
-	case err != nil:
-		e.answer.Reason = err
-	case verdict != nil:
-		e.answer.Reason = verdict
+	if reason := cmp.Or(err, verdict); reason != nil {
+		e.answer.Reason = reason
+	} else {
+		e.answer.Durable = true
 	}
 	e.step = StepDone
 	return true
@@ -238,8 +174,6 @@
 }
 
 func (e *Execution) refuse(reason error) {
-	e.answer = Answer{Run: RunNot, Reason: reason, Retry: isDuplicate(reason)}
+	e.answer = Answer{Run: RunNot, Reason: reason, Retry: errors.Is(reason, ErrDuplicateKey)}
 	e.step = StepDone
 }
-
-func isDuplicate(err error) bool { return errors.Is(err, ErrDuplicateKey) }
--- a/pkg/program/idle.go
+++ b/pkg/program/idle.go
@@ -16,8 +16,8 @@
 	limit := now.Add(-after).UnixMilli()
 	var ends []*record.End
 	for id, f := range s.families {
-		if f.lastUse < limit {
-			at := f.lastAt
+		if f.LastUse < limit {
+			at := f.LastAt
 			ends = append(ends, &record.End{Epoch: s.epoch, Workspace: id.Workspace, Program: id.Root, LastUse: &at})
 		}
 	}
--- a/pkg/program/keys.go
+++ b/pkg/program/keys.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/comfreylink/comfreylink/pkg/ids"
@@ -15,13 +16,14 @@
 // reader computes the same.
 //
 // A clock that is behind has no effect. A time that is ahead of the stream's time by more than a quarter of the key
-// retention is only noted, until another writer states a time that far ahead too; then the lower of the two counts.
+// retention is only noted, until another instance states a time that far ahead too; then the lower of the two counts.
+// After a quiet period of that length, keys are therefore kept until the slot has had a second owner.
 // Because the first time of a stream has nothing to be compared with, a clock that is ahead there keeps the keys until
 // the other clocks have caught up: too long, which costs memory, and never too short.
 type streamTime struct {
-	now    int64        // Unix milliseconds, 0 before the first record
-	ahead  int64        // time noted from one writer only, 0 for none
-	writer ids.WriterID // writer of ahead
+	now    int64  // Unix milliseconds, 0 before the first record
+	ahead  int64  // time noted from one instance only, 0 for none
+	source string // instance that stated ahead
 }
 
 // next returns the stream's time after a record of w that states the time t.
@@ -34,8 +36,10 @@
 		s.now = t
 		return s.dropReached()
 	}
-	if s.writer == "" || s.writer == w {
-		s.ahead, s.writer = t, w
+	// Runs of one instance share its clock, so the nonce of the writer is left out.
+	instance, _, _ := strings.Cut(string(w), "#")
+	if s.source == "" || s.source == instance {
+		s.ahead, s.source = t, instance
 		return s
 	}
 	s.now = min(s.ahead, t)
@@ -45,7 +49,7 @@
 // dropReached forgets the noted time once the stream's time has reached it.
 func (s streamTime) dropReached() streamTime {
 	if s.ahead <= s.now {
-		s.ahead, s.writer = 0, ""
+		s.ahead, s.source = 0, ""
 	}
 	return s
 }
@@ -61,11 +65,11 @@
 
 // expired reports whether a key's retention is over. An intent of the current epoch is kept, since it may be running.
 func (s *Slot) expired(e *entry, now int64) bool {
-	return e.at+s.retention.Milliseconds() < now && s.keyState(e).Phase != PhaseIntent
+	return e.At+s.retention.Milliseconds() < now && s.keyState(e).Phase != PhaseIntent
 }
 
 func (s *Slot) addKey(k keyID, attempt int64, state KeyState) {
-	s.keys[k] = &entry{state: state, attempt: attempt, at: s.time.now}
+	s.keys[k] = &entry{State: state, Attempt: attempt, At: s.time.now}
 	s.expiry = append(s.expiry, expiring{k, s.time.now})
 }
 
@@ -81,13 +85,13 @@
 
 func (s *Slot) expire(x expiring) {
 	e := s.keys[x.key]
-	if e == nil || e.at != x.at {
+	if e == nil || e.At != x.at {
 		return // cancelled, or used again since
 	}
 	if s.expired(e, s.time.now) {
 		delete(s.keys, x.key)
 		return
 	}
-	e.at = s.time.now
-	s.expiry = append(s.expiry, expiring{x.key, e.at})
+	e.At = s.time.now
+	s.expiry = append(s.expiry, expiring{x.key, e.At})
 }
--- a/pkg/program/program.go
+++ b/pkg/program/program.go
@@ -11,9 +11,13 @@
 	"github.com/comfreylink/comfreylink/pkg/record"
 )
 
+// DefaultKeyRetention is longer than any caller retries.
+const DefaultKeyRetention = 24 * time.Hour
+
 // Options configure the fold of a slot.
 type Options struct {
-	// KeyRetention is how long a request key is kept, until an open record states another retention.
+	// KeyRetention is how long the owner keeps a request key; 0 for DefaultKeyRetention. It takes effect with the open
+	// record of the owner.
 	KeyRetention time.Duration
 }
 
@@ -34,14 +38,18 @@
 
 // KeyState is what the stream says about a request key. Its byte slices are shared and must not be modified.
 type KeyState struct {
-	Phase       Phase
-	Epoch       ids.Epoch // epoch of the intent or turn
-	Fingerprint ids.Fingerprint
-	Target      ids.TargetID
-	Status      int    // status code of an outcome
-	ContentType string // media type of an outcome
-	Body        []byte // body of an outcome
-	Response    json.RawMessage
+	Phase Phase `json:"phase"`
+	// Epoch is the epoch of the intent or turn.
+	Epoch       ids.Epoch       `json:"epoch"`
+	Fingerprint ids.Fingerprint `json:"fingerprint"`
+	// Target is the target named in the intent.
+	Target ids.TargetID `json:"target,omitempty"`
+	// Status, ContentType and Body are the answer of an outcome.
+	Status      int    `json:"status,omitempty"`
+	ContentType string `json:"contentType,omitempty"`
+	Body        []byte `json:"body,omitempty"`
+	// Response is the answer of a turn.
+	Response json.RawMessage `json:"response,omitempty"`
 }
 
 // ProgramState is the state of one program.
@@ -50,7 +58,8 @@
 	Messages []record.Message
 	// Turns is the number of turns, which is the index of the next one.
 	Turns int
-	// LastUse is the stream's time at the last record that used the program's root or one of its sub-agents.
+	// LastUse is the time of the last record that used the program's root or one of its sub-agents, by the clock of the
+	// owner or by the largest time in the stream, whichever is later.
 	LastUse time.Time
 	// LastAt is the position of that record.
 	LastAt ids.Position
@@ -59,7 +68,7 @@
 // Spending is the budget use of a root program with its sub-agents.
 type Spending struct {
 	// Spent counts the tokens of the recorded turns and everything that earlier owners reserved and did not settle.
-	Spent ids.Tokens
+	Spent ids.Tokens `json:"spent"`
 	// Reserved is the limit up to which the owner of the current epoch may spend; never below Spent.
-	Reserved ids.Tokens
+	Reserved ids.Tokens `json:"reserved"`
 }
--- a/pkg/record/slot.go
+++ b/pkg/record/slot.go
@@ -97,6 +97,7 @@
 	Workspace ids.WorkspaceID `json:"workspace"`
 	Program   ids.ProgramID   `json:"program"`
 	UpTo      ids.Tokens      `json:"upTo"`
+	UnixMilli int64           `json:"unixMilli,omitempty"`
 }
 
 // Settle states a root program's exact spending at a planned hand-over.
--- a/pkg/slot/view.go
+++ b/pkg/slot/view.go
@@ -38,9 +38,10 @@
 type View struct {
 	// Self is the deciding run.
 	Self ids.WriterID
-	// Live are the live runs with Self, from probes and the instance list, without the leaving ones.
+	// Live are the live runs, from probes and the instance list, without the leaving ones. They include Self.
 	Live []Member
-	// Silent are the runs that do not answer.
+	// Silent are the runs that do not answer. They include owners that this instance knows only from the fleet stream,
+	// since the time at which it first tried to reach them.
 	Silent []Silence
 	// Suspicions and Releases are when this instance read them; Reads collects both.
 	Suspicions []SuspicionRead
@@ -54,7 +55,9 @@
 	// Drained are the slots whose calls have finished and whose budgets are settled, so that they can be released.
 	// Decide releases no others.
 	Drained []ids.Slot
-	// LastRebalance is when this instance last released a slot for rebalancing, or when it started.
+	// Started is when this instance had read the fleet stream up to date and knew the instance list for the first time.
+	Started time.Time
+	// LastRebalance is when this instance last handed over a slot for rebalancing, or Started.
 	LastRebalance time.Time
 	// Pending are the records that this instance has submitted and not seen folded.
 	Pending []record.Body
