Read settings and documents from INI files

The daemon and its operators need typed settings and documents whose errors are found before a start or a publish.

Package inifile reads INI strictly: unknown or repeated sections and keys, missing units and values out of range are errors with file, section, key and reason, all reported at once. Package settings gives the daemon's sections with defaults and refuses combinations that cannot work, such as suspectAfter above the lease.

--- /dev/null
+++ b/internal/inifile/section.go
@@ -0,0 +1,216 @@
+package inifile
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"gopkg.in/ini.v1"
+)
+
+// Section reads the keys of one section. A method that cannot read a value records an error and returns the default.
+type Section struct {
+	file *File
+	name string
+	ini  *ini.Section
+	read map[string]bool
+}
+
+// Fail records an error of a key, or of the section if key is empty.
+func (s *Section) Fail(key, format string, args ...any) {
+	s.file.fail(s.name, key, fmt.Sprintf(format, args...))
+}
+
+// value returns the text of a key and whether it is given.
+func (s *Section) value(key string) (text string, given bool) {
+	s.read[key] = true
+	if s.ini == nil {
+		return "", false
+	}
+	for _, k := range s.ini.Keys() {
+		if k.Name() != key {
+			continue
+		}
+		values := k.ValueWithShadows()
+		if len(values) > 1 {
+			s.Fail(key, "the key is given twice")
+		}
+		if k.Value() == "" {
+			s.Fail(key, "the value is empty")
+			return "", false
+		}
+		return k.Value(), true
+	}
+	return "", false
+}
+
+// Text returns a value as it stands.
+func (s *Section) Text(key, otherwise string) string {
+	if text, given := s.value(key); given {
+		return text
+	}
+	return otherwise
+}
+
+// Required returns a value that has no default.
+func (s *Section) Required(key string) string {
+	before := len(s.file.errs)
+	text, given := s.value(key)
+	if !given && len(s.file.errs) == before {
+		s.Fail(key, "the key is missing")
+	}
+	return text
+}
+
+// List returns the comma-separated parts of a value.
+func (s *Section) List(key string) (parts []string) {
+	text, given := s.value(key)
+	if !given {
+		return nil
+	}
+	for part := range strings.SplitSeq(text, ",") {
+		part = strings.TrimSpace(part)
+		if part == "" {
+			s.Fail(key, "an element of the list is empty")
+			continue
+		}
+		parts = append(parts, part)
+	}
+	return parts
+}
+
+// OneOf returns a value that must be one of the choices.
+func (s *Section) OneOf(key, otherwise string, choices ...string) string {
+	text := s.Text(key, otherwise)
+	if slices.Contains(choices, text) {
+		return text
+	}
+	s.Fail(key, "%q is not one of %s", text, strings.Join(choices, ", "))
+	return otherwise
+}
+
+// Bool returns true or false.
+func (s *Section) Bool(key string, otherwise bool) bool {
+	text := s.OneOf(key, strconv.FormatBool(otherwise), "true", "false")
+	return text == "true"
+}
+
+// Int returns a whole number between least and most.
+func (s *Section) Int(key string, otherwise, least, most int64) int64 {
+	text, given := s.value(key)
+	if !given {
+		return otherwise
+	}
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		s.Fail(key, "%q is not a whole number", text)
+		return otherwise
+	}
+	if n < least || n > most {
+		s.Fail(key, "%d is not between %d and %d", n, least, most)
+		return otherwise
+	}
+	return n
+}
+
+// Float returns a number between least and most.
+func (s *Section) Float(key string, otherwise, least, most float64) float64 {
+	text, given := s.value(key)
+	if !given {
+		return otherwise
+	}
+	n, err := strconv.ParseFloat(text, 64)
+	if err != nil || math.IsNaN(n) {
+		s.Fail(key, "%q is not a number", text)
+		return otherwise
+	}
+	if n < least || n > most {
+		s.Fail(key, "%v is not between %v and %v", n, least, most)
+		return otherwise
+	}
+	return n
+}
+
+// Duration returns a duration with its unit, such as 200ms or 1m30s, between least and most.
+func (s *Section) Duration(key string, otherwise, least, most time.Duration) time.Duration {
+	text, given := s.value(key)
+	if !given {
+		return otherwise
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		s.Fail(key, "%q is not a duration with a unit, such as 200ms, 10s or 1h30m", text)
+		return otherwise
+	}
+	if d < least || d > most {
+		s.Fail(key, "%s is not between %s and %s", d, least, most)
+		return otherwise
+	}
+	return d
+}
+
+var sizeUnits = []struct {
+	suffix string
+	bytes  int64
+}{{"KiB", 1 << 10}, {"MiB", 1 << 20}, {"GiB", 1 << 30}, {"B", 1}}
+
+// Size returns a number of bytes, written with the unit B, KiB, MiB or GiB, between least and most.
+func (s *Section) Size(key string, otherwise, least, most int64) int64 {
+	text, given := s.value(key)
+	if !given {
+		return otherwise
+	}
+	n, ok := parseSize(text)
+	if !ok {
+		s.Fail(key, "%q is not a size with a unit, such as 512B, 64KiB, 1MiB or 1GiB", text)
+		return otherwise
+	}
+	if n < least || n > most {
+		s.Fail(key, "%s is not between %dB and %dB", text, least, most)
+		return otherwise
+	}
+	return n
+}
+
+func parseSize(text string) (n int64, ok bool) {
+	for _, unit := range sizeUnits {
+		digits, found := strings.CutSuffix(text, unit.suffix)
+		if !found {
+			continue
+		}
+		n, err := strconv.ParseInt(digits, 10, 64)
+		if err != nil || n < 0 || n > math.MaxInt64/unit.bytes {
+			return 0, false
+		}
+		return n * unit.bytes, true
+	}
+	return 0, false
+}
+
+// Time returns a time in RFC 3339 form, or the zero time if the key is not given.
+func (s *Section) Time(key string) time.Time {
+	text, given := s.value(key)
+	if !given {
+		return time.Time{}
+	}
+	t, err := time.Parse(time.RFC3339, text)
+	if err != nil {
+		s.Fail(key, "%q is not a time such as 2026-12-31T23:59:59Z", text)
+	}
+	return t
+}
+
+// Close records the keys of the section that no method asked for.
+func (s *Section) Close() {
+	if s.ini == nil {
+		return
+	}
+	for _, k := range s.ini.Keys() {
+		if !s.read[k.Name()] {
+			s.Fail(k.Name(), "unknown key")
+		}
+	}
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,215 @@
+// Package settings reads the daemon's settings file.
+package settings
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap/zapcore"
+
+	"github.com/comfreylink/comfreylink/internal/inifile"
+	"github.com/comfreylink/comfreylink/pkg/ids"
+)
+
+// Settings are the contents of a settings file, with defaults for what it leaves out.
+type Settings struct {
+	Instance  Instance
+	Peer      Peer
+	Log       Log
+	List      List
+	Ownership Ownership
+	Rate      Rate
+	Dispatch  Dispatch
+	Limits    Limits
+	Weights   Weights
+	Fencing   Fencing
+	Observe   Observe
+}
+
+// Instance says who the daemon is and where it listens.
+type Instance struct {
+	ID   ids.InstanceID
+	Zone ids.Zone
+	// Listen is the address for callers.
+	Listen string
+	// Admin is the address for operators and monitoring.
+	Admin string
+	// DrainTimeout is how long a planned stop waits for requests in progress.
+	DrainTimeout time.Duration
+}
+
+// Peer configures the connections between daemons.
+type Peer struct {
+	Listen string
+	// Advertise is the address that other daemons connect to.
+	Advertise string
+	CAFile    string
+	CertFile  string
+	KeyFile   string
+}
+
+// Log configures the access to the log service.
+type Log struct {
+	Address string
+	// AppendsPerSecond paces the appends of this instance to all streams together.
+	AppendsPerSecond float64
+	// Retention is how long the log service keeps entries.
+	Retention time.Duration
+	// Timeout applies to one request.
+	Timeout time.Duration
+}
+
+// List configures the access to the instance list.
+type List struct {
+	Address  string
+	Interval time.Duration
+}
+
+// Ownership configures slots.
+type Ownership struct {
+	// Slots is the number of slots of the fleet; it must be the same at every instance and never change.
+	Slots int
+	Lease time.Duration
+	// SuspectAfter is the time without an answer after which an instance is suspected.
+	SuspectAfter time.Duration
+	// KeyRetention is how long the key of a request is remembered.
+	KeyRetention time.Duration
+}
+
+// Rate configures the limiter.
+type Rate struct {
+	// GrantMax is the age up to which a granted token may be used.
+	GrantMax time.Duration
+	// Hold is how long the limiter holds a request before it answers how long to wait.
+	Hold time.Duration
+}
+
+// Policy names a way of placing calls.
+type Policy string
+
+// Policies of dispatch.
+const (
+	Fair          Policy = "fair"
+	RoundRobin    Policy = "roundRobin"
+	LeastInFlight Policy = "leastInFlight"
+	Sticky        Policy = "sticky"
+)
+
+// Dispatch configures the dispatcher.
+type Dispatch struct {
+	Policy Policy
+	// MaxInFlight limits the calls at one target of a pool whose templates do not say otherwise.
+	MaxInFlight int
+	// RetryBudget is the part of the requests that may be retries, such as 0.1.
+	RetryBudget float64
+}
+
+// Limits bounds what callers may send.
+type Limits struct {
+	MaxBodyBytes    int64
+	MaxConcurrent   int
+	DefaultDeadline time.Duration
+	MaxDeadline     time.Duration
+}
+
+// Weights configures the access to the weight store.
+type Weights struct {
+	// Address is empty if there is no weight store.
+	Address string
+}
+
+// Fencing says which targets refuse an old fencing number.
+type Fencing struct {
+	Checked []ids.PoolID
+}
+
+// Observe configures logging.
+type Observe struct {
+	LogLevel zapcore.Level
+}
+
+// Load reads a settings file. The error names everything that is wrong with it.
+func Load(path string) (s Settings, err error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, fmt.Errorf("read the settings: %w", err)
+	}
+	return Parse(path, data)
+}
+
+// Parse reads the contents of a settings file. The name occurs in errors only.
+func Parse(name string, data []byte) (s Settings, err error) {
+	f, err := inifile.Parse(name, data)
+	if err != nil {
+		return Settings{}, err
+	}
+	for _, part := range s.parts() {
+		section := f.Section(part.name)
+		part.read(section)
+		section.Close()
+	}
+	s.checkTogether(f)
+	if err := f.Err(); err != nil {
+		return Settings{}, err
+	}
+	return s, nil
+}
+
+// part is a section with the function that reads it.
+type part struct {
+	name string
+	read func(*inifile.Section)
+}
+
+func (s *Settings) parts() []part {
+	return []part{
+		{"instance", s.Instance.read},
+		{"peer", s.Peer.read},
+		{"log", s.Log.read},
+		{"list", s.List.read},
+		{"ownership", s.Ownership.read},
+		{"rate", s.Rate.read},
+		{"dispatch", s.Dispatch.read},
+		{"limits", s.Limits.read},
+		{"weights", s.Weights.read},
+		{"fencing", s.Fencing.read},
+		{"observe", s.Observe.read},
+	}
+}
+
+// address reads a host and port; wildcard says whether the host may be left out or be the unspecified address.
+func address(s *inifile.Section, key string, required, wildcard bool) string {
+	var text string
+	if required {
+		text = s.Required(key)
+	} else {
+		text = s.Text(key, "")
+	}
+	if text == "" {
+		return ""
+	}
+	host, port, err := net.SplitHostPort(text)
+	if err != nil {
+		s.Fail(key, "%q is not an address such as 10.0.0.7:7400", text)
+		return text
+	}
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 && !wildcard {
+		s.Fail(key, "%q is not a port number", port)
+	}
+	checkHost(s, key, host, wildcard)
+	return text
+}
+
+func checkHost(s *inifile.Section, key, host string, wildcard bool) {
+	ip := net.ParseIP(host)
+	switch {
+	case host == "" && wildcard:
+	case ip == nil:
+		s.Fail(key, "%q is not an IP address", host)
+	case ip.IsUnspecified() && !wildcard:
+		s.Fail(key, "%q is no address to connect to", host)
+	}
+}
--- a/pkg/config/document.go
+++ b/pkg/config/document.go
@@ -131,6 +131,9 @@
 	Document json.RawMessage `json:"document"`
 }
 
+// ObjectName returns the name under which an object is published.
+func ObjectName(k ObjectKind, name string) string { return string(k) + "/" + name }
+
 // SplitObject returns the kind and the name of an object, or an *UnknownError.
 func SplitObject(object string) (k ObjectKind, name string, err error) {
 	kind, name, found := strings.Cut(object, "/")
--- a/pkg/config/errors.go
+++ b/pkg/config/errors.go
@@ -9,9 +9,8 @@
 
 // ConflictError says that a publish was made from a revision that is not the current one.
 type ConflictError struct {
-	Object  string
-	Base    ids.Revision
-	Current ids.Revision
+	Object        string
+	Base, Current ids.Revision
 }
 
 // Error implements error.
--- a/pkg/config/publish.go
+++ b/pkg/config/publish.go
@@ -39,7 +39,7 @@
 	if len(document) == 0 {
 		return []string{"no document"}
 	}
-	object := string(kind) + "/" + name
+	object := ObjectName(kind, name)
 	e := entry{revision: at}
 	switch before, _ := v.objects.get(object); {
 	case string(document) != "null":
@@ -125,8 +125,7 @@
 			public[s.Name] = s
 		}
 	}
-	slices.Sort(why)
-	return public, slices.Compact(why)
+	return public, slices.Compact(slices.Sorted(slices.Values(why)))
 }
 
 func (v *View) setWorkspace(w Workspace) (why []string) {
