Add numbered log events

Operators need to filter log events by number and to know what to do about each one.

Package events holds one catalogue with number, name, level, meaning, action and field names.

--- /dev/null
+++ b/internal/events/catalogue.go
@@ -0,0 +1,147 @@
+package events
+
+import "go.uber.org/zap/zapcore"
+
+// Levels of events.
+const (
+	debug = zapcore.DebugLevel
+	info  = zapcore.InfoLevel
+	warn  = zapcore.WarnLevel
+	fault = zapcore.ErrorLevel
+)
+
+// Events of the life of a daemon.
+var (
+	Started = define(100, "started", info,
+		"The daemon has read its settings and starts its tasks.", nothing,
+		"instance", "zone", "writer", "version")
+	Ready = define(101, "ready", info,
+		"The daemon has caught up with the log and admits requests.", nothing,
+		"instance", "configRevision", "duration")
+	Draining = define(102, "draining", info,
+		"A planned stop began: new requests are refused, those in progress are finished.", nothing,
+		"reason", "inProgress", "timeout")
+	Stopped = define(103, "stopped", info,
+		"The daemon has ended its tasks and released its slots.",
+		"If cutOff is not 0, raise drainTimeout of [instance].",
+		"duration", "cutOff", "error")
+	SettingsInvalid = define(104, "settingsInvalid", fault,
+		"The settings file has errors; the daemon does not start.",
+		"Correct the places that the error names; test with `comfreylink check`.",
+		"file", "error")
+)
+
+// Events of the log service and its streams.
+var (
+	LogContactLost = define(200, "logContactLost", warn,
+		"The log service does not answer. What needs a record waits, then is refused as not run.",
+		"Check the log service and the network to it.",
+		"stream", "operation", "error")
+	LogContactRegained = define(201, "logContactRegained", info,
+		"The log service answers again.", nothing,
+		"stream", "duration")
+	EntrySkipped = define(202, "entrySkipped", warn,
+		"A log entry or record is malformed, oversized or of unknown type and was not interpreted.",
+		"Find the writer. If instances run different versions, finish the upgrade.",
+		"stream", "offset", "index", "writer", "reason")
+	SnapshotWritten = define(203, "snapshotWritten", info,
+		"A snapshot of a stream was appended.", nothing,
+		"stream", "covers", "parts", "bytes")
+	RecordIgnored = define(204, "recordIgnored", debug,
+		"A well-formed record does not count by the rules of its stream.", nothing,
+		"stream", "offset", "index", "writer", "type", "reason")
+)
+
+// Events of slot ownership.
+var (
+	SlotClaimed = define(300, "slotClaimed", info,
+		"This instance's claim of a slot counts.", nothing,
+		"slot", "epoch", "owner", "previousOwner")
+	SlotOpened = define(301, "slotOpened", info,
+		"This instance has the state of a slot and serves it.", nothing,
+		"slot", "epoch", "programs", "duration")
+	SlotReleased = define(302, "slotReleased", info,
+		"This instance released a slot in a planned stop.", nothing,
+		"slot", "epoch", "successor")
+	SlotLost = define(303, "slotLost", warn,
+		"Another instance has claimed a slot of this one, or the lease ran out.",
+		"If it happens often, look for pauses of the process and for slow reads of the log.",
+		"slot", "epoch", "owner", "reason")
+)
+
+// Events of other daemons.
+var (
+	PeerSuspected = define(400, "peerSuspected", warn,
+		"Another daemon does not answer; its slots can be claimed after a lease.",
+		"If the instance runs, check the network to it.",
+		"peer", "writer", "reason")
+	PeerAlive = define(401, "peerAlive", info,
+		"A suspected daemon, perhaps this one, contradicted the suspicion.", nothing,
+		"peer", "writer")
+	PeerRejected = define(402, "peerRejected", warn,
+		"A connection was closed: no certificate of the fleet's authority, or a malformed message.",
+		"If the address is one of the daemons, check its certificate and version; otherwise find who connects.",
+		"address", "peer", "reason")
+)
+
+// Events of configuration.
+var (
+	ConfigAccepted = define(500, "configAccepted", info,
+		"A publish came into force.", nothing,
+		"object", "revision", "writer")
+	ConfigIgnored = define(501, "configIgnored", warn,
+		"A publish does not count: it was made from an old revision or is not valid.",
+		"Tell its author; `comfreylink get` prints what is in force.",
+		"object", "revision", "base", "current", "writer", "reason")
+	KeyWithdrawn = define(502, "keyWithdrawn", info,
+		"A key no longer works. Its waiting requests end as not run.", nothing,
+		"workspace", "label", "revision")
+	ConfigStale = define(503, "configStale", warn,
+		"The configuration may be out of date; requests are refused with code stale.",
+		"Check the log service and the connections between daemons.",
+		"revision", "age")
+	ConfigFresh = define(504, "configFresh", info,
+		"The configuration is up to date again.", nothing,
+		"revision", "duration")
+)
+
+// Events of requests.
+var (
+	RequestRefused = define(600, "requestRefused", debug,
+		"A request was refused with an error code.", nothing,
+		"workspace", "program", "requestKey", "code", "run", "reason")
+	RequestSuspected = define(601, "requestSuspected", warn,
+		"A target died while it ran a request; after a second death the request is refused.", nothing,
+		"workspace", "fingerprint", "target")
+	RequestQuarantined = define(602, "requestQuarantined", fault,
+		"Two targets died while they ran a request; it is refused from now on.",
+		"Ask the workspace about the request; report it to the engine's maintainers.",
+		"workspace", "fingerprint", "target")
+	RetryBudgetUsedUp = define(603, "retryBudgetUsedUp", warn,
+		"Requests that could be retried end with an error because too many retries were made.",
+		"Look for failing targets.",
+		"pool", "retryBudget")
+	ProgramEndedIdle = define(604, "programEndedIdle", info,
+		"A program was not used for the idle time of its template and has ended.", nothing,
+		"workspace", "program", "idle")
+)
+
+// Events of targets.
+var (
+	TargetDead = define(700, "targetDead", warn,
+		"A target does not answer or broke off its answers.",
+		"Check the target.",
+		"target", "pool", "zone", "reason")
+	TargetLeaving = define(701, "targetLeaving", info,
+		"A target is leaving and gets no new work.", nothing,
+		"target", "pool", "zone", "reason")
+	TargetBack = define(702, "targetBack", info,
+		"A target that was dead or leaving gets work again.", nothing,
+		"target", "pool", "zone")
+)
+
+// InternalError is the event of a fault in the daemon.
+var InternalError = define(900, "internalError", fault,
+	"A fault in the daemon; the request or task it concerns has ended with an error.",
+	"Report it with the fields of the event.",
+	"task", "requestKey", "error")
