--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -13,6 +13,7 @@
 	"github.com/comfreylink/comfreylink/internal/targethttp"
 	"github.com/comfreylink/comfreylink/pkg/record"
 	standin "github.com/comfreylink/comfreylink/standin/engine"
+	"github.com/comfreylink/comfreylink/standin/engine/prefix"
 	"github.com/comfreylink/comfreylink/standin/serve"
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/goleak"
@@ -72,7 +73,7 @@
 		c.Assert(err, qt.IsNil)
 		raw[i] = data
 	}
-	text, err := standin.Greeting(raw)
+	text, err := prefix.Greeting(raw)
 	c.Assert(err, qt.IsNil)
 	return text
 }
--- a/standin/cmd/standin/engine.go
+++ b/standin/cmd/standin/engine.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/comfreylink/comfreylink/standin/engine"
+	"github.com/comfreylink/comfreylink/standin/engine/costs"
 	"github.com/comfreylink/comfreylink/standin/serve"
 	"github.com/urfave/cli/v3"
 )
@@ -15,8 +16,8 @@
 		Flags: []cli.Flag{
 			listenFlag(),
 			&cli.FloatFlag{Name: "speed", Value: 1, Usage: "divides all durations of the engine's work"},
-			&cli.IntFlag{Name: "slots", Value: engine.DefaultSlots, Usage: "sequences in the batch"},
-			&cli.IntFlag{Name: "cache-tokens", Value: engine.DefaultCacheTokens, Usage: "size of the prefix cache"},
+			&cli.IntFlag{Name: "slots", Value: costs.Slots, Usage: "sequences in the batch"},
+			&cli.IntFlag{Name: "cache-tokens", Value: costs.CacheTokens, Usage: "size of the prefix cache"},
 			&cli.BoolFlag{Name: "ignore-fencing", Usage: "accept orders with any fencing number"},
 			&cli.StringSliceFlag{Name: "model", Usage: "model that is served; all if not given"},
 		},
--- a/standin/engine/admin.go
+++ b/standin/engine/admin.go
@@ -2,29 +2,15 @@
 
 import (
 	"time"
-)
 
-// Run is one execution of a chat request. Times are Unix milliseconds, 0 for what has not happened.
-type Run struct {
-	ID           string `json:"id"`
-	Workspace    string `json:"workspace"`
-	Program      string `json:"program"`
-	Model        string `json:"model"`
-	Messages     int    `json:"messages"`
-	Digest       string `json:"digest"`
-	PromptTokens int    `json:"promptTokens"`
-	CachedTokens int    `json:"cachedTokens"`
-	ArrivedMs    int64  `json:"arrivedMs"`
-	StartedMs    int64  `json:"startedMs"`
-	FirstTokenMs int64  `json:"firstTokenMs"`
-	EndedMs      int64  `json:"endedMs"`
-	Completed    bool   `json:"completed"`
-	Cancelled    bool   `json:"cancelled"`
-}
+	"github.com/comfreylink/comfreylink/standin/engine/batch"
+	"github.com/comfreylink/comfreylink/standin/engine/costs"
+	"github.com/comfreylink/comfreylink/standin/engine/prefix"
+)
 
 // Runs is the body of GET /runs.
 type Runs struct {
-	Runs []Run `json:"runs"`
+	Runs []batch.Run `json:"runs"`
 	// Authorization counts requests with an Authorization header, which no target may see.
 	Authorization int `json:"authorization"`
 }
@@ -42,16 +28,16 @@
 func (e *Engine) Runs() Runs {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	r := Runs{Runs: make([]Run, len(e.order)), Authorization: e.exposed}
+	r := Runs{Runs: make([]batch.Run, len(e.order)), Authorization: e.exposed}
 	for i, g := range e.order {
-		r.Runs[i] = g.record()
+		r.Runs[i] = g.Record()
 	}
 	return r
 }
 
 // expire forgets the answers that can no longer be resumed, and the oldest runs. The caller holds the lock.
 func (e *Engine) expire(now time.Time) {
-	for len(e.order) > maxRuns {
+	for len(e.order) > costs.MaxRuns {
 		e.order = e.order[1:]
 	}
 	// Looking at a few streams for each new one is enough to keep up.
@@ -61,27 +47,29 @@
 		if n++; n > looks {
 			return
 		}
-		if g.expired(now) {
-			g.forget()
+		if g.Expired(now) {
+			g.Forget()
 			delete(e.streams, id)
 		}
 	}
 }
 
 func (e *Engine) measure() *Load {
-	running, waiting, used, free := e.batch.counts()
-	return &Load{Running: running, Waiting: waiting, CacheUsed: used, CacheFree: free, Leaving: e.leaving.Load()}
+	l := &Load{Leaving: e.leaving.Load()}
+	l.Running, l.Waiting = e.batch.Counts()
+	e.batch.WithCache(func(c *prefix.Cache, _ *prefix.EventLog) { l.CacheUsed, l.CacheFree = c.Used(), c.Free() })
+	return l
 }
 
 // reportLoad replaces the load report at intervals, so that it lags.
 func (e *Engine) reportLoad() {
-	t := time.NewTicker(loadInterval)
+	t := time.NewTicker(costs.LoadInterval)
 	defer t.Stop()
 	for {
 		select {
 		case <-t.C:
 			e.load.Store(e.measure())
-		case <-e.batch.done:
+		case <-e.batch.Done():
 			return
 		}
 	}
--- a/standin/engine/batch.go
+++ b/standin/engine/batch/batch.go
@@ -1,13 +1,17 @@
-package engine
+// Package batch keeps the time of an engine with continuous batching and holds the answers that it generates.
+package batch
 
 import (
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/comfreylink/comfreylink/standin/engine/costs"
+	"github.com/comfreylink/comfreylink/standin/engine/prefix"
 )
 
-// batch runs generations by continuous batching: a step decodes one token of each sequence and prefills a chunk.
-type batch struct {
+// Batch runs generations by continuous batching: a step decodes one token of each sequence and prefills a chunk.
+type Batch struct {
 	slots   int
 	speed   float64
 	padding func() string
@@ -17,27 +21,38 @@
 	mu      sync.Mutex
 	waiting []*sequence
 	running []*sequence
-	cache   *prefixCache
-	log     *eventLog
+	cache   *prefix.Cache
+	events  *prefix.EventLog
 }
 
 // sequence is a generation in the batch.
 type sequence struct {
-	g       *generation
+	g       *Generation
 	prefill int // prompt tokens still to be computed
 	planned int // prompt tokens that the present step computes
 }
 
-func newBatch(o Options, padding func() string) *batch {
-	return &batch{
-		slots: o.Slots, speed: o.Speed, padding: padding,
+// New returns a batch with a number of slots and a cache for a number of tokens. The speed divides all durations; the
+// text that padding returns is added to the first token of an answer. The cleanup ends the batch's goroutine.
+func New(slots, cacheTokens int, speed float64, padding func() string) (b *Batch, cleanup func()) {
+	b = &Batch{
+		slots: slots, speed: speed, padding: padding,
 		wake: make(chan struct{}, 1), done: make(chan struct{}),
-		cache: newPrefixCache(o.CacheTokens), log: newEventLog(),
+		cache: prefix.NewCache(cacheTokens), events: prefix.NewEventLog(),
+	}
+	var task sync.WaitGroup
+	task.Go(b.loop)
+	return b, func() {
+		close(b.done)
+		task.Wait()
 	}
 }
 
-// add queues a generation.
-func (b *batch) add(g *generation) {
+// Done is closed when the batch ends.
+func (b *Batch) Done() <-chan struct{} { return b.done }
+
+// Add queues a generation.
+func (b *Batch) Add(g *Generation) {
 	b.mu.Lock()
 	b.waiting = append(b.waiting, &sequence{g: g})
 	b.mu.Unlock()
@@ -48,7 +63,7 @@
 }
 
 // loop runs steps until the batch is closed.
-func (b *batch) loop() {
+func (b *Batch) loop() {
 	next := time.Now()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -64,10 +79,10 @@
 			}
 		}
 		next = next.Add(time.Duration(float64(step) / b.speed))
-		if late := time.Since(next); late > maxCatchUp {
+		if late := time.Since(next); late > costs.MaxCatchUp {
 			next = time.Now()
 		}
-		if wait := time.Until(next); wait > wakeInterval {
+		if wait := time.Until(next); wait > costs.WakeInterval {
 			timer.Reset(wait)
 			select {
 			case <-timer.C:
@@ -80,7 +95,7 @@
 }
 
 // plan admits waiting sequences into free slots and returns the duration of the next step.
-func (b *batch) plan(now time.Time) (step time.Duration, busy bool) {
+func (b *Batch) plan(now time.Time) (step time.Duration, busy bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.waiting = slices.DeleteFunc(b.waiting, func(s *sequence) bool { return s.g.over() })
@@ -88,9 +103,9 @@
 	for len(b.running) < b.slots && len(b.waiting) > 0 {
 		s := b.waiting[0]
 		b.waiting = b.waiting[1:]
-		cached := min(b.cache.match(s.g.prompt.blocks), s.g.prompt.tokens)
+		cached := min(b.cache.Match(s.g.prompt.Blocks), s.g.prompt.Tokens)
 		// The last token is always computed, because it yields the first one of the answer.
-		s.prefill = max(s.g.prompt.tokens-cached, 1)
+		s.prefill = max(s.g.prompt.Tokens-cached, 1)
 		s.g.start(cached, now)
 		b.running = append(b.running, s)
 	}
@@ -98,8 +113,8 @@
 }
 
 // cost plans the prefill of the next step and returns the step's duration.
-func (b *batch) cost() (step time.Duration) {
-	budget, decoding := prefillChunk, 0
+func (b *Batch) cost() (step time.Duration) {
+	budget, decoding := costs.PrefillChunk, 0
 	for _, s := range b.running {
 		if s.planned = 0; s.prefill == 0 {
 			decoding++
@@ -108,11 +123,11 @@
 		s.planned = min(s.prefill, budget)
 		budget -= s.planned
 	}
-	return decodeBase + time.Duration(decoding)*decodePerSequence + time.Duration(prefillChunk-budget)*prefillPerToken
+	return costs.DecodeBase + time.Duration(decoding)*costs.DecodePerSequence + time.Duration(costs.PrefillChunk-budget)*costs.PrefillPerToken
 }
 
 // complete applies the step that plan announced.
-func (b *batch) complete(now time.Time) {
+func (b *Batch) complete(now time.Time) {
 	padding := b.padding()
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -121,26 +136,26 @@
 			if s.prefill -= s.planned; s.prefill > 0 {
 				continue
 			}
-			b.cache.insert(s.g.key, s.g.prompt.blocks, now)
+			b.cache.Insert(s.g.key, s.g.prompt.Blocks, now)
 		}
 		if s.g.emit(padding, now) {
-			b.cache.insert(s.g.key, s.g.answered(), now)
+			b.cache.Insert(s.g.key, s.g.answered(), now)
 		}
 	}
-	b.log.record(b.cache, now)
+	b.events.Record(b.cache, now)
 }
 
-// counts returns the numbers of running and waiting sequences and the tokens of the cache.
-func (b *batch) counts() (running, waiting, used, free int) {
+// Counts returns the numbers of running and waiting sequences.
+func (b *Batch) Counts() (running, waiting int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return len(b.running), len(b.waiting), b.cache.used, b.cache.capacity - b.cache.used
+	return len(b.running), len(b.waiting)
 }
 
-// withCache runs f on the cache and reports the changes.
-func (b *batch) withCache(f func(*prefixCache)) {
+// WithCache runs f on the cache and its events, and records what f changed.
+func (b *Batch) WithCache(f func(*prefix.Cache, *prefix.EventLog)) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	f(b.cache)
-	b.log.record(b.cache, time.Now())
+	f(b.cache, b.events)
+	b.events.Record(b.cache, time.Now())
 }
--- /dev/null
+++ b/standin/engine/batch/generation.go
@@ -0,0 +1,250 @@
+package batch
+
+import (
+	"encoding/json"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/comfreylink/comfreylink/standin/engine/costs"
+	"github.com/comfreylink/comfreylink/standin/engine/prefix"
+)
+
+// Run describes one execution of a chat request. Times are Unix milliseconds, 0 for what has not happened.
+type Run struct {
+	ID           string `json:"id"`
+	Workspace    string `json:"workspace"`
+	Program      string `json:"program"`
+	Model        string `json:"model"`
+	Messages     int    `json:"messages"`
+	Digest       string `json:"digest"`
+	PromptTokens int    `json:"promptTokens"`
+	CachedTokens int    `json:"cachedTokens"`
+	ArrivedMs    int64  `json:"arrivedMs"`
+	StartedMs    int64  `json:"startedMs"`
+	FirstTokenMs int64  `json:"firstTokenMs"`
+	EndedMs      int64  `json:"endedMs"`
+	Completed    bool   `json:"completed"`
+	Cancelled    bool   `json:"cancelled"`
+}
+
+// Generation is one answer. It goes on without a connection and can be read by any number of readers.
+type Generation struct {
+	id     string
+	model  string
+	prompt prefix.Prompt
+	max    int
+	key    prefix.Key
+
+	mu       sync.Mutex
+	run      Run
+	events   [][]byte // data of the server-sent events, numbered from 1
+	text     strings.Builder
+	produced int
+	cached   int
+	state    State
+	ended    time.Time
+	changed  chan struct{}
+}
+
+// State tells whether a generation goes on.
+type State int
+
+// States of a generation.
+const (
+	Active State = iota
+	Finished
+	Cancelled
+)
+
+// NewGeneration returns an answer of limit tokens to a prompt.
+func NewGeneration(id, model string, p prefix.Prompt, limit int, k prefix.Key, now time.Time) *Generation {
+	return &Generation{
+		id: id, model: model, prompt: p, max: limit, key: k,
+		changed: make(chan struct{}),
+		run: Run{
+			ID: id, Workspace: k.Workspace, Program: k.Program, Model: model,
+			Messages: len(p.Blocks), Digest: p.Digest, PromptTokens: p.Tokens,
+			ArrivedMs: now.UnixMilli(),
+		},
+	}
+}
+
+// ID returns the id of the request.
+func (g *Generation) ID() string { return g.id }
+
+// Model returns the model that answers.
+func (g *Generation) Model() string { return g.model }
+
+// finishReason is always the limit of tokens: the text has no end of its own.
+const finishReason = "length"
+
+// Completion is an answer or a part of it, as in the chat completions protocol.
+type Completion struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Model   string   `json:"model"`
+	Choices []Choice `json:"choices"`
+	Usage   *Usage   `json:"usage,omitempty"`
+}
+
+// Choice is the only alternative of an answer.
+type Choice struct {
+	Index        int      `json:"index"`
+	Delta        *Message `json:"delta,omitempty"`
+	Message      *Message `json:"message,omitempty"`
+	FinishReason *string  `json:"finish_reason"`
+}
+
+// Message is a message or a change to one.
+type Message struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content,omitempty"`
+}
+
+// Usage counts the tokens of a call.
+type Usage struct {
+	Prompt     int          `json:"prompt_tokens"`
+	Completion int          `json:"completion_tokens"`
+	Total      int          `json:"total_tokens"`
+	Details    UsageDetails `json:"prompt_tokens_details"`
+}
+
+// UsageDetails tells how many prompt tokens were cached.
+type UsageDetails struct {
+	Cached int `json:"cached_tokens"`
+}
+
+// start notes the admission into the batch.
+func (g *Generation) start(cached int, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.cached = cached
+	g.run.StartedMs, g.run.CachedTokens = now.UnixMilli(), cached
+}
+
+// emit adds the next token and reports whether it was the last. The padding goes into the first token.
+func (g *Generation) emit(padding string, now time.Time) (last bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.state != Active {
+		return false
+	}
+	d := &Message{Content: g.prompt.Token(g.produced)}
+	if g.produced == 0 {
+		d.Role = "assistant"
+		d.Content += padding
+		g.run.FirstTokenMs = now.UnixMilli()
+	}
+	g.produced++
+	g.text.WriteString(d.Content)
+	g.publish(Completion{Choices: []Choice{{Delta: d}}})
+	if g.produced < g.max {
+		return false
+	}
+	g.finish(now)
+	return true
+}
+
+// finish adds the last chunk and the usage. The caller holds the lock.
+func (g *Generation) finish(now time.Time) {
+	reason := finishReason
+	g.publish(Completion{Choices: []Choice{{Delta: &Message{}, FinishReason: &reason}}})
+	g.publish(Completion{Choices: []Choice{}, Usage: g.usage()})
+	g.state, g.ended = Finished, now
+	g.run.EndedMs, g.run.Completed = now.UnixMilli(), true
+	g.notify()
+}
+
+// Cancel ends the generation unless it is over.
+func (g *Generation) Cancel(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.state != Active {
+		return
+	}
+	g.state, g.ended = Cancelled, now
+	g.run.EndedMs, g.run.Cancelled = now.UnixMilli(), true
+	g.notify()
+}
+
+// over reports whether the generation has ended.
+func (g *Generation) over() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.state != Active
+}
+
+// Record returns a copy of the generation's run.
+func (g *Generation) Record() Run {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.run
+}
+
+func (g *Generation) usage() *Usage {
+	return &Usage{
+		Prompt: g.prompt.Tokens, Completion: g.produced, Total: g.prompt.Tokens + g.produced,
+		Details: UsageDetails{Cached: g.cached},
+	}
+}
+
+func (g *Generation) publish(c Completion) {
+	c.ID, c.Object, c.Model = g.id, "chat.completion.chunk", g.model
+	data, err := json.Marshal(c)
+	if err != nil {
+		panic(err) // the type has no values that cannot be encoded
+	}
+	g.events = append(g.events, data)
+	g.notify()
+}
+
+func (g *Generation) notify() {
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
+
+// Read returns the events after a number, the state, and a channel that is closed at the next change.
+func (g *Generation) Read(after int) (events [][]byte, s State, changed <-chan struct{}) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if after < len(g.events) {
+		events = g.events[after:len(g.events):len(g.events)]
+	}
+	return events, g.state, g.changed
+}
+
+// Whole returns the answer as one JSON value.
+func (g *Generation) Whole() Completion {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	reason := finishReason
+	m := &Message{Role: "assistant", Content: g.text.String()}
+	return Completion{
+		ID: g.id, Object: "chat.completion", Model: g.model,
+		Choices: []Choice{{Message: m, FinishReason: &reason}},
+		Usage:   g.usage(),
+	}
+}
+
+// answered returns the prompt with the answer, which is the prefix of the program's next call.
+func (g *Generation) answered() []prefix.Block {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.prompt.Answered(g.text.String())
+}
+
+// Expired reports whether the answer has ended too long ago to be resumed.
+func (g *Generation) Expired(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.state != Active && now.Sub(g.ended) > costs.StreamRetention
+}
+
+// Forget frees the memory of an answer that is no longer resumed.
+func (g *Generation) Forget() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.events, g.prompt.Blocks = nil, nil
+	g.text.Reset()
+}
--- a/standin/engine/cachehttp.go
+++ b/standin/engine/cachehttp.go
@@ -2,12 +2,11 @@
 
 import (
 	"encoding/json"
-	"maps"
-	"slices"
-	"sort"
 	"strconv"
 	"time"
 
+	"github.com/comfreylink/comfreylink/standin/engine/costs"
+	"github.com/comfreylink/comfreylink/standin/engine/prefix"
 	"github.com/comfreylink/comfreylink/standin/serve"
 	"github.com/valyala/fasthttp"
 )
@@ -41,21 +40,20 @@
 func (e *Engine) listCache(ctx *fasthttp.RequestCtx) {
 	answer := Cache{Entries: []CacheEntry{}}
 	now := time.Now()
-	e.batch.withCache(func(c *prefixCache) {
-		for id, x := range c.entries {
+	e.batch.WithCache(func(c *prefix.Cache, _ *prefix.EventLog) {
+		for _, x := range c.Entries() {
 			answer.Entries = append(answer.Entries, CacheEntry{
-				ID: id, Workspace: x.key.workspace, Program: x.key.program,
-				Tokens: x.tokens, IdleMs: now.Sub(x.lastUse).Milliseconds(),
+				ID: x.ID, Workspace: x.Key.Workspace, Program: x.Key.Program,
+				Tokens: x.Tokens, IdleMs: now.Sub(x.LastUse).Milliseconds(),
 			})
 		}
 	})
-	sort.Slice(answer.Entries, func(i, j int) bool { return answer.Entries[i].ID < answer.Entries[j].ID })
 	serve.JSON(ctx, fasthttp.StatusOK, answer)
 }
 
 func (e *Engine) evict(ctx *fasthttp.RequestCtx, id string) {
 	found := false
-	e.batch.withCache(func(c *prefixCache) { found = c.remove(id) })
+	e.batch.WithCache(func(c *prefix.Cache, _ *prefix.EventLog) { found = c.Remove(id) })
 	if !found {
 		serve.Fail(ctx, fasthttp.StatusNotFound, "no such cache entry")
 		return
@@ -70,9 +68,9 @@
 		return
 	}
 	f := e.faults.Get()
-	before := time.Now().Add(-eventDelay - time.Duration(f.CacheEventDelayMs)*time.Millisecond)
-	var page CacheEvents
-	e.batch.withCache(func(*prefixCache) { page = e.batch.log.page(from, before, f.DropCacheEvents) })
+	before := time.Now().Add(-costs.EventDelay - time.Duration(f.CacheEventDelayMs)*time.Millisecond)
+	var page prefix.Events
+	e.batch.WithCache(func(_ *prefix.Cache, l *prefix.EventLog) { page = l.Page(from, before, f.DropCacheEvents) })
 	serve.JSON(ctx, fasthttp.StatusOK, page)
 }
 
@@ -84,14 +82,19 @@
 		serve.Fail(ctx, fasthttp.StatusBadRequest, err.Error())
 		return
 	}
-	var out *kv
-	tokens := 0
-	e.batch.withCache(func(c *prefixCache) {
-		if x := c.entries[r.Cache]; x != nil {
-			out, tokens = export(x), x.tokens
+	out := kv{Blocks: []kvBlock{}}
+	tokens, found := 0, false
+	e.batch.WithCache(func(c *prefix.Cache, _ *prefix.EventLog) {
+		var k prefix.Key
+		var blocks []prefix.Block
+		k, blocks, found = c.Chain(r.Cache)
+		out.Workspace, out.Program = k.Workspace, k.Program
+		for _, b := range blocks {
+			out.Blocks = append(out.Blocks, kvBlock{Prefix: b.Prefix[:], Tokens: b.Tokens})
+			tokens += b.Tokens
 		}
 	})
-	if out == nil {
+	if !found {
 		serve.Fail(ctx, fasthttp.StatusNotFound, "no such cache entry")
 		return
 	}
@@ -99,40 +102,30 @@
 	serve.JSON(ctx, fasthttp.StatusOK, out)
 }
 
-func export(x *entry) *kv {
-	out := &kv{Workspace: x.key.workspace, Program: x.key.program, Blocks: []kvBlock{}}
-	nodes := slices.Collect(maps.Values(x.chain))
-	slices.SortFunc(nodes, func(a, b *node) int { return a.depth - b.depth })
-	for _, n := range nodes {
-		out.Blocks = append(out.Blocks, kvBlock{Prefix: n.prefix[:], Tokens: n.tokens})
-	}
-	return out
-}
-
 func (e *Engine) importKV(ctx *fasthttp.RequestCtx) {
 	var in kv
 	if err := json.Unmarshal(ctx.PostBody(), &in); err != nil {
 		serve.Fail(ctx, fasthttp.StatusBadRequest, err.Error())
 		return
 	}
-	blocks := make([]block, len(in.Blocks))
+	blocks := make([]prefix.Block, len(in.Blocks))
 	tokens := 0
 	for i, b := range in.Blocks {
-		if len(b.Prefix) != len(digest{}) || b.Tokens < 1 {
+		if len(b.Prefix) != len(prefix.Digest{}) || b.Tokens < 1 {
 			serve.Fail(ctx, fasthttp.StatusBadRequest, "malformed KV cache")
 			return
 		}
-		blocks[i] = block{prefix: digest(b.Prefix), tokens: b.Tokens}
+		blocks[i] = prefix.Block{Prefix: prefix.Digest(b.Prefix), Tokens: b.Tokens}
 		tokens += b.Tokens
 	}
 	e.transfer(tokens)
-	e.batch.withCache(func(c *prefixCache) {
-		c.insert(entryKey{workspace: in.Workspace, program: in.Program}, blocks, time.Now())
+	e.batch.WithCache(func(c *prefix.Cache, _ *prefix.EventLog) {
+		c.Insert(prefix.Key{Workspace: in.Workspace, Program: in.Program}, blocks, time.Now())
 	})
 	ctx.SetStatusCode(fasthttp.StatusNoContent)
 }
 
 // transfer takes the time of moving the KV cache of a number of tokens.
 func (e *Engine) transfer(tokens int) {
-	serve.Pause(e.batch.done, e.scaled(time.Duration(tokens)*transferPerToken).Milliseconds())
+	serve.Pause(e.batch.Done(), e.scaled(time.Duration(tokens)*costs.TransferPerToken).Milliseconds())
 }
--- a/standin/engine/chat.go
+++ b/standin/engine/chat.go
@@ -8,12 +8,23 @@
 	"strconv"
 	"time"
 
+	"github.com/comfreylink/comfreylink/standin/engine/batch"
+	"github.com/comfreylink/comfreylink/standin/engine/costs"
+	"github.com/comfreylink/comfreylink/standin/engine/prefix"
 	"github.com/comfreylink/comfreylink/standin/serve"
 	"github.com/valyala/fasthttp"
 )
 
 const requestIDHeader = "X-Request-Id"
 
+// chatRequest holds the fields of a chat completion request that the stand-in interprets.
+type chatRequest struct {
+	Model     string            `json:"model"`
+	Messages  []json.RawMessage `json:"messages"`
+	MaxTokens int               `json:"max_tokens"`
+	Stream    bool              `json:"stream"`
+}
+
 func (e *Engine) chat(ctx *fasthttp.RequestCtx) {
 	if e.leaving.Load() {
 		ctx.SetConnectionClose()
@@ -29,12 +40,12 @@
 		serve.Fail(ctx, fasthttp.StatusBadRequest, err.Error())
 		return
 	}
-	if !e.orders.serves(g.model) {
+	if !e.orders.serves(g.Model()) {
 		serve.Fail(ctx, fasthttp.StatusNotFound, "model is not loaded")
 		return
 	}
 	before := e.add(g)
-	serve.Pause(e.batch.done, f.DelayMs)
+	serve.Pause(e.batch.Done(), f.DelayMs)
 	if f.Crossed && before != nil {
 		g = before
 	}
@@ -46,44 +57,36 @@
 }
 
 // accept parses a chat request.
-func (e *Engine) accept(ctx *fasthttp.RequestCtx) (g *generation, streamed bool, err error) {
+func (e *Engine) accept(ctx *fasthttp.RequestCtx) (g *batch.Generation, streamed bool, err error) {
 	var r chatRequest
 	if err := json.Unmarshal(ctx.PostBody(), &r); err != nil {
 		return nil, false, err
 	}
-	p, err := newPrompt(r.Model, r.Messages)
+	p, err := prefix.NewPrompt(r.Model, r.Messages)
 	if err != nil {
 		return nil, false, err
 	}
 	if r.MaxTokens <= 0 {
-		r.MaxTokens = defaultMaxTokens
+		r.MaxTokens = costs.MaxTokens
 	}
 	h := &ctx.Request.Header
-	g = &generation{id: string(h.Peek(requestIDHeader)), model: r.Model, prompt: p, max: r.MaxTokens}
-	g.key = entryKey{workspace: string(h.Peek("X-Workspace")), program: string(h.Peek("X-Program"))}
-	g.changed = make(chan struct{})
-	g.run = Run{
-		Workspace: g.key.workspace, Program: g.key.program, Model: r.Model,
-		Messages: len(p.blocks), Digest: p.digest, PromptTokens: p.tokens,
-		ArrivedMs: time.Now().UnixMilli(),
+	id := string(h.Peek(requestIDHeader))
+	if id == "" {
+		id = "run-" + strconv.FormatInt(e.nextID.Add(1), 10)
 	}
-	return g, r.Stream, nil
+	k := prefix.Key{Workspace: string(h.Peek("X-Workspace")), Program: string(h.Peek("X-Program"))}
+	return batch.NewGeneration(id, r.Model, p, r.MaxTokens, k, time.Now()), r.Stream, nil
 }
 
 // add registers a generation and starts it. It returns the one registered before.
-func (e *Engine) add(g *generation) (before *generation) {
+func (e *Engine) add(g *batch.Generation) (before *batch.Generation) {
 	e.mu.Lock()
-	e.nextID++
-	if g.id == "" {
-		g.id = "run-" + strconv.Itoa(e.nextID)
-	}
-	g.run.ID = g.id
 	before, e.last = e.last, g
-	e.streams[g.id] = g
+	e.streams[g.ID()] = g
 	e.order = append(e.order, g)
 	e.expire(time.Now())
 	e.mu.Unlock()
-	e.batch.add(g)
+	e.batch.Add(g)
 	return before
 }
 
@@ -93,10 +96,10 @@
 	g := e.streams[id]
 	e.mu.Unlock()
 	switch {
-	case g == nil || g.expired(time.Now()):
+	case g == nil || g.Expired(time.Now()):
 		serve.Fail(ctx, fasthttp.StatusNotFound, "no such stream")
 	case ctx.IsDelete():
-		g.cancel(time.Now())
+		g.Cancel(time.Now())
 		ctx.SetStatusCode(fasthttp.StatusNoContent)
 	case ctx.IsGet():
 		after := ctx.QueryArgs().GetUintOrZero("after")
@@ -109,21 +112,21 @@
 	}
 }
 
-func (e *Engine) answerWhole(ctx *fasthttp.RequestCtx, g *generation) {
+func (e *Engine) answerWhole(ctx *fasthttp.RequestCtx, g *batch.Generation) {
 	for {
-		_, s, changed := g.read(0)
+		_, s, changed := g.Read(0)
 		switch s {
-		case finished:
-			ctx.Response.Header.Set(requestIDHeader, g.id)
-			serve.JSON(ctx, fasthttp.StatusOK, g.whole())
+		case batch.Finished:
+			ctx.Response.Header.Set(requestIDHeader, g.ID())
+			serve.JSON(ctx, fasthttp.StatusOK, g.Whole())
 			return
-		case cancelled:
+		case batch.Cancelled:
 			serve.Break(ctx)
 			return
 		}
 		select {
 		case <-changed:
-		case <-e.batch.done:
+		case <-e.batch.Done():
 			serve.Break(ctx)
 			return
 		}
@@ -131,17 +134,17 @@
 }
 
 // stream answers with the events after a number. With cutAfter above 0 the connection breaks after that many events.
-func (e *Engine) stream(ctx *fasthttp.RequestCtx, g *generation, after, cutAfter int) {
+func (e *Engine) stream(ctx *fasthttp.RequestCtx, g *batch.Generation, after, cutAfter int) {
 	ctx.SetContentType("text/event-stream")
-	ctx.Response.Header.Set(requestIDHeader, g.id)
+	ctx.Response.Header.Set(requestIDHeader, g.ID())
 	ctx.Response.ImmediateHeaderFlush = true
-	w := &streamWriter{conn: ctx.Conn(), g: g, sent: after, cutAfter: cutAfter, done: e.batch.done}
+	w := &streamWriter{conn: ctx.Conn(), g: g, sent: after, cutAfter: cutAfter, done: e.batch.Done()}
 	ctx.SetBodyStreamWriter(w.run)
 }
 
 type streamWriter struct {
 	conn     net.Conn
-	g        *generation
+	g        *batch.Generation
 	sent     int // number of the last event written
 	cutAfter int
 	done     <-chan struct{}
@@ -149,7 +152,7 @@
 
 func (s *streamWriter) run(w *bufio.Writer) {
 	for {
-		events, state, changed := s.g.read(s.sent)
+		events, state, changed := s.g.Read(s.sent)
 		for _, data := range events {
 			if s.cutAfter > 0 && s.sent >= s.cutAfter {
 				_ = w.Flush()
@@ -160,10 +163,10 @@
 			fmt.Fprintf(w, "id: %d\ndata: %s\n\n", s.sent, data)
 		}
 		switch state {
-		case finished:
+		case batch.Finished:
 			fmt.Fprint(w, "data: [DONE]\n\n")
 			return
-		case cancelled:
+		case batch.Cancelled:
 			return
 		}
 		// A write fails when the reader is gone; the generation goes on.
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/comfreylink/comfreylink/standin/engine/batch"
+	"github.com/comfreylink/comfreylink/standin/engine/costs"
 	"github.com/comfreylink/comfreylink/standin/serve"
 	"github.com/valyala/fasthttp"
 )
@@ -33,31 +35,31 @@
 type Engine struct {
 	options Options
 	faults  *serve.Faults[Faults]
-	batch   *batch
+	batch   *batch.Batch
 	leaving atomic.Bool
+	nextID  atomic.Int64
 	load    atomic.Pointer[Load]
 	orders  *orderBook
 
 	mu      sync.Mutex
-	streams map[string]*generation
-	order   []*generation // all runs that are listed, oldest first
-	last    *generation
+	streams map[string]*batch.Generation
+	order   []*batch.Generation // all runs that are listed, oldest first
+	last    *batch.Generation
 	exposed int // requests with an Authorization header
-	nextID  int
 }
 
 // New starts an engine. The cleanup stops its work and releases requests that hang.
 func New(o Options) (e *Engine, cleanup func()) {
-	e = &Engine{options: o.withDefaults(), faults: serve.NewFaults[Faults](), streams: make(map[string]*generation)}
-	e.batch = newBatch(e.options, e.padding)
+	e = &Engine{options: o.withDefaults(), faults: serve.NewFaults[Faults](), streams: make(map[string]*batch.Generation)}
+	b, endBatch := batch.New(e.options.Slots, e.options.CacheTokens, e.options.Speed, e.padding)
+	e.batch = b
 	e.orders = newOrderBook(e.options.IgnoreFencing, e.options.Models)
 	e.load.Store(e.measure())
-	var tasks sync.WaitGroup
-	tasks.Go(e.batch.loop)
-	tasks.Go(e.reportLoad)
+	var reports sync.WaitGroup
+	reports.Go(e.reportLoad)
 	return e, sync.OnceFunc(func() {
-		close(e.batch.done)
-		tasks.Wait()
+		endBatch()
+		reports.Wait()
 	})
 }
 
@@ -66,10 +68,10 @@
 		o.Speed = 1
 	}
 	if o.Slots <= 0 {
-		o.Slots = DefaultSlots
+		o.Slots = costs.Slots
 	}
 	if o.CacheTokens <= 0 {
-		o.CacheTokens = DefaultCacheTokens
+		o.CacheTokens = costs.CacheTokens
 	}
 	if o.Exit == nil {
 		o.Exit = os.Exit
--- a/standin/engine/faults.go
+++ b/standin/engine/faults.go
@@ -44,7 +44,7 @@
 		serve.Fail(ctx, fasthttp.StatusInternalServerError, "failed by fault")
 		return false
 	case f.Hang:
-		e.faults.Hang(e.batch.done)
+		e.faults.Hang(e.batch.Done())
 	}
 	return true
 }
--- a/standin/engine/orders.go
+++ b/standin/engine/orders.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/comfreylink/comfreylink/standin/engine/costs"
 	"github.com/comfreylink/comfreylink/standin/serve"
 	"github.com/valyala/fasthttp"
 )
@@ -91,7 +92,7 @@
 	}
 	switch o.Action {
 	case "loadModel", "loadAdapter", "loadVersion":
-		serve.Pause(e.batch.done, e.scaled(loadTime).Milliseconds())
+		serve.Pause(e.batch.Done(), e.scaled(costs.LoadTime).Milliseconds())
 		e.orders.load(o.Model)
 	case "unloadModel":
 		e.orders.unload(o.Model)
