Add the subcommands and the publisher

Operators need to check, publish and read configuration, and to look at and drain daemons, with exit codes that tell a conflict from an unknown outcome.

Package publisher reads the config stream, appends a publish and waits for its own record. It repeats the same batch after a lost answer, which readers ignore, and reports "not known" if it cannot read the record back in time.

--- a/cmd/comfreylink/main.go
+++ b/cmd/comfreylink/main.go
@@ -1,4 +1,23 @@
 // Command comfreylink schedules agent programs.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/comfreylink/comfreylink/internal/cli"
+	"github.com/comfreylink/comfreylink/internal/logservice"
+	"github.com/comfreylink/comfreylink/internal/publisher"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	os.Exit(cli.New(cli.Programs{Connect: connect}).Run(ctx, os.Args, os.Stdout, os.Stderr))
+}
+
+func connect(address string) (l publisher.Log, cleanup func(), err error) {
+	return logservice.New(address)
+}
--- /dev/null
+++ b/internal/cli/check.go
@@ -0,0 +1,70 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+
+	ucli "github.com/urfave/cli/v3"
+
+	"github.com/comfreylink/comfreylink/internal/document"
+	"github.com/comfreylink/comfreylink/internal/settings"
+	"github.com/comfreylink/comfreylink/pkg/config"
+	"github.com/comfreylink/comfreylink/pkg/ids"
+	"github.com/comfreylink/comfreylink/pkg/record"
+)
+
+var checkCommand = command{
+	name:          "check",
+	description:   "check files of settings, templates and workspaces without a daemon or log service",
+	arguments:     "[FILE...]",
+	argumentCount: anyCount,
+	flags: func() []ucli.Flag {
+		return []ucli.Flag{&ucli.StringFlag{Name: "settings", Usage: "settings `FILE`"}}
+	},
+	action: check,
+}
+
+// checkResult is the result of check as --json prints it.
+type checkResult struct {
+	Objects []string `json:"objects"`
+}
+
+func check(_ context.Context, r *run) error {
+	var errs []error
+	if file := r.String("settings"); file != "" {
+		_, err := settings.Load(file)
+		errs = append(errs, err)
+	} else if !r.Args().Present() {
+		return &UsageError{Reason: "check needs --settings or the files of documents"}
+	}
+	var documents []*record.Publish
+	for _, file := range r.Args().Slice() {
+		p, err := document.Load(file)
+		if err != nil {
+			errs = append(errs, err)
+			continue
+		}
+		documents = append(documents, p)
+	}
+	objects, err := checkTogether(documents)
+	if err := errors.Join(append(errs, err)...); err != nil {
+		return fmt.Errorf("%w: %w", errInvalid, err)
+	}
+	return r.out.result(checkResult{Objects: objects}, "valid")
+}
+
+// checkTogether validates documents as if they were the whole configuration.
+func checkTogether(documents []*record.Publish) (objects []string, err error) {
+	// Templates come first because workspaces name them.
+	slices.SortStableFunc(documents, func(a, b *record.Publish) int { return strings.Compare(a.Object, b.Object) })
+	c := config.New()
+	var errs []error
+	for i, p := range documents {
+		errs = append(errs, c.Apply(ids.Position{Offset: ids.Offset(i)}, "check", p))
+		objects = append(objects, p.Object)
+	}
+	return objects, errors.Join(errs...)
+}
--- /dev/null
+++ b/internal/cli/dump.go
@@ -0,0 +1,19 @@
+package cli
+
+import (
+	"context"
+	"net/http"
+)
+
+var dumpCommand = command{
+	name:        "dump",
+	description: "print the whole state of a daemon, without secrets",
+	flags:       adminFlags,
+	action: func(ctx context.Context, r *run) error {
+		answer, err := r.ask(ctx, http.MethodGet, "/dump")
+		if err != nil {
+			return err
+		}
+		return r.show(answer, r.out.stdout)
+	},
+}
--- /dev/null
+++ b/internal/cli/fake_test.go
@@ -0,0 +1,82 @@
+package cli_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/comfreylink/comfreylink/internal/logservice"
+	"github.com/comfreylink/comfreylink/pkg/ids"
+	"github.com/comfreylink/comfreylink/pkg/record"
+)
+
+// appendError is the error of an append, as the log service's adapter has it.
+type appendError struct{ sent bool }
+
+func (e appendError) Error() string { return "append failed" }
+func (e appendError) Sent() bool    { return e.sent }
+
+var errDown = errors.New("log service is down")
+
+// fakeLog is a log service in memory with switchable faults.
+type fakeLog struct {
+	mu      sync.Mutex
+	entries []logservice.Entry
+	// lostAnswers is the number of appends that take effect and still fail.
+	lostAnswers int
+	// refused is the number of appends that fail without effect.
+	refused int
+	// readable is the number of reads before reads fail; negative for no limit.
+	readable int
+	// before runs once, right before the next append takes effect.
+	before func()
+}
+
+func (f *fakeLog) Append(_ context.Context, _ ids.Stream, data []byte) (o ids.Offset, err error) {
+	f.mu.Lock()
+	before := f.before
+	f.before = nil
+	f.mu.Unlock()
+	if before != nil {
+		before()
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.refused > 0 {
+		f.refused--
+		return 0, appendError{sent: false}
+	}
+	f.entries = append(f.entries, logservice.Entry{Offset: ids.Offset(len(f.entries)), Data: data})
+	if f.lostAnswers > 0 {
+		f.lostAnswers--
+		return 0, appendError{sent: true}
+	}
+	return ids.Offset(len(f.entries) - 1), nil
+}
+
+func (f *fakeLog) Read(ctx context.Context, _ ids.Stream, from ids.Offset, _ int, _ time.Duration) (p logservice.Page, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.readable == 0 || ctx.Err() != nil {
+		return logservice.Page{}, errDown
+	}
+	f.readable--
+	end := ids.Offset(len(f.entries))
+	return logservice.Page{Next: max(from, end), Entries: f.entries[min(from, end):], AtEnd: true}, nil
+}
+
+// seed appends a publish of another operator.
+func (f *fakeLog) seed(writer ids.WriterID, p *record.Publish) {
+	r, err := record.New(p)
+	if err != nil {
+		panic(err)
+	}
+	data, err := record.Batch{Writer: writer, Seq: 1, Records: []record.Record{r}}.Encode()
+	if err != nil {
+		panic(err)
+	}
+	if _, err := f.Append(context.Background(), ids.ConfigStream, data); err != nil {
+		panic(err)
+	}
+}
--- /dev/null
+++ b/internal/cli/logflags.go
@@ -0,0 +1,38 @@
+package cli
+
+import (
+	"context"
+	"crypto/rand"
+	"time"
+
+	ucli "github.com/urfave/cli/v3"
+
+	"github.com/comfreylink/comfreylink/internal/publisher"
+	"github.com/comfreylink/comfreylink/pkg/ids"
+)
+
+// defaultTimeout is longer than a short outage of the log service.
+const defaultTimeout = 30 * time.Second
+
+// logFlags are the flags of the commands that use the log service.
+func logFlags(more ...ucli.Flag) []ucli.Flag {
+	return append([]ucli.Flag{
+		&ucli.StringFlag{Name: "log", Required: true, Usage: "`ADDRESS` of the log service, HOST:PORT"},
+		&ucli.DurationFlag{Name: "timeout", Value: defaultTimeout, Usage: "`TIME` after which the command gives up"},
+	}, more...)
+}
+
+// withPublisher runs f with a publisher, until the time of the flag --timeout is over.
+func (r *run) withPublisher(ctx context.Context, f func(context.Context, *publisher.Publisher) error) error {
+	if r.programs.Connect == nil {
+		return errNoProgram
+	}
+	l, cleanup, err := r.programs.Connect(r.String("log"))
+	if err != nil {
+		return err
+	}
+	defer cleanup()
+	ctx, cancel := context.WithTimeout(ctx, r.Duration("timeout"))
+	defer cancel()
+	return f(ctx, publisher.New(l, ids.WriterID("operator#"+rand.Text())))
+}
--- /dev/null
+++ b/internal/publisher/publisher.go
@@ -0,0 +1,182 @@
+// Package publisher reads and publishes configuration for operators, through the log service.
+package publisher
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/comfreylink/comfreylink/internal/logservice"
+	"github.com/comfreylink/comfreylink/pkg/config"
+	"github.com/comfreylink/comfreylink/pkg/ids"
+	"github.com/comfreylink/comfreylink/pkg/record"
+)
+
+// Log is the part of the log service's adapter that a publisher needs.
+type Log interface {
+	Append(ctx context.Context, s ids.Stream, data []byte) (o ids.Offset, err error)
+	Read(ctx context.Context, s ids.Stream, from ids.Offset, maxBytes int, wait time.Duration) (p logservice.Page, err error)
+}
+
+// Outcomes that are not verdicts on the document.
+var (
+	// ErrNotPublished says that nothing was or will be published.
+	ErrNotPublished = errors.New("not published")
+	// ErrNotKnown says that the publish may be in force now or later.
+	ErrNotKnown = errors.New("not known whether it was published")
+)
+
+const (
+	// confirmWait is how long an append without an answer may take to appear in the log before it is repeated.
+	confirmWait = time.Second
+	// retryPause keeps a publisher from loading a log service that refuses its requests.
+	retryPause = 200 * time.Millisecond
+)
+
+// Publisher acts for one run of an operator's command. Its methods must not be called concurrently.
+type Publisher struct {
+	log    Log
+	writer ids.WriterID
+	seq    int64
+	reader *reader
+}
+
+// New returns a publisher. The writer must be different at every run: its batches count from 1.
+func New(l Log, writer ids.WriterID) *Publisher {
+	return &Publisher{log: l, writer: writer, reader: newReader(l, writer)}
+}
+
+// Refresh reads to the end of the config stream and returns the configuration in force.
+func (p *Publisher) Refresh(ctx context.Context) (v *config.View, err error) {
+	for {
+		atEnd, err := p.reader.read(ctx, 0)
+		switch {
+		case err == nil && atEnd:
+			return p.reader.catalog.Current(), nil
+		case err != nil && (ctx.Err() != nil || !sleep(ctx, retryPause)):
+			return nil, fmt.Errorf("read the configuration: %w", err)
+		}
+	}
+}
+
+// Publish appends a publish and waits until its own record is read back. It returns the object's new revision, or a
+// *config.ConflictError, *config.InvalidError or *config.UnknownError if the publish does not count, or ErrNotPublished
+// or ErrNotKnown if the context ends before.
+func (p *Publisher) Publish(ctx context.Context, body *record.Publish) (r ids.Revision, err error) {
+	v, err := p.Refresh(ctx)
+	if err != nil {
+		return 0, fmt.Errorf("%w: %w", ErrNotPublished, err)
+	}
+	// Revisions only grow, so what conflicts now conflicts for good; the log is spared the record.
+	if _, err := v.Publish(ids.Revision(p.reader.next), body); err != nil {
+		return 0, err
+	}
+	data, err := p.encode(body)
+	if err != nil {
+		return 0, fmt.Errorf("%w: %w", ErrNotPublished, err)
+	}
+	return p.append(ctx, data)
+}
+
+func (p *Publisher) encode(body *record.Publish) (data []byte, err error) {
+	rec, err := record.New(body)
+	if err != nil {
+		return nil, err
+	}
+	p.seq++
+	return record.Batch{Writer: p.writer, Seq: p.seq, Records: []record.Record{rec}}.Encode()
+}
+
+// append repeats the same batch until it is read back; readers ignore all copies but the first.
+func (p *Publisher) append(ctx context.Context, data []byte) (r ids.Revision, err error) {
+	mayBeThere, answered := false, false
+	for {
+		if !answered {
+			_, err = p.log.Append(ctx, ids.ConfigStream, data)
+			answered = err == nil
+			mayBeThere = mayBeThere || answered || mayBeSent(err)
+		}
+		if mayBeThere {
+			verdict, seen, readErr := p.await(ctx)
+			if seen {
+				return verdict.revision, verdict.err
+			}
+			err = errors.Join(err, readErr)
+		}
+		if sleep(ctx, retryPause) {
+			continue
+		}
+		if mayBeThere {
+			return 0, fmt.Errorf("%w: %w", ErrNotKnown, errors.Join(err, ctx.Err()))
+		}
+		return 0, fmt.Errorf("%w: %w", ErrNotPublished, errors.Join(err, ctx.Err()))
+	}
+}
+
+// await reads until the publisher's last batch appears or confirmWait is over.
+func (p *Publisher) await(ctx context.Context) (v verdict, seen bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, confirmWait)
+	defer cancel()
+	for {
+		if v, seen = p.reader.verdicts[p.seq]; seen {
+			return v, true, nil
+		}
+		if _, err = p.reader.read(ctx, confirmWait); err != nil {
+			return verdict{}, false, err
+		}
+		if ctx.Err() != nil {
+			v, seen = p.reader.verdicts[p.seq]
+			return v, seen, nil
+		}
+	}
+}
+
+// Edit changes a workspace's current parameters. Its error ends the change.
+type Edit func(w *config.Workspace) error
+
+// ChangeWorkspace publishes what edit makes of a workspace; after a conflict it starts again from the new revision.
+func (p *Publisher) ChangeWorkspace(ctx context.Context, id ids.WorkspaceID, edit Edit) (r ids.Revision, err error) {
+	for {
+		v, err := p.Refresh(ctx)
+		if err != nil {
+			return 0, fmt.Errorf("%w: %w", ErrNotPublished, err)
+		}
+		object := config.ObjectName(config.WorkspaceKind, string(id))
+		w, ok := v.Workspace(id)
+		if !ok {
+			return 0, &config.InvalidError{Object: object, Reasons: []string{"there is no such workspace"}}
+		}
+		if err := edit(&w); err != nil {
+			return 0, &config.InvalidError{Object: object, Reasons: []string{err.Error()}}
+		}
+		document, err := json.Marshal(w)
+		if err != nil {
+			return 0, fmt.Errorf("%w: %w", ErrNotPublished, err)
+		}
+		r, err = p.Publish(ctx, &record.Publish{Object: object, Base: w.Revision, Document: document})
+		var conflict *config.ConflictError
+		if !errors.As(err, &conflict) || ctx.Err() != nil {
+			return r, err
+		}
+	}
+}
+
+// mayBeSent reports whether a failed append may have taken effect.
+func mayBeSent(err error) bool {
+	var e interface{ Sent() bool }
+	return !errors.As(err, &e) || e.Sent()
+}
+
+// sleep reports whether the context allowed to wait.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"os"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -98,3 +99,35 @@
 	_, err = settings.Load("missing.ini")
 	qt.Assert(t, errors.Is(err, os.ErrNotExist), qt.IsTrue)
 }
+
+// Guards against a page that lacks a key, has one too many, or gives another default than the code.
+func TestPage(t *testing.T) {
+	page, err := os.ReadFile("../../docs/SETTINGS.md")
+	qt.Assert(t, err, qt.IsNil)
+	example, err := os.ReadFile("../../examples/daemon.ini")
+	qt.Assert(t, err, qt.IsNil)
+	row := regexp.MustCompile("(?m)^## (\\[.*\\])$|^\\| `(.*?)` \\| (.*?) ?\\|")
+	text, keys := minimal, 0
+	var section string
+	for _, cells := range row.FindAllStringSubmatch(string(page), -1) {
+		if cells[1] != "" {
+			section = cells[1] + "\n"
+			continue
+		}
+		keys++
+		qt.Check(t, string(example), qt.Contains, "\n"+cells[2]+" = ")
+		switch {
+		case cells[3] == "" || cells[3] == "none":
+		case strings.Contains(text, section):
+			text = strings.Replace(text, section, section+cells[2]+" = "+cells[3]+"\n", 1)
+		default:
+			text += section + cells[2] + " = " + cells[3] + "\n"
+		}
+	}
+	qt.Assert(t, keys, qt.Equals, strings.Count(string(example), " = "))
+	documented, err := settings.Parse("SETTINGS.md", []byte(text))
+	qt.Assert(t, err, qt.IsNil)
+	defaults, err := settings.Parse("minimal.ini", []byte(minimal))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, documented, qt.DeepEquals, defaults)
+}
