--- a/pkg/rate/keeper.go
+++ b/pkg/rate/keeper.go
@@ -72,6 +72,14 @@
 	return b, nil
 }
 
+// Change replaces a workspace's limit at the moment at which the owner learns of it. Without it, a bucket that is used
+// next after some time would have refilled at the wrong rate since the change.
+func (k *Keeper) Change(now time.Time, ws ids.WorkspaceID, before, after Limit) {
+	if b, err := k.Bucket(now, ws, before); err == nil && after.Validate() == nil {
+		b.Reconfigure(now, after)
+	}
+}
+
 // DropIdle drops full buckets, so that memory is bounded by the workspaces in use.
 func (k *Keeper) DropIdle(now time.Time) (dropped int) {
 	for _, open := range k.slots {
