--- a/cmd/comfreylink/main.go
+++ b/cmd/comfreylink/main.go
@@ -8,6 +8,7 @@
 	"syscall"
 
 	"github.com/comfreylink/comfreylink/internal/cli"
+	"github.com/comfreylink/comfreylink/internal/daemon"
 	"github.com/comfreylink/comfreylink/internal/logservice"
 	"github.com/comfreylink/comfreylink/internal/publisher"
 )
@@ -15,7 +16,7 @@
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	os.Exit(cli.New(cli.Programs{Connect: connect}).Run(ctx, os.Args, os.Stdout, os.Stderr))
+	os.Exit(cli.New(cli.Programs{Serve: daemon.Serve, Connect: connect}).Run(ctx, os.Args, os.Stdout, os.Stderr))
 }
 
 func connect(address string) (l publisher.Log, cleanup func(), err error) {
--- /dev/null
+++ b/internal/daemon/adapters.go
@@ -0,0 +1,182 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/comfreylink/comfreylink/internal/chat"
+	"github.com/comfreylink/comfreylink/internal/engine"
+	"github.com/comfreylink/comfreylink/internal/events"
+	"github.com/comfreylink/comfreylink/internal/owner"
+	"github.com/comfreylink/comfreylink/internal/peer"
+	"github.com/comfreylink/comfreylink/internal/service"
+	"github.com/comfreylink/comfreylink/pkg/dispatch"
+	"github.com/comfreylink/comfreylink/pkg/ids"
+	"github.com/comfreylink/comfreylink/pkg/record"
+)
+
+// prober calls peers without chunks.
+type prober struct{ *peer.Client }
+
+// Call implements members.Prober, limiter.Caller and dispatcher.Caller.
+func (p prober) Call(ctx context.Context, to peer.Address, m peer.Method, params, result any) error {
+	return p.Client.Call(ctx, to, m, params, result, nil)
+}
+
+// owners joins the fleet's slots with the members' addresses.
+type owners struct{ d *Daemon }
+
+// Owner implements forward.Owners and limiter.Owners.
+func (o owners) Owner(s ids.Slot) (w ids.WriterID, e ids.Epoch, changed <-chan struct{}) {
+	return o.d.fleet.Owner(s)
+}
+
+// Address implements forward.Owners and limiter.Owners.
+func (o owners) Address(w ids.WriterID) (a peer.Address, ok bool) { return o.d.members.Address(w) }
+
+// LeaseValid implements limiter.Owners.
+func (o owners) LeaseValid(now time.Time) bool { return o.d.fleet.LeaseValid(now) }
+
+// Unreachable implements forward.Owners.
+func (o owners) Unreachable(w ids.WriterID) {
+	o.d.logger.Debug("a peer did not take a request", zap.String("writer", string(w)))
+}
+
+// leaseOf defers to the fleet, which is made after the owner.
+type leaseOf struct{ d *Daemon }
+
+// LeaseValid implements owner.Lease.
+func (l leaseOf) LeaseValid(now time.Time) bool { return l.d.fleet.LeaseValid(now) }
+
+// targets implements owner.Targets.
+type targets struct{ d *Daemon }
+
+func (t targets) Place(ctx context.Context, pool ids.PoolID, it dispatch.Item) (owner.Placement, *peer.Refusal) {
+	it.Zone = t.d.settings.Instance.Zone
+	return t.d.dispatcher.Place(ctx, pool, it)
+}
+
+func (t targets) Done(p owner.Placement, o dispatch.Outcome, u record.Usage) {
+	t.d.dispatcher.Done(p, o, u)
+}
+
+func (t targets) Acquire(ctx context.Context, ws ids.WorkspaceID) (owner.Grant, *peer.Refusal) {
+	t.d.retries.request()
+	g, r := t.d.limiter.Acquire(ctx, ws)
+	if r != nil {
+		return nil, r
+	}
+	return g, nil
+}
+
+func (t targets) Died(ws ids.WorkspaceID, f ids.Fingerprint, target ids.TargetID) {
+	events.Log(t.d.logger, events.RequestSuspected, zap.String("workspace", string(ws)), zap.String("target", string(target)))
+	_ = t.d.fleetLog.Submit(&record.SuspectRequest{Workspace: ws, Fingerprint: f, Target: target})
+}
+
+func (t targets) Survived(ws ids.WorkspaceID, f ids.Fingerprint) {
+	if t.d.fleet.Suspected(ws, f) {
+		_ = t.d.fleetLog.Submit(&record.ClearRequest{Workspace: ws, Fingerprint: f})
+	}
+}
+
+func (t targets) Quarantined(ws ids.WorkspaceID, f ids.Fingerprint) bool {
+	return t.d.fleet.Quarantined(ws, f)
+}
+
+func (t targets) MayRetry(time.Time) bool { return t.d.retries.take() }
+
+func (t targets) Chat(ctx context.Context, address string, r engine.Request, chunk func(engine.Chunk) error) (engine.Answer, error) {
+	return t.d.engines.Chat(ctx, address, r, chunk)
+}
+
+func (t targets) Resume(ctx context.Context, address, id string, partial engine.Answer, chunk func(engine.Chunk) error) (engine.Answer, error) {
+	return t.d.engines.Resume(ctx, address, id, partial, chunk)
+}
+
+func (t targets) Service(ctx context.Context, address string, r service.Request) (service.Answer, error) {
+	return t.d.services.Do(ctx, address, r)
+}
+
+// directory implements chat.Directory.
+type directory struct{ d *Daemon }
+
+func (a directory) Authenticate(now time.Time, key string) (chat.Caller, bool) {
+	ws, ok := a.d.catalog.Authenticate(key, now)
+	if !ok {
+		return chat.Caller{}, false
+	}
+	return chat.Caller{Workspace: ws, KeyHash: hashOf(key)}, true
+}
+
+// publicWorkspace is the workspace of requests on routes that are open to all.
+const publicWorkspace ids.WorkspaceID = "public"
+
+func (a directory) Public(service string) (chat.Caller, bool) {
+	_, ok := a.d.catalog.PublicService(service)
+	return chat.Caller{Workspace: publicWorkspace}, ok
+}
+
+func (a directory) Admitting(now time.Time) bool { return a.d.fresh(now) }
+
+// observer implements chat.Observer.
+type observer struct{ d *Daemon }
+
+func (o observer) Answered(route string, code peer.Code, run peer.RunState, took time.Duration) {
+	if code != "" {
+		events.Log(o.d.logger, events.RequestRefused, zap.String("route", route), zap.String("code", string(code)), zap.String("run", string(run)))
+	}
+}
+
+// handler implements peer.Handler.
+type handler struct{ d *Daemon }
+
+func (h handler) ServePeer(ctx context.Context, from ids.InstanceID, m peer.Method, params json.RawMessage, notify func(any) error) (any, error) {
+	now := time.Now()
+	switch m {
+	case peer.MethodCall:
+		return answer(params, func(c peer.Call) any { return h.call(ctx, c, notify) })
+	case peer.MethodAcquire:
+		return answer(params, func(a peer.Acquire) any { return h.d.limiter.Serve(ctx, a) })
+	case peer.MethodGranted:
+		return answer(params, func(r peer.GrantReport) any { h.d.limiter.Report(now, r); return nil })
+	case peer.MethodPlace:
+		return answer(params, func(p peer.Place) any { return h.d.dispatcher.Serve(ctx, p) })
+	case peer.MethodDone:
+		return answer(params, func(e peer.Done) any { h.d.dispatcher.End(e); return nil })
+	case peer.MethodPing:
+		return answer(params, func(p peer.Pong) any { h.d.members.Heard(now, from, p); return h.d.describe(now) })
+	default:
+		return nil, peer.ErrUnknownMethod
+	}
+}
+
+func answer[P any](params json.RawMessage, f func(P) any) (any, error) {
+	var p P
+	if err := json.Unmarshal(params, &p); err != nil {
+		return nil, err
+	}
+	return f(p), nil
+}
+
+func (h handler) call(ctx context.Context, c peer.Call, notify func(any) error) peer.Result {
+	slot := h.d.slotOf(c)
+	if c.Kind == peer.KindChat && c.Chat == nil || c.Kind == peer.KindService && c.Service == nil {
+		return peer.Result{Refusal: &peer.Refusal{Code: peer.CodeBadRequest, Run: peer.NotRun, Message: "the call has no content"}}
+	}
+	onDelta := func(text string) { _ = notify(peer.Chunk{Delta: text}) }
+	if c.Chat == nil || !c.Chat.Stream {
+		onDelta = nil
+	}
+	return h.d.owner.Call(ctx, slot, c, onDelta)
+}
+
+func (d *Daemon) slotOf(c peer.Call) ids.Slot {
+	if c.Program != "" {
+		return ids.SlotOf(c.Workspace, c.Program, d.settings.Ownership.Slots)
+	}
+	return ids.SlotOfKey(c.Workspace, c.RequestKey, d.settings.Ownership.Slots)
+}
--- /dev/null
+++ b/internal/daemon/admin.go
@@ -0,0 +1,69 @@
+package daemon
+
+import (
+	"time"
+
+	"github.com/comfreylink/comfreylink/internal/admin"
+	"github.com/comfreylink/comfreylink/pkg/ids"
+)
+
+// openAdmin binds the address for operators and registers what /status and /dump show.
+func (d *Daemon) openAdmin() (err error) {
+	var cleanup func()
+	d.metrics, cleanup, err = admin.NewMetrics(admin.Observed{
+		ConfigRevision: func() ids.Revision { return d.catalog.Current().Revision() },
+		OwnedSlots:     func() int { return len(d.fleet.Status(time.Now()).Owned) },
+	})
+	if err != nil {
+		return err
+	}
+	d.onClose(cleanup)
+	d.admin, cleanup, err = admin.New(admin.Config{
+		Address:  d.settings.Instance.Admin,
+		Instance: d.settings.Instance.ID,
+		Metrics:  d.metrics,
+		Parts:    d.parts(),
+		NotReady: d.notReady,
+		Drain:    d.Drain,
+		Logger:   d.logger,
+	})
+	if err != nil {
+		return err
+	}
+	d.onClose(cleanup)
+	return nil
+}
+
+// callStatus shows the requests in progress.
+type callStatus struct {
+	Callers int64 `json:"callers"`
+	Peers   int64 `json:"peers"`
+	Stop    bool  `json:"stopping"`
+}
+
+func (d *Daemon) parts() []admin.Part {
+	return []admin.Part{
+		admin.ConfigPart(d.catalog.Current),
+		{Name: "calls", Status: func() any { return callStatus{d.chat.Active(), d.server.Calls(), d.stopping.Load()} }},
+		{Name: "fleet", Status: func() any { return d.fleet.Status(time.Now()) }},
+		{Name: "members", Status: func() any { return d.members.Reports(time.Now()) }},
+		{Name: "slots", Status: func() any { return d.owner.Status() }},
+		{Name: "limiter", Status: func() any { return d.limiter.Status() }},
+		{Name: "pools", Status: func() any { return d.dispatcher.Status(time.Now()) }},
+		{Name: "configStream", Status: func() any { return d.config.Status() }},
+	}
+}
+
+// notReady returns why the daemon admits no requests.
+func (d *Daemon) notReady() (reasons []string) {
+	if d.stopping.Load() {
+		reasons = append(reasons, "the daemon is stopping")
+	}
+	if !d.fresh(time.Now()) {
+		reasons = append(reasons, "the configuration may be out of date: neither the log nor enough peers answer")
+	}
+	if !d.fleetLog.Status().Ready || d.fleetLog.Fresh().IsZero() {
+		reasons = append(reasons, "the fleet stream has not been read yet")
+	}
+	return reasons
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,320 @@
+// Package daemon wires one instance together, runs its tasks and stops it.
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/samber/oops"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/comfreylink/comfreylink/internal/admin"
+	"github.com/comfreylink/comfreylink/internal/chat"
+	"github.com/comfreylink/comfreylink/internal/dispatcher"
+	"github.com/comfreylink/comfreylink/internal/engine"
+	"github.com/comfreylink/comfreylink/internal/events"
+	"github.com/comfreylink/comfreylink/internal/fleet"
+	"github.com/comfreylink/comfreylink/internal/forward"
+	"github.com/comfreylink/comfreylink/internal/instancelist"
+	"github.com/comfreylink/comfreylink/internal/journal"
+	"github.com/comfreylink/comfreylink/internal/limiter"
+	"github.com/comfreylink/comfreylink/internal/logservice"
+	"github.com/comfreylink/comfreylink/internal/members"
+	"github.com/comfreylink/comfreylink/internal/owner"
+	"github.com/comfreylink/comfreylink/internal/peer"
+	"github.com/comfreylink/comfreylink/internal/service"
+	"github.com/comfreylink/comfreylink/internal/settings"
+	"github.com/comfreylink/comfreylink/pkg/config"
+	"github.com/comfreylink/comfreylink/pkg/ids"
+	"github.com/comfreylink/comfreylink/pkg/replay"
+	"github.com/comfreylink/comfreylink/pkg/slot"
+)
+
+// Daemon is one running instance.
+type Daemon struct {
+	settings settings.Settings
+	logger   *zap.Logger
+	self     ids.WriterID
+	catalog  *config.Catalog
+
+	log        *logservice.Client
+	pace       *journal.Bucket
+	config     *journal.Journal
+	fleetLog   *journal.Journal
+	table      *slot.Table
+	members    *members.Members
+	fleet      *fleet.Fleet
+	owner      *owner.Owner
+	limiter    *limiter.Limiter
+	dispatcher *dispatcher.Dispatcher
+	server     *peer.Server
+	peers      *peer.Client
+	chat       *chat.Server
+	engines    *engine.Client
+	services   *service.Client
+	retries    *retryBudget
+	admin      *admin.Server
+	metrics    *admin.Metrics
+
+	fromPeers freshness
+	stopping  atomic.Bool
+	cleanups  []func()
+	drain     chan struct{}
+}
+
+// New binds the addresses of an instance and connects its parts. The returned cleanup closes what New opened.
+func New(s settings.Settings, logger *zap.Logger) (d *Daemon, cleanup func(), err error) {
+	defer func() { err = oops.In("daemon").With("instance", s.Instance.ID).Wrapf(err, "set up") }()
+	nonce := make([]byte, 6)
+	if _, err = rand.Read(nonce); err != nil {
+		return nil, nil, err
+	}
+	d = &Daemon{
+		settings: s,
+		logger:   logger,
+		self:     ids.WriterID(fmt.Sprintf("%s#%s", s.Instance.ID, hex.EncodeToString(nonce))),
+		catalog:  config.New(),
+		table:    slot.New(s.Ownership.Slots),
+		pace:     journal.NewBucket(s.Log.AppendsPerSecond, s.Log.AppendsPerSecond, time.Now()),
+		retries:  newRetryBudget(s.Dispatch.RetryBudget),
+		drain:    make(chan struct{}, 1),
+	}
+	defer func() {
+		if err != nil {
+			d.close()
+		}
+	}()
+	for _, step := range []func() error{d.openLog, d.openPeers, d.openTargets, d.openFleet, d.openCallers, d.openAdmin} {
+		if err = step(); err != nil {
+			return nil, nil, err
+		}
+	}
+	return d, d.close, nil
+}
+
+func (d *Daemon) close() {
+	for i := len(d.cleanups) - 1; i >= 0; i-- {
+		d.cleanups[i]()
+	}
+	d.cleanups = nil
+}
+
+func (d *Daemon) onClose(f func()) { d.cleanups = append(d.cleanups, f) }
+
+func (d *Daemon) openLog() (err error) {
+	var cleanup func()
+	if d.log, cleanup, err = logservice.New(d.settings.Log.Address); err != nil {
+		return err
+	}
+	d.onClose(cleanup)
+	if d.config, cleanup, err = d.journal(ids.ConfigStream, d.catalog); err != nil {
+		return err
+	}
+	d.onClose(cleanup)
+	if d.fleetLog, cleanup, err = d.journal(ids.FleetStream, d.table); err != nil {
+		return err
+	}
+	d.onClose(cleanup)
+	return nil
+}
+
+func (d *Daemon) journal(s ids.Stream, f replay.Fold) (j *journal.Journal, cleanup func(), err error) {
+	return journal.New(journal.Config{
+		Stream: s,
+		Writer: d.self,
+		Log:    d.log,
+		Fold:   f,
+		Pace:   d.pace,
+		Logger: d.logger,
+		Now:    time.Now,
+	})
+}
+
+// Open implements owner.Streams.
+func (d *Daemon) Open(s ids.Slot, f replay.Fold) (j *journal.Journal, cleanup func(), err error) {
+	return d.journal(ids.Stream(fmt.Sprintf("slot-%03d", s)), f)
+}
+
+func (d *Daemon) openPeers() (err error) {
+	credentials, err := peer.LoadCredentials(d.settings.Peer.CAFile, d.settings.Peer.CertFile, d.settings.Peer.KeyFile)
+	if err != nil {
+		return err
+	}
+	var cleanup func()
+	d.server, cleanup, err = peer.Listen(d.settings.Peer.Listen, credentials, func(address string, reason error) {
+		events.Log(d.logger, events.PeerRejected, zap.String("address", address), zap.Error(reason))
+	})
+	if err != nil {
+		return err
+	}
+	d.onClose(cleanup)
+	d.peers, cleanup = peer.New(credentials)
+	d.onClose(cleanup)
+	return nil
+}
+
+func (d *Daemon) openTargets() (err error) {
+	var cleanup func()
+	if d.engines, cleanup, err = engine.New(); err != nil {
+		return err
+	}
+	d.onClose(cleanup)
+	if d.services, cleanup, err = service.New(); err != nil {
+		return err
+	}
+	d.onClose(cleanup)
+	list, cleanup, err := instancelist.New(d.settings.List.Address)
+	if err != nil {
+		return err
+	}
+	d.onClose(cleanup)
+	d.members = members.New(members.Config{
+		Self:     slot.Member{Writer: d.self, Instance: d.settings.Instance.ID},
+		Zone:     d.settings.Instance.Zone,
+		Interval: d.settings.List.Interval,
+		List:     list,
+		Peers:    prober{d.peers},
+		Describe: d.describe,
+		Learned:  d.learned,
+		Logger:   d.logger,
+	})
+	return nil
+}
+
+func (d *Daemon) openFleet() (err error) {
+	d.dispatcher = dispatcher.New(dispatcher.Config{
+		Self:    d.settings.Instance.ID,
+		Zone:    d.settings.Instance.Zone,
+		Members: d.members,
+		Peers:   prober{d.peers},
+		Loads:   d.engines,
+		Options: d.poolOptions,
+		Logger:  d.logger,
+	})
+	var cleanup func()
+	d.owner, cleanup = owner.New(owner.Config{
+		Self:         d.self,
+		Instance:     d.settings.Instance.ID,
+		KeyRetention: d.settings.Ownership.KeyRetention,
+		Streams:      d,
+		Lease:        leaseOf{d},
+		Catalog:      d.catalog,
+		Targets:      targets{d},
+		Logger:       d.logger,
+	})
+	d.onClose(cleanup)
+	d.fleet = fleet.New(fleet.Config{
+		Self:         d.self,
+		Journal:      d.fleetLog,
+		Table:        d.table,
+		Lease:        d.settings.Ownership.Lease,
+		SuspectAfter: d.settings.Ownership.SuspectAfter,
+		Members:      d.members,
+		Slots:        d.owner,
+		Logger:       d.logger,
+	})
+	d.limiter = limiter.New(limiter.Config{
+		Self:     d.self,
+		Slots:    d.settings.Ownership.Slots,
+		GrantMax: d.settings.Rate.GrantMax,
+		Hold:     d.settings.Rate.Hold,
+		Owners:   owners{d},
+		Peers:    prober{d.peers},
+		Catalog:  d.catalog,
+	})
+	return nil
+}
+
+func (d *Daemon) openCallers() (err error) {
+	l := d.settings.Limits
+	limits := chat.Limits{
+		MaxBodyBytes:    int(l.MaxBodyBytes),
+		MaxConcurrent:   l.MaxConcurrent,
+		DefaultDeadline: l.DefaultDeadline,
+		MaxDeadline:     l.MaxDeadline,
+	}
+	forwarder := forward.New(d.self, d.settings.Ownership.Slots, owners{d}, d.owner, d.peers)
+	server, cleanup, err := chat.New(d.settings.Instance.ID, d.settings.Instance.Listen, limits, directory{d}, forwarder, observer{d})
+	if err != nil {
+		return err
+	}
+	d.onClose(cleanup)
+	d.chat = server
+	return nil
+}
+
+// Run serves until ctx ends or an operator asks for a planned stop; then it stops gracefully.
+func (d *Daemon) Run(ctx context.Context) (err error) {
+	defer func() { err = oops.In("daemon").With("instance", d.settings.Instance.ID).Wrapf(err, "run") }()
+	tasks, cancelTasks := context.WithCancel(context.Background())
+	defer cancelTasks()
+	g, tasks := errgroup.WithContext(tasks)
+	for _, task := range []func(context.Context) error{
+		d.config.Run,
+		d.fleetLog.Run,
+		d.members.Run,
+		d.fleet.Run,
+		d.limiter.Run,
+		d.dispatcher.Run,
+		d.dispatcher.RunPools,
+		d.endIdlePrograms,
+		d.writeSnapshots,
+		d.admin.Run,
+		func(ctx context.Context) error { return d.server.Serve(ctx, handler{d}) },
+	} {
+		g.Go(func() error { return task(tasks) })
+	}
+	g.Go(d.chat.Serve)
+	events.Log(d.logger, events.Ready, zap.String("callers", d.chat.Address()), zap.String("peers", d.server.Address()))
+	select {
+	case <-ctx.Done():
+	case <-d.drain:
+	case <-tasks.Done():
+	}
+	d.stop()
+	cancelTasks()
+	return g.Wait()
+}
+
+// stop hands the slots over, while callers are still served through the other instances, and then finishes the calls
+// that came in here.
+func (d *Daemon) stop() {
+	events.Log(d.logger, events.Draining)
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Instance.DrainTimeout)
+	defer cancel()
+	d.stopping.Store(true)
+	d.members.Leave()
+	if err := d.fleet.Release(ctx); err != nil {
+		d.logger.Warn("release slots", zap.Error(err))
+	}
+	if err := d.chat.Shutdown(ctx); err != nil {
+		d.logger.Warn("finish the callers' requests", zap.Error(err))
+	}
+	d.finishPeerCalls(ctx)
+}
+
+// finishPeerCalls waits for the calls that other instances have sent here.
+func (d *Daemon) finishPeerCalls(ctx context.Context) {
+	for d.server.Calls() > 0 {
+		select {
+		case <-time.After(finishPoll):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+const finishPoll = 20 * time.Millisecond
+
+// Drain starts a planned stop.
+func (d *Daemon) Drain() {
+	select {
+	case d.drain <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/daemon/tasks.go
@@ -0,0 +1,215 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/comfreylink/comfreylink/internal/events"
+	"github.com/comfreylink/comfreylink/internal/peer"
+	"github.com/comfreylink/comfreylink/pkg/config"
+	"github.com/comfreylink/comfreylink/pkg/dispatch"
+	"github.com/comfreylink/comfreylink/pkg/ids"
+)
+
+const (
+	// idleInterval is how often programs are looked through for idle ones.
+	idleInterval = 5 * time.Second
+	// snapshotsPerRetention is how many snapshots are written within the time that the log keeps entries.
+	snapshotsPerRetention = 4
+	// staleAfter is the age of the last up-to-date read of the configuration after which requests are refused.
+	staleAfter = 5 * time.Second
+)
+
+func (d *Daemon) endIdlePrograms(ctx context.Context) error {
+	ticker := time.NewTicker(idleInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			idle := d.idleTimeout()
+			if idle == 0 {
+				continue
+			}
+			if n := d.owner.EndIdle(ctx, now, idle); n > 0 {
+				events.Log(d.logger, events.ProgramEndedIdle, zap.Int("programs", n))
+			}
+		}
+	}
+}
+
+// idleTimeout returns the longest idle time of all templates, so that no program ends before its own.
+func (d *Daemon) idleTimeout() (longest time.Duration) {
+	view := d.catalog.Current()
+	for _, o := range view.Objects() {
+		kind, name, err := config.SplitObject(o.Name)
+		if err != nil || kind != config.TemplateKind {
+			continue
+		}
+		if t, ok := view.Template(name); ok {
+			longest = max(longest, t.Program.IdleTimeout.Std())
+		}
+	}
+	return longest
+}
+
+// writeSnapshots keeps every stream readable from its snapshots alone. The owner of slot 0 also writes those of the
+// streams that all instances read.
+func (d *Daemon) writeSnapshots(ctx context.Context) error {
+	interval := d.settings.Log.Retention / snapshotsPerRetention
+	if interval <= 0 {
+		<-ctx.Done()
+		return nil
+	}
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		d.owner.WriteSnapshots(ctx)
+		if w, _, _ := d.fleet.Owner(0); w == d.self {
+			for _, j := range []interface{ WriteSnapshot(context.Context) error }{d.config, d.fleetLog} {
+				if err := j.WriteSnapshot(ctx); err != nil {
+					d.logger.Warn("write a snapshot", zap.Error(err))
+				}
+			}
+		}
+	}
+}
+
+// describe tells peers about this instance.
+func (d *Daemon) describe(now time.Time) peer.Pong {
+	return peer.Pong{
+		Writer:         d.self,
+		Revision:       d.catalog.Current().Revision(),
+		LogAgeMillis:   age(now, d.config.Fresh()),
+		FreshAgeMillis: age(now, d.freshAt()),
+		Leaving:        d.stopping.Load(),
+	}
+}
+
+func age(now, at time.Time) int64 {
+	if at.IsZero() {
+		return -1
+	}
+	return now.Sub(at).Milliseconds()
+}
+
+// poolOptions returns the options of a pool's queue from the settings and the templates.
+func (d *Daemon) poolOptions(pool ids.PoolID) (o dispatch.Options, reports bool) {
+	o = dispatch.DefaultOptions()
+	o.Policy = string(d.settings.Dispatch.Policy)
+	o.MaxInFlight = d.settings.Dispatch.MaxInFlight
+	view := d.catalog.Current()
+	for _, object := range view.Objects() {
+		kind, name, err := config.SplitObject(object.Name)
+		if err != nil || kind != config.TemplateKind {
+			continue
+		}
+		t, _ := view.Template(name)
+		for _, m := range t.Models {
+			if m.Pool == pool {
+				reports = true
+				if m.MaxInFlight > 0 {
+					o.MaxInFlight = m.MaxInFlight
+				}
+			}
+		}
+	}
+	return o, reports
+}
+
+func hashOf(key string) string { return config.HashKey(key).String() }
+
+// freshness keeps the newest up-to-date read of the config stream that peers told of.
+type freshness struct {
+	mu sync.Mutex
+	at time.Time
+}
+
+func (f *freshness) note(at time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if at.After(f.at) {
+		f.at = at
+	}
+}
+
+func (f *freshness) get() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.at
+}
+
+func (d *Daemon) freshAt() time.Time {
+	at := d.config.Fresh()
+	if p := d.fromPeers.get(); p.After(at) {
+		return p
+	}
+	return at
+}
+
+// learned takes over what a peer said: a read that it knows of makes the configuration here as fresh, if this instance
+// has the same revision.
+func (d *Daemon) learned(now time.Time, _ ids.InstanceID, p peer.Pong) {
+	if p.FreshAgeMillis < 0 || d.catalog.Current().Revision() < p.Revision {
+		return
+	}
+	d.fromPeers.note(now.Add(-time.Duration(p.FreshAgeMillis) * time.Millisecond))
+}
+
+// fresh implements the admission rule of the design page, section 4.8.
+func (d *Daemon) fresh(now time.Time) bool {
+	if at := d.freshAt(); !at.IsZero() && now.Sub(at) < staleAfter {
+		return true
+	}
+	if d.catalog.Current().Revision() == ids.NoRevision {
+		return false
+	}
+	reports := d.members.Reports(now)
+	withoutLog := 1
+	for _, r := range reports {
+		recent := r.HeardMillis >= 0 && r.HeardMillis < staleAfter.Milliseconds()
+		if recent && (r.Pong.LogAgeMillis < 0 || r.Pong.LogAgeMillis >= staleAfter.Milliseconds()-r.HeardMillis) {
+			withoutLog++
+		}
+	}
+	return 2*withoutLog > len(reports)+1
+}
+
+// retryBudget allows repetitions as a share of the requests.
+type retryBudget struct {
+	mu     sync.Mutex
+	share  float64
+	tokens float64
+}
+
+// retryBurst is how many repetitions are saved up at most.
+const retryBurst = 10
+
+func newRetryBudget(share float64) *retryBudget {
+	return &retryBudget{share: share, tokens: retryBurst}
+}
+
+func (b *retryBudget) request() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens = min(retryBurst, b.tokens+b.share)
+}
+
+func (b *retryBudget) take() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -23,8 +23,8 @@
 type Members interface {
 	// Live returns the live runs with this one, without those that are leaving.
 	Live(now time.Time) []slot.Member
-	// Silent returns the runs that do not answer.
-	Silent(now time.Time) []slot.Silence
+	// Answers reports whether a run, leaving or not, answers.
+	Answers(now time.Time, w ids.WriterID) bool
 }
 
 // Slots runs the calls of owned slots.
@@ -63,6 +63,7 @@
 	drained   map[ids.Slot]ids.Epoch
 	rebalance time.Time
 	stopping  bool
+	silent    map[ids.WriterID]time.Time
 }
 
 // New returns a fleet; Run makes it work.
@@ -75,6 +76,7 @@
 		draining:  map[ids.Slot]ids.Epoch{},
 		drained:   map[ids.Slot]ids.Epoch{},
 		rebalance: time.Now(),
+		silent:    map[ids.WriterID]time.Time{},
 	}
 }
 
@@ -102,11 +104,12 @@
 	var decided []record.Body
 	var drain *ids.Slot
 	owned := map[ids.Slot]ids.Epoch{}
+	fresh := f.Journal.Fresh()
 	f.Journal.View(func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		f.reads.Observe(now, f.Table)
-		f.lease.Observe(f.Table, f.Self, f.Journal.Fresh())
+		f.lease.Observe(f.Table, f.Self, fresh)
 		f.publish()
 		for _, s := range f.Table.Slots(f.Self) {
 			owned[s.Slot] = s.Epoch
@@ -150,7 +153,7 @@
 	v := slot.View{
 		Self:          f.Self,
 		Live:          f.Members.Live(now),
-		Silent:        f.Members.Silent(now),
+		Silent:        f.silence(now),
 		Suspicions:    f.reads.Suspicions(),
 		Releases:      f.reads.Releases(),
 		Lease:         f.Lease,
@@ -167,6 +170,27 @@
 	return v
 }
 
+// silence returns the owners that do not answer, with the time since when. An owner whose instance has restarted under
+// another writer id never answers again.
+func (f *Fleet) silence(now time.Time) (silent []slot.Silence) {
+	since := map[ids.WriterID]time.Time{}
+	for _, o := range f.owners {
+		if o.Owner == "" || o.Released || o.Owner == f.Self || f.Members.Answers(now, o.Owner) {
+			continue
+		}
+		if _, noted := since[o.Owner]; noted {
+			continue
+		}
+		since[o.Owner] = now
+		if earlier, ok := f.silent[o.Owner]; ok {
+			since[o.Owner] = earlier
+		}
+		silent = append(silent, slot.Silence{Writer: o.Owner, Since: since[o.Owner]})
+	}
+	f.silent = since
+	return silent
+}
+
 // markPending appends each record in a goroutine of its own, so that a log outage does not delay later decisions.
 func (f *Fleet) markPending(ctx context.Context, g *errgroup.Group, decided []record.Body) {
 	for _, b := range decided {
@@ -227,6 +251,12 @@
 	return quarantined
 }
 
+// Suspected reports whether a target died while it ran a request.
+func (f *Fleet) Suspected(ws ids.WorkspaceID, p ids.Fingerprint) (suspected bool) {
+	f.Journal.View(func() { suspected = f.Table.RequestSuspected(ws, p) })
+	return suspected
+}
+
 // Release drains and releases all slots of this instance and returns when the log shows it, or ctx ends.
 func (f *Fleet) Release(ctx context.Context) error {
 	f.mu.Lock()
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -103,7 +103,7 @@
 	c.DeadlineMillis = remaining(ctx, c.DeadlineMillis)
 	if owner == f.self {
 		r = f.local.Call(ctx, slot, c, out.add)
-		return r, false, r.Redirect == nil
+		return r, redirectedLate(r), r.Redirect == nil
 	}
 	address, ok := f.owners.Address(owner)
 	if !ok {
@@ -119,9 +119,11 @@
 		f.owners.Unreachable(owner)
 		return r, !errors.Is(err, peer.ErrNotSent), false
 	}
-	return r, false, r.Redirect == nil
+	return r, redirectedLate(r), r.Redirect == nil
 }
 
+func redirectedLate(r peer.Result) bool { return r.Redirect != nil && r.Redirect.MayHaveRun }
+
 // untilTakeover returns a context that also ends when the slot gets a new epoch, so that a call does not wait for an
 // owner that was replaced.
 func (f *Forwarder) untilTakeover(ctx context.Context, slot ids.Slot, epoch ids.Epoch, changed <-chan struct{}) (context.Context, context.CancelFunc) {
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -236,7 +236,7 @@
 	if !ok {
 		return peer.Acquired{Refused: true}, nil, false
 	}
-	bucket, err := l.keeper.Bucket(now, ws, rate.Limit{Rate: limits.Rate, Burst: int64(limits.Burst)})
+	bucket, err := l.keeper.Bucket(now, ws, rate.Limit{Rate: rate.PerSecond(limits.Rate), Burst: int64(limits.Burst)})
 	if err != nil {
 		return peer.Acquired{NotOwner: true}, nil, false
 	}
@@ -286,7 +286,7 @@
 	if !ok {
 		return
 	}
-	bucket, err := l.keeper.Bucket(now, r.Workspace, rate.Limit{Rate: limits.Rate, Burst: int64(limits.Burst)})
+	bucket, err := l.keeper.Bucket(now, r.Workspace, rate.Limit{Rate: rate.PerSecond(limits.Rate), Burst: int64(limits.Burst)})
 	if err != nil {
 		return
 	}
--- a/internal/owner/chat.go
+++ b/internal/owner/chat.go
@@ -14,6 +14,7 @@
 	"github.com/comfreylink/comfreylink/pkg/ids"
 	"github.com/comfreylink/comfreylink/pkg/program"
 	"github.com/comfreylink/comfreylink/pkg/record"
+	"github.com/comfreylink/comfreylink/pkg/turn"
 )
 
 // chatRun is one model call on its way.
@@ -30,8 +31,7 @@
 
 // chat runs a model call of a program: one at a time for each program, in the order of arrival.
 func (o *Owner) chat(ctx context.Context, r *slotRun, c peer.Call, out *emitter) peer.Result {
-	key := programKey{c.Workspace, c.Program}
-	release, err := r.lines.acquire(ctx, "program\x00"+string(c.Workspace)+"\x00"+string(c.Program))
+	release, err := r.lines.acquire(ctx, programLine(c))
 	if err != nil {
 		return r.ended(ctx, c, peer.NotRun)
 	}
@@ -39,32 +39,83 @@
 	if answer, done := r.admitChat(c); done {
 		return answer
 	}
-	run, refusal := o.prepareChat(r, c, key)
+	run, refusal := o.prepareChat(r, c)
 	if refusal != nil {
 		return peer.Result{Refusal: refusal}
 	}
-	root := programKey{c.Workspace, c.Program.Root()}
-	need := run.prompt + run.max
-	if result, ok := o.hold(ctx, r, c, root, run.limits.Budget, need); !ok {
-		return result
+	item := run.item()
+	for attempt := 1; ; attempt++ {
+		result, retry := o.attempt(ctx, r, run, item, attempt, out)
+		if !retry {
+			return result
+		}
+		item.Excluded = append(item.Excluded, result.Trace.Target)
+	}
+}
+
+func programLine(c peer.Call) string {
+	return "program\x00" + string(c.Workspace) + "\x00" + string(c.Program)
+}
+
+// attempt drives the procedure of one turn at one target. It reports retry if the call may go to another target.
+func (o *Owner) attempt(ctx context.Context, r *slotRun, run *chatRun, item dispatch.Item, attempt int, out *emitter) (result peer.Result, retry bool) {
+	c := run.call
+	t, result, ok := o.reserve(ctx, r, run)
+	if !ok {
+		return result, false
+	}
+	s, refusal := o.prepare(ctx, c, run.route.Model.Pool, item, nil)
+	if refusal == nil && r.ctx.Err() != nil {
+		s.grant.Unused()
+		o.Targets.Done(s.place, dispatch.Unsent, record.Usage{})
+		refusal = &peer.Refusal{Code: peer.CodeOwnerUnavailable, Run: peer.NotRun, Message: "the slot has another owner"}
 	}
-	answer, target, refusal := o.runChat(ctx, run, out)
+	r.mu.Lock()
 	if refusal != nil {
-		used := ids.Tokens(0)
-		if refusal.Run != peer.NotRun {
-			used = need
-		}
-		r.ledgerDone(root, need, used)
-		if r.ctx.Err() != nil && refusal.Run == peer.NotRun {
-			return peer.Result{Redirect: &peer.Redirect{Epoch: r.epoch}}
+		t.Checked(refusal)
+	} else {
+		t.Checked(nil)
+	}
+	r.mu.Unlock()
+	if refusal != nil {
+		return r.refusedBeforeSend(c, refusal), false
+	}
+	result.Trace.Target = s.place.Target
+	a, err := o.sendChat(ctx, s, run, attempt, out)
+	o.endPlacement(c, s, a.Usage, err)
+	if err != nil {
+		r.mu.Lock()
+		t.Failed(mayHaveReached(err), err)
+		r.mu.Unlock()
+		result.Refusal = o.chatFailed(ctx, err, attempt, out)
+		if result.Refusal != nil {
+			result.Refusal.RequestKey = c.RequestKey
 		}
-		refusal.RequestKey = c.RequestKey
-		return peer.Result{Refusal: refusal, Trace: peer.Trace{Target: target}}
+		return result, result.Refusal == nil
+	}
+	return o.commitTurn(ctx, r, run, t, a, s.place.Target), false
+}
+
+// refusedBeforeSend answers a call that was not sent. If the slot was lost, another owner answers.
+func (r *slotRun) refusedBeforeSend(c peer.Call, refusal *peer.Refusal) peer.Result {
+	if r.ctx.Err() != nil {
+		return peer.Result{Redirect: &peer.Redirect{Epoch: r.epoch}}
+	}
+	refusal.RequestKey = c.RequestKey
+	return peer.Result{Refusal: refusal}
+}
+
+// endPlacement tells the dispatcher and the quarantine how a model call ended.
+func (o *Owner) endPlacement(c peer.Call, s sending, u record.Usage, err error) {
+	if err == nil {
+		o.Targets.Done(s.place, dispatch.Completed, u)
+		o.Targets.Survived(c.Workspace, c.Fingerprint)
+		return
+	}
+	o.Targets.Done(s.place, outcomeOf(err), record.Usage{})
+	if brokeOff(err) {
+		o.Targets.Died(c.Workspace, c.Fingerprint, s.place.Target)
 	}
-	result := o.commitTurn(ctx, r, run, answer)
-	r.ledgerDone(root, need, answer.Usage.Total())
-	result.Trace.Target = target
-	return result
 }
 
 // admitChat answers a repeated call from the stored turn.
@@ -92,7 +143,7 @@
 }
 
 // prepareChat collects the history and the limits of a call.
-func (o *Owner) prepareChat(r *slotRun, c peer.Call, key programKey) (run *chatRun, refusal *peer.Refusal) {
+func (o *Owner) prepareChat(r *slotRun, c peer.Call) (run *chatRun, refusal *peer.Refusal) {
 	run, refusal = o.routeChat(c)
 	if refusal != nil {
 		return nil, refusal
@@ -105,7 +156,7 @@
 	run.turns = state.Turns
 	run.messages = append(state.Messages[:len(state.Messages):len(state.Messages)], c.Chat.Messages...)
 	r.mu.Lock()
-	counted := r.tokens[key]
+	counted := r.tokens[programKey{c.Workspace, c.Program}]
 	r.mu.Unlock()
 	if counted.messages != len(state.Messages) {
 		counted = knownTokens{}
@@ -144,103 +195,98 @@
 // holdPause is the wait before a call looks again whether other calls of its program have left it enough budget.
 const holdPause = 20 * time.Millisecond
 
-// hold takes tokens of the root program's budget; it appends a reservation when the accepted one does not cover them.
-func (o *Owner) hold(ctx context.Context, r *slotRun, c peer.Call, root programKey, budget, need ids.Tokens) (result peer.Result, ok bool) {
+// reserve starts the procedure of a turn and brings it to its check: the tokens that it may use are held, within an
+// accepted reservation.
+func (o *Owner) reserve(ctx context.Context, r *slotRun, run *chatRun) (t *turn.Call, result peer.Result, ok bool) {
+	c := run.call
+	record := record.Turn{
+		Epoch:       r.epoch,
+		Workspace:   c.Workspace,
+		Program:     c.Program,
+		Index:       run.turns,
+		Key:         c.RequestKey,
+		Fingerprint: c.Fingerprint,
+		UnixMilli:   time.Now().UnixMilli(),
+	}
 	for {
 		r.mu.Lock()
-		ledger := r.ledger(root, budget)
-		held := ledger.Hold(need)
-		exhausted := !held && ledger.Exhausted(need)
-		upTo, reserve := ids.Tokens(0), false
-		if !held && !exhausted {
-			upTo, reserve = ledger.Reserve(need, reserveChunk)
-		}
+		t = turn.New(record, run.prompt+run.max, reserveChunk, r.ledger(programKey{c.Workspace, c.Program.Root()}, run.limits.Budget))
 		r.mu.Unlock()
-		switch {
-		case held:
-			return result, true
-		case exhausted:
-			return refused(c, peer.CodeBudget, peer.NotRun, fmt.Sprintf("the program's budget of %d tokens does not cover the call", budget)), false
-		case reserve:
-			verdict, err := r.append(ctx, &record.Reserve{Epoch: r.epoch, Workspace: root.workspace, Program: root.program, UpTo: upTo})
+		for t.Step() == program.StepReserve {
+			verdict, err := r.append(ctx, t.Reserve())
 			r.mu.Lock()
-			if verdict != nil || err != nil {
-				ledger.Refused(upTo)
-			} else {
-				ledger.Reserved(upTo)
-			}
+			t.ReserveDone(verdict, err)
 			r.mu.Unlock()
 			if verdict != nil || err != nil {
-				return r.notAppended(c, peer.NotRun, verdict, err), false
-			}
-		default:
-			select {
-			case <-time.After(holdPause):
-			case <-ctx.Done():
-				return r.ended(ctx, c, peer.NotRun), false
+				return t, r.notAppended(c, peer.NotRun, verdict, err), false
 			}
 		}
+		switch {
+		case t.Step() == program.StepCheck:
+			return t, result, true
+		case errors.Is(t.Answer().Reason, turn.ErrBudget):
+			return t, refused(c, peer.CodeBudget, peer.NotRun, fmt.Sprintf("the program's budget of %d tokens does not cover the call", run.limits.Budget)), false
+		}
+		select {
+		case <-time.After(holdPause):
+		case <-ctx.Done():
+			return t, r.ended(ctx, c, peer.NotRun), false
+		}
 	}
 }
 
 // ledger returns the account of a root program. The caller holds r.mu.
-func (r *slotRun) ledger(root programKey, budget ids.Tokens) *program.Ledger {
-	if l, ok := r.ledgers[root]; ok {
-		return l
-	}
-	var spending program.Spending
-	r.journal.View(func() { spending = r.fold.Budget(root.workspace, root.program) })
-	l := program.NewLedger(budget, spending)
-	r.ledgers[root] = l
-	return l
-}
-
-func (r *slotRun) ledgerDone(root programKey, held, used ids.Tokens) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if l, ok := r.ledgers[root]; ok {
-		l.Done(held, min(used, held))
+func (r *slotRun) ledger(root programKey, budget ids.Tokens) *turn.Ledger {
+	l, ok := r.ledgers[root]
+	if !ok {
+		var spending program.Spending
+		r.journal.View(func() { spending = r.fold.Budget(root.workspace, root.program) })
+		l = turn.NewLedger(budget, spending)
+		r.ledgers[root] = l
 	}
+	l.SetBudget(budget)
+	return l
 }
 
 // maxAttempts bounds the targets that one repeatable call is sent to.
 const maxAttempts = 4
 
-// runChat sends a model call to targets until one answers. Model calls are repeatable; the turn is what must not be
-// doubled, and its record sees to that.
-func (o *Owner) runChat(ctx context.Context, run *chatRun, out *emitter) (a engine.Answer, target ids.TargetID, refusal *peer.Refusal) {
+// item describes a call to the dispatcher.
+func (run *chatRun) item() dispatch.Item {
 	c := run.call
 	item := dispatch.Item{
 		Workspace:    c.Workspace,
 		Weight:       float64(run.limits.Weight),
 		Program:      c.Program,
-		Prompt:       run.known + bound(run.messages)/bytesPerToken,
+		Prompt:       bound(run.messages) / bytesPerToken,
 		Output:       run.max,
-		Prefix:       dispatch.PrefixKey(string(c.Workspace) + "/" + string(c.Program)),
 		PrefixTokens: run.known,
 		Repeatable:   true,
 		Fingerprint:  c.Fingerprint,
 	}
+	if c.Program != "" {
+		item.Prefix = dispatch.PrefixKey(string(c.Workspace) + "/" + string(c.Program))
+	}
 	if run.known > 0 {
-		item.Prompt = run.prompt
+		item.Prompt = run.known + (run.prompt-run.known)/bytesPerToken
 	}
+	return item
+}
+
+// runUnowned sends a model call that belongs to no program to targets until one answers.
+func (o *Owner) runUnowned(ctx context.Context, run *chatRun, out *emitter) (a engine.Answer, target ids.TargetID, refusal *peer.Refusal) {
+	item := run.item()
 	for attempt := 1; ; attempt++ {
-		s, r := o.prepare(ctx, c, run.route.Model.Pool, item, nil)
+		s, r := o.prepare(ctx, run.call, run.route.Model.Pool, item, nil)
 		if r != nil {
 			return a, target, r
 		}
 		target = s.place.Target
-		var err error
-		a, err = o.sendChat(ctx, s, run, attempt, out)
+		a, err := o.sendChat(ctx, s, run, attempt, out)
+		o.endPlacement(run.call, s, a.Usage, err)
 		if err == nil {
-			o.Targets.Done(s.place, dispatch.Completed, a.Usage)
-			o.Targets.Survived(c.Workspace, c.Fingerprint)
 			return a, target, nil
 		}
-		o.Targets.Done(s.place, outcomeOf(err), record.Usage{})
-		if brokeOff(err) {
-			o.Targets.Died(c.Workspace, c.Fingerprint, target)
-		}
 		if refusal := o.chatFailed(ctx, err, attempt, out); refusal != nil {
 			return a, target, refusal
 		}
@@ -316,35 +362,29 @@
 const maxStoredAnswer = 384 << 10
 
 // commitTurn makes the turn durable; only then is the call complete.
-func (o *Owner) commitTurn(ctx context.Context, r *slotRun, run *chatRun, a engine.Answer) peer.Result {
+func (o *Owner) commitTurn(ctx context.Context, r *slotRun, run *chatRun, t *turn.Call, a engine.Answer, target ids.TargetID) (result peer.Result) {
+	defer func() { result.Trace.Target = target }()
 	c := run.call
-	result := &peer.ChatResult{Content: contentText(a.Message), Finish: a.FinishReason, Usage: a.Usage, Message: a.Message}
-	response, err := json.Marshal(result)
+	answer := &peer.ChatResult{Content: contentText(a.Message), Finish: a.FinishReason, Usage: a.Usage, Message: a.Message}
+	response, err := json.Marshal(answer)
 	if err != nil {
 		return refused(c, peer.CodeTargetFailed, peer.Ran, "the target's answer cannot be encoded")
 	}
 	if len(response) > maxStoredAnswer {
 		return refused(c, peer.CodeAnswerTooLarge, peer.Ran, "the target's answer is too large to be kept")
 	}
-	verdict, err := r.append(ctx, &record.Turn{
-		Epoch:       r.epoch,
-		Workspace:   c.Workspace,
-		Program:     c.Program,
-		Index:       run.turns,
-		Key:         c.RequestKey,
-		Fingerprint: c.Fingerprint,
-		Messages:    append(c.Chat.Messages[:len(c.Chat.Messages):len(c.Chat.Messages)], a.Message),
-		Usage:       a.Usage,
-		Response:    response,
-		UnixMilli:   time.Now().UnixMilli(),
-	})
+	r.mu.Lock()
+	t.Answered(append(c.Chat.Messages[:len(c.Chat.Messages):len(c.Chat.Messages)], a.Message), a.Usage, response)
+	r.mu.Unlock()
+	verdict, err := r.append(ctx, t.Turn())
+	t.TurnDone(verdict, err)
 	if err != nil || verdict != nil {
 		return r.notDurable(ctx, c, verdict, err)
 	}
 	r.mu.Lock()
 	r.tokens[programKey{c.Workspace, c.Program}] = knownTokens{messages: len(run.messages) + 1, tokens: a.Usage.Total()}
 	r.mu.Unlock()
-	return peer.Result{Chat: result, Trace: peer.Trace{Turn: run.turns + 1}}
+	return peer.Result{Chat: answer, Trace: peer.Trace{Turn: run.turns + 1}}
 }
 
 // notDurable answers a call that ran and whose turn is not known to be in the log. A repetition with the key finds the
--- a/internal/owner/end.go
+++ b/internal/owner/end.go
@@ -1,16 +1,23 @@
 package owner
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
+	"go.uber.org/zap"
+
+	"github.com/comfreylink/comfreylink/internal/events"
+	"github.com/comfreylink/comfreylink/internal/journal"
 	"github.com/comfreylink/comfreylink/internal/peer"
+	"github.com/comfreylink/comfreylink/pkg/ids"
 	"github.com/comfreylink/comfreylink/pkg/record"
 )
 
 // end ends a program after its calls in progress.
 func (o *Owner) end(ctx context.Context, r *slotRun, c peer.Call) peer.Result {
-	release, err := r.lines.acquire(ctx, "program\x00"+string(c.Workspace)+"\x00"+string(c.Program))
+	release, err := r.lines.acquire(ctx, programLine(c))
 	if err != nil {
 		return r.ended(ctx, c, peer.NotRun)
 	}
@@ -68,7 +75,7 @@
 	if run.prompt+run.max > run.limits.Budget {
 		return refused(c, peer.CodeBudget, peer.NotRun, "the budget of a program does not cover the call")
 	}
-	answer, target, refusal := o.runChat(ctx, run, &emitter{forward: onDelta})
+	answer, target, refusal := o.runUnowned(ctx, run, &emitter{forward: onDelta})
 	if refusal != nil {
 		refusal.RequestKey = c.RequestKey
 		return peer.Result{Refusal: refusal, Trace: peer.Trace{Target: target}}
@@ -79,24 +86,13 @@
 
 // EndIdle ends the programs that were not used for longer than their template allows. It returns how many it ended.
 func (o *Owner) EndIdle(ctx context.Context, now time.Time, idle time.Duration) (ended int) {
-	o.mu.Lock()
-	runs := make([]*slotRun, 0, len(o.slots))
-	for _, r := range o.slots {
-		runs = append(runs, r)
-	}
-	o.mu.Unlock()
-	for _, r := range runs {
+	for _, r := range o.ready() {
 		ended += r.endIdle(ctx, now, idle)
 	}
 	return ended
 }
 
 func (r *slotRun) endIdle(ctx context.Context, now time.Time, idle time.Duration) (ended int) {
-	select {
-	case <-r.ready:
-	default:
-		return 0
-	}
 	var ends []*record.End
 	r.journal.View(func() { ends = r.fold.Idle(now, idle) })
 	for _, e := range ends {
@@ -113,3 +109,58 @@
 	return ended
 }
 
+// WriteSnapshots writes a snapshot of each owned slot's stream.
+func (o *Owner) WriteSnapshots(ctx context.Context) {
+	for _, r := range o.ready() {
+		if err := r.journal.WriteSnapshot(ctx); err != nil {
+			events.Log(o.Logger, events.InternalError, zap.Int("slot", int(r.slot)), zap.Error(err))
+		}
+	}
+}
+
+// ready returns the slots that are open.
+func (o *Owner) ready() (runs []*slotRun) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, r := range o.slots {
+		select {
+		case <-r.ready:
+			runs = append(runs, r)
+		default:
+		}
+	}
+	return runs
+}
+
+// SlotStatus describes an owned slot for a dump.
+type SlotStatus struct {
+	Slot     ids.Slot       `json:"slot"`
+	Epoch    ids.Epoch      `json:"epoch"`
+	Ready    bool           `json:"ready"`
+	Calls    int            `json:"calls"`
+	Draining bool           `json:"draining,omitempty"`
+	Ledgers  int            `json:"budgets"`
+	Journal  journal.Status `json:"journal"`
+}
+
+// Status returns the state of the owned slots.
+func (o *Owner) Status() (all []SlotStatus) {
+	ready := map[ids.Slot]bool{}
+	for _, r := range o.ready() {
+		ready[r.slot] = true
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, r := range o.slots {
+		s := SlotStatus{Slot: r.slot, Epoch: r.epoch, Ready: ready[r.slot]}
+		if s.Ready {
+			s.Journal = r.journal.Status()
+		}
+		r.mu.Lock()
+		s.Calls, s.Draining, s.Ledgers = r.calls, r.draining, len(r.ledgers)
+		r.mu.Unlock()
+		all = append(all, s)
+	}
+	slices.SortFunc(all, func(a, b SlotStatus) int { return cmp.Compare(a.Slot, b.Slot) })
+	return all
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -13,11 +13,12 @@
 	"github.com/comfreylink/comfreylink/internal/peer"
 	"github.com/comfreylink/comfreylink/pkg/config"
 	"github.com/comfreylink/comfreylink/pkg/ids"
+	"github.com/comfreylink/comfreylink/pkg/replay"
 )
 
 // Streams opens the journal of a slot's stream.
 type Streams interface {
-	Open(s ids.Slot, fold journal.Fold) (j *journal.Journal, cleanup func(), err error)
+	Open(s ids.Slot, fold replay.Fold) (j *journal.Journal, cleanup func(), err error)
 }
 
 // Lease tells whether this instance may act as the owner of its slots.
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -26,7 +26,7 @@
 	}
 	name := "key\x00" + string(c.Workspace) + "\x00" + string(c.RequestKey)
 	if c.Program != "" {
-		name = "program\x00" + string(c.Workspace) + "\x00" + string(c.Program)
+		name = programLine(c)
 	}
 	release, err := r.lines.acquire(ctx, name)
 	if err != nil {
@@ -128,7 +128,7 @@
 	case program.ActionRun:
 		return o.execute(ctx, r, c, route)
 	case program.ActionReplay:
-		return replay(c, d.State)
+		return replayed(c, d.State)
 	case program.ActionKeyReused:
 		return refused(c, peer.CodeKeyReused, peer.NotRun, "the key belongs to a request with another content")
 	case program.ActionNotOwner:
@@ -142,7 +142,7 @@
 	return refused(c, peer.CodeUndecided, peer.Unknown, "the request was sent or may have been sent, and its answer is not known")
 }
 
-func replay(c peer.Call, s program.KeyState) peer.Result {
+func replayed(c peer.Call, s program.KeyState) peer.Result {
 	if s.Status == record.StatusUnknown {
 		return undecided(c)
 	}
--- a/internal/owner/slot.go
+++ b/internal/owner/slot.go
@@ -16,6 +16,7 @@
 	"github.com/comfreylink/comfreylink/pkg/ids"
 	"github.com/comfreylink/comfreylink/pkg/program"
 	"github.com/comfreylink/comfreylink/pkg/record"
+	"github.com/comfreylink/comfreylink/pkg/turn"
 )
 
 // slotRun is one epoch of an owned slot.
@@ -34,8 +35,7 @@
 	calls    int
 	draining bool
 	idle     chan struct{}
-	ledgers  map[programKey]*program.Ledger
-	running  map[requestKey]*program.Execution
+	ledgers  map[programKey]*turn.Ledger
 	tokens   map[programKey]knownTokens
 }
 
@@ -44,11 +44,6 @@
 	program   ids.ProgramID
 }
 
-type requestKey struct {
-	workspace ids.WorkspaceID
-	key       ids.RequestKey
-}
-
 // knownTokens is the number of tokens that a target counted for a program's first messages.
 type knownTokens struct {
 	messages int
@@ -66,8 +61,7 @@
 		ready:   make(chan struct{}),
 		fold:    program.New(program.Options{KeyRetention: o.KeyRetention}),
 		lines:   newFIFO(),
-		ledgers: map[programKey]*program.Ledger{},
-		running: map[requestKey]*program.Execution{},
+		ledgers: map[programKey]*turn.Ledger{},
 		tokens:  map[programKey]knownTokens{},
 	}
 	o.running.Add(1)
@@ -99,12 +93,7 @@
 	if err := r.journal.CaughtUp(ctx); err != nil {
 		return nil
 	}
-	open := &record.Open{
-		Epoch:              r.epoch,
-		Owner:              o.Self,
-		UnixMilli:          time.Now().UnixMilli(),
-		KeyRetentionMillis: o.KeyRetention.Milliseconds(),
-	}
+	open := r.fold.NewOpen(time.Now(), r.epoch, o.Self)
 	verdicts, err := r.journal.Append(ctx, open)
 	if err != nil {
 		return nil
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 
+	"github.com/comfreylink/comfreylink/pkg/dispatch"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 	"github.com/comfreylink/comfreylink/pkg/record"
 )
@@ -17,6 +18,8 @@
 	MethodCall Method = "call"
 	// MethodAcquire asks the owner of a workspace's slot for a rate token.
 	MethodAcquire Method = "acquire"
+	// MethodGranted reports what became of a rate token.
+	MethodGranted Method = "granted"
 	// MethodPlace asks the dispatcher of a pool for a target.
 	MethodPlace Method = "place"
 	// MethodDone tells the dispatcher that a placed request has ended.
@@ -100,6 +103,8 @@
 type Redirect struct {
 	Owner ids.WriterID `json:"owner,omitempty"`
 	Epoch ids.Epoch    `json:"epoch"`
+	// MayHaveRun says that the call may have run at the redirecting instance.
+	MayHaveRun bool `json:"mayHaveRun,omitempty"`
 }
 
 // Trace tells where a call ran.
@@ -184,13 +189,62 @@
 type Acquire struct {
 	Workspace      ids.WorkspaceID `json:"workspace"`
 	DeadlineMillis int64           `json:"deadlineMillis"`
+	// Ticket is the place in the line that an earlier answer gave; 0 for none.
+	Ticket uint64 `json:"ticket,omitempty"`
 }
 
-// Acquired is the answer to Acquire.
+// Acquired is the answer to Acquire. If it is neither granted nor refused, the request waits in line.
 type Acquired struct {
-	Granted bool `json:"granted"`
-	// WaitMillis is the time after which to ask again, if not granted and not refused.
-	WaitMillis int64     `json:"waitMillis,omitempty"`
-	Refused    bool      `json:"refused,omitempty"`
-	Redirect   *Redirect `json:"redirect,omitempty"`
+	// NotOwner says that the instance does not own the workspace's slot, or cannot be sure of it.
+	NotOwner bool      `json:"notOwner,omitempty"`
+	Epoch    ids.Epoch `json:"epoch,omitempty"`
+	Granted  bool      `json:"granted,omitempty"`
+	Grant    uint64    `json:"grant,omitempty"`
+	Refused  bool      `json:"refused,omitempty"`
+	// WaitMillis is the time after which to ask again with the ticket, or after which a refused request could succeed.
+	WaitMillis int64  `json:"waitMillis,omitempty"`
+	Ticket     uint64 `json:"ticket,omitempty"`
+}
+
+// GrantReport tells what became of a rate token.
+type GrantReport struct {
+	Workspace ids.WorkspaceID `json:"workspace"`
+	Epoch     ids.Epoch       `json:"epoch"`
+	Grant     uint64          `json:"grant"`
+	Used      bool            `json:"used"`
+}
+
+// Place asks for a target.
+type Place struct {
+	Pool           ids.PoolID    `json:"pool"`
+	Item           dispatch.Item `json:"item"`
+	DeadlineMillis int64         `json:"deadlineMillis"`
+}
+
+// Placed is the answer to Place.
+type Placed struct {
+	Refusal *Refusal        `json:"refusal,omitempty"`
+	Target  ids.TargetID    `json:"target,omitempty"`
+	Address string          `json:"address,omitempty"`
+	Ticket  dispatch.Ticket `json:"ticket,omitempty"`
+}
+
+// Done ends a placement.
+type Done struct {
+	Pool    ids.PoolID       `json:"pool"`
+	Ticket  dispatch.Ticket  `json:"ticket"`
+	Outcome dispatch.Outcome `json:"outcome"`
+	Usage   record.Usage     `json:"usage"`
+}
+
+// Pong is what a daemon tells about itself, in a probe and in the answer to one.
+type Pong struct {
+	Writer ids.WriterID `json:"writer"`
+	// Revision is the newest configuration revision that the daemon has.
+	Revision ids.Revision `json:"revision"`
+	// LogAgeMillis is the age of the daemon's last up-to-date read of the config stream; -1 if there was none.
+	LogAgeMillis int64 `json:"logAgeMillis"`
+	// FreshAgeMillis is the age of the newest up-to-date read that the daemon knows of, its own or a peer's.
+	FreshAgeMillis int64 `json:"freshAgeMillis"`
+	Leaving        bool  `json:"leaving,omitempty"`
 }
--- /dev/null
+++ b/scenario/cluster/platform.go
@@ -0,0 +1,89 @@
+package cluster
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/comfreylink/comfreylink/pkg/ids"
+)
+
+// Instance is an entry of the instance list.
+type Instance struct {
+	ID      string     `json:"id"`
+	Kind    string     `json:"kind"`
+	Pool    ids.PoolID `json:"pool,omitempty"`
+	Zone    ids.Zone   `json:"zone"`
+	Address string     `json:"address"`
+	State   string     `json:"state"`
+}
+
+var client = http.Client{Timeout: 10 * time.Second}
+
+// Register enters an instance into the instance list, or changes its entry.
+func (c *Cluster) Register(i Instance) error {
+	body, err := json.Marshal(i)
+	if err != nil {
+		return err
+	}
+	return c.send(http.MethodPut, "list", "/v1/instances/"+i.ID, body, nil)
+}
+
+// Unregister removes an instance from the instance list.
+func (c *Cluster) Unregister(id string) error {
+	return c.send(http.MethodDelete, "list", "/v1/instances/"+id, nil, nil)
+}
+
+// Target starts a stand-in as a target and registers it.
+func (c *Cluster) Target(id, kind string, pool ids.PoolID, zone ids.Zone, args ...string) (p *Process, err error) {
+	if p, err = c.Standin(id, kind, args...); err != nil {
+		return nil, err
+	}
+	return p, c.Register(Instance{ID: id, Kind: "target", Pool: pool, Zone: zone, Address: p.Address, State: "live"})
+}
+
+// Fault switches faults of a stand-in.
+func (c *Cluster) Fault(name string, faults any) error {
+	body, err := json.Marshal(faults)
+	if err != nil {
+		return err
+	}
+	return c.send(http.MethodPost, name, "/faults", body, nil)
+}
+
+// Get reads JSON from a process.
+func (c *Cluster) Get(name, path string, into any) error {
+	return c.send(http.MethodGet, name, path, nil, into)
+}
+
+func (c *Cluster) send(method, name, path string, body []byte, into any) (err error) {
+	p := c.Process(name)
+	if p == nil {
+		return fmt.Errorf("no process %q", name)
+	}
+	req, err := http.NewRequest(method, "http://"+p.Address+path, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, resp.Body.Close()) }()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		return fmt.Errorf("%s %s%s: status %d: %s", method, name, path, resp.StatusCode, data)
+	}
+	if into == nil {
+		return nil
+	}
+	return json.Unmarshal(data, into)
+}
--- a/scenario/cmd/demo/main.go
+++ b/scenario/cmd/demo/main.go
@@ -1,4 +1,26 @@
-// Command demo runs the stand-ins, three daemons and one program, and prints what happens.
+// Command demo starts the stand-ins and three daemons, runs one program of several turns through different entry
+// instances, prints what happened where, and stops everything.
 package main
 
-func main() {}
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+)
+
+func main() {
+	kill := flag.Bool("kill", false, "kill two daemons and replace one in the middle of the program")
+	flag.Parse()
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	ctx, cancel := context.WithTimeout(ctx, 5*time.Minute)
+	defer cancel()
+	if err := run(ctx, *kill); err != nil {
+		fmt.Fprintln(os.Stderr, "demo:", err)
+		os.Exit(1)
+	}
+}
