Align the rate's bound, error wrapping and the daemon's log

Package rate counts thousandths of a request a second, so a workspace with a lower rate would pass validation and then get no bucket. The lowest valid rate is now 0.001.

Errors of settings, document and publisher are annotated with oops in one deferred call, as the conventions say. events.Log writes an error as one string field; zap adds errorVerbose with a stack trace otherwise. events.NewLogger is the logger of the daemon, and serve writes the event settingsInvalid with it.

--- a/internal/cli/check.go
+++ b/internal/cli/check.go
@@ -51,7 +51,7 @@
 	}
 	objects, err := checkTogether(documents)
 	if err := errors.Join(append(errs, err)...); err != nil {
-		return fmt.Errorf("%w: %w", errInvalid, err)
+		return fmt.Errorf("%w:\n%w", errInvalid, err)
 	}
 	return r.out.result(checkResult{Objects: objects}, "valid")
 }
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -189,6 +189,7 @@
 	code := c.Run(context.Background(), []string{"comfreylink", "serve", "--settings", template}, &out, &out)
 	qt.Assert(t, cli.ExitCode(code), qt.Equals, cli.ExitInvalid)
 	qt.Assert(t, served, qt.HasLen, 0)
+	qt.Assert(t, out.String(), qt.Contains, `"name":"settingsInvalid","event":104`)
 	code = c.Run(context.Background(), []string{"comfreylink", "serve", "--settings", "../../examples/daemon.ini"}, &out, &out)
 	qt.Assert(t, cli.ExitCode(code), qt.Equals, cli.ExitOK)
 	qt.Assert(t, served, qt.HasLen, 1)
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -4,7 +4,9 @@
 	"context"
 
 	ucli "github.com/urfave/cli/v3"
+	"go.uber.org/zap"
 
+	"github.com/comfreylink/comfreylink/internal/events"
 	"github.com/comfreylink/comfreylink/internal/settings"
 )
 
@@ -20,6 +22,9 @@
 		}
 		s, err := settings.Load(r.String("settings"))
 		if err != nil {
+			// Nobody may watch the start of a daemon, so the error is in its log as well.
+			log := events.NewLogger(r.out.stderr, zap.InfoLevel)
+			events.Log(log, events.SettingsInvalid, zap.String("file", r.String("settings")), zap.Error(err))
 			return err
 		}
 		return r.programs.Serve(ctx, s)
--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -11,6 +11,8 @@
 	"strings"
 	"time"
 
+	"github.com/samber/oops"
+
 	"github.com/comfreylink/comfreylink/internal/inifile"
 	"github.com/comfreylink/comfreylink/pkg/config"
 	"github.com/comfreylink/comfreylink/pkg/ids"
@@ -30,9 +32,10 @@
 
 // Load reads the file of a template or workspace.
 func Load(path string) (p *record.Publish, err error) {
+	defer func() { err = oops.In("document").With("file", path).Wrapf(err, "read the document") }()
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return nil, fmt.Errorf("read the document: %w", err)
+		return nil, err
 	}
 	return Parse(path, data)
 }
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -2,6 +2,8 @@
 package events
 
 import (
+	"io"
+
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 )
@@ -42,5 +44,27 @@
 	if checked == nil {
 		return
 	}
-	checked.Write(append([]zap.Field{zap.Int(NumberField, e.Number)}, fields...)...)
+	written := []zap.Field{zap.Int(NumberField, e.Number)}
+	for _, f := range fields {
+		written = append(written, plain(f))
+	}
+	checked.Write(written...)
+}
+
+// plain keeps zap from adding a field errorVerbose with a stack trace, which is not in the catalogue.
+func plain(f zap.Field) zap.Field {
+	if err, ok := f.Interface.(error); ok && f.Type == zapcore.ErrorType {
+		return zap.String(f.Key, err.Error())
+	}
+	return f
+}
+
+// NewLogger returns a logger that writes one JSON object a line, with the event's name in the field name.
+func NewLogger(w io.Writer, level zapcore.Level) *zap.Logger {
+	encoder := zapcore.NewJSONEncoder(zapcore.EncoderConfig{
+		TimeKey: "time", LevelKey: "level", MessageKey: "name",
+		EncodeTime: zapcore.RFC3339NanoTimeEncoder, EncodeLevel: zapcore.LowercaseLevelEncoder,
+		EncodeDuration: zapcore.StringDurationEncoder,
+	})
+	return zap.New(zapcore.NewCore(encoder, zapcore.Lock(zapcore.AddSync(w)), level))
 }
--- a/internal/events/events_test.go
+++ b/internal/events/events_test.go
@@ -9,6 +9,7 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/samber/oops"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 	"go.uber.org/zap/zaptest/observer"
@@ -53,12 +54,14 @@
 	}
 }
 
-// Guards against an event without its number or below its level.
+// Guards against an event without its number, below its level, or with a stack trace.
 func TestLog(t *testing.T) {
 	core, logged := observer.New(zapcore.InfoLevel)
 	events.Log(zap.New(core), events.SlotOpened, zap.Int("slot", 3))
 	events.Log(zap.New(core), events.RequestRefused)
-	qt.Assert(t, logged.Len(), qt.Equals, 1)
+	events.Log(zap.New(core), events.InternalError, zap.Error(oops.Errorf("fault")))
+	qt.Assert(t, logged.Len(), qt.Equals, 2)
+	qt.Assert(t, logged.All()[1].ContextMap(), qt.DeepEquals, map[string]any{"event": int64(900), "error": "fault"})
 	entry := logged.All()[0]
 	qt.Assert(t, entry.Message, qt.Equals, "slotOpened")
 	qt.Assert(t, entry.ContextMap(), qt.DeepEquals, map[string]any{"event": int64(301), "slot": int64(3)})
--- a/internal/publisher/publisher.go
+++ b/internal/publisher/publisher.go
@@ -8,6 +8,8 @@
 	"fmt"
 	"time"
 
+	"github.com/samber/oops"
+
 	"github.com/comfreylink/comfreylink/internal/logservice"
 	"github.com/comfreylink/comfreylink/pkg/config"
 	"github.com/comfreylink/comfreylink/pkg/ids"
@@ -50,13 +52,14 @@
 
 // Refresh reads to the end of the config stream and returns the configuration in force.
 func (p *Publisher) Refresh(ctx context.Context) (v *config.View, err error) {
+	defer func() { err = oops.In("publisher").Wrapf(err, "read the configuration") }()
 	for {
 		atEnd, err := p.reader.read(ctx, 0)
 		switch {
 		case err == nil && atEnd:
 			return p.reader.catalog.Current(), nil
 		case err != nil && (ctx.Err() != nil || !sleep(ctx, retryPause)):
-			return nil, fmt.Errorf("read the configuration: %w", err)
+			return nil, err
 		}
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -2,12 +2,12 @@
 package settings
 
 import (
-	"fmt"
 	"net"
 	"os"
 	"strconv"
 	"time"
 
+	"github.com/samber/oops"
 	"go.uber.org/zap/zapcore"
 
 	"github.com/comfreylink/comfreylink/internal/inifile"
@@ -133,9 +133,10 @@
 
 // Load reads a settings file. The error names everything that is wrong with it.
 func Load(path string) (s Settings, err error) {
+	defer func() { err = oops.In("settings").With("file", path).Wrapf(err, "read the settings") }()
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return Settings{}, fmt.Errorf("read the settings: %w", err)
+		return Settings{}, err
 	}
 	return Parse(path, data)
 }
--- a/pkg/config/config_test.go
+++ b/pkg/config/config_test.go
@@ -111,7 +111,7 @@
 		},
 		"workspace/x": {
 			"null", strings.Replace(string(workspaceDocument), "brain", "missing", 1),
-			strings.Replace(string(workspaceDocument), `"rate":5`, `"rate":0`, 1),
+			strings.Replace(string(workspaceDocument), `"rate":5`, `"rate":0.0009`, 1),
 			strings.Replace(string(workspaceDocument), `"weight":1`, `"weight":1001`, 1),
 			strings.Replace(workspaceWith("k", "key", now), config.HashKey("key").String(), "abc", 1),
 		},
--- a/pkg/config/document.go
+++ b/pkg/config/document.go
@@ -111,9 +111,6 @@
 	ExpiresAt time.Time `json:"expiresAt,omitzero"`
 }
 
-// valid reports whether the key works at the time now.
-func (k KeyInfo) valid(now time.Time) bool { return k.ExpiresAt.IsZero() || now.Before(k.ExpiresAt) }
-
 // ObjectKind is the part of an object's name before the slash.
 type ObjectKind string
 
--- a/pkg/config/validate.go
+++ b/pkg/config/validate.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"regexp"
 	"slices"
 	"time"
@@ -10,7 +9,8 @@
 
 // Bounds keep a typing error, such as a missing unit, from coming into force.
 const (
-	maxRate        = 1e6 // requests a second
+	minRate        = 0.001 // requests a second; package rate counts thousandths
+	maxRate        = 1e6   // requests a second
 	maxBurst       = 1_000_000
 	maxWeight      = 1000
 	maxInFlight    = 10_000
@@ -102,7 +102,7 @@
 	r.name("workspace name", string(w.ID))
 	r.check(len(w.Templates) > 0, "no templates")
 	r.unique("template", slices.Clone(w.Templates))
-	r.check(w.Rate > 0 && w.Rate <= maxRate && !math.IsNaN(w.Rate), "rate %v: want more than 0 and at most %v", w.Rate, maxRate)
+	r.check(w.Rate >= minRate && w.Rate <= maxRate, "rate %v: want %v to %v", w.Rate, minRate, maxRate)
 	r.count("burst", int64(w.Burst), maxBurst)
 	r.count("budget", int64(w.Budget), maxTokens)
 	r.count("weight", int64(w.Weight), maxWeight)
--- a/pkg/config/view.go
+++ b/pkg/config/view.go
@@ -52,7 +52,7 @@
 // AuthenticateHash is Authenticate for a request that was already admitted, whose key is no longer there.
 func (v *View) AuthenticateHash(h KeyHash, now time.Time) (ids.WorkspaceID, bool) {
 	o, ok := v.keyOwner(h)
-	if !ok || !o.key.valid(now) {
+	if !ok || !o.key.ExpiresAt.IsZero() && !now.Before(o.key.ExpiresAt) {
 		return "", false
 	}
 	return o.workspace, true
