Fold the config stream in publisher with package replay

publisher had its own fold because replay was not there yet, and so refused a log that no longer had its first entry.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -20,7 +20,9 @@
 	"github.com/comfreylink/comfreylink/internal/document"
 	"github.com/comfreylink/comfreylink/internal/publisher"
 	"github.com/comfreylink/comfreylink/internal/settings"
+	"github.com/comfreylink/comfreylink/pkg/config"
 	"github.com/comfreylink/comfreylink/pkg/ids"
+	"github.com/comfreylink/comfreylink/pkg/replay"
 )
 
 const (
@@ -95,6 +97,27 @@
 	l.before = func() { l.seed("other#1", other) }
 }
 
+// Guards against a command that acts on a part of the configuration once the log no longer has its start.
+func TestRetention(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLog(t)
+		r := replay.New(config.New())
+		r.Entry(0, l.entries[0].Data)
+		r.Entry(1, l.entries[1].Data)
+		parts, err := r.Snapshot()
+		qt.Assert(t, err, qt.IsNil)
+		l.oldest = 2
+		code, _, stderr := comfreylink(l, onLog("publish", template, "--expect-new")...)
+		qt.Assert(t, code, qt.Equals, cli.ExitFailed)
+		qt.Assert(t, stderr, qt.Contains, "no complete snapshot")
+		l.seed("daemon#1", parts[0])
+		code, _, stderr = comfreylink(l, onLog("publish", template, "--expect-new")...)
+		qt.Assert(t, code, qt.Equals, cli.ExitConflict, qt.Commentf("%s", stderr))
+		code, _, stderr = comfreylink(l, onLog("publish", workspace, "--base", "1")...)
+		qt.Assert(t, code, qt.Equals, cli.ExitOK, qt.Commentf("%s", stderr))
+	})
+}
+
 // Guards against a lost change when operators race, and a key that is kept, printed twice or not withdrawn.
 func TestKeys(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/cli/fake_test.go
+++ b/internal/cli/fake_test.go
@@ -23,6 +23,8 @@
 type fakeLog struct {
 	mu      sync.Mutex
 	entries []logservice.Entry
+	// oldest is the offset of the oldest kept entry.
+	oldest ids.Offset
 	// lostAnswers is the number of appends that take effect and still fail.
 	lostAnswers int
 	// refused is the number of appends that fail without effect.
@@ -63,12 +65,13 @@
 	}
 	f.readable--
 	end := ids.Offset(len(f.entries))
-	return logservice.Page{Next: max(from, end), Entries: f.entries[min(from, end):], AtEnd: true}, nil
+	from = max(from, f.oldest)
+	return logservice.Page{Oldest: f.oldest, Next: max(from, end), Entries: f.entries[min(from, end):], AtEnd: true}, nil
 }
 
-// seed appends a publish of another operator.
-func (f *fakeLog) seed(writer ids.WriterID, p *record.Publish) {
-	r, err := record.New(p)
+// seed appends a record of another writer.
+func (f *fakeLog) seed(writer ids.WriterID, b record.Body) {
+	r, err := record.New(b)
 	if err != nil {
 		panic(err)
 	}
--- a/internal/publisher/publisher.go
+++ b/internal/publisher/publisher.go
@@ -73,7 +73,7 @@
 		return 0, fmt.Errorf("%w: %w", ErrNotPublished, err)
 	}
 	// Revisions only grow, so what conflicts now conflicts for good; the log is spared the record.
-	if _, err := v.Publish(ids.Revision(p.reader.next), body); err != nil {
+	if _, err := v.Publish(ids.Revision(p.reader.replay.Next()), body); err != nil {
 		return 0, err
 	}
 	data, err := p.encode(body)
