Refuse to publish a workspace without its keys by accident

Keys are part of a workspace's document. In a trial on the stand-in log, publishing the example file of a workspace with the current revision as base withdrew all keys that had been given in between.

The fake log of the tests fails reads from the append on instead of after a number of reads, because publish reads once more; the test "not known" asserts the same as before.

Refresh reported the end of the context instead of the reason before it when both came at once, which made TestRetention fail in one of three runs; it keeps the reason now.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -43,7 +43,7 @@
 
 // newLog returns a log with the example template at offset 0 and the example workspace at offset 1.
 func newLog(t *testing.T) *fakeLog {
-	l := &fakeLog{readable: -1}
+	l := &fakeLog{}
 	for _, file := range []string{template, workspace} {
 		p, err := document.Load(file)
 		qt.Assert(t, err, qt.IsNil)
@@ -69,9 +69,9 @@
 		"lost answer": {func(_ *testing.T, l *fakeLog) { l.lostAnswers = 2 }, []string{workspace, "--base", "1"}, cli.ExitOK, "revision 2"},
 		"refused":     {func(_ *testing.T, l *fakeLog) { l.refused = 3 }, []string{workspace, "--base", "1"}, cli.ExitOK, "revision 2"},
 		"down":        {func(_ *testing.T, l *fakeLog) { l.refused = 1 << 30 }, []string{workspace, "--base", "1"}, cli.ExitFailed, "not published"},
-		"no reads":    {func(_ *testing.T, l *fakeLog) { l.readable = 0 }, []string{workspace, "--base", "1"}, cli.ExitFailed, "not published"},
+		"no reads":    {func(_ *testing.T, l *fakeLog) { l.down = true }, []string{workspace, "--base", "1"}, cli.ExitFailed, "not published"},
 		"not known": {
-			func(_ *testing.T, l *fakeLog) { l.readable, l.lostAnswers = 1, 1 },
+			func(_ *testing.T, l *fakeLog) { l.lostAnswers, l.before = 1, func() { l.down = true } },
 			[]string{workspace, "--base", "1"},
 			cli.ExitNotKnown, "not known",
 		},
@@ -118,7 +118,8 @@
 	})
 }
 
-// Guards against a lost change when operators race, and a key that is kept, printed twice or not withdrawn.
+// Guards against a lost change when operators race, and a key that is kept, printed twice, not withdrawn or
+// withdrawn by the way.
 func TestKeys(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		l := newLog(t)
@@ -143,6 +144,10 @@
 		qt.Assert(t, code, qt.Equals, cli.ExitOK)
 		qt.Assert(t, authenticate(t, l, strings.TrimSpace(stdout)), qt.IsFalse)
 
+		code, _, stderr = comfreylink(l, onLog("publish", workspace, "--base", "5")...)
+		qt.Assert(t, code, qt.Equals, cli.ExitInvalid)
+		qt.Assert(t, stderr, qt.Contains, "would withdraw the keys shop, late")
+
 		l.lostAnswers = 1
 		code, _, _ = comfreylink(l, onLog("key", "withdraw", "kumasi-prints", "--label", "shop")...)
 		qt.Assert(t, code, qt.Equals, cli.ExitOK)
@@ -150,6 +155,8 @@
 		code, _, stderr = comfreylink(l, onLog("key", "withdraw", "kumasi-prints", "--label", "shop")...)
 		qt.Assert(t, code, qt.Equals, cli.ExitInvalid)
 		qt.Assert(t, stderr, qt.Contains, `no key with the label "shop", but: late`)
+		code, _, stderr = comfreylink(l, onLog("publish", workspace, "--base", "6", "--withdraw-keys")...)
+		qt.Assert(t, code, qt.Equals, cli.ExitOK, qt.Commentf("%s", stderr))
 	})
 }
 
--- a/internal/cli/fake_test.go
+++ b/internal/cli/fake_test.go
@@ -29,8 +29,8 @@
 	lostAnswers int
 	// refused is the number of appends that fail without effect.
 	refused int
-	// readable is the number of reads before reads fail; negative for no limit.
-	readable int
+	// down lets reads fail.
+	down bool
 	// before runs once, right before the next append takes effect.
 	before func()
 }
@@ -60,10 +60,9 @@
 func (f *fakeLog) Read(ctx context.Context, _ ids.Stream, from ids.Offset, _ int, _ time.Duration) (p logservice.Page, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.readable == 0 || ctx.Err() != nil {
+	if f.down || ctx.Err() != nil {
 		return logservice.Page{}, errDown
 	}
-	f.readable--
 	end := ids.Offset(len(f.entries))
 	from = max(from, f.oldest)
 	return logservice.Page{Oldest: f.oldest, Next: max(from, end), Entries: f.entries[min(from, end):], AtEnd: true}, nil
--- a/internal/cli/publish.go
+++ b/internal/cli/publish.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
 
 	ucli "github.com/urfave/cli/v3"
 
 	"github.com/comfreylink/comfreylink/internal/document"
 	"github.com/comfreylink/comfreylink/internal/publisher"
+	"github.com/comfreylink/comfreylink/pkg/config"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 	"github.com/comfreylink/comfreylink/pkg/record"
 )
@@ -20,6 +24,7 @@
 		return logFlags(
 			&ucli.Int64Flag{Name: "base", Usage: "`REVISION` that the document was made from, as get prints it"},
 			&ucli.BoolFlag{Name: "expect-new", Usage: "the object was never published"},
+			&ucli.BoolFlag{Name: "withdraw-keys", Usage: "allow a workspace's document without keys that work now"},
 		)
 	},
 	action: func(ctx context.Context, r *run) error {
@@ -43,6 +48,9 @@
 		return &UsageError{Reason: "--base is below any revision"}
 	}
 	return r.withPublisher(ctx, func(ctx context.Context, to *publisher.Publisher) error {
+		if err := r.checkKeys(ctx, to, p); err != nil {
+			return err
+		}
 		revision, err := to.Publish(ctx, p)
 		if err != nil {
 			return err
@@ -50,3 +58,29 @@
 		return r.out.result(objectResult{Object: p.Object, Revision: revision}, "%s %s, revision %d", done, p.Object, revision)
 	})
 }
+
+// checkKeys refuses a document of a workspace that lacks keys in force, such as a file from before the keys were given,
+// unless the flag --withdraw-keys is set.
+func (r *run) checkKeys(ctx context.Context, to *publisher.Publisher, p *record.Publish) error {
+	kind, name, err := config.SplitObject(p.Object)
+	if err != nil || kind != config.WorkspaceKind || string(p.Document) == "null" || r.Bool("withdraw-keys") {
+		return err
+	}
+	v, err := to.Refresh(ctx)
+	if err != nil {
+		return fmt.Errorf("%w: %w", publisher.ErrNotPublished, err)
+	}
+	var next config.Workspace
+	if err := json.Unmarshal(p.Document, &next); err != nil {
+		return err
+	}
+	current, _ := v.Workspace(ids.WorkspaceID(name))
+	missing := slices.DeleteFunc(current.Keys, func(k config.KeyInfo) bool {
+		return slices.ContainsFunc(next.Keys, func(n config.KeyInfo) bool { return n.SHA256 == k.SHA256 })
+	})
+	if len(missing) == 0 || p.Base != current.Revision {
+		return nil
+	}
+	reason := "the document would withdraw the keys " + labels(missing) + "; add them, or use --withdraw-keys"
+	return &config.InvalidError{Object: p.Object, Reasons: []string{reason}}
+}
--- a/internal/publisher/publisher.go
+++ b/internal/publisher/publisher.go
@@ -53,13 +53,19 @@
 // Refresh reads to the end of the config stream and returns the configuration in force.
 func (p *Publisher) Refresh(ctx context.Context) (v *config.View, err error) {
 	defer func() { err = oops.In("publisher").Wrapf(err, "read the configuration") }()
+	var cause error
 	for {
 		atEnd, err := p.reader.read(ctx, 0)
 		switch {
 		case err == nil && atEnd:
 			return p.reader.catalog.Current(), nil
-		case err != nil && (ctx.Err() != nil || !sleep(ctx, retryPause)):
-			return nil, err
+		case err == nil:
+			continue
+		case cause == nil || ctx.Err() == nil:
+			cause = err // not the end of the context, if there was another reason before
+		}
+		if !sleep(ctx, retryPause) {
+			return nil, cause
 		}
 	}
 }
@@ -180,6 +186,6 @@
 	case <-ctx.Done():
 		return false
 	case <-t.C:
-		return true
+		return ctx.Err() == nil
 	}
 }
