Wire metrics and allow a burst of appends

Cause: after a start the first call waited 3.4 s, because each of 64 open records took its turn in a bucket of 20 appends a second with a burst of 20; metrics had no callers. Change: the burst is four seconds of the rate; requests, refusals, peer calls, queue waits and appends are measured.

--- a/internal/chat/server.go
+++ b/internal/chat/server.go
@@ -65,7 +65,7 @@
 
 // Observer is told about every answered request.
 type Observer interface {
-	Answered(route string, code peer.Code, run peer.RunState, took time.Duration)
+	Answered(route string, status int, refusal *peer.Refusal, took time.Duration)
 }
 
 // Limits bound what callers may send.
@@ -298,12 +298,12 @@
 	default:
 		ctx.SetStatusCode(fasthttp.StatusNoContent)
 	}
-	s.observer.Answered(route, "", peer.Ran, time.Since(began))
+	s.observer.Answered(route, ctx.Response.StatusCode(), nil, time.Since(began))
 }
 
 func (s *Server) answerRefusal(ctx *fasthttp.RequestCtx, route string, began time.Time, r *peer.Refusal) {
 	writeRefusal(ctx, r)
-	s.observer.Answered(route, r.Code, r.Run, time.Since(began))
+	s.observer.Answered(route, ctx.Response.StatusCode(), r, time.Since(began))
 }
 
 func setTrace(ctx *fasthttp.RequestCtx, t peer.Trace) {
@@ -376,9 +376,5 @@
 	if err == nil {
 		_ = e.finish(result)
 	}
-	if result.Refusal != nil {
-		s.observer.Answered(route, result.Refusal.Code, result.Refusal.Run, time.Since(began))
-		return
-	}
-	s.observer.Answered(route, "", peer.Ran, time.Since(began))
+	s.observer.Answered(route, fasthttp.StatusOK, result.Refusal, time.Since(began))
 }
--- a/internal/daemon/adapters.go
+++ b/internal/daemon/adapters.go
@@ -10,6 +10,7 @@
 	"github.com/comfreylink/comfreylink/internal/chat"
 	"github.com/comfreylink/comfreylink/internal/engine"
 	"github.com/comfreylink/comfreylink/internal/events"
+	"github.com/comfreylink/comfreylink/internal/logservice"
 	"github.com/comfreylink/comfreylink/internal/owner"
 	"github.com/comfreylink/comfreylink/internal/peer"
 	"github.com/comfreylink/comfreylink/internal/service"
@@ -19,11 +20,17 @@
 )
 
 // prober calls peers without chunks.
-type prober struct{ *peer.Client }
+type prober struct {
+	*peer.Client
+	d *Daemon
+}
 
 // Call implements members.Prober, limiter.Caller and dispatcher.Caller.
 func (p prober) Call(ctx context.Context, to peer.Address, m peer.Method, params, result any) error {
-	return p.Client.Call(ctx, to, m, params, result, nil)
+	began := time.Now()
+	err := p.Client.Call(ctx, to, m, params, result, nil)
+	p.d.metrics.PeerCalled(string(m), time.Since(began), err)
+	return err
 }
 
 // owners joins the fleet's slots with the members' addresses.
@@ -51,12 +58,29 @@
 // LeaseValid implements owner.Lease.
 func (l leaseOf) LeaseValid(now time.Time) bool { return l.d.fleet.LeaseValid(now) }
 
+// measuredLog records the time of appends.
+type measuredLog struct {
+	*logservice.Client
+	d *Daemon
+}
+
+// Append implements journal.Log.
+func (l measuredLog) Append(ctx context.Context, s ids.Stream, data []byte) (o ids.Offset, err error) {
+	began := time.Now()
+	o, err = l.Client.Append(ctx, s, data)
+	l.d.metrics.Appended(s, time.Since(began), err)
+	return o, err
+}
+
 // targets implements owner.Targets.
 type targets struct{ d *Daemon }
 
 func (t targets) Place(ctx context.Context, pool ids.PoolID, it dispatch.Item) (owner.Placement, *peer.Refusal) {
 	it.Zone = t.d.settings.Instance.Zone
-	return t.d.dispatcher.Place(ctx, pool, it)
+	began := time.Now()
+	p, r := t.d.dispatcher.Place(ctx, pool, it)
+	t.d.metrics.QueueWaited(pool, time.Since(began))
+	return p, r
 }
 
 func (t targets) Done(p owner.Placement, o dispatch.Outcome, u record.Usage) {
@@ -125,10 +149,14 @@
 // observer implements chat.Observer.
 type observer struct{ d *Daemon }
 
-func (o observer) Answered(route string, code peer.Code, run peer.RunState, took time.Duration) {
-	if code != "" {
-		events.Log(o.d.logger, events.RequestRefused, zap.String("route", route), zap.String("code", string(code)), zap.String("run", string(run)))
+func (o observer) Answered(route string, status int, refusal *peer.Refusal, took time.Duration) {
+	o.d.metrics.RequestDone(route, status, o.d.settings.Instance.Zone, took)
+	if refusal == nil {
+		return
 	}
+	o.d.metrics.Refused(string(refusal.Code))
+	events.Log(o.d.logger, events.RequestRefused,
+		zap.String("route", route), zap.String("code", string(refusal.Code)), zap.String("run", string(refusal.Run)))
 }
 
 // handler implements peer.Handler.
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -7,8 +7,8 @@
 	"github.com/comfreylink/comfreylink/pkg/ids"
 )
 
-// openAdmin binds the address for operators and registers what /status and /dump show.
-func (d *Daemon) openAdmin() (err error) {
+// openMetrics sets up the instruments, which the other parts use.
+func (d *Daemon) openMetrics() (err error) {
 	var cleanup func()
 	d.metrics, cleanup, err = admin.NewMetrics(admin.Observed{
 		ConfigRevision: func() ids.Revision { return d.catalog.Current().Revision() },
@@ -18,6 +18,12 @@
 		return err
 	}
 	d.onClose(cleanup)
+	return nil
+}
+
+// openAdmin binds the address for operators and registers what /status and /dump show.
+func (d *Daemon) openAdmin() (err error) {
+	var cleanup func()
 	d.admin, cleanup, err = admin.New(admin.Config{
 		Address:  d.settings.Instance.Admin,
 		Instance: d.settings.Instance.ID,
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -35,6 +35,10 @@
 	"github.com/comfreylink/comfreylink/pkg/slot"
 )
 
+// appendBurstSeconds is the burst of appends in seconds of the rate. A take-over opens dozens of slots with an append
+// each; with a burst of one second it took 2.4 s longer for 64 slots.
+const appendBurstSeconds = 4
+
 // Daemon is one running instance.
 type Daemon struct {
 	settings settings.Settings
@@ -80,7 +84,7 @@
 		self:     ids.WriterID(fmt.Sprintf("%s#%s", s.Instance.ID, hex.EncodeToString(nonce))),
 		catalog:  config.New(),
 		table:    slot.New(s.Ownership.Slots),
-		pace:     journal.NewBucket(s.Log.AppendsPerSecond, s.Log.AppendsPerSecond, time.Now()),
+		pace:     journal.NewBucket(s.Log.AppendsPerSecond, appendBurstSeconds*s.Log.AppendsPerSecond, time.Now()),
 		retries:  newRetryBudget(s.Dispatch.RetryBudget),
 		drain:    make(chan struct{}, 1),
 	}
@@ -89,7 +93,7 @@
 			d.close()
 		}
 	}()
-	for _, step := range []func() error{d.openLog, d.openPeers, d.openTargets, d.openFleet, d.openCallers, d.openAdmin} {
+	for _, step := range []func() error{d.openMetrics, d.openLog, d.openPeers, d.openTargets, d.openFleet, d.openCallers, d.openAdmin} {
 		if err = step(); err != nil {
 			return nil, nil, err
 		}
@@ -127,7 +131,7 @@
 	return journal.New(journal.Config{
 		Stream: s,
 		Writer: d.self,
-		Log:    d.log,
+		Log:    measuredLog{d.log, d},
 		Fold:   f,
 		Pace:   d.pace,
 		Logger: d.logger,
@@ -178,7 +182,7 @@
 		Zone:     d.settings.Instance.Zone,
 		Interval: d.settings.List.Interval,
 		List:     list,
-		Peers:    prober{d.peers},
+		Peers:    prober{d.peers, d},
 		Describe: d.describe,
 		Learned:  d.learned,
 		Logger:   d.logger,
@@ -191,7 +195,7 @@
 		Self:    d.settings.Instance.ID,
 		Zone:    d.settings.Instance.Zone,
 		Members: d.members,
-		Peers:   prober{d.peers},
+		Peers:   prober{d.peers, d},
 		Loads:   d.engines,
 		Options: d.poolOptions,
 		Logger:  d.logger,
@@ -224,7 +228,7 @@
 		GrantMax: d.settings.Rate.GrantMax,
 		Hold:     d.settings.Rate.Hold,
 		Owners:   owners{d},
-		Peers:    prober{d.peers},
+		Peers:    prober{d.peers, d},
 		Catalog:  d.catalog,
 	})
 	return nil
