Let owners carry on while nobody reaches the log

Cause: during a log outage every lease lapses after 10 s, so the limiter gives no tokens and even requests that need no log are held until their deadline. Change: past its lease an owner carries on while every peer has said within a lease that it has no contact with the log; an instance that regains contact counts the wait before a claim anew.

--- a/internal/chat/server.go
+++ b/internal/chat/server.go
@@ -11,7 +11,6 @@
 	"net"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -86,7 +85,6 @@
 	http     *fasthttp.Server
 	listener net.Listener
 	active   atomic.Int64
-	calls    sync.WaitGroup
 	stopping atomic.Bool
 }
 
--- a/internal/daemon/tasks.go
+++ b/internal/daemon/tasks.go
@@ -91,6 +91,7 @@
 		Revision:       d.catalog.Current().Revision(),
 		LogAgeMillis:   age(now, d.config.Fresh()),
 		FreshAgeMillis: age(now, d.freshAt()),
+		LogLost:        d.fleet.LogLost(now),
 		Leaving:        d.stopping.Load(),
 	}
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -23,6 +23,9 @@
 type Members interface {
 	// Live returns the live runs with this one, without those that are leaving.
 	Live(now time.Time) []slot.Member
+	// LogLostSince returns the earliest time at which a peer was asked for its contact with the log, if every peer has
+	// answered that it has none.
+	LogLostSince(now time.Time) (since time.Time, all bool)
 	// Answers reports whether a run, leaving or not, answers.
 	Answers(now time.Time, w ids.WriterID) bool
 }
@@ -55,6 +58,7 @@
 
 	mu        sync.Mutex
 	lease     slot.Lease
+	contact   contact
 	owners    []slot.Ownership
 	changed   chan struct{}
 	pending   map[int]record.Body
@@ -109,6 +113,7 @@
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		f.reads.Observe(now, f.Table)
+		f.contact.observe(now, fresh)
 		f.lease.Observe(f.Table, f.Self, fresh)
 		f.publish()
 		for _, s := range f.Table.Slots(f.Self) {
@@ -154,7 +159,7 @@
 		Self:          f.Self,
 		Live:          f.Members.Live(now),
 		Silent:        f.silence(now),
-		Suspicions:    f.reads.Suspicions(),
+		Suspicions:    f.contact.delay(f.reads.Suspicions()),
 		Releases:      f.reads.Releases(),
 		Lease:         f.Lease,
 		SuspectAfter:  f.SuspectAfter,
@@ -238,11 +243,24 @@
 	return o.Owner, o.Epoch, f.changed
 }
 
-// LeaseValid reports whether this instance may consider itself the owner of its slots.
+// LeaseValid reports whether this instance may consider itself the owner of its slots: it has read the fleet stream
+// within the lease, or every peer has said within the lease that it has no contact with the log either, so that none of
+// them can have claimed a slot.
 func (f *Fleet) LeaseValid(now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.lease.Valid(now, f.Lease)
+	if f.lease.Valid(now, f.Lease) {
+		return true
+	}
+	since, all := f.Members.LogLostSince(now)
+	return all && f.lease.Known() && slot.LeaseValid(now, since, f.Lease)
+}
+
+// LogLost reports whether this instance has no contact with the log.
+func (f *Fleet) LogLost(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.contact.lost(now)
 }
 
 // Quarantined reports whether a request was running at two targets when they died.
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -54,6 +54,8 @@
 	heard   time.Time
 	sent    time.Time
 	pong    peer.Pong
+	// lostAsked is when the last answered probe was sent, if the answer said that the peer has no contact with the log.
+	lostAsked time.Time
 }
 
 // Members is this instance's view of the fleet.
@@ -157,15 +159,41 @@
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	var pong peer.Pong
+	asked := time.Now()
 	if err := m.Peers.Call(ctx, to, peer.MethodPing, m.Describe(time.Now()), &pong); err != nil {
 		if ctx.Err() != nil {
 			m.Peers.Drop(to)
 		}
 		return
 	}
+	m.mu.Lock()
+	if p := m.peers[to.Instance]; p != nil {
+		p.lostAsked = time.Time{}
+		if pong.LogLost {
+			p.lostAsked = asked
+		}
+	}
+	m.mu.Unlock()
 	m.Heard(time.Now(), to.Instance, pong)
 }
 
+// LogLostSince returns the earliest of the times at which the peers were asked for their contact with the log, if every
+// peer has answered that it has none. Without peers it returns now.
+func (m *Members) LogLostSince(now time.Time) (since time.Time, all bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	since = now
+	for _, p := range m.peers {
+		if p.lostAsked.IsZero() {
+			return time.Time{}, false
+		}
+		if p.lostAsked.Before(since) {
+			since = p.lostAsked
+		}
+	}
+	return since, true
+}
+
 // Heard notes what a peer said, in an answer or in a probe of its own.
 func (m *Members) Heard(now time.Time, from ids.InstanceID, p peer.Pong) {
 	m.mu.Lock()
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -246,5 +246,8 @@
 	LogAgeMillis int64 `json:"logAgeMillis"`
 	// FreshAgeMillis is the age of the newest up-to-date read that the daemon knows of, its own or a peer's.
 	FreshAgeMillis int64 `json:"freshAgeMillis"`
+	// LogLost says that the daemon has no contact with the log; it will wait one lease after it regains contact before
+	// it claims a suspected owner's slots.
+	LogLost bool `json:"logLost,omitempty"`
 	Leaving        bool  `json:"leaving,omitempty"`
 }
--- a/pkg/slot/suspected.go
+++ b/pkg/slot/suspected.go
@@ -6,3 +6,6 @@
 func (t *Table) RequestSuspected(ws ids.WorkspaceID, f ids.Fingerprint) bool {
 	return t.requests.find(ws, f) >= 0
 }
+
+// Known reports whether the lease was ever valid.
+func (l *Lease) Known() bool { return !l.freshAt.IsZero() }
