Split the queue into shares, targets and dispatch, and test it

Other changes: the estimated wait follows the fair order, shedding frees no more than the new item takes, a new dispatcher ramps targets whose load it does not know yet, and a fresh load report ends a target's trial, which before needed a repeatable call.

--- a/pkg/dispatch/item.go
+++ b/pkg/dispatch/item.go
@@ -5,16 +5,48 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/comfreylink/comfreylink/pkg/ids"
+	"github.com/comfreylink/comfreylink/pkg/share"
+	"github.com/comfreylink/comfreylink/pkg/target"
 )
 
 // Ticket identifies an item within one queue; the caller chooses it.
 type Ticket uint64
 
-// PrefixKey identifies a history whose KV cache a target may hold.
-type PrefixKey string
+// The words for targets, which callers of a queue need.
+type (
+	PrefixKey  = target.PrefixKey
+	Target     = target.Report
+	State      = target.State
+	Outcome    = target.Outcome
+	CacheEvent = target.CacheEvent
+)
+
+// States of targets.
+const (
+	Live    = target.Live
+	Leaving = target.Leaving
+	Dead    = target.Dead
+)
+
+// Outcomes of placed items.
+const (
+	Completed = target.Completed
+	Failed    = target.Failed
+	Died      = target.Died
+	Unsent    = target.Unsent
+	Left      = target.Left
+)
+
+// Kinds of cache events.
+const (
+	CacheStored  = target.CacheStored
+	CacheEvicted = target.CacheEvicted
+	CacheLost    = target.CacheLost
+)
 
 // Item is one call that waits for a target.
 type Item struct {
@@ -72,64 +104,26 @@
 	RetryAt time.Time
 }
 
-// Outcome is how a placed item ended.
-type Outcome int
-
-// Outcomes.
-const (
-	// Completed: the target answered.
-	Completed Outcome = iota + 1
-	// Failed: the target answered with an error of the request's own.
-	Failed
-	// Died: the connection broke or timed out while the item ran.
-	Died
-	// Unsent: the item was not sent after all.
-	Unsent
-	// Left: the target answered that it is leaving.
-	Left
-)
-
-// State is a target's state in the platform's list.
-type State int
-
-// States of targets.
-const (
-	Live State = iota + 1
-	Leaving
-	Dead
-)
-
-// Target is what the instance list and the load reports say about a target.
-type Target struct {
-	ID    ids.TargetID
-	Zone  ids.Zone
-	State State
-	// Running and Waiting are the calls at the engine at ReportedAt, by the dispatcher's clock; the zero time means that
-	// there is no report.
-	Running    int
-	Waiting    int
-	ReportedAt time.Time
-	// CacheCapacity is the size of the engine's prefix cache; 0 if unknown.
-	CacheCapacity ids.Tokens
+// entry is an item in the queue or at a target.
+type entry struct {
+	share.Entry
+	item         Item
+	older, newer *entry // waiting items by arrival
+	// deferredSince is when the item was first left waiting for its preferred target.
+	deferredSince time.Time
+	target        *target.Target
+	placed        time.Time
 }
 
-// CacheChange is the kind of a cache event.
-type CacheChange int
-
-// Kinds of cache events.
-const (
-	// CacheStored: the target holds Tokens of the prefix.
-	CacheStored CacheChange = iota + 1
-	// CacheEvicted: the target dropped the prefix.
-	CacheEvicted
-	// CacheLost: events were missed or the engine restarted; nothing is known about the target's cache.
-	CacheLost
-)
+// mayRun reports whether the item may go to the target when it has room.
+func (e *entry) mayRun(t *target.Target) bool {
+	if t.OnTrial() && !e.item.Repeatable {
+		return false
+	}
+	return !slices.Contains(e.item.Excluded, t.ID())
+}
 
-// CacheEvent is an engine's report about its prefix cache.
-type CacheEvent struct {
-	Target ids.TargetID
-	Change CacheChange
-	Prefix PrefixKey
-	Tokens ids.Tokens
+// fits reports whether the item may go to the target now.
+func (e *entry) fits(now time.Time, t *target.Target) bool {
+	return t.HasRoom(now) && e.mayRun(t)
 }
--- a/pkg/dispatch/policy.go
+++ b/pkg/dispatch/policy.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/comfreylink/comfreylink/pkg/ids"
+	"github.com/comfreylink/comfreylink/pkg/target"
 )
 
 // Policy picks the next item to place and its target. The set of policies is closed: they read the queue's state.
@@ -11,13 +12,13 @@
 	// Name returns the policy's name in settings.
 	Name() string
 	// begin starts a round of picks at one time.
-	begin(now time.Time, q *Queue)
-	// pick returns an item and a target that admits it, or nil if nothing is to be placed now.
-	pick(now time.Time, q *Queue) (e *entry, t *target)
+	begin(q *Queue)
+	// pick returns an item and a target that it fits, or nil if nothing is to be placed now.
+	pick(now time.Time, q *Queue) (e *entry, t *target.Target)
 }
 
 // firstFit places the oldest item for which choose finds a target.
-func firstFit(q *Queue, choose func(e *entry) *target) (*entry, *target) {
+func firstFit(q *Queue, choose func(e *entry) *target.Target) (*entry, *target.Target) {
 	for e := q.oldest; e != nil; e = e.newer {
 		if t := choose(e); t != nil {
 			return e, t
@@ -29,16 +30,17 @@
 // roundRobin places items in order of arrival on targets in turn, leaving out full ones.
 type roundRobin struct{ last int }
 
-func (*roundRobin) Name() string            { return PolicyRoundRobin }
-func (*roundRobin) begin(time.Time, *Queue) {}
+func (*roundRobin) Name() string { return PolicyRoundRobin }
+func (*roundRobin) begin(*Queue) {}
 
-func (r *roundRobin) pick(now time.Time, q *Queue) (*entry, *target) {
-	return firstFit(q, func(e *entry) *target {
-		for i := range q.order {
-			n := (r.last + 1 + i) % len(q.order)
-			if t := q.order[n]; t.admits(now, q, e) {
+func (r *roundRobin) pick(now time.Time, q *Queue) (*entry, *target.Target) {
+	all := q.targets.All()
+	return firstFit(q, func(e *entry) *target.Target {
+		for i := range all {
+			n := (r.last + 1 + i) % len(all)
+			if e.fits(now, all[n]) {
 				r.last = n
-				return t
+				return all[n]
 			}
 		}
 		return nil
@@ -48,13 +50,13 @@
 // leastInFlight places items in order of arrival on the target with the fewest calls.
 type leastInFlight struct{}
 
-func (leastInFlight) Name() string            { return PolicyLeastInFlight }
-func (leastInFlight) begin(time.Time, *Queue) {}
+func (leastInFlight) Name() string { return PolicyLeastInFlight }
+func (leastInFlight) begin(*Queue) {}
 
-func (leastInFlight) pick(now time.Time, q *Queue) (*entry, *target) {
-	return firstFit(q, func(e *entry) (best *target) {
-		for _, t := range q.order {
-			if t.admits(now, q, e) && (best == nil || t.inFlight() < best.inFlight()) {
+func (leastInFlight) pick(now time.Time, q *Queue) (*entry, *target.Target) {
+	return firstFit(q, func(e *entry) (best *target.Target) {
+		for _, t := range q.targets.All() {
+			if e.fits(now, t) && (best == nil || t.InFlight() < best.InFlight()) {
 				best = t
 			}
 		}
@@ -65,27 +67,27 @@
 // sticky keeps each program on one target by rendezvous hashing, and waits while that target is full.
 type sticky struct{}
 
-func (sticky) Name() string            { return PolicySticky }
-func (sticky) begin(time.Time, *Queue) {}
+func (sticky) Name() string { return PolicySticky }
+func (sticky) begin(*Queue) {}
 
-func (sticky) pick(now time.Time, q *Queue) (*entry, *target) {
-	return firstFit(q, func(e *entry) *target {
+func (sticky) pick(now time.Time, q *Queue) (*entry, *target.Target) {
+	return firstFit(q, func(e *entry) *target.Target {
 		home := stickyHome(now, q, e)
-		if home == nil || !home.admits(now, q, e) {
+		if home == nil || !home.HasRoom(now) {
 			return nil
 		}
 		return home
 	})
 }
 
-func stickyHome(now time.Time, q *Queue, e *entry) (home *target) {
-	key := string(e.item.Workspace) + "\x00" + string(e.item.Program.Root())
+func stickyHome(now time.Time, q *Queue, e *entry) (home *target.Target) {
+	key := string(e.Workspace) + "\x00" + string(e.Root)
 	var best uint64
-	for _, t := range q.order {
-		if !t.usable(now, q) || e.excludes(t.id) {
+	for _, t := range q.targets.All() {
+		if !t.Usable(now) || !e.mayRun(t) {
 			continue
 		}
-		if score := ids.Rendezvous(string(t.id), key); home == nil || score > best {
+		if score := ids.Rendezvous(string(t.ID()), key); home == nil || score > best {
 			home, best = t, score
 		}
 	}
--- a/pkg/dispatch/queue_test.go
+++ b/pkg/dispatch/queue_test.go
@@ -18,11 +18,18 @@
 
 func live(names ...ids.TargetID) (l []dispatch.Target) {
 	for _, id := range names {
-		l = append(l, dispatch.Target{ID: id, State: dispatch.Live})
+		l = append(l, dispatch.Target{ID: id, State: dispatch.Live, ReportedAt: epoch})
 	}
 	return l
 }
 
+// options returns the defaults with a policy and a small maxInFlight.
+func options(policy string, maxInFlight int) dispatch.Options {
+	o := dispatch.DefaultOptions()
+	o.Policy, o.MaxInFlight = policy, maxInFlight
+	return o
+}
+
 func newQueue(c *qt.C, o dispatch.Options, targets ...dispatch.Target) *dispatch.Queue {
 	c.Helper()
 	q, err := dispatch.New(o)
@@ -43,7 +50,7 @@
 	for _, name := range []string{"fair", "roundRobin", "leastInFlight", "sticky"} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			q := newQueue(c, dispatch.Options{Policy: name, MaxInFlight: 2}, live("a", "b")...)
+			q := newQueue(c, options(name, 2), live("a", "b")...)
 			for n := range dispatch.Ticket(40) {
 				c.Assert(q.Enqueue(epoch, item(n, "ws", 10)), qt.HasLen, 0)
 			}
--- a/pkg/dispatch/shed.go
+++ b/pkg/dispatch/shed.go
@@ -4,97 +4,64 @@
 	"time"
 )
 
-// shed refuses items until the waits fit the deadlines again. An item of a workspace within its share is refused only
-// when no workspace beyond its share has waiting items.
+// shed refuses what has no room since the newest item came. An item that comes too late is refused, but one of a
+// workspace within its share stays while items of a workspace beyond its share are waiting: of those, the newest ones
+// are refused in its place, up to the service that the item takes.
 func (q *Queue) shed(now time.Time, e *entry) (refused []Refusal) {
+	left := e.item.Deadline.Sub(now)
+	freed := 0.0
 	for {
-		reason, late := q.overloaded(now, e)
-		if reason == "" {
+		wait, alone := q.estimatedWait(now, e)
+		full := q.queued > q.opt.MaxQueued
+		if !full && (wait <= left || freed >= e.Expected) {
 			return refused
 		}
-		victim, r := e, reason
-		if w := q.mostBeyond(); w != nil && w != e.ws {
-			victim, r = w.newest(), ReasonShed
+		retry := now.Add(max(wait-left, q.perItem(now)))
+		victim := q.entries[Ticket(q.shares.Victim(&e.Entry).Ticket)]
+		if victim == e || alone > left {
+			q.remove(e)
+			return append(refused, Refusal{Ticket: e.item.Ticket, Reason: lateOr(wait > left), RetryAt: retry})
 		}
 		q.remove(victim)
-		refused = append(refused, Refusal{Ticket: victim.item.Ticket, Reason: r, RetryAt: now.Add(late)})
-		if victim == e {
-			return refused
-		}
+		freed += victim.Expected
+		refused = append(refused, Refusal{Ticket: victim.item.Ticket, Reason: ReasonShed, RetryAt: retry})
 	}
 }
 
-// overloaded returns why the newest item cannot stay, and by how much its wait exceeds its deadline.
-func (q *Queue) overloaded(now time.Time, e *entry) (r Reason, late time.Duration) {
-	wait := q.estimatedWait(now, e)
-	late = wait - e.item.Deadline.Sub(now)
-	if late > 0 {
-		return ReasonDeadline, late
+func lateOr(late bool) Reason {
+	if late {
+		return ReasonDeadline
 	}
-	if q.queued > q.opt.MaxQueued {
-		return ReasonFull, wait
-	}
-	return "", 0
+	return ReasonFull
 }
 
-// estimatedWait returns how long an item that just arrived will wait. It is 0 before the first completion, because a
-// guess must not refuse anything.
-func (q *Queue) estimatedWait(now time.Time, e *entry) time.Duration {
-	room, slots := 0, 0
-	for _, t := range q.order {
-		allowed := t.allowed(now, q)
-		slots += allowed
-		room += max(allowed-t.inFlight(), 0)
+// estimatedWait returns how long an item that just arrived will wait, and how long if no other workspace had waiting
+// items. Both are 0 before the first completion, because a guess must not refuse anything.
+func (q *Queue) estimatedWait(now time.Time, e *entry) (wait, alone time.Duration) {
+	room := 0
+	for _, t := range q.targets.All() {
+		room += max(t.Allowed(now)-t.InFlight(), 0)
 	}
-	ahead := q.queued - 1
-	if slots == 0 || q.service == 0 || ahead < room {
-		return 0
+	own, all := q.shares.Ahead(&e.Entry)
+	if q.policy.Name() != PolicyFair {
+		all = q.shares.Backlog() - e.Expected
 	}
-	perItem := q.service / float64(slots)
-	all := float64(ahead-room+1) * perItem
-	own := float64(e.ws.queued) * perItem / q.share(e.ws)
-	return time.Duration(min(all, own) * float64(time.Second))
-}
-
-// share returns a workspace's part of the service among those with waiting items.
-func (q *Queue) share(w *workspace) float64 {
-	sum := 0.0
-	for _, o := range q.workspaces {
-		if o.queued > 0 {
-			sum += o.weight
-		}
+	mean := max(q.shares.Backlog()/float64(q.queued), 1)
+	perItem := float64(q.perItem(now))
+	after := func(tokens float64) time.Duration {
+		return time.Duration(max(tokens/mean-float64(room)+1, 0) * perItem)
 	}
-	return w.weight / sum
+	return after(all), after(own)
 }
 
-// mostBeyond returns the workspace with waiting items whose load exceeds its share by the largest factor, or nil.
-func (q *Queue) mostBeyond() (most *workspace) {
-	load, weight, worst := 0.0, 0.0, 0.0
-	for _, w := range q.workspaces {
-		if w.queued > 0 || w.running > 0 {
-			load += w.load
-			weight += w.weight
-		}
+// perItem returns the mean time between ends of calls when all targets are full; 0 if it is unknown.
+func (q *Queue) perItem(now time.Time) time.Duration {
+	slots := 0
+	for _, t := range q.targets.All() {
+		slots += t.Allowed(now)
 	}
-	fairLoad := load / weight
-	for _, w := range q.workspaces {
-		factor := w.load / w.weight
-		if w.queued == 0 || factor <= fairLoad || factor < worst {
-			continue
-		}
-		if factor > worst || w.id < most.id {
-			most, worst = w, factor
-		}
-	}
-	return most
-}
-
-// newest returns the workspace's item that arrived last.
-func (w *workspace) newest() (e *entry) {
-	for _, p := range w.waiting {
-		if e == nil || p.last.arrived.After(e.arrived) || (p.last.arrived.Equal(e.arrived) && p.last.item.Ticket > e.item.Ticket) {
-			e = p.last
-		}
+	if slots == 0 {
+		return 0
 	}
-	return e
+	return time.Duration(q.service / float64(slots) * float64(time.Second))
 }
--- /dev/null
+++ b/pkg/dispatch/targets_test.go
@@ -0,0 +1,112 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/comfreylink/comfreylink/pkg/dispatch"
+	"github.com/comfreylink/comfreylink/pkg/ids"
+	"github.com/comfreylink/comfreylink/pkg/record"
+)
+
+func fill(q *dispatch.Queue, from dispatch.Ticket, n int) {
+	for i := range dispatch.Ticket(n) {
+		q.Enqueue(epoch, item(from+i, "ws", 10))
+	}
+}
+
+// Guards against calls beside those of another dispatcher, and against a report that is compared with the present count
+// instead of the count at its time.
+func TestReportsCorrectTheCount(t *testing.T) {
+	c := qt.New(t)
+	q := newQueue(c, options("fair", 4), live("a")...)
+	fill(q, 1, 10)
+	c.Assert(q.Next(at(second)), qt.HasLen, 4)
+	q.Done(at(3*second), 1, dispatch.Completed, record.Usage{})
+	q.Done(at(3*second), 2, dispatch.Completed, record.Usage{})
+	// At 2 s all four were ours.
+	q.UpdateTargets(at(3*second), []dispatch.Target{{ID: "a", State: dispatch.Live, Running: 3, Waiting: 1, ReportedAt: at(2 * second)}})
+	c.Assert(q.Next(at(3*second)), qt.HasLen, 2)
+	// At 4 s four were ours and three another's.
+	q.UpdateTargets(at(5*second), []dispatch.Target{{ID: "a", State: dispatch.Live, Running: 7, ReportedAt: at(4 * second)}})
+	for n := range dispatch.Ticket(3) {
+		q.Done(at(6*second), 3+n, dispatch.Completed, record.Usage{})
+		c.Assert(q.Next(at(6*second)), qt.HasLen, 0)
+	}
+	q.Done(at(6*second), 6, dispatch.Completed, record.Usage{})
+	c.Assert(q.Next(at(6*second)), qt.HasLen, 1)
+}
+
+// Guards against new work for a leaving target, by the list's or its own word (R10), also after it left the list.
+func TestLeavingTargetsGetNothing(t *testing.T) {
+	c := qt.New(t)
+	q := newQueue(c, options("fair", 4), live("a")...)
+	fill(q, 1, 10)
+	c.Assert(q.Next(epoch), qt.HasLen, 4)
+	q.Done(epoch, 1, dispatch.Left, record.Usage{})
+	c.Assert(q.Next(at(second)), qt.HasLen, 0)
+	q.UpdateTargets(at(second), []dispatch.Target{{ID: "a", State: dispatch.Leaving}})
+	c.Assert(q.Next(at(time.Hour/2)), qt.HasLen, 0)
+	q.UpdateTargets(at(2*second), nil)
+	c.Assert(q.Next(at(time.Hour/2)), qt.HasLen, 0)
+	q.Done(at(3*second), 2, dispatch.Completed, record.Usage{Prompt: 1})
+	c.Assert(q.Snapshot(at(3*second)).Targets, qt.HasLen, 1)
+	q.Done(at(3*second), 3, dispatch.Died, record.Usage{})
+	q.Done(at(3*second), 4, dispatch.Completed, record.Usage{})
+	c.Assert(q.Snapshot(at(3*second)).Targets, qt.HasLen, 0)
+}
+
+// Guards against a dead target getting calls at once, ones that may not be repeated, or a herd when it is back.
+func TestDeadTargetIsTriedThenRamped(t *testing.T) {
+	c := qt.New(t)
+	q := newQueue(c, options("fair", 10), live("a")...)
+	it := item(1, "ws", 10)
+	q.Enqueue(epoch, it)
+	q.Next(epoch)
+	q.Done(epoch, 1, dispatch.Died, record.Usage{})
+	once := item(2, "ws", 10)
+	once.Repeatable = false
+	q.Enqueue(epoch, once)
+	c.Assert(q.Next(at(6*second)), qt.HasLen, 0)
+	fill(q, 3, 30)
+	c.Assert(q.Next(at(4*second)), qt.HasLen, 0)
+	trial := q.Next(at(5 * second))
+	c.Assert(trial, qt.HasLen, 1)
+	c.Assert(trial[0].Ticket, qt.Not(qt.Equals), dispatch.Ticket(2))
+	q.Done(at(6*second), trial[0].Ticket, dispatch.Completed, record.Usage{Prompt: 10, Completion: 10})
+	c.Assert(q.Next(at(6*second)), qt.HasLen, 1)
+	c.Assert(q.Next(at(11*second)), qt.HasLen, 4)
+	c.Assert(q.Next(at(16*second)), qt.HasLen, 5)
+}
+
+// Guards against a target that never comes back because only calls that may not be repeated are waiting.
+func TestReportEndsTrial(t *testing.T) {
+	c := qt.New(t)
+	q := newQueue(c, options("fair", 10), live("a")...)
+	fill(q, 1, 1)
+	q.Next(epoch)
+	q.Done(epoch, 1, dispatch.Died, record.Usage{})
+	once := item(2, "ws", 10)
+	once.Repeatable = false
+	q.Enqueue(epoch, once)
+	q.UpdateTargets(at(5*second), []dispatch.Target{{ID: "a", State: dispatch.Live, ReportedAt: at(5 * second)}})
+	c.Assert(q.Next(at(5*second)), qt.HasLen, 1)
+}
+
+// Guards against a call returning to a target on which it failed.
+func TestExcludedTargets(t *testing.T) {
+	for _, policy := range []string{"fair", "roundRobin", "leastInFlight", "sticky"} {
+		c := qt.New(t)
+		q := newQueue(c, options(policy, 4), live("a", "b")...)
+		for n := range dispatch.Ticket(4) {
+			it := item(n, "ws", 10)
+			it.Excluded = []ids.TargetID{"a"}
+			q.Enqueue(epoch, it)
+		}
+		for _, p := range q.Next(epoch) {
+			c.Check(p.Target, qt.Equals, ids.TargetID("b"))
+		}
+	}
+}
--- /dev/null
+++ b/pkg/target/target.go
@@ -0,0 +1,213 @@
+package target
+
+import (
+	"slices"
+	"time"
+
+	"github.com/comfreylink/comfreylink/pkg/ids"
+	"github.com/comfreylink/comfreylink/pkg/record"
+)
+
+const (
+	// changesKept is how many changes of a target's own count are remembered to compare a load report with the count at
+	// its time: a report 1 s old at 60 changes a second.
+	changesKept = 64
+	// reportMaxAge is the age after which a load report says nothing about other dispatchers' calls.
+	reportMaxAge = 15 * time.Second
+	// learnShare is the weight of a new measurement in a moving mean.
+	learnShare = 0.2
+	// slowMin and slowMax bound a target's learnt slowness, so that one odd completion does not exclude it.
+	slowMin, slowMax = 0.1, 20.0
+	// contention is how much longer a call takes at a full target than at an empty one, as a share.
+	contention = 0.5
+)
+
+// change is the own number of calls at a target after a placement or an end.
+type change struct {
+	at    time.Time
+	count int
+}
+
+// Target is one target.
+type Target struct {
+	opt      *Options
+	id       ids.TargetID
+	zone     ids.Zone
+	listed   bool
+	state    State
+	capacity ids.Tokens
+
+	own      int // calls that this dispatcher placed
+	foreign  int // calls of others, by the last report
+	reported time.Time
+	changes  []change
+
+	left       time.Time // the target's own word that it is leaving; zero if none
+	failed     time.Time // last death; zero after a sign of life
+	rampStart  time.Time // zero: no ramp
+	unreported bool      // the ramp is there because a new dispatcher does not know the target's load yet
+
+	slow    float64 // measured over predicted duration
+	service float64 // mean duration of a call in seconds; 0 before the first completion
+	stored  float64 // tokens added to the cache so far, to tell how much was added since a prefix was used
+}
+
+// ID returns the target's id.
+func (t *Target) ID() ids.TargetID { return t.id }
+
+// Zone returns the target's availability zone.
+func (t *Target) Zone() ids.Zone { return t.zone }
+
+// Own returns the number of this dispatcher's calls at the target.
+func (t *Target) Own() int { return t.own }
+
+// InFlight returns the number of calls at the target, those of other dispatchers included.
+func (t *Target) InFlight() int { return t.own + t.foreign }
+
+// Slow returns the measured over the predicted duration of calls.
+func (t *Target) Slow() float64 { return t.slow }
+
+// OnTrial reports whether the target died and has not shown since that it works. It gets only repeatable calls.
+func (t *Target) OnTrial() bool { return !t.failed.IsZero() }
+
+// Usable reports whether the target may get new calls at all.
+func (t *Target) Usable(now time.Time) bool {
+	if !t.listed || t.state != Live {
+		return false
+	}
+	if !t.left.IsZero() && now.Sub(t.left) < t.opt.LeftFor {
+		return false
+	}
+	return !t.OnTrial() || now.Sub(t.failed) >= t.opt.Probation
+}
+
+// Allowed returns how many calls may be at the target now.
+func (t *Target) Allowed(now time.Time) int {
+	switch {
+	case !t.Usable(now):
+		return 0
+	case t.OnTrial():
+		return 1
+	case t.rampStart.IsZero():
+		return t.opt.MaxInFlight
+	}
+	since := now.Sub(t.rampStart)
+	if since >= t.opt.Ramp {
+		t.rampStart = time.Time{}
+		return t.opt.MaxInFlight
+	}
+	return 1 + int(float64(t.opt.MaxInFlight-1)*float64(since)/float64(t.opt.Ramp))
+}
+
+// HasRoom reports whether the target may get one more call now.
+func (t *Target) HasRoom(now time.Time) bool { return t.InFlight() < t.Allowed(now) }
+
+// Start counts a call that is sent to the target.
+func (t *Target) Start(now time.Time) { t.count(now, 1) }
+
+// End counts a call's end and learns from it.
+func (t *Target) End(now time.Time, o Outcome, took time.Duration, u record.Usage) {
+	t.count(now, -1)
+	switch o {
+	case Completed:
+		t.learn(took, u)
+		t.stored += float64(u.Total() - u.Cached)
+		t.revive(now)
+	case Failed:
+		t.revive(now)
+	case Died:
+		t.failed = now
+	case Left:
+		t.left = now
+	}
+}
+
+// Seconds estimates how long a call takes, with the slowdown by the calls beside it.
+func (t *Target) Seconds(uncached, output float64) float64 {
+	beside := min(float64(t.InFlight())/float64(t.opt.MaxInFlight), 1)
+	return t.slow * (uncached/t.opt.PrefillRate + output/t.opt.DecodeRate*(1+contention*beside))
+}
+
+// WaitSeconds estimates how long a full target takes to have room for one more call behind ahead others. Until the
+// target has completed a call, mean is taken as its calls' duration.
+func (t *Target) WaitSeconds(now time.Time, ahead int, mean float64) float64 {
+	if t.service > 0 {
+		mean = t.service
+	}
+	allowed := t.Allowed(now)
+	return mean * float64(t.InFlight()-allowed+ahead+1) / float64(max(allowed, 1))
+}
+
+func (t *Target) revive(now time.Time) {
+	if t.OnTrial() {
+		t.failed, t.rampStart = time.Time{}, now
+	}
+}
+
+func (t *Target) count(now time.Time, delta int) {
+	t.own += delta
+	if len(t.changes) == changesKept {
+		t.changes = slices.Delete(t.changes, 0, 1)
+	}
+	t.changes = append(t.changes, change{at: now, count: t.own})
+}
+
+// ownAt returns the own count at a time in the past.
+func (t *Target) ownAt(at time.Time) (n int) {
+	if len(t.changes) == changesKept {
+		n = t.changes[0].count
+	}
+	for _, c := range t.changes {
+		if c.at.After(at) {
+			break
+		}
+		n = c.count
+	}
+	return n
+}
+
+// update takes over a report. Targets of the first list are not new to the pool, only to this dispatcher.
+func (t *Target) update(now time.Time, r Report, first bool) {
+	if r.State == Live && (!t.listed || t.state != Live) {
+		t.rampStart, t.unreported = now, first
+	}
+	if r.State == Dead && t.state == Live {
+		t.failed = now
+	}
+	t.listed, t.state, t.zone, t.capacity = true, r.State, r.Zone, r.CacheCapacity
+	if r.ReportedAt.After(t.reported) {
+		t.report(now, r)
+	}
+	if now.Sub(t.reported) > reportMaxAge {
+		t.foreign = 0
+	}
+}
+
+func (t *Target) report(now time.Time, r Report) {
+	t.reported = r.ReportedAt
+	t.foreign = max(0, r.Running+r.Waiting-t.ownAt(r.ReportedAt))
+	if t.unreported {
+		t.unreported, t.rampStart = false, time.Time{}
+	}
+	if t.OnTrial() && r.ReportedAt.Sub(t.failed) >= t.opt.Probation {
+		t.revive(now)
+	}
+}
+
+func (t *Target) learn(took time.Duration, u record.Usage) {
+	predicted := float64(u.Prompt-u.Cached)/t.opt.PrefillRate + float64(u.Completion)/t.opt.DecodeRate
+	if predicted <= 0 || took <= 0 {
+		return
+	}
+	ratio := min(max(took.Seconds()/predicted, slowMin), slowMax)
+	t.slow += learnShare * (ratio - t.slow)
+	t.service = Mean(t.service, took.Seconds())
+}
+
+// Mean returns the moving mean with a new value; an old mean of 0 means that there was none.
+func Mean(old, v float64) float64 {
+	if old == 0 {
+		return v
+	}
+	return old + learnShare*(v-old)
+}
