--- a/pkg/dispatch/fair_test.go
+++ b/pkg/dispatch/fair_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/comfreylink/comfreylink/pkg/dispatch"
 	"github.com/comfreylink/comfreylink/pkg/ids"
+	"github.com/comfreylink/comfreylink/pkg/prefix"
 	"github.com/comfreylink/comfreylink/pkg/record"
 )
 
@@ -216,3 +217,14 @@
 	}
 	c.Assert(got["a"]*2 < got["b"], qt.IsTrue, qt.Commentf("%v", got))
 }
+
+// Guards against engine memory that stays allocated to an ended program (R4).
+func TestEndProgramNamesHolders(t *testing.T) {
+	c := qt.New(t)
+	q := newQueue(c, options("fair", 1), live("a", "b")...)
+	for _, id := range []ids.TargetID{"a", "b"} {
+		q.CacheEvent(epoch, dispatch.CacheEvent{Target: id, Change: dispatch.CacheStored, Prefix: "p", Tokens: 10})
+	}
+	c.Assert(q.EndProgram("ws", "root", "p", "other"), qt.DeepEquals, []prefix.Release{{Target: "a", Prefix: "p"}, {Target: "b", Prefix: "p"}})
+	c.Assert(q.EndProgram("ws", "root", "p"), qt.HasLen, 0)
+}
--- a/pkg/dispatch/queue.go
+++ b/pkg/dispatch/queue.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/comfreylink/comfreylink/pkg/ids"
+	"github.com/comfreylink/comfreylink/pkg/prefix"
 	"github.com/comfreylink/comfreylink/pkg/record"
 	"github.com/comfreylink/comfreylink/pkg/share"
 	"github.com/comfreylink/comfreylink/pkg/target"
@@ -125,12 +126,15 @@
 // CacheEvent takes over a target's report about its prefix cache. Events may be late or missing.
 func (q *Queue) CacheEvent(now time.Time, ev CacheEvent) { q.targets.Event(now, ev) }
 
-// EndProgram forgets what a root program attained and where its prefixes are cached.
-func (q *Queue) EndProgram(ws ids.WorkspaceID, root ids.ProgramID, prefixes ...PrefixKey) {
+// EndProgram forgets what a root program attained and returns which targets have to drop its prefixes.
+func (q *Queue) EndProgram(ws ids.WorkspaceID, root ids.ProgramID, prefixes ...PrefixKey) (releases []prefix.Release) {
 	q.shares.EndProgram(ws, root)
 	for _, p := range prefixes {
-		q.targets.ForgetPrefix(p)
+		for _, id := range q.targets.ForgetPrefix(p) {
+			releases = append(releases, prefix.Release{Target: id, Prefix: p})
+		}
 	}
+	return releases
 }
 
 // Expire refuses the waiting items whose deadline has passed and drops state that is no longer of use.
--- a/pkg/target/set.go
+++ b/pkg/target/set.go
@@ -130,8 +130,14 @@
 	}
 }
 
-// ForgetPrefix drops a prefix of a program that ended.
-func (s *Set) ForgetPrefix(key PrefixKey) { delete(s.hints, key) }
+// ForgetPrefix drops a prefix of a program that ended and returns the targets that may hold it.
+func (s *Set) ForgetPrefix(key PrefixKey) (holders []ids.TargetID) {
+	for _, x := range s.hints[key] {
+		holders = append(holders, x.target.id)
+	}
+	delete(s.hints, key)
+	return holders
+}
 
 // DropOld drops hints that are too old to be of use.
 func (s *Set) DropOld(now time.Time) {
