--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -249,5 +249,5 @@
 	// LogLost says that the daemon has no contact with the log; it will wait one lease after it regains contact before
 	// it claims a suspected owner's slots.
 	LogLost bool `json:"logLost,omitempty"`
-	Leaving        bool  `json:"leaving,omitempty"`
+	Leaving bool `json:"leaving,omitempty"`
 }
