Follow the engines' prefix caches and release memory of ended programs

Change: the dispatcher of a pool reads cache events and lists, asks the slots' owners which programs exist and evicts prefixes that have had no program for 10 s; repetitions go through pkg/retry.

--- a/internal/daemon/adapters.go
+++ b/internal/daemon/adapters.go
@@ -17,6 +17,7 @@
 	"github.com/comfreylink/comfreylink/pkg/dispatch"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 	"github.com/comfreylink/comfreylink/pkg/record"
+	"github.com/comfreylink/comfreylink/pkg/retry"
 )
 
 // prober calls peers without chunks.
@@ -83,12 +84,13 @@
 	return p, r
 }
 
+func (t targets) Request() { t.d.retries.request() }
+
 func (t targets) Done(p owner.Placement, o dispatch.Outcome, u record.Usage) {
 	t.d.dispatcher.Done(p, o, u)
 }
 
 func (t targets) Acquire(ctx context.Context, ws ids.WorkspaceID) (owner.Grant, *peer.Refusal) {
-	t.d.retries.request()
 	g, r := t.d.limiter.Acquire(ctx, ws)
 	if r != nil {
 		return nil, r
@@ -111,7 +113,9 @@
 	return t.d.fleet.Quarantined(ws, f)
 }
 
-func (t targets) MayRetry(time.Time) bool { return t.d.retries.take() }
+func (t targets) RetryAt(now time.Time, f retry.Failure) (at time.Time, why retry.Reason) {
+	return t.d.retries.decide(now, f)
+}
 
 func (t targets) Chat(ctx context.Context, address string, r engine.Request, chunk func(engine.Chunk) error) (engine.Answer, error) {
 	return t.d.engines.Chat(ctx, address, r, chunk)
@@ -175,6 +179,8 @@
 		return answer(params, func(p peer.Place) any { return h.d.dispatcher.Serve(ctx, p) })
 	case peer.MethodDone:
 		return answer(params, func(e peer.Done) any { h.d.dispatcher.End(e); return nil })
+	case peer.MethodLives:
+		return answer(params, func(l peer.Lives) any { return h.d.owner.Lives(l) })
 	case peer.MethodPing:
 		return answer(params, func(p peer.Pong) any { h.d.members.Heard(now, from, p); return h.d.describe(now) })
 	default:
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -192,13 +192,15 @@
 
 func (d *Daemon) openFleet() (err error) {
 	d.dispatcher = dispatcher.New(dispatcher.Config{
-		Self:    d.settings.Instance.ID,
-		Zone:    d.settings.Instance.Zone,
-		Members: d.members,
-		Peers:   prober{d.peers, d},
-		Loads:   d.engines,
-		Options: d.poolOptions,
-		Logger:  d.logger,
+		Self:       d.settings.Instance.ID,
+		Zone:       d.settings.Instance.Zone,
+		Members:    d.members,
+		Peers:      prober{d.peers, d},
+		Engines:    d.engines,
+		Programs:   programs{d},
+		ModelPools: d.modelPools,
+		Options:    d.poolOptions,
+		Logger:     d.logger,
 	})
 	var cleanup func()
 	d.owner, cleanup = owner.New(owner.Config{
--- a/internal/daemon/tasks.go
+++ b/internal/daemon/tasks.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -44,17 +45,23 @@
 
 // idleTimeout returns the longest idle time of all templates, so that no program ends before its own.
 func (d *Daemon) idleTimeout() (longest time.Duration) {
-	view := d.catalog.Current()
+	for _, t := range templates(d.catalog.Current()) {
+		longest = max(longest, t.Program.IdleTimeout.Std())
+	}
+	return longest
+}
+
+func templates(view *config.View) (all []config.Template) {
 	for _, o := range view.Objects() {
 		kind, name, err := config.SplitObject(o.Name)
 		if err != nil || kind != config.TemplateKind {
 			continue
 		}
 		if t, ok := view.Template(name); ok {
-			longest = max(longest, t.Program.IdleTimeout.Std())
+			all = append(all, t)
 		}
 	}
-	return longest
+	return all
 }
 
 // writeSnapshots keeps every stream readable from its snapshots alone. The owner of slot 0 also writes those of the
@@ -108,25 +115,32 @@
 	o = dispatch.DefaultOptions()
 	o.Policy = string(d.settings.Dispatch.Policy)
 	o.MaxInFlight = d.settings.Dispatch.MaxInFlight
-	view := d.catalog.Current()
-	for _, object := range view.Objects() {
-		kind, name, err := config.SplitObject(object.Name)
-		if err != nil || kind != config.TemplateKind {
-			continue
-		}
-		t, _ := view.Template(name)
+	for _, t := range templates(d.catalog.Current()) {
 		for _, m := range t.Models {
-			if m.Pool == pool {
-				reports = true
-				if m.MaxInFlight > 0 {
-					o.MaxInFlight = m.MaxInFlight
-				}
+			if m.Pool != pool {
+				continue
+			}
+			reports = true
+			if m.MaxInFlight > 0 {
+				o.MaxInFlight = m.MaxInFlight
 			}
 		}
 	}
 	return o, reports
 }
 
+// modelPools returns the pools of engines that the templates name.
+func (d *Daemon) modelPools() (pools []ids.PoolID) {
+	for _, t := range templates(d.catalog.Current()) {
+		for _, m := range t.Models {
+			if !slices.Contains(pools, m.Pool) {
+				pools = append(pools, m.Pool)
+			}
+		}
+	}
+	return pools
+}
+
 func hashOf(key string) string { return config.HashKey(key).String() }
 
 // freshness keeps the newest up-to-date read of the config stream that peers told of.
@@ -184,33 +198,3 @@
 	}
 	return 2*withoutLog > len(reports)+1
 }
-
-// retryBudget allows repetitions as a share of the requests.
-type retryBudget struct {
-	mu     sync.Mutex
-	share  float64
-	tokens float64
-}
-
-// retryBurst is how many repetitions are saved up at most.
-const retryBurst = 10
-
-func newRetryBudget(share float64) *retryBudget {
-	return &retryBudget{share: share, tokens: retryBurst}
-}
-
-func (b *retryBudget) request() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.tokens = min(retryBurst, b.tokens+b.share)
-}
-
-func (b *retryBudget) take() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.tokens < 1 {
-		return false
-	}
-	b.tokens--
-	return true
-}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -10,7 +10,6 @@
 
 	"go.uber.org/zap"
 
-	"github.com/comfreylink/comfreylink/internal/engine"
 	"github.com/comfreylink/comfreylink/internal/instancelist"
 	"github.com/comfreylink/comfreylink/internal/owner"
 	"github.com/comfreylink/comfreylink/internal/peer"
@@ -40,18 +39,17 @@
 	Call(ctx context.Context, to peer.Address, m peer.Method, params, result any) error
 }
 
-// Loads reads the load reports of engines.
-type Loads interface {
-	Load(ctx context.Context, address string) (l engine.Load, err error)
-}
-
 // Config configures a Dispatcher.
 type Config struct {
 	Self    ids.InstanceID
 	Zone    ids.Zone
 	Members Members
 	Peers   Caller
-	Loads   Loads
+	Engines Engines
+	// Programs tells which programs exist.
+	Programs Programs
+	// ModelPools returns the pools of engines that templates name.
+	ModelPools func() []ids.PoolID
 	// Options returns the options of a pool's queue, and whether its targets report their load.
 	Options func(pool ids.PoolID) (o dispatch.Options, reports bool)
 	Logger  *zap.Logger
--- a/internal/dispatcher/pool.go
+++ b/internal/dispatcher/pool.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/comfreylink/comfreylink/internal/instancelist"
 	"github.com/comfreylink/comfreylink/internal/peer"
 	"github.com/comfreylink/comfreylink/pkg/dispatch"
@@ -28,6 +30,7 @@
 type pool struct {
 	id      ids.PoolID
 	reports bool
+	caches  *caches
 
 	mu      sync.Mutex
 	queue   *dispatch.Queue
@@ -83,6 +86,7 @@
 	p = &pool{
 		id:      id,
 		reports: reports,
+		caches:  newCaches(),
 		queue:   queue,
 		waiting: map[dispatch.Ticket]chan peer.Placed{},
 		placed:  map[dispatch.Ticket]time.Time{},
@@ -105,7 +109,7 @@
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
 	_, changed := d.Members.Targets()
-	loads := time.Time{}
+	loads, caches := time.Time{}, time.Time{}
 	for {
 		listed := false
 		select {
@@ -121,6 +125,11 @@
 		if askLoads {
 			loads = now
 		}
+		askCaches := now.Sub(caches) >= cacheInterval
+		if askCaches {
+			caches = now
+			d.adopt()
+		}
 		for _, p := range d.all() {
 			if listed {
 				p.list(now, d.listed())
@@ -128,17 +137,33 @@
 			if askLoads && p.reports {
 				d.askLoads(ctx, p)
 			}
+			if askCaches && p.reports {
+				d.follow(ctx, p)
+			}
 			p.tick(now)
 		}
 	}
 }
 
+// adopt starts the queues of the model pools that fall to this instance, so that their engines' caches are followed
+// before the first call.
+func (d *Dispatcher) adopt() {
+	for _, id := range d.ModelPools() {
+		if d.dispatcherOf(id, nil) != d.Self {
+			continue
+		}
+		if _, err := d.pool(id); err != nil {
+			d.Logger.Warn("start the queue of a pool", zap.String("pool", string(id)), zap.Error(err))
+		}
+	}
+}
+
 func (d *Dispatcher) all() []*pool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	pools := make([]*pool, 0, len(d.pools))
 	for id, p := range d.pools {
-		if p.unused(time.Now()) {
+		if p.unused(time.Now()) && !(p.reports && d.dispatcherOf(id, nil) == d.Self) {
 			delete(d.pools, id)
 			continue
 		}
@@ -148,18 +173,12 @@
 }
 
 func (d *Dispatcher) askLoads(ctx context.Context, p *pool) {
-	p.mu.Lock()
-	addresses := make(map[ids.TargetID]string, len(p.address))
-	for t, a := range p.address {
-		addresses[t] = a
-	}
-	p.mu.Unlock()
-	for target, address := range addresses {
+	for target, address := range p.addresses() {
 		go func() {
 			ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 			defer cancel()
 			asked := time.Now()
-			if l, err := d.Loads.Load(ctx, address); err == nil {
+			if l, err := d.Engines.Load(ctx, address); err == nil {
 				p.load(asked, target, l.Running, l.Waiting, l.CacheUsed+l.CacheFree, l.Leaving)
 			}
 		}()
--- a/internal/owner/chat.go
+++ b/internal/owner/chat.go
@@ -44,6 +44,7 @@
 		return peer.Result{Refusal: refusal}
 	}
 	item := run.item()
+	o.Targets.Request()
 	for attempt := 1; ; attempt++ {
 		result, retry := o.attempt(ctx, r, run, item, attempt, out)
 		if !retry {
@@ -87,7 +88,7 @@
 		r.mu.Lock()
 		t.Failed(mayHaveReached(err), err)
 		r.mu.Unlock()
-		result.Refusal = o.chatFailed(ctx, err, attempt, out)
+		result.Refusal = o.chatFailed(ctx, c, err, attempt, out)
 		if result.Refusal != nil {
 			result.Refusal.RequestKey = c.RequestKey
 		}
@@ -248,9 +249,6 @@
 	return l
 }
 
-// maxAttempts bounds the targets that one repeatable call is sent to.
-const maxAttempts = 4
-
 // item describes a call to the dispatcher.
 func (run *chatRun) item() dispatch.Item {
 	c := run.call
@@ -265,7 +263,7 @@
 		Fingerprint:  c.Fingerprint,
 	}
 	if c.Program != "" {
-		item.Prefix = dispatch.PrefixKey(string(c.Workspace) + "/" + string(c.Program))
+		item.Prefix = PrefixOf(c.Workspace, c.Program)
 	}
 	if run.known > 0 {
 		item.Prompt = run.known + (run.prompt-run.known)/bytesPerToken
@@ -276,6 +274,7 @@
 // runUnowned sends a model call that belongs to no program to targets until one answers.
 func (o *Owner) runUnowned(ctx context.Context, run *chatRun, out *emitter) (a engine.Answer, target ids.TargetID, refusal *peer.Refusal) {
 	item := run.item()
+	o.Targets.Request()
 	for attempt := 1; ; attempt++ {
 		s, r := o.prepare(ctx, run.call, run.route.Model.Pool, item, nil)
 		if r != nil {
@@ -287,7 +286,7 @@
 		if err == nil {
 			return a, target, nil
 		}
-		if refusal := o.chatFailed(ctx, err, attempt, out); refusal != nil {
+		if refusal := o.chatFailed(ctx, run.call, err, attempt, out); refusal != nil {
 			return a, target, refusal
 		}
 		item.Excluded = append(item.Excluded, target)
@@ -332,7 +331,7 @@
 }
 
 // chatFailed returns the refusal after a failed attempt, or nil if the call may be sent to another target.
-func (o *Owner) chatFailed(ctx context.Context, err error, attempt int, out *emitter) *peer.Refusal {
+func (o *Owner) chatFailed(ctx context.Context, c peer.Call, err error, attempt int, out *emitter) *peer.Refusal {
 	run := peer.Ran
 	if !mayHaveReached(err) {
 		run = peer.NotRun
@@ -344,7 +343,7 @@
 		return &peer.Refusal{Code: peer.CodeBadRequest, Run: peer.NotRun, Message: "the target refused the request: " + root(err)}
 	case out.started():
 		return &peer.Refusal{Code: peer.CodeTargetFailed, Run: run, Message: "the target failed in mid-answer: " + root(err)}
-	case attempt >= maxAttempts || !o.Targets.MayRetry(time.Now()):
+	case !o.mayRetry(ctx, c, err, attempt):
 		return &peer.Refusal{Code: peer.CodeTargetFailed, Run: run, Message: "targets failed: " + root(err), RetryAfterMillis: 1000}
 	}
 	return nil
--- a/internal/owner/end.go
+++ b/internal/owner/end.go
@@ -1,17 +1,13 @@
 package owner
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/comfreylink/comfreylink/internal/events"
-	"github.com/comfreylink/comfreylink/internal/journal"
 	"github.com/comfreylink/comfreylink/internal/peer"
-	"github.com/comfreylink/comfreylink/pkg/ids"
 	"github.com/comfreylink/comfreylink/pkg/record"
 )
 
@@ -123,44 +119,9 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, r := range o.slots {
-		select {
-		case <-r.ready:
+		if r.open() {
 			runs = append(runs, r)
-		default:
 		}
 	}
 	return runs
 }
-
-// SlotStatus describes an owned slot for a dump.
-type SlotStatus struct {
-	Slot     ids.Slot       `json:"slot"`
-	Epoch    ids.Epoch      `json:"epoch"`
-	Ready    bool           `json:"ready"`
-	Calls    int            `json:"calls"`
-	Draining bool           `json:"draining,omitempty"`
-	Ledgers  int            `json:"budgets"`
-	Journal  journal.Status `json:"journal"`
-}
-
-// Status returns the state of the owned slots.
-func (o *Owner) Status() (all []SlotStatus) {
-	ready := map[ids.Slot]bool{}
-	for _, r := range o.ready() {
-		ready[r.slot] = true
-	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	for _, r := range o.slots {
-		s := SlotStatus{Slot: r.slot, Epoch: r.epoch, Ready: ready[r.slot]}
-		if s.Ready {
-			s.Journal = r.journal.Status()
-		}
-		r.mu.Lock()
-		s.Calls, s.Draining, s.Ledgers = r.calls, r.draining, len(r.ledgers)
-		r.mu.Unlock()
-		all = append(all, s)
-	}
-	slices.SortFunc(all, func(a, b SlotStatus) int { return cmp.Compare(a.Slot, b.Slot) })
-	return all
-}
--- a/internal/owner/fifo.go
+++ b/internal/owner/fifo.go
@@ -68,3 +68,10 @@
 	}
 	f.pass(name)
 }
+
+// busy reports whether the name has a holder.
+func (f *fifo) busy(name string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lines[name] != nil
+}
--- a/internal/owner/send.go
+++ b/internal/owner/send.go
@@ -12,6 +12,7 @@
 	"github.com/comfreylink/comfreylink/pkg/dispatch"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 	"github.com/comfreylink/comfreylink/pkg/record"
+	"github.com/comfreylink/comfreylink/pkg/retry"
 )
 
 // sending is a target and a rate token that a call holds.
@@ -110,3 +111,25 @@
 	}
 	return 0
 }
+
+// mayRetry waits until a failed repeatable call may be sent again. It reports false if it may not.
+func (o *Owner) mayRetry(ctx context.Context, c peer.Call, err error, attempts int) bool {
+	deadline, _ := ctx.Deadline()
+	now := time.Now()
+	at, why := o.Targets.RetryAt(now, retry.Failure{
+		Idempotent:  true,
+		Sent:        err == nil || mayHaveReached(err),
+		Quarantined: o.Targets.Quarantined(c.Workspace, c.Fingerprint),
+		Attempts:    attempts,
+		Deadline:    deadline,
+	})
+	if why != "" {
+		return false
+	}
+	select {
+	case <-time.After(at.Sub(now)):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -83,6 +83,7 @@
 // runRepeatable sends a repeatable request to targets until one answers.
 func (o *Owner) runRepeatable(ctx context.Context, c peer.Call, route config.Service) peer.Result {
 	item := o.serviceItem(c, true)
+	o.Targets.Request()
 	for attempt := 1; ; attempt++ {
 		s, refusal := o.prepare(ctx, c, route.Pool, item, nil)
 		if refusal != nil {
@@ -107,7 +108,7 @@
 		if ctx.Err() != nil {
 			return refused(c, peer.CodeDeadline, peer.Unknown, "the deadline passed while a target ran the request")
 		}
-		if attempt >= maxAttempts || !o.Targets.MayRetry(time.Now()) {
+		if !o.mayRetry(ctx, c, err, attempt) {
 			return retryLater(refused(c, peer.CodeTargetFailed, peer.Unknown, "targets failed"), time.Second)
 		}
 		item.Excluded = append(item.Excluded, target)
@@ -154,6 +155,7 @@
 // since it must be used at once; a request that then gets none was not sent, and its intent is cancelled.
 func (o *Owner) execute(ctx context.Context, r *slotRun, c peer.Call, route config.Service) peer.Result {
 	var e *program.Execution
+	o.Targets.Request()
 	s, refusal := o.prepare(ctx, c, route.Pool, o.serviceItem(c, false), func(p Placement) *peer.Refusal {
 		e = program.NewExecution(record.Intent{
 			Epoch:       r.epoch,
--- a/internal/owner/slot.go
+++ b/internal/owner/slot.go
@@ -154,9 +154,7 @@
 
 // settle states the exact spending of every program, so that the next owner need not count reservations as spent.
 func (r *slotRun) settle(ctx context.Context) error {
-	select {
-	case <-r.ready:
-	default:
+	if !r.open() {
 		return nil
 	}
 	r.mu.Lock()
--- /dev/null
+++ b/internal/owner/status.go
@@ -0,0 +1,73 @@
+package owner
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/comfreylink/comfreylink/internal/journal"
+	"github.com/comfreylink/comfreylink/internal/peer"
+	"github.com/comfreylink/comfreylink/pkg/ids"
+)
+
+// SlotStatus describes an owned slot for a dump.
+type SlotStatus struct {
+	Slot     ids.Slot       `json:"slot"`
+	Epoch    ids.Epoch      `json:"epoch"`
+	Ready    bool           `json:"ready"`
+	Calls    int            `json:"calls"`
+	Draining bool           `json:"draining,omitempty"`
+	Ledgers  int            `json:"budgets"`
+	Journal  journal.Status `json:"journal"`
+}
+
+// Status returns the state of the owned slots.
+func (o *Owner) Status() (all []SlotStatus) {
+	ready := map[ids.Slot]bool{}
+	for _, r := range o.ready() {
+		ready[r.slot] = true
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, r := range o.slots {
+		s := SlotStatus{Slot: r.slot, Epoch: r.epoch, Ready: ready[r.slot]}
+		if s.Ready {
+			s.Journal = r.journal.Status()
+		}
+		r.mu.Lock()
+		s.Calls, s.Draining, s.Ledgers = r.calls, r.draining, len(r.ledgers)
+		r.mu.Unlock()
+		all = append(all, s)
+	}
+	slices.SortFunc(all, func(a, b SlotStatus) int { return cmp.Compare(a.Slot, b.Slot) })
+	return all
+}
+
+// Lives tells which programs of a slot exist. A program whose first call is in progress exists although the log does not
+// show it yet.
+func (o *Owner) Lives(ask peer.Lives) (a peer.Lived) {
+	r := o.slot(ask.Slot)
+	if r == nil || !r.open() || !o.Lease.LeaseValid(time.Now()) {
+		return peer.Lived{NotOwner: true}
+	}
+	a.Living = make([]bool, len(ask.Programs))
+	r.journal.View(func() {
+		for i, p := range ask.Programs {
+			_, a.Living[i] = r.fold.Program(p.Workspace, p.Program)
+		}
+	})
+	for i, p := range ask.Programs {
+		a.Living[i] = a.Living[i] || r.lines.busy(programLine(peer.Call{Workspace: p.Workspace, Program: p.Program}))
+	}
+	return a
+}
+
+// open reports whether the slot's stream has been read and opened.
+func (r *slotRun) open() bool {
+	select {
+	case <-r.ready:
+		return true
+	default:
+		return false
+	}
+}
--- a/internal/owner/targets.go
+++ b/internal/owner/targets.go
@@ -10,6 +10,7 @@
 	"github.com/comfreylink/comfreylink/pkg/dispatch"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 	"github.com/comfreylink/comfreylink/pkg/record"
+	"github.com/comfreylink/comfreylink/pkg/retry"
 )
 
 // Targets finds targets and speaks to them.
@@ -26,8 +27,10 @@
 	Survived(ws ids.WorkspaceID, f ids.Fingerprint)
 	// Quarantined reports whether a request is refused because targets died while they ran it.
 	Quarantined(ws ids.WorkspaceID, f ids.Fingerprint) bool
-	// MayRetry takes one repetition from the retry budget.
-	MayRetry(now time.Time) bool
+	// Request counts a first attempt towards the retry budget.
+	Request()
+	// RetryAt returns when a failed call may be repeated, or why not.
+	RetryAt(now time.Time, f retry.Failure) (at time.Time, why retry.Reason)
 	// Chat makes a model call.
 	Chat(ctx context.Context, address string, r engine.Request, chunk func(engine.Chunk) error) (a engine.Answer, err error)
 	// Resume continues a model call whose stream broke.
@@ -55,3 +58,8 @@
 	// Unused gives the token back.
 	Unused()
 }
+
+// PrefixOf returns the key of a program's history in the index of cached prefixes.
+func PrefixOf(ws ids.WorkspaceID, p ids.ProgramID) dispatch.PrefixKey {
+	return dispatch.PrefixKey(string(ws) + "/" + string(p))
+}
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -24,6 +24,8 @@
 	MethodPlace Method = "place"
 	// MethodDone tells the dispatcher that a placed request has ended.
 	MethodDone Method = "done"
+	// MethodLives asks the owner of a slot which programs exist.
+	MethodLives Method = "lives"
 	// MethodPing probes a peer.
 	MethodPing Method = "ping"
 	// MethodEntries asks for entries of the config stream.
@@ -251,3 +253,23 @@
 	LogLost bool `json:"logLost,omitempty"`
 	Leaving bool `json:"leaving,omitempty"`
 }
+
+// Lives asks the owner of a slot which of its programs exist.
+type Lives struct {
+	Slot     ids.Slot        `json:"slot"`
+	Programs []ProgramOfSlot `json:"programs"`
+}
+
+// ProgramOfSlot names a program of a slot.
+type ProgramOfSlot struct {
+	Workspace ids.WorkspaceID `json:"workspace"`
+	Program   ids.ProgramID   `json:"program"`
+}
+
+// Lived is the answer to Lives.
+type Lived struct {
+	// NotOwner says that the instance does not own the slot, or has not read its stream yet.
+	NotOwner bool `json:"notOwner,omitempty"`
+	// Living has one element for each program.
+	Living []bool `json:"living,omitempty"`
+}
