--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -46,7 +46,7 @@
 
 // commands are all subcommands in the order of the help text.
 var commands = []command{
-	serveCommand, checkCommand, publishCommand, removeCommand, getCommand, keyCommand, statusCommand, dumpCommand, drainCommand,
+	serveCommand, checkCommand, certsCommand, publishCommand, removeCommand, getCommand, keyCommand, statusCommand, dumpCommand, drainCommand,
 }
 
 // run is one run of a command.
