Answer model calls truthfully during a log outage

Cause: in a trial with the log out for 17 s, the entry instance gave up together with the owner and said only that the owner did not answer, run state unknown, for every model call. Change: the owner's deadline leaves 100 ms for its answer's way back; a new model call waits while the slot's stream has not been readable for 3 s and is then refused as not run.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -100,7 +100,7 @@
 	}
 	ctx, cancel := f.untilTakeover(ctx, slot, epoch, changed)
 	defer cancel()
-	c.DeadlineMillis = remaining(ctx, c.DeadlineMillis)
+	c.DeadlineMillis = ownerDeadline(remaining(ctx, c.DeadlineMillis))
 	if owner == f.self {
 		r = f.local.Call(ctx, slot, c, out.add)
 		return r, redirectedLate(r), r.Redirect == nil
@@ -153,6 +153,19 @@
 	return min(atMost, ids.Millis(time.Until(deadline)))
 }
 
+const (
+	// answerMargin is the time that an owner's last answer has for its way back, so that the caller gets the owner's
+	// reason and run state and not the entry instance's ignorance.
+	answerMargin = 100 * time.Millisecond
+	// answerMarginPart bounds the margin to a part of short deadlines.
+	answerMarginPart = 10
+)
+
+// ownerDeadline returns the time that the owner of a call has, out of the time that its caller has.
+func ownerDeadline(caller int64) int64 {
+	return caller - min(answerMargin.Milliseconds(), caller/answerMarginPart)
+}
+
 func timeoutRefusal(c peer.Call, mayHaveRun bool) *peer.Refusal {
 	r := &peer.Refusal{Code: peer.CodeOwnerUnavailable, Run: peer.NotRun, RequestKey: c.RequestKey, RetryAfterMillis: 1000}
 	r.Message = "no instance owned the request's slot before its deadline"
--- a/internal/owner/chat.go
+++ b/internal/owner/chat.go
@@ -39,6 +39,9 @@
 	if answer, done := r.admitChat(c); done {
 		return answer
 	}
+	if !r.awaitLog(ctx) {
+		return retryLater(refused(c, peer.CodeLogUnavailable, peer.NotRun, "the log is unavailable, so the turn could not be kept"), time.Second)
+	}
 	run, refusal := o.prepareChat(r, c)
 	if refusal != nil {
 		return peer.Result{Refusal: refusal}
--- a/internal/owner/slot.go
+++ b/internal/owner/slot.go
@@ -202,3 +202,22 @@
 	}
 	return retryLater(refused(c, peer.CodeLogUnavailable, run, "the log did not take a record in time: "+err.Error()), time.Second)
 }
+
+const (
+	// logLostAfter is the age of the last up-to-date read of the slot's stream at which new model calls wait.
+	logLostAfter = 3 * time.Second
+	logPoll      = 50 * time.Millisecond
+)
+
+// awaitLog waits until the slot's stream is readable. A model call that is sent while it is not ends with an unknown
+// run state, because its turn cannot be confirmed.
+func (r *slotRun) awaitLog(ctx context.Context) bool {
+	for time.Since(r.journal.Fresh()) > logLostAfter {
+		select {
+		case <-time.After(logPoll):
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return true
+}
