Add failure detection and the admission rule

Each daemon probes the listed ones 1, 2, 4, ... places further on the ring by hash, in random order, with indirect probes before a suspicion. Random probes of the whole fleet need a TLS handshake each at 380 members, which alone exceeds 2 KB a second; with the ring a daemon has connections to 18 others.

Answers carry revision, log contact, load and suspicions, and in an outage of the log a digest of who has no contact. Ages count from the sending of the probe, so a delayed answer never looks fresher.

--- /dev/null
+++ b/pkg/member/admission_test.go
@@ -0,0 +1,142 @@
+package member_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/comfreylink/comfreylink/pkg/ids"
+	"github.com/comfreylink/comfreylink/pkg/member"
+)
+
+const freshFor = 5 * time.Second
+
+// Guards against requests that are admitted although a withdrawn key could be missed, and against refusals without need.
+func TestAdmit(t *testing.T) {
+	now := epoch
+	for name, test := range map[string]struct {
+		k    member.Knowledge
+		want member.Basis
+	}{
+		"own":                  {member.Knowledge{Own: now.Add(-5 * time.Second), Listed: 3}, member.OwnContact},
+		"own too old":          {member.Knowledge{Own: now.Add(-5001 * time.Millisecond), Listed: 3}, member.Stale},
+		"peer":                 {member.Knowledge{Learned: now.Add(-5 * time.Second), Listed: 3}, member.PeerContact},
+		"half":                 {member.Knowledge{Revision: 1, Listed: 4, Without: 2}, member.Stale},
+		"more than half":       {member.Knowledge{Revision: 1, Listed: 4, Without: 3}, member.NobodyHasContact},
+		"lacks a revision":     {member.Knowledge{Revision: 1, Highest: 2, Listed: 4, Without: 4}, member.Stale},
+		"without a revision":   {member.Knowledge{Revision: ids.NoRevision, Highest: ids.NoRevision, Listed: 1, Without: 1}, member.Stale},
+		"nothing listed":       {member.Knowledge{Revision: 1}, member.Stale},
+		"alone, without a log": {member.Knowledge{Revision: 1, Listed: 1, Without: 1}, member.NobodyHasContact},
+	} {
+		t.Run(name, func(t *testing.T) {
+			qt.New(t).Assert(test.k.Admit(now, freshFor), qt.Equals, test.want)
+		})
+	}
+}
+
+// bases counts the instances by the reason for which they admit.
+func (f *fleet) bases(l ...int) map[member.Basis]int {
+	n := map[member.Basis]int{}
+	for _, i := range l {
+		n[f.views[i].Knowledge(f.now).Admit(f.now, freshFor)]++
+	}
+	return n
+}
+
+func from(a, b int) (l []int) {
+	for i := a; i < b; i++ {
+		l = append(l, i)
+	}
+	return l
+}
+
+// Guards against a log outage stopping the whole fleet, at today's and at the planned size, with dead listed instances.
+func TestAllAdmitWhileNobodyHasContact(t *testing.T) {
+	for _, n := range []int{16, 24, 380} {
+		f := newFleet(n)
+		f.run(5 * time.Second)
+		f.log = func(int) bool { return false }
+		dead := n / 10
+		for i := range dead {
+			f.down[i] = true
+		}
+		f.run(8 * time.Second)
+		admitted := 0
+		for range 5 {
+			f.run(time.Second)
+			admitted += f.bases(from(dead, n)...)[member.NobodyHasContact]
+		}
+		share := float64(admitted) / float64(5*(n-dead))
+		t.Logf("%d instances: %.2f%% admit", n, 100*share)
+		if share < 0.99 {
+			t.Errorf("%.2f%% of %d instances admit without a log", 100*share, n)
+		}
+	}
+}
+
+// Guards against the smaller half of a split fleet admitting without a log, and the one with the log refusing.
+func TestSplitFleet(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(24)
+	f.run(5 * time.Second)
+	f.cut = func(from, to int) bool { return (from < 12) != (to < 12) }
+	f.log = func(n int) bool { return n < 12 }
+	f.run(15 * time.Second)
+	c.Check(f.bases(from(0, 12)...), qt.DeepEquals, map[member.Basis]int{member.OwnContact: 12})
+	c.Check(f.bases(from(12, 24)...), qt.DeepEquals, map[member.Basis]int{member.Stale: 12})
+	f.log = func(int) bool { return false }
+	f.run(15 * time.Second)
+	c.Check(f.bases(from(0, 24)...), qt.DeepEquals, map[member.Basis]int{member.Stale: 24})
+}
+
+// Guards against one instance without a path to the log refusing although its peers have one, and against one that
+// lacks their revision admitting.
+func TestContactIsLearnedWithTheRevision(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(16)
+	f.run(3 * time.Second)
+	f.log = func(n int) bool { return n != 3 }
+	f.run(15 * time.Second)
+	c.Check(f.bases(3), qt.DeepEquals, map[member.Basis]int{member.PeerContact: 1})
+	for i := range f.rev {
+		if i != 3 {
+			f.rev[i]++
+		}
+	}
+	f.run(10 * time.Second)
+	c.Check(f.bases(3), qt.DeepEquals, map[member.Basis]int{member.Stale: 1})
+	f.rev[3]++
+	f.run(step)
+	c.Check(f.bases(3), qt.DeepEquals, map[member.Basis]int{member.PeerContact: 1})
+}
+
+// Guards against a newcomer without configuration admitting during an outage, and against one with it being left out.
+func TestNewcomerDuringOutage(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(16)
+	f.down[5] = true
+	f.rev[5] = ids.NoRevision
+	f.run(5 * time.Second)
+	f.log = func(int) bool { return false }
+	f.lastN[5] = time.Time{}
+	f.run(15 * time.Second)
+	f.down[5] = false
+	f.run(8 * time.Second)
+	c.Check(f.bases(5), qt.DeepEquals, map[member.Basis]int{member.Stale: 1})
+	f.rev[5] = f.rev[0]
+	f.run(step)
+	c.Check(f.bases(5), qt.DeepEquals, map[member.Basis]int{member.NobodyHasContact: 1})
+}
+
+// Guards against statements to have no contact that count on after those who made them have contact again.
+func TestContactWithdrawsTheStatement(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(4)
+	f.log = func(int) bool { return false }
+	f.run(10 * time.Second)
+	c.Assert(f.views[0].Knowledge(f.now).Without, qt.Equals, 4)
+	f.log = func(n int) bool { return n != 0 }
+	f.run(4 * time.Second)
+	c.Assert(f.views[0].Knowledge(f.now).Without <= 2, qt.IsTrue) // itself, and one that it does not probe
+}
