Let busy instances append beyond their share; add the load tool

Cause: in the first run of load added, a non-idempotent request took 100 ms (P50) and a turn as long, because an instance was held to 20 appends a second while the others were idle. Change: pkg/pace raises the rate while the log service does not refuse and halves it when it does; scenario/workload and scenario/cmd/load (run, compare, added).

--- a/internal/daemon/adapters.go
+++ b/internal/daemon/adapters.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"net/http"
 	"time"
 
 	"go.uber.org/zap"
@@ -59,7 +61,7 @@
 // LeaseValid implements owner.Lease.
 func (l leaseOf) LeaseValid(now time.Time) bool { return l.d.fleet.LeaseValid(now) }
 
-// measuredLog records the time of appends.
+// measuredLog records the time of appends, and tells the pace what the service answered.
 type measuredLog struct {
 	*logservice.Client
 	d *Daemon
@@ -70,6 +72,13 @@
 	began := time.Now()
 	o, err = l.Client.Append(ctx, s, data)
 	l.d.metrics.Appended(s, time.Since(began), err)
+	var refusal *logservice.Error
+	switch {
+	case err == nil:
+		l.d.pace.Appended()
+	case errors.As(err, &refusal) && refusal.Status == http.StatusTooManyRequests:
+		l.d.pace.Refused()
+	}
 	return o, err
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -31,14 +31,11 @@
 	"github.com/comfreylink/comfreylink/internal/settings"
 	"github.com/comfreylink/comfreylink/pkg/config"
 	"github.com/comfreylink/comfreylink/pkg/ids"
+	"github.com/comfreylink/comfreylink/pkg/pace"
 	"github.com/comfreylink/comfreylink/pkg/replay"
 	"github.com/comfreylink/comfreylink/pkg/slot"
 )
 
-// appendBurstSeconds is the burst of appends in seconds of the rate. A take-over opens dozens of slots with an append
-// each; with a burst of one second it took 2.4 s longer for 64 slots.
-const appendBurstSeconds = 4
-
 // Daemon is one running instance.
 type Daemon struct {
 	settings settings.Settings
@@ -47,7 +44,7 @@
 	catalog  *config.Catalog
 
 	log        *logservice.Client
-	pace       *journal.Bucket
+	pace       *pace.Pace
 	config     *journal.Journal
 	fleetLog   *journal.Journal
 	table      *slot.Table
@@ -84,7 +81,7 @@
 		self:     ids.WriterID(fmt.Sprintf("%s#%s", s.Instance.ID, hex.EncodeToString(nonce))),
 		catalog:  config.New(),
 		table:    slot.New(s.Ownership.Slots),
-		pace:     journal.NewBucket(s.Log.AppendsPerSecond, appendBurstSeconds*s.Log.AppendsPerSecond, time.Now()),
+		pace:     pace.New(time.Now(), s.Log.AppendsPerSecond),
 		retries:  newRetryBudget(s.Dispatch.RetryBudget),
 		drain:    make(chan struct{}, 1),
 	}
--- /dev/null
+++ b/scenario/cmd/load/fault.go
@@ -0,0 +1,97 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/comfreylink/comfreylink/pkg/ids"
+)
+
+func workspaceID(s string) ids.WorkspaceID { return ids.WorkspaceID(s) }
+
+// balancerDelay is the time after which the platform's balancer sends nothing to a dead daemon.
+const balancerDelay = 2 * time.Second
+
+// injectFault causes the chosen fault a third into the run. The returned function waits until it has happened.
+func (r *runner) injectFault(ctx context.Context, o options) (wait func()) {
+	r.dead = map[string]bool{}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if o.Fault == "" || o.Fault == "none" {
+			return
+		}
+		select {
+		case <-time.After(o.Duration / 3):
+		case <-ctx.Done():
+			return
+		}
+		if err := r.fault(o.Fault); err != nil {
+			fmt.Println("fault:", err)
+		}
+	}()
+	return func() { <-done }
+}
+
+func (r *runner) fault(kind string) error {
+	c := r.fleet.cluster
+	switch kind {
+	case "killDaemon":
+		return r.killDaemon("entry-2")
+	case "killTarget":
+		if err := c.Kill("engine-1"); err != nil {
+			return err
+		}
+		time.Sleep(balancerDelay)
+		return c.Unregister("engine-1")
+	case "slowTarget":
+		return c.Fault("engine-1", slowFault{DelayMs: slowDelay.Milliseconds()})
+	case "zone":
+		for i, d := range r.fleet.daemons {
+			if i%len(r.fleet.zones) == 0 {
+				if err := r.killDaemon(d); err != nil {
+					return err
+				}
+			}
+		}
+		return r.killZoneTargets()
+	default:
+		return fmt.Errorf("unknown fault %q", kind)
+	}
+}
+
+type slowFault struct {
+	DelayMs int64 `json:"delayMs"`
+}
+
+const slowDelay = 500 * time.Millisecond
+
+func (r *runner) killDaemon(name string) error {
+	if err := r.fleet.cluster.Kill(name); err != nil {
+		return err
+	}
+	time.AfterFunc(balancerDelay, func() {
+		r.mu.Lock()
+		r.dead[name] = true
+		r.mu.Unlock()
+		_ = r.fleet.cluster.Unregister(name)
+	})
+	return nil
+}
+
+func (r *runner) killZoneTargets() error {
+	for i := range r.fleet.engines {
+		if i%len(r.fleet.zones) != 0 {
+			continue
+		}
+		name := fmt.Sprintf("engine-%d", i+1)
+		if err := r.fleet.cluster.Kill(name); err != nil {
+			return err
+		}
+		if err := r.fleet.cluster.Unregister(name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
