--- /dev/null
+++ b/internal/limiter/limiter.go
@@ -0,0 +1,317 @@
+// Package limiter takes rate tokens from the instance that owns a workspace's slot, and gives them when this instance
+// is that owner.
+package limiter
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/comfreylink/comfreylink/internal/peer"
+	"github.com/comfreylink/comfreylink/pkg/config"
+	"github.com/comfreylink/comfreylink/pkg/ids"
+	"github.com/comfreylink/comfreylink/pkg/rate"
+)
+
+const (
+	// retryPause is the wait before asking again when no owner answered.
+	retryPause = 25 * time.Millisecond
+	// reportRing bounds the reports of used grants that wait to be sent. A dropped report delays the refill of its
+	// token by the age limit of grants, and nothing else.
+	reportRing = 4096
+	// reportTimeout bounds one report.
+	reportTimeout = time.Second
+)
+
+// Owners tells who owns a slot.
+type Owners interface {
+	Owner(s ids.Slot) (w ids.WriterID, e ids.Epoch, changed <-chan struct{})
+	Address(w ids.WriterID) (a peer.Address, ok bool)
+	LeaseValid(now time.Time) bool
+}
+
+// Caller sends requests to peers.
+type Caller interface {
+	Call(ctx context.Context, to peer.Address, m peer.Method, params, result any) error
+}
+
+// Catalog is the configuration in force.
+type Catalog interface {
+	Current() *config.View
+}
+
+// Config configures a Limiter.
+type Config struct {
+	Self     ids.WriterID
+	Slots    int
+	GrantMax time.Duration
+	Hold     time.Duration
+	Owners   Owners
+	Peers    Caller
+	Catalog  Catalog
+}
+
+// Limiter is both sides of the protocol.
+type Limiter struct {
+	Config
+	mu      sync.Mutex
+	keeper  *rate.Keeper
+	waiting map[ids.WorkspaceID]chan struct{}
+	reports chan report
+}
+
+type report struct {
+	owner ids.WriterID
+	body  peer.GrantReport
+}
+
+// New returns a limiter; Run sends its reports.
+func New(c Config) *Limiter {
+	return &Limiter{
+		Config:  c,
+		keeper:  rate.NewKeeper(c.Slots, c.GrantMax),
+		waiting: map[ids.WorkspaceID]chan struct{}{},
+		reports: make(chan report, reportRing),
+	}
+}
+
+// Run sends reports of grants and drops idle buckets until ctx ends.
+func (l *Limiter) Run(ctx context.Context) error {
+	ticker := time.NewTicker(time.Second)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case r := <-l.reports:
+			l.send(ctx, r)
+		case now := <-ticker.C:
+			l.mu.Lock()
+			l.keeper.DropIdle(now)
+			l.mu.Unlock()
+		}
+	}
+}
+
+func (l *Limiter) send(ctx context.Context, r report) {
+	if r.owner == l.Self {
+		l.Report(time.Now(), r.body)
+		return
+	}
+	address, ok := l.Owners.Address(r.owner)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	_ = l.Peers.Call(ctx, address, peer.MethodGranted, r.body, nil)
+}
+
+// Grant is a rate token that this instance holds.
+type Grant struct {
+	limiter  *Limiter
+	owner    ids.WriterID
+	body     peer.GrantReport
+	asked    time.Time
+	answered time.Time
+}
+
+// Usable reports whether a request may still be sent with the token.
+func (g *Grant) Usable(now time.Time) bool {
+	return rate.Usable(g.asked, g.answered, now, g.limiter.GrantMax)
+}
+
+// Used tells the owner that the request was sent, so that the token starts to refill.
+func (g *Grant) Used() { g.report(true) }
+
+// Unused gives the token back.
+func (g *Grant) Unused() { g.report(false) }
+
+func (g *Grant) report(used bool) {
+	g.body.Used = used
+	select {
+	case g.limiter.reports <- report{g.owner, g.body}:
+	default:
+	}
+}
+
+// Acquire waits for a token of a workspace until ctx ends, or until the owner knows that the wait exceeds the deadline
+// of ctx.
+func (l *Limiter) Acquire(ctx context.Context, ws ids.WorkspaceID) (g *Grant, r *peer.Refusal) {
+	ask := peer.Acquire{Workspace: ws}
+	slot := ids.SlotOfWorkspace(ws, l.Slots)
+	var lastOwner ids.WriterID
+	for {
+		deadline, _ := ctx.Deadline()
+		ask.DeadlineMillis = time.Until(deadline).Milliseconds()
+		owner, _, _ := l.Owners.Owner(slot)
+		if owner != lastOwner {
+			ask.Ticket, lastOwner = 0, owner
+		}
+		asked := time.Now()
+		answer, ok := l.ask(ctx, owner, ask)
+		answered := time.Now()
+		pause := retryPause
+		switch {
+		case !ok:
+		case answer.Granted:
+			body := peer.GrantReport{Workspace: ws, Epoch: answer.Epoch, Grant: answer.Grant}
+			return &Grant{limiter: l, owner: owner, body: body, asked: asked, answered: answered}, nil
+		case answer.Refused:
+			return nil, &peer.Refusal{
+				Code:             peer.CodeRate,
+				Run:              peer.NotRun,
+				Message:          "the workspace is beyond its rate, and its next token comes after the request's deadline",
+				RetryAfterMillis: max(1, answer.WaitMillis),
+			}
+		default:
+			ask.Ticket = answer.Ticket
+			pause = time.Duration(answer.WaitMillis) * time.Millisecond
+		}
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+			return nil, &peer.Refusal{Code: peer.CodeDeadline, Run: peer.NotRun, Message: "the deadline passed while the request waited for a rate token"}
+		}
+	}
+}
+
+func (l *Limiter) ask(ctx context.Context, owner ids.WriterID, ask peer.Acquire) (a peer.Acquired, ok bool) {
+	if owner == "" {
+		return a, false
+	}
+	if owner == l.Self {
+		a = l.Serve(ctx, ask)
+		return a, !a.NotOwner
+	}
+	address, ok := l.Owners.Address(owner)
+	if !ok {
+		return a, false
+	}
+	// An answer that takes longer than GrantMax cannot be used.
+	ctx, cancel := context.WithTimeout(ctx, l.GrantMax)
+	defer cancel()
+	err := l.Peers.Call(ctx, address, peer.MethodAcquire, ask, &a)
+	return a, err == nil && !a.NotOwner
+}
+
+// Serve answers a request for a token as the owner of the workspace's slot.
+func (l *Limiter) Serve(ctx context.Context, ask peer.Acquire) peer.Acquired {
+	now := time.Now()
+	until := now.Add(l.Hold)
+	deadline := now.Add(time.Duration(ask.DeadlineMillis) * time.Millisecond)
+	ticket := rate.Ticket(ask.Ticket)
+	for {
+		answer, ready, again := l.decide(time.Now(), ask.Workspace, &ticket, deadline)
+		if !again {
+			return answer
+		}
+		wait := time.Duration(answer.WaitMillis) * time.Millisecond
+		if time.Now().Add(wait).After(until) {
+			return answer
+		}
+		select {
+		case <-time.After(wait):
+		case <-ready:
+		case <-ctx.Done():
+			return answer
+		}
+	}
+}
+
+// decide asks the bucket once. again reports that the request waits and may be decided again.
+func (l *Limiter) decide(now time.Time, ws ids.WorkspaceID, t *rate.Ticket, deadline time.Time) (a peer.Acquired, ready <-chan struct{}, again bool) {
+	slot := ids.SlotOfWorkspace(ws, l.Slots)
+	owner, epoch, _ := l.Owners.Owner(slot)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if owner != l.Self || !l.Owners.LeaseValid(now) {
+		if owner != l.Self {
+			l.keeper.Close(slot)
+		}
+		return peer.Acquired{NotOwner: true}, nil, false
+	}
+	l.keeper.Open(now, slot, epoch)
+	limits, ok := l.Catalog.Current().Limits(ws)
+	if !ok {
+		return peer.Acquired{Refused: true}, nil, false
+	}
+	bucket, err := l.keeper.Bucket(now, ws, rate.Limit{Rate: rate.PerSecond(limits.Rate), Burst: int64(limits.Burst)})
+	if err != nil {
+		return peer.Acquired{NotOwner: true}, nil, false
+	}
+	d := rate.Decision{Kind: rate.Lapsed}
+	if *t != 0 {
+		d = bucket.Take(now, *t)
+	}
+	if d.Kind == rate.Lapsed {
+		d = bucket.Acquire(now, 1, deadline)
+	}
+	a = peer.Acquired{Epoch: epoch, WaitMillis: ids.Millis(d.At.Sub(now))}
+	switch d.Kind {
+	case rate.Granted:
+		*t = 0
+		a.Granted, a.Grant = true, uint64(d.Grant)
+		return a, nil, false
+	case rate.Wait:
+		*t = d.Ticket
+		a.Ticket = uint64(d.Ticket)
+		return a, l.wakeup(ws), true
+	default:
+		a.Refused = true
+		return a, nil, false
+	}
+}
+
+// wakeup returns a channel that is closed when a report may have brought a waiting request's turn forward. The caller
+// holds l.mu.
+func (l *Limiter) wakeup(ws ids.WorkspaceID) <-chan struct{} {
+	c, ok := l.waiting[ws]
+	if !ok {
+		c = make(chan struct{})
+		l.waiting[ws] = c
+	}
+	return c
+}
+
+// Report takes the report of a grant's use as the owner of the workspace's slot.
+func (l *Limiter) Report(now time.Time, r peer.GrantReport) {
+	slot := ids.SlotOfWorkspace(r.Workspace, l.Slots)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if epoch, open := l.keeper.Epoch(slot); !open || epoch != r.Epoch {
+		return
+	}
+	limits, ok := l.Catalog.Current().Limits(r.Workspace)
+	if !ok {
+		return
+	}
+	bucket, err := l.keeper.Bucket(now, r.Workspace, rate.Limit{Rate: rate.PerSecond(limits.Rate), Burst: int64(limits.Burst)})
+	if err != nil {
+		return
+	}
+	if r.Used {
+		bucket.Used(now, rate.GrantID(r.Grant))
+	} else {
+		bucket.Unused(now, rate.GrantID(r.Grant))
+	}
+	if _, ok := bucket.Ready(now); ok {
+		if c, ok := l.waiting[r.Workspace]; ok {
+			close(c)
+			delete(l.waiting, r.Workspace)
+		}
+	}
+}
+
+// Status describes the buckets for a dump.
+type Status struct {
+	Buckets int `json:"buckets"`
+	Reports int `json:"queuedReports"`
+}
+
+// Status returns the present state.
+func (l *Limiter) Status() Status {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return Status{Buckets: l.keeper.Len(), Reports: len(l.reports)}
+}
--- /dev/null
+++ b/internal/owner/chat.go
@@ -0,0 +1,411 @@
+package owner
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/comfreylink/comfreylink/internal/engine"
+	"github.com/comfreylink/comfreylink/internal/peer"
+	"github.com/comfreylink/comfreylink/pkg/config"
+	"github.com/comfreylink/comfreylink/pkg/dispatch"
+	"github.com/comfreylink/comfreylink/pkg/ids"
+	"github.com/comfreylink/comfreylink/pkg/program"
+	"github.com/comfreylink/comfreylink/pkg/record"
+	"github.com/comfreylink/comfreylink/pkg/turn"
+)
+
+// chatRun is one model call on its way.
+type chatRun struct {
+	call     peer.Call
+	route    config.ModelRoute
+	limits   config.Limits
+	messages []record.Message
+	turns    int
+	prompt   ids.Tokens // upper bound
+	max      ids.Tokens // most tokens to generate
+	known    ids.Tokens // tokens of the history, as the last target counted them
+}
+
+// chat runs a model call of a program: one at a time for each program, in the order of arrival.
+func (o *Owner) chat(ctx context.Context, r *slotRun, c peer.Call, out *emitter) peer.Result {
+	release, err := r.lines.acquire(ctx, programLine(c))
+	if err != nil {
+		return r.ended(ctx, c, peer.NotRun)
+	}
+	defer release()
+	if answer, done := r.admitChat(c); done {
+		return answer
+	}
+	if !r.awaitLog(ctx) {
+		return retryLater(refused(c, peer.CodeLogUnavailable, peer.NotRun, "the log is unavailable, so the turn could not be kept"), time.Second)
+	}
+	run, refusal := o.prepareChat(r, c)
+	if refusal != nil {
+		return peer.Result{Refusal: refusal}
+	}
+	item := run.item()
+	o.Targets.Request()
+	for attempt := 1; ; attempt++ {
+		result, retry := o.attempt(ctx, r, run, item, attempt, out)
+		if !retry {
+			return result
+		}
+		item.Excluded = append(item.Excluded, result.Trace.Target)
+	}
+}
+
+func programLine(c peer.Call) string {
+	return "program\x00" + string(c.Workspace) + "\x00" + string(c.Program)
+}
+
+// attempt drives the procedure of one turn at one target. It reports retry if the call may go to another target.
+func (o *Owner) attempt(ctx context.Context, r *slotRun, run *chatRun, item dispatch.Item, attempt int, out *emitter) (result peer.Result, retry bool) {
+	c := run.call
+	t, result, ok := o.reserve(ctx, r, run)
+	if !ok {
+		return result, false
+	}
+	s, refusal := o.prepare(ctx, c, run.route.Model.Pool, item, nil)
+	if refusal == nil && r.ctx.Err() != nil {
+		s.grant.Unused()
+		o.Targets.Done(s.place, dispatch.Unsent, record.Usage{})
+		refusal = &peer.Refusal{Code: peer.CodeOwnerUnavailable, Run: peer.NotRun, Message: "the slot has another owner"}
+	}
+	r.mu.Lock()
+	if refusal != nil {
+		t.Checked(refusal)
+	} else {
+		t.Checked(nil)
+	}
+	r.mu.Unlock()
+	if refusal != nil {
+		return r.refusedBeforeSend(c, refusal), false
+	}
+	result.Trace.Target = s.place.Target
+	a, err := o.sendChat(ctx, s, run, attempt, out)
+	o.endPlacement(c, s, a.Usage, err)
+	if err != nil {
+		r.mu.Lock()
+		t.Failed(mayHaveReached(err), err)
+		r.mu.Unlock()
+		result.Refusal = o.chatFailed(ctx, c, err, attempt, out)
+		if result.Refusal != nil {
+			result.Refusal.RequestKey = c.RequestKey
+		}
+		return result, result.Refusal == nil
+	}
+	return o.commitTurn(ctx, r, run, t, a, s.place.Target), false
+}
+
+// refusedBeforeSend answers a call that was not sent. If the slot was lost, another owner answers.
+func (r *slotRun) refusedBeforeSend(c peer.Call, refusal *peer.Refusal) peer.Result {
+	if r.ctx.Err() != nil {
+		return peer.Result{Redirect: &peer.Redirect{Epoch: r.epoch}}
+	}
+	refusal.RequestKey = c.RequestKey
+	return peer.Result{Refusal: refusal}
+}
+
+// endPlacement tells the dispatcher and the quarantine how a model call ended.
+func (o *Owner) endPlacement(c peer.Call, s sending, u record.Usage, err error) {
+	if err == nil {
+		o.Targets.Done(s.place, dispatch.Completed, u)
+		o.Targets.Survived(c.Workspace, c.Fingerprint)
+		return
+	}
+	o.Targets.Done(s.place, outcomeOf(err), record.Usage{})
+	if brokeOff(err) {
+		o.Targets.Died(c.Workspace, c.Fingerprint, s.place.Target)
+	}
+}
+
+// admitChat answers a repeated call from the stored turn.
+func (r *slotRun) admitChat(c peer.Call) (result peer.Result, done bool) {
+	var d program.Decision
+	r.journal.View(func() {
+		d = r.fold.Admit(program.Request{Workspace: c.Workspace, Key: c.RequestKey, Fingerprint: c.Fingerprint, Epoch: r.epoch})
+	})
+	switch d.Action {
+	case program.ActionRun:
+		return peer.Result{}, false
+	case program.ActionReplay:
+		var stored peer.ChatResult
+		if err := json.Unmarshal(d.State.Response, &stored); err != nil {
+			return refused(c, peer.CodeAnswerTooLarge, peer.Ran, "the call ran and its answer is not stored"), true
+		}
+		return peer.Result{Chat: &stored, Trace: peer.Trace{Replayed: true}}, true
+	case program.ActionKeyReused:
+		return refused(c, peer.CodeKeyReused, peer.NotRun, "the key belongs to a request with another content"), true
+	case program.ActionNotOwner:
+		return peer.Result{Redirect: &peer.Redirect{Epoch: r.epoch}}, true
+	default:
+		return refused(c, peer.CodeUndecided, peer.Unknown, "an earlier request with this key may have run"), true
+	}
+}
+
+// prepareChat collects the history and the limits of a call.
+func (o *Owner) prepareChat(r *slotRun, c peer.Call) (run *chatRun, refusal *peer.Refusal) {
+	run, refusal = o.routeChat(c)
+	if refusal != nil {
+		return nil, refusal
+	}
+	var state program.ProgramState
+	r.journal.View(func() { state, _ = r.fold.Program(c.Workspace, c.Program) })
+	if most := run.route.Program.MaxTurns; most > 0 && state.Turns >= most {
+		return nil, &peer.Refusal{Code: peer.CodeTurnLimit, Run: peer.NotRun, Message: fmt.Sprintf("the program has had its %d turns", most), RequestKey: c.RequestKey}
+	}
+	run.turns = state.Turns
+	run.messages = append(state.Messages[:len(state.Messages):len(state.Messages)], c.Chat.Messages...)
+	r.mu.Lock()
+	counted := r.tokens[programKey{c.Workspace, c.Program}]
+	r.mu.Unlock()
+	if counted.messages != len(state.Messages) {
+		counted = knownTokens{}
+	}
+	run.known = counted.tokens
+	run.prompt = counted.tokens + bound(run.messages[counted.messages:])
+	return run, nil
+}
+
+func (o *Owner) routeChat(c peer.Call) (run *chatRun, refusal *peer.Refusal) {
+	view := o.Catalog.Current()
+	route, ok := view.Model(c.Workspace, c.Chat.Model)
+	if !ok {
+		return nil, &peer.Refusal{Code: peer.CodeUnknownModel, Run: peer.NotRun, Message: fmt.Sprintf("the workspace has no model %q", c.Chat.Model), RequestKey: c.RequestKey}
+	}
+	limits, _ := view.Limits(c.Workspace)
+	run = &chatRun{call: c, route: route, limits: limits, messages: c.Chat.Messages, max: c.Chat.MaxTokens}
+	if run.max == 0 {
+		run.max = route.Model.DefaultMaxTokens
+	}
+	run.prompt = bound(run.messages)
+	return run, nil
+}
+
+// bound returns an upper bound of the tokens of messages: a token has at least one byte.
+func bound(messages []record.Message) (t ids.Tokens) {
+	for _, m := range messages {
+		t += ids.Tokens(m.Size())
+	}
+	return t
+}
+
+// reserveChunk is how many tokens a reserve record adds at least, so that most calls need none.
+const reserveChunk ids.Tokens = 16384
+
+// holdPause is the wait before a call looks again whether other calls of its program have left it enough budget.
+const holdPause = 20 * time.Millisecond
+
+// reserve starts the procedure of a turn and brings it to its check: the tokens that it may use are held, within an
+// accepted reservation.
+func (o *Owner) reserve(ctx context.Context, r *slotRun, run *chatRun) (t *turn.Call, result peer.Result, ok bool) {
+	c := run.call
+	record := record.Turn{
+		Epoch:       r.epoch,
+		Workspace:   c.Workspace,
+		Program:     c.Program,
+		Index:       run.turns,
+		Key:         c.RequestKey,
+		Fingerprint: c.Fingerprint,
+		UnixMilli:   time.Now().UnixMilli(),
+	}
+	for {
+		r.mu.Lock()
+		t = turn.New(record, run.prompt+run.max, reserveChunk, r.ledger(programKey{c.Workspace, c.Program.Root()}, run.limits.Budget))
+		r.mu.Unlock()
+		for t.Step() == program.StepReserve {
+			verdict, err := r.append(ctx, t.Reserve())
+			r.mu.Lock()
+			t.ReserveDone(verdict, err)
+			r.mu.Unlock()
+			if verdict != nil || err != nil {
+				return t, r.notAppended(c, peer.NotRun, verdict, err), false
+			}
+		}
+		switch {
+		case t.Step() == program.StepCheck:
+			return t, result, true
+		case errors.Is(t.Answer().Reason, turn.ErrBudget):
+			return t, refused(c, peer.CodeBudget, peer.NotRun, fmt.Sprintf("the program's budget of %d tokens does not cover the call", run.limits.Budget)), false
+		}
+		select {
+		case <-time.After(holdPause):
+		case <-ctx.Done():
+			return t, r.ended(ctx, c, peer.NotRun), false
+		}
+	}
+}
+
+// ledger returns the account of a root program. The caller holds r.mu.
+func (r *slotRun) ledger(root programKey, budget ids.Tokens) *turn.Ledger {
+	l, ok := r.ledgers[root]
+	if !ok {
+		var spending program.Spending
+		r.journal.View(func() { spending = r.fold.Budget(root.workspace, root.program) })
+		l = turn.NewLedger(budget, spending)
+		r.ledgers[root] = l
+	}
+	l.SetBudget(budget)
+	return l
+}
+
+// item describes a call to the dispatcher.
+func (run *chatRun) item() dispatch.Item {
+	c := run.call
+	item := dispatch.Item{
+		Workspace:    c.Workspace,
+		Weight:       float64(run.limits.Weight),
+		Program:      c.Program,
+		Prompt:       bound(run.messages) / bytesPerToken,
+		Output:       run.max,
+		PrefixTokens: run.known,
+		Repeatable:   true,
+		Fingerprint:  c.Fingerprint,
+	}
+	if c.Program != "" {
+		item.Prefix = PrefixOf(c.Workspace, c.Program)
+	}
+	if run.known > 0 {
+		item.Prompt = run.known + (run.prompt-run.known)/bytesPerToken
+	}
+	return item
+}
+
+// runUnowned sends a model call that belongs to no program to targets until one answers.
+func (o *Owner) runUnowned(ctx context.Context, run *chatRun, out *emitter) (a engine.Answer, target ids.TargetID, refusal *peer.Refusal) {
+	item := run.item()
+	o.Targets.Request()
+	for attempt := 1; ; attempt++ {
+		s, r := o.prepare(ctx, run.call, run.route.Model.Pool, item, nil)
+		if r != nil {
+			return a, target, r
+		}
+		target = s.place.Target
+		a, err := o.sendChat(ctx, s, run, attempt, out)
+		o.endPlacement(run.call, s, a.Usage, err)
+		if err == nil {
+			return a, target, nil
+		}
+		if refusal := o.chatFailed(ctx, run.call, err, attempt, out); refusal != nil {
+			return a, target, refusal
+		}
+		item.Excluded = append(item.Excluded, target)
+	}
+}
+
+// bytesPerToken estimates tokens from bytes for placement, where an estimate is enough.
+const bytesPerToken = 4
+
+// sendChat makes one attempt, and resumes the stream once if it broke.
+func (o *Owner) sendChat(ctx context.Context, s sending, run *chatRun, attempt int, out *emitter) (a engine.Answer, err error) {
+	c := run.call
+	req := engine.Request{
+		ID:        fmt.Sprintf("%s.%s.%d.%d", o.Self, c.RequestKey, o.nextAttempt(), attempt),
+		Model:     c.Chat.Model,
+		Messages:  run.messages,
+		MaxTokens: run.max,
+		Options:   c.Chat.Extra,
+		Workspace: c.Workspace,
+		Program:   c.Program,
+	}
+	emit := func(ch engine.Chunk) error {
+		out.add(deltaText(ch.Delta))
+		return nil
+	}
+	s.grant.Used()
+	a, err = o.Targets.Chat(ctx, s.place.Address, req, emit)
+	if err != nil && brokeOff(err) && ctx.Err() == nil {
+		a, err = o.Targets.Resume(ctx, s.place.Address, req.ID, a, emit)
+	}
+	return a, err
+}
+
+func deltaText(raw json.RawMessage) string {
+	var d struct {
+		Content string `json:"content"`
+	}
+	if json.Unmarshal(raw, &d) != nil {
+		return ""
+	}
+	return d.Content
+}
+
+// chatFailed returns the refusal after a failed attempt, or nil if the call may be sent to another target.
+func (o *Owner) chatFailed(ctx context.Context, c peer.Call, err error, attempt int, out *emitter) *peer.Refusal {
+	run := peer.Ran
+	if !mayHaveReached(err) {
+		run = peer.NotRun
+	}
+	switch {
+	case ctx.Err() != nil:
+		return &peer.Refusal{Code: peer.CodeDeadline, Run: run, Message: "the deadline passed while a target ran the call"}
+	case badStatus(err) >= 400 && badStatus(err) < 500:
+		return &peer.Refusal{Code: peer.CodeBadRequest, Run: peer.NotRun, Message: "the target refused the request: " + root(err)}
+	case out.started():
+		return &peer.Refusal{Code: peer.CodeTargetFailed, Run: run, Message: "the target failed in mid-answer: " + root(err)}
+	case !o.mayRetry(ctx, c, err, attempt):
+		return &peer.Refusal{Code: peer.CodeTargetFailed, Run: run, Message: "targets failed: " + root(err), RetryAfterMillis: 1000}
+	}
+	return nil
+}
+
+// root returns the message of the innermost typed error, without the addresses of the layers above.
+func root(err error) string {
+	for u := errors.Unwrap(err); u != nil; u = errors.Unwrap(err) {
+		err = u
+	}
+	return err.Error()
+}
+
+// maxStoredAnswer keeps a turn's record, which holds the answer as message and as response, below the limit of an entry.
+const maxStoredAnswer = 384 << 10
+
+// commitTurn makes the turn durable; only then is the call complete.
+func (o *Owner) commitTurn(ctx context.Context, r *slotRun, run *chatRun, t *turn.Call, a engine.Answer, target ids.TargetID) (result peer.Result) {
+	defer func() { result.Trace.Target = target }()
+	c := run.call
+	answer := &peer.ChatResult{Content: contentText(a.Message), Finish: a.FinishReason, Usage: a.Usage, Message: a.Message}
+	response, err := json.Marshal(answer)
+	if err != nil {
+		return refused(c, peer.CodeTargetFailed, peer.Ran, "the target's answer cannot be encoded")
+	}
+	if len(response) > maxStoredAnswer {
+		return refused(c, peer.CodeAnswerTooLarge, peer.Ran, "the target's answer is too large to be kept")
+	}
+	r.mu.Lock()
+	t.Answered(append(c.Chat.Messages[:len(c.Chat.Messages):len(c.Chat.Messages)], a.Message), a.Usage, response)
+	r.mu.Unlock()
+	verdict, err := r.append(ctx, t.Turn())
+	t.TurnDone(verdict, err)
+	if err != nil || verdict != nil {
+		return r.notDurable(ctx, c, verdict, err)
+	}
+	r.mu.Lock()
+	r.tokens[programKey{c.Workspace, c.Program}] = knownTokens{messages: len(run.messages) + 1, tokens: a.Usage.Total()}
+	r.mu.Unlock()
+	return peer.Result{Chat: answer, Trace: peer.Trace{Turn: run.turns + 1}}
+}
+
+// notDurable answers a call that ran and whose turn is not known to be in the log. A repetition with the key finds the
+// turn, or runs again.
+func (r *slotRun) notDurable(ctx context.Context, c peer.Call, verdict, err error) peer.Result {
+	if r.ctx.Err() != nil || verdict != nil {
+		return peer.Result{Redirect: &peer.Redirect{Epoch: r.epoch, MayHaveRun: true}}
+	}
+	result := refused(c, peer.CodeLogUnavailable, peer.Unknown, "the call ran, but the log did not confirm the turn; repeat the request with its key")
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		result.Refusal.Message += fmt.Sprintf(" (%v)", err)
+	}
+	return retryLater(result, time.Second)
+}
+
+func contentText(m record.Message) string {
+	var s string
+	if json.Unmarshal(m.Content, &s) != nil {
+		return ""
+	}
+	return s
+}
--- /dev/null
+++ b/internal/owner/service.go
@@ -0,0 +1,255 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/comfreylink/comfreylink/internal/peer"
+	"github.com/comfreylink/comfreylink/internal/service"
+	"github.com/comfreylink/comfreylink/pkg/config"
+	"github.com/comfreylink/comfreylink/pkg/dispatch"
+	"github.com/comfreylink/comfreylink/pkg/ids"
+	"github.com/comfreylink/comfreylink/pkg/program"
+	"github.com/comfreylink/comfreylink/pkg/record"
+)
+
+// errLeaseEnded keeps a request from being sent by an owner that may have been replaced.
+var errLeaseEnded = errors.New("the owner's lease has ended")
+
+// service runs a service request: a non-idempotent one at most once, by its intent in the log; a repeatable one, which
+// is here because it belongs to a program, in its program's order.
+func (o *Owner) service(ctx context.Context, r *slotRun, c peer.Call) peer.Result {
+	route, refusal := o.routeService(c)
+	if refusal != nil {
+		return peer.Result{Refusal: refusal}
+	}
+	name := "key\x00" + string(c.Workspace) + "\x00" + string(c.RequestKey)
+	if c.Program != "" {
+		name = programLine(c)
+	}
+	release, err := r.lines.acquire(ctx, name)
+	if err != nil {
+		return r.ended(ctx, c, peer.NotRun)
+	}
+	defer release()
+	if route.Repeatable(c.Service.Method) {
+		return o.runRepeatable(ctx, c, route)
+	}
+	return o.runOnce(ctx, r, c, route)
+}
+
+func (o *Owner) routeService(c peer.Call) (s config.Service, refusal *peer.Refusal) {
+	view := o.Catalog.Current()
+	if route, ok := view.Service(c.Workspace, c.Service.Name); ok {
+		return route.Service, nil
+	}
+	if s, ok := view.PublicService(c.Service.Name); ok {
+		return s, nil
+	}
+	return s, &peer.Refusal{Code: peer.CodeUnknownRoute, Run: peer.NotRun, Message: "the workspace has no service " + c.Service.Name, RequestKey: c.RequestKey}
+}
+
+func (o *Owner) serviceItem(c peer.Call, repeatable bool) dispatch.Item {
+	limits, _ := o.Catalog.Current().Limits(c.Workspace)
+	return dispatch.Item{
+		Workspace:   c.Workspace,
+		Weight:      float64(limits.Weight),
+		Program:     c.Program,
+		Prompt:      1,
+		Output:      1,
+		Repeatable:  repeatable,
+		Fingerprint: c.Fingerprint,
+	}
+}
+
+func request(c peer.Call, fence ids.Epoch) service.Request {
+	path := c.Service.Path
+	if c.Service.Query != "" {
+		path += "?" + c.Service.Query
+	}
+	return service.Request{
+		Method:      c.Service.Method,
+		Path:        path,
+		ContentType: c.Service.ContentType,
+		Accept:      c.Service.Accept,
+		Body:        c.Service.Body,
+		Workspace:   c.Workspace,
+		Key:         c.RequestKey,
+		Fence:       fence,
+	}
+}
+
+// runRepeatable sends a repeatable request to targets until one answers.
+func (o *Owner) runRepeatable(ctx context.Context, c peer.Call, route config.Service) peer.Result {
+	item := o.serviceItem(c, true)
+	o.Targets.Request()
+	for attempt := 1; ; attempt++ {
+		s, refusal := o.prepare(ctx, c, route.Pool, item, nil)
+		if refusal != nil {
+			refusal.RequestKey = c.RequestKey
+			return peer.Result{Refusal: refusal}
+		}
+		target := s.place.Target
+		s.grant.Used()
+		a, err := o.Targets.Service(ctx, s.place.Address, request(c, 0))
+		if err == nil && !a.Leaving {
+			o.Targets.Done(s.place, dispatch.Completed, record.Usage{})
+			return peer.Result{Service: answerOf(a), Trace: peer.Trace{Target: target}}
+		}
+		ending := dispatch.Left
+		if err != nil {
+			ending = outcomeOf(err)
+		}
+		o.Targets.Done(s.place, ending, record.Usage{})
+		if err != nil && brokeOff(err) {
+			o.Targets.Died(c.Workspace, c.Fingerprint, target)
+		}
+		if ctx.Err() != nil {
+			return refused(c, peer.CodeDeadline, peer.Unknown, "the deadline passed while a target ran the request")
+		}
+		if !o.mayRetry(ctx, c, err, attempt) {
+			return retryLater(refused(c, peer.CodeTargetFailed, peer.Unknown, "targets failed"), time.Second)
+		}
+		item.Excluded = append(item.Excluded, target)
+	}
+}
+
+func answerOf(a service.Answer) *peer.ServiceResult {
+	return &peer.ServiceResult{Status: a.Status, ContentType: a.ContentType, Body: a.Body}
+}
+
+// runOnce drives the execution of a non-idempotent request.
+func (o *Owner) runOnce(ctx context.Context, r *slotRun, c peer.Call, route config.Service) peer.Result {
+	var d program.Decision
+	r.journal.View(func() {
+		d = r.fold.Admit(program.Request{Workspace: c.Workspace, Key: c.RequestKey, Fingerprint: c.Fingerprint, Epoch: r.epoch})
+	})
+	switch d.Action {
+	case program.ActionRun:
+		return o.execute(ctx, r, c, route)
+	case program.ActionReplay:
+		return replayed(c, d.State)
+	case program.ActionKeyReused:
+		return refused(c, peer.CodeKeyReused, peer.NotRun, "the key belongs to a request with another content")
+	case program.ActionNotOwner:
+		return peer.Result{Redirect: &peer.Redirect{Epoch: r.epoch}}
+	default:
+		return undecided(c)
+	}
+}
+
+func undecided(c peer.Call) peer.Result {
+	return refused(c, peer.CodeUndecided, peer.Unknown, "the request was sent or may have been sent, and its answer is not known")
+}
+
+func replayed(c peer.Call, s program.KeyState) peer.Result {
+	if s.Status == record.StatusUnknown {
+		return undecided(c)
+	}
+	a := &peer.ServiceResult{Status: s.Status, ContentType: s.ContentType, Body: s.Body}
+	return peer.Result{Service: a, Trace: peer.Trace{Target: s.Target, Replayed: true}}
+}
+
+// execute appends the intent, sends the request once and appends the outcome. The rate token is taken after the intent,
+// since it must be used at once; a request that then gets none was not sent, and its intent is cancelled.
+func (o *Owner) execute(ctx context.Context, r *slotRun, c peer.Call, route config.Service) peer.Result {
+	var e *program.Execution
+	o.Targets.Request()
+	s, refusal := o.prepare(ctx, c, route.Pool, o.serviceItem(c, false), func(p Placement) *peer.Refusal {
+		e = program.NewExecution(record.Intent{
+			Epoch:       r.epoch,
+			Workspace:   c.Workspace,
+			Program:     c.Program,
+			Key:         c.RequestKey,
+			Fingerprint: c.Fingerprint,
+			Target:      p.Target,
+			UnixMilli:   time.Now().UnixMilli(),
+		}, o.nextAttempt())
+		e.IntentDone(r.append(ctx, e.Intent()))
+		return nil
+	})
+	if refusal != nil {
+		return o.notSent(r, c, e, refusal)
+	}
+	if e.Step() == program.StepCheck {
+		var reason error
+		if now := time.Now(); !o.Lease.LeaseValid(now) || r.ctx.Err() != nil {
+			reason = errLeaseEnded
+		} else if !s.grant.Usable(now) {
+			reason = errors.New("the rate token is too old")
+		}
+		e.Checked(reason)
+	}
+	if e.Step() != program.StepSend {
+		s.grant.Unused()
+		o.Targets.Done(s.place, dispatch.Unsent, record.Usage{})
+		return o.finish(r, c, e, s.place.Target)
+	}
+	o.sendOnce(ctx, r, c, route, s, e)
+	if e.Step() == program.StepOutcome {
+		e.OutcomeDone(r.append(ctx, e.Outcome()))
+	}
+	return o.finish(r, c, e, s.place.Target)
+}
+
+func (o *Owner) sendOnce(ctx context.Context, r *slotRun, c peer.Call, route config.Service, s sending, e *program.Execution) {
+	fence := ids.Epoch(0)
+	if route.ChecksFencing {
+		fence = r.epoch
+	}
+	s.grant.Used()
+	a, err := o.Targets.Service(ctx, s.place.Address, request(c, fence))
+	if err == nil {
+		o.Targets.Done(s.place, dispatch.Completed, record.Usage{})
+		e.Answered(a.Status, a.ContentType, a.Body)
+		return
+	}
+	o.Targets.Done(s.place, outcomeOf(err), record.Usage{})
+	if brokeOff(err) {
+		o.Targets.Died(c.Workspace, c.Fingerprint, s.place.Target)
+	}
+	e.Failed(mayHaveReached(err), err)
+}
+
+// notSent answers a request that was refused before it was sent.
+func (o *Owner) notSent(r *slotRun, c peer.Call, e *program.Execution, refusal *peer.Refusal) peer.Result {
+	if e != nil {
+		e.Checked(refusal)
+		r.cancelIntent(e)
+	}
+	if r.ctx.Err() != nil {
+		return peer.Result{Redirect: &peer.Redirect{Epoch: r.epoch}}
+	}
+	refusal.RequestKey = c.RequestKey
+	return peer.Result{Refusal: refusal}
+}
+
+// cancelIntent withdraws the intent of a request that was not sent. It does not wait: until the record is folded, a
+// repeated request is answered as unknown, which is safe.
+func (r *slotRun) cancelIntent(e *program.Execution) {
+	if cancel := e.Cancel(); cancel != nil {
+		_ = r.journal.Submit(cancel)
+	}
+}
+
+func (o *Owner) finish(r *slotRun, c peer.Call, e *program.Execution, target ids.TargetID) peer.Result {
+	r.cancelIntent(e)
+	answer := e.Answer()
+	trace := peer.Trace{Target: target}
+	switch {
+	case answer.Run == program.RunDone:
+		result := &peer.ServiceResult{Status: answer.Status, ContentType: answer.ContentType, Body: answer.Body}
+		return peer.Result{Service: result, Trace: trace}
+	case answer.Run == program.RunUnknown:
+		result := undecided(c)
+		result.Trace = trace
+		return result
+	case answer.Retry || r.ctx.Err() != nil:
+		return peer.Result{Redirect: &peer.Redirect{Epoch: r.epoch}}
+	case errors.Is(answer.Reason, errLeaseEnded):
+		return retryLater(refused(c, peer.CodeLogUnavailable, peer.NotRun, "the owner cannot confirm its lease while the log is unavailable"), time.Second)
+	default:
+		return retryLater(refused(c, peer.CodeLogUnavailable, peer.NotRun, "the request was not sent: "+answer.Reason.Error()), time.Second)
+	}
+}
--- /dev/null
+++ b/pkg/program/slot.go
@@ -0,0 +1,347 @@
+package program
+
+import (
+	"cmp"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/comfreylink/comfreylink/pkg/ids"
+	"github.com/comfreylink/comfreylink/pkg/record"
+)
+
+// Slot is the folded state of a slot's stream. It is not safe for concurrent use.
+type Slot struct {
+	epoch     ids.Epoch
+	owner     ids.WriterID
+	setting   time.Duration // retention to open epochs with
+	retention time.Duration // retention in force
+	time      streamTime
+	families  map[familyID]*family
+	keys      map[keyID]*entry
+	expiry    []expiring // in order of time, which never decreases
+}
+
+type familyID struct {
+	Workspace ids.WorkspaceID `json:"workspace"`
+	Root      ids.ProgramID   `json:"root"`
+}
+
+type keyID struct {
+	Workspace ids.WorkspaceID `json:"workspace"`
+	Key       ids.RequestKey  `json:"key"`
+}
+
+// family is a root program with its sub-agents, which share its budget. The exported fields are its encoding.
+type family struct {
+	Spending Spending                 `json:"spending"`
+	LastUse  int64                    `json:"lastUse"` // Unix milliseconds
+	LastAt   ids.Position             `json:"lastAt"`
+	Members  map[ids.ProgramID]member `json:"members"`
+}
+
+type member struct {
+	Turns    int              `json:"turns"`
+	Messages []record.Message `json:"messages"`
+}
+
+// entry is the state of a request key. The exported fields are its encoding.
+type entry struct {
+	State   KeyState `json:"state"`
+	Attempt int64    `json:"attempt,omitempty"`
+	At      int64    `json:"at"` // stream time at which the retention started, Unix milliseconds
+}
+
+type expiring struct {
+	key keyID
+	at  int64
+}
+
+// New returns the state before the first record.
+func New(o Options) *Slot {
+	retention := cmp.Or(o.KeyRetention, DefaultKeyRetention)
+	return &Slot{
+		setting:   retention,
+		retention: retention,
+		families:  make(map[familyID]*family),
+		keys:      make(map[keyID]*entry),
+	}
+}
+
+// Apply folds one record. A record that does not count changes nothing and returns the reason. The record is kept and
+// must not be modified afterwards.
+func (s *Slot) Apply(at ids.Position, w ids.WriterID, b record.Body) error {
+	switch b := b.(type) {
+	case *record.Open:
+		return s.applyOpen(w, b)
+	case *record.Turn:
+		return s.applyTurn(at, w, b)
+	case *record.Intent:
+		return s.applyIntent(at, w, b)
+	case *record.Cancel:
+		return s.applyCancel(w, b)
+	case *record.Outcome:
+		return s.applyOutcome(w, b)
+	case *record.Reserve:
+		return s.applyReserve(at, w, b)
+	case *record.Settle:
+		return s.applySettle(w, b)
+	case *record.End:
+		return s.applyEnd(w, b)
+	default:
+		return fmt.Errorf("%w: %s in a slot's stream", ErrRecordType, b.Type())
+	}
+}
+
+// Epoch returns the current epoch and its owner; epoch 0 before the first open.
+func (s *Slot) Epoch() (ids.Epoch, ids.WriterID) {
+	return s.epoch, s.owner
+}
+
+// Lookup returns what is known about a request key.
+func (s *Slot) Lookup(ws ids.WorkspaceID, k ids.RequestKey) (KeyState, bool) {
+	e := s.keys[keyID{ws, k}]
+	if e == nil {
+		return KeyState{}, false
+	}
+	return s.keyState(e), true
+}
+
+// Program returns the state of a program.
+func (s *Slot) Program(ws ids.WorkspaceID, p ids.ProgramID) (ProgramState, bool) {
+	f := s.families[familyID{ws, p.Root()}]
+	if f == nil {
+		return ProgramState{}, false
+	}
+	m, ok := f.Members[p]
+	if !ok {
+		return ProgramState{}, false
+	}
+	return ProgramState{
+		Messages: m.Messages[:len(m.Messages):len(m.Messages)],
+		Turns:    m.Turns,
+		LastUse:  time.UnixMilli(f.LastUse),
+		LastAt:   f.LastAt,
+	}, true
+}
+
+// Budget returns the spending of a root program with its sub-agents; zero if it is unknown.
+func (s *Slot) Budget(ws ids.WorkspaceID, root ids.ProgramID) Spending {
+	f := s.families[familyID{ws, root.Root()}]
+	if f == nil {
+		return Spending{}
+	}
+	return f.Spending
+}
+
+func (s *Slot) keyState(e *entry) KeyState {
+	state := e.State
+	if state.Phase == PhaseIntent && state.Epoch < s.epoch {
+		state.Phase = PhaseUndecided
+	}
+	return state
+}
+
+// NewOpen returns the record that opens an epoch. It states the owner's time and the key retention from Options, so that
+// readers with other settings agree on which keys have expired.
+func (s *Slot) NewOpen(now time.Time, e ids.Epoch, owner ids.WriterID) *record.Open {
+	return &record.Open{
+		Epoch: e, Owner: owner, UnixMilli: now.UnixMilli(), KeyRetentionMillis: ids.Millis(s.setting),
+	}
+}
+
+// check returns why a record of the owner of an epoch does not count.
+func (s *Slot) check(e ids.Epoch, w ids.WriterID) error {
+	if e != s.epoch {
+		return fmt.Errorf("%w: %d, current is %d", ErrStaleEpoch, e, s.epoch)
+	}
+	if w != s.owner {
+		return fmt.Errorf("%w: epoch %d belongs to %s", ErrNotOwner, e, s.owner)
+	}
+	return nil
+}
+
+func (s *Slot) applyOpen(w ids.WriterID, o *record.Open) error {
+	if o.Epoch <= s.epoch {
+		return fmt.Errorf("%w: open of %d, current is %d", ErrStaleEpoch, o.Epoch, s.epoch)
+	}
+	if w != o.Owner {
+		return fmt.Errorf("%w: open for %s", ErrNotOwner, o.Owner)
+	}
+	s.epoch, s.owner = o.Epoch, o.Owner
+	if o.KeyRetentionMillis > 0 {
+		s.retention = time.Duration(o.KeyRetentionMillis) * time.Millisecond
+	}
+	for _, f := range s.families {
+		f.Spending.Spent = f.Spending.Reserved
+	}
+	s.advance(s.time.next(w, o.UnixMilli, s.retention))
+	return nil
+}
+
+func (s *Slot) applyTurn(at ids.Position, w ids.WriterID, t *record.Turn) error {
+	if err := s.check(t.Epoch, w); err != nil {
+		return err
+	}
+	next := s.time.next(w, t.UnixMilli, s.retention)
+	if err := s.checkUnused(keyID{t.Workspace, t.Key}, next); err != nil {
+		return err
+	}
+	if p, _ := s.Program(t.Workspace, t.Program); t.Index != p.Turns {
+		return fmt.Errorf("%w: %d, the next turn of %s is %d", ErrWrongIndex, t.Index, t.Program, p.Turns)
+	}
+	s.advance(next)
+	s.touch(at, t.UnixMilli, t.Workspace, t.Program).addTurn(t)
+	s.addKey(keyID{t.Workspace, t.Key}, 0, KeyState{
+		Phase: PhaseTurn, Epoch: t.Epoch, Fingerprint: t.Fingerprint, Response: t.Response,
+	})
+	return nil
+}
+
+func (f *family) addTurn(t *record.Turn) {
+	m := f.Members[t.Program]
+	m.Turns++
+	m.Messages = append(m.Messages, t.Messages...)
+	f.Members[t.Program] = m
+	f.Spending.Spent += t.Usage.Total()
+	f.Spending.Reserved = max(f.Spending.Reserved, f.Spending.Spent)
+}
+
+func (s *Slot) applyIntent(at ids.Position, w ids.WriterID, i *record.Intent) error {
+	if err := s.check(i.Epoch, w); err != nil {
+		return err
+	}
+	next := s.time.next(w, i.UnixMilli, s.retention)
+	if err := s.checkUnused(keyID{i.Workspace, i.Key}, next); err != nil {
+		return err
+	}
+	s.advance(next)
+	if s.families[familyID{i.Workspace, i.Program.Root()}] != nil {
+		s.touch(at, i.UnixMilli, i.Workspace, i.Program)
+	}
+	s.addKey(keyID{i.Workspace, i.Key}, i.Attempt, KeyState{
+		Phase: PhaseIntent, Epoch: i.Epoch, Fingerprint: i.Fingerprint, Target: i.Target,
+	})
+	return nil
+}
+
+// running returns the intent without outcome of the current epoch for a key.
+func (s *Slot) running(ws ids.WorkspaceID, k ids.RequestKey) (*entry, error) {
+	e := s.keys[keyID{ws, k}]
+	if e == nil || s.keyState(e).Phase != PhaseIntent {
+		return nil, fmt.Errorf("%w: key %q", ErrNoIntent, k)
+	}
+	return e, nil
+}
+
+func (s *Slot) applyCancel(w ids.WriterID, c *record.Cancel) error {
+	if err := s.check(c.Epoch, w); err != nil {
+		return err
+	}
+	e, err := s.running(c.Workspace, c.Key)
+	if err != nil {
+		return err
+	}
+	if e.Attempt != c.Attempt {
+		return fmt.Errorf("%w: key %q, attempt %d", ErrNoIntent, c.Key, c.Attempt)
+	}
+	delete(s.keys, keyID{c.Workspace, c.Key})
+	return nil
+}
+
+func (s *Slot) applyOutcome(w ids.WriterID, o *record.Outcome) error {
+	if err := s.check(o.Epoch, w); err != nil {
+		return err
+	}
+	e, err := s.running(o.Workspace, o.Key)
+	if err != nil {
+		return err
+	}
+	e.State.Phase = PhaseOutcome
+	if o.Status == record.StatusUnknown {
+		e.State.Phase = PhaseUndecided
+	}
+	e.State.Status, e.State.ContentType, e.State.Body = o.Status, o.ContentType, o.Body
+	return nil
+}
+
+func (s *Slot) applyReserve(at ids.Position, w ids.WriterID, r *record.Reserve) error {
+	if err := s.check(r.Epoch, w); err != nil {
+		return err
+	}
+	// A limit that is reached already counts too, so that a reservation can be repeated after a lost verdict.
+	s.advance(s.time.next(w, r.UnixMilli, s.retention))
+	f := s.touch(at, r.UnixMilli, r.Workspace, r.Program)
+	f.Spending.Reserved = max(f.Spending.Reserved, r.UpTo)
+	return nil
+}
+
+func (s *Slot) applySettle(w ids.WriterID, r *record.Settle) error {
+	if err := s.check(r.Epoch, w); err != nil {
+		return err
+	}
+	f := s.families[familyID{r.Workspace, r.Program.Root()}]
+	if f == nil {
+		return fmt.Errorf("%w: %s", ErrUnknownProgram, r.Program)
+	}
+	if r.Spent < f.Spending.Spent {
+		return fmt.Errorf("%w: settled %d tokens, %d are spent", ErrSpending, r.Spent, f.Spending.Spent)
+	}
+	f.Spending = Spending{Spent: r.Spent, Reserved: r.Spent}
+	return nil
+}
+
+func (s *Slot) applyEnd(w ids.WriterID, e *record.End) error {
+	if err := s.check(e.Epoch, w); err != nil {
+		return err
+	}
+	id := familyID{e.Workspace, e.Program.Root()}
+	f := s.families[id]
+	if f == nil || !f.has(e.Program) {
+		return fmt.Errorf("%w: %s", ErrUnknownProgram, e.Program)
+	}
+	if e.LastUse != nil && *e.LastUse != f.LastAt {
+		return fmt.Errorf("%w: %s", ErrInUse, e.Program)
+	}
+	if e.Program == id.Root {
+		delete(s.families, id)
+		return nil
+	}
+	for p := range f.Members {
+		if isWithin(p, e.Program) {
+			delete(f.Members, p)
+		}
+	}
+	return nil
+}
+
+// has reports whether the family has the program or a sub-agent of it. The root exists as soon as it has a budget.
+func (f *family) has(p ids.ProgramID) bool {
+	if p == p.Root() {
+		return true
+	}
+	for m := range f.Members {
+		if isWithin(m, p) {
+			return true
+		}
+	}
+	return false
+}
+
+func isWithin(p, ancestor ids.ProgramID) bool {
+	return p == ancestor || strings.HasPrefix(string(p), string(ancestor)+"/")
+}
+
+// touch returns the family of a program, new if needed, and notes its use at time t. The time is the record's own, since
+// the stream's time may lag behind it; see streamTime.
+func (s *Slot) touch(at ids.Position, t int64, ws ids.WorkspaceID, p ids.ProgramID) *family {
+	id := familyID{ws, p.Root()}
+	f := s.families[id]
+	if f == nil {
+		f = &family{Members: make(map[ids.ProgramID]member)}
+		s.families[id] = f
+	}
+	f.LastAt = at
+	f.LastUse = max(f.LastUse, t, s.time.now)
+	return f
+}
