Apply changed rates at once and ask a new owner at once

A caller that was told to wait slept on although its reservation had died with the owner, and came back only when its turn was due, when a delay of 100 ms lost the place. The limiter now applies changed limits when it sees the configuration, wakes on a new owner, and comes back half a hold early.

--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -58,6 +58,7 @@
 	keeper  *rate.Keeper
 	waiting map[ids.WorkspaceID]chan struct{}
 	reports chan report
+	view    *config.View // the configuration whose limits the buckets have
 }
 
 type report struct {
@@ -87,6 +88,7 @@
 			l.send(ctx, r)
 		case now := <-ticker.C:
 			l.mu.Lock()
+			l.follow(now)
 			l.keeper.DropIdle(now)
 			l.mu.Unlock()
 		}
@@ -144,7 +146,7 @@
 	for {
 		deadline, _ := ctx.Deadline()
 		ask.DeadlineMillis = time.Until(deadline).Milliseconds()
-		owner, _, _ := l.Owners.Owner(slot)
+		owner, _, changed := l.Owners.Owner(slot)
 		if owner != lastOwner {
 			ask.Ticket, lastOwner = 0, owner
 		}
@@ -166,12 +168,34 @@
 			}
 		default:
 			ask.Ticket = answer.Ticket
-			pause = time.Duration(answer.WaitMillis) * time.Millisecond
+			pause = comeBack(time.Duration(answer.WaitMillis)*time.Millisecond, l.Hold)
 		}
+		if !l.pause(ctx, slot, owner, changed, pause) {
+			return nil, &peer.Refusal{Code: peer.CodeDeadline, Run: peer.NotRun, Message: "the deadline passed while the request waited for a rate token"}
+		}
+	}
+}
+
+// comeBack returns when to ask again for a token that comes after wait: half of what the owner holds a request before
+// that, so that the reservation does not lapse on the way.
+func comeBack(wait, hold time.Duration) time.Duration { return max(wait-hold/2, time.Millisecond) }
+
+// pause waits for d, or until the slot has another owner, which knows nothing of a reservation. It reports false if ctx
+// ended.
+func (l *Limiter) pause(ctx context.Context, s ids.Slot, owner ids.WriterID, changed <-chan struct{}, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	for {
 		select {
-		case <-time.After(pause):
+		case <-timer.C:
+			return true
 		case <-ctx.Done():
-			return nil, &peer.Refusal{Code: peer.CodeDeadline, Run: peer.NotRun, Message: "the deadline passed while the request waited for a rate token"}
+			return false
+		case <-changed:
+		}
+		var now ids.WriterID
+		if now, _, changed = l.Owners.Owner(s); now != owner {
+			return true
 		}
 	}
 }
@@ -225,6 +249,7 @@
 	owner, epoch, _ := l.Owners.Owner(slot)
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.follow(now)
 	if owner != l.Self || !l.Owners.LeaseValid(now) {
 		if owner != l.Self {
 			l.keeper.Close(slot)
@@ -232,11 +257,11 @@
 		return peer.Acquired{NotOwner: true}, nil, false
 	}
 	l.keeper.Open(now, slot, epoch)
-	limits, ok := l.Catalog.Current().Limits(ws)
+	limits, ok := limitOf(l.view, ws)
 	if !ok {
 		return peer.Acquired{Refused: true}, nil, false
 	}
-	bucket, err := l.keeper.Bucket(now, ws, rate.Limit{Rate: rate.PerSecond(limits.Rate), Burst: int64(limits.Burst)})
+	bucket, err := l.keeper.Bucket(now, ws, limits)
 	if err != nil {
 		return peer.Acquired{NotOwner: true}, nil, false
 	}
@@ -263,6 +288,36 @@
 	}
 }
 
+// follow applies limits that changed since the last call to the buckets at once: one that is used next much later would
+// have refilled at the earlier rate until then. The caller holds l.mu.
+func (l *Limiter) follow(now time.Time) {
+	view := l.Catalog.Current()
+	if view == l.view {
+		return
+	}
+	last := l.view
+	l.view = view
+	if last == nil {
+		return
+	}
+	for _, ws := range view.ChangedSince(last.Revision()) {
+		after, ok := limitOf(view, ws)
+		if !ok {
+			continue
+		}
+		before, ok := limitOf(last, ws)
+		if !ok {
+			before = after
+		}
+		l.keeper.Change(now, ws, before, after)
+	}
+}
+
+func limitOf(v *config.View, ws ids.WorkspaceID) (r rate.Limit, ok bool) {
+	l, ok := v.Limits(ws)
+	return rate.Limit{Rate: rate.PerSecond(l.Rate), Burst: int64(l.Burst)}, ok
+}
+
 // wakeup returns a channel that is closed when a report may have brought a waiting request's turn forward. The caller
 // holds l.mu.
 func (l *Limiter) wakeup(ws ids.WorkspaceID) <-chan struct{} {
@@ -279,14 +334,15 @@
 	slot := ids.SlotOfWorkspace(r.Workspace, l.Slots)
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.follow(now)
 	if epoch, open := l.keeper.Epoch(slot); !open || epoch != r.Epoch {
 		return
 	}
-	limits, ok := l.Catalog.Current().Limits(r.Workspace)
+	limits, ok := limitOf(l.view, r.Workspace)
 	if !ok {
 		return
 	}
-	bucket, err := l.keeper.Bucket(now, r.Workspace, rate.Limit{Rate: rate.PerSecond(limits.Rate), Burst: int64(limits.Burst)})
+	bucket, err := l.keeper.Bucket(now, r.Workspace, limits)
 	if err != nil {
 		return
 	}
--- /dev/null
+++ b/pkg/config/since.go
@@ -0,0 +1,19 @@
+package config
+
+import (
+	"strings"
+
+	"github.com/comfreylink/comfreylink/pkg/ids"
+)
+
+// ChangedSince returns the workspaces whose document has a higher revision than r, removed ones included, in no
+// particular order.
+func (v *View) ChangedSince(r ids.Revision) (l []ids.WorkspaceID) {
+	prefix := ObjectName(WorkspaceKind, "")
+	for object, e := range v.objects.all {
+		if name, ok := strings.CutPrefix(object, prefix); ok && e.revision > r {
+			l = append(l, ids.WorkspaceID(name))
+		}
+	}
+	return l
+}
