--- a/internal/dispatcher/pool.go
+++ b/internal/dispatcher/pool.go
@@ -22,6 +22,8 @@
 	loadTimeout  = time.Second
 	// poolIdle is how long a pool is kept here after its last call.
 	poolIdle = time.Minute
+	// dropInterval is how often a queue forgets idle programs, workspaces and cache hints.
+	dropInterval = 5 * time.Second
 	// placedSlack is how long after its deadline a placed call without an ending still counts as in flight.
 	placedSlack = 5 * time.Second
 )
@@ -40,6 +42,7 @@
 	targets map[ids.TargetID]dispatch.Target
 	address map[ids.TargetID]string
 	used    time.Time
+	dropped time.Time
 }
 
 // Serve waits for a target as the dispatcher of a pool.
@@ -229,6 +232,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.refuse(now, p.queue.Expire(now))
+	if now.Sub(p.dropped) >= dropInterval {
+		p.dropped = now
+		p.queue.DropOld(now)
+	}
 	for t, deadline := range p.placed {
 		if _, waits := p.waiting[t]; !waits && now.Sub(deadline) > placedSlack {
 			delete(p.placed, t)
