Drop connections with bytes after an answer and hide heads in errors

Cause: a target that writes two answers to one request left the second in the reader's buffer; the buffer was thrown away and the connection used again, so that a part of it still on its way could be read as the next answer. And fasthttp's errors about malformed heads quote what was received, which can be a caller's data.

Change: a connection with buffered bytes after the answer is closed. Errors about heads keep the kind and the network cause only; a malformed head has kind malformed instead of cut.

Measured: the new test of unexpected bytes failed before the change (one connection instead of two) and passes after it; go test -race -count=5 ./internal/... passes.

--- /dev/null
+++ b/internal/targethttp/client_test.go
@@ -0,0 +1,161 @@
+package targethttp_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/comfreylink/comfreylink/internal/targethttp"
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) {
+	// fasthttp's cleaner of idle connections sleeps for the idle time before it notices that there are none.
+	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*HostClient).connsCleaner"))
+}
+
+// target answers each request with raw bytes; it closes the connection after those that end is true for. It returns how
+// many connections were made.
+func target(c *qt.C, end bool, answers ...string) (address string, connections func() int) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	var mu sync.Mutex
+	var conns []net.Conn
+	next := 0
+	var tasks sync.WaitGroup
+	serve := func(conn net.Conn) {
+		defer conn.Close()
+		r := bufio.NewReader(conn)
+		for {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			mu.Lock()
+			answer := answers[next%len(answers)]
+			next++
+			mu.Unlock()
+			if _, err := conn.Write([]byte(answer)); err != nil || end {
+				return
+			}
+		}
+	}
+	tasks.Go(func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			conns = append(conns, conn)
+			mu.Unlock()
+			tasks.Go(func() { serve(conn) })
+		}
+	})
+	c.Cleanup(func() {
+		c.Check(l.Close(), qt.IsNil)
+		mu.Lock()
+		for _, conn := range conns {
+			_ = conn.Close()
+		}
+		mu.Unlock()
+		tasks.Wait()
+	})
+	return l.Addr().String(), func() int {
+		mu.Lock()
+		defer mu.Unlock()
+		return len(conns)
+	}
+}
+
+func get(c *qt.C, client *targethttp.Client, address string) (targethttp.Head, string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	h, body, err := client.Bytes(ctx, address, targethttp.Request{Method: "GET", Path: "/"}, 1000)
+	return h, string(body), err
+}
+
+func newClient(c *qt.C) *targethttp.Client {
+	client, cleanup := targethttp.New()
+	c.Cleanup(cleanup)
+	return client
+}
+
+// Guards against an incomplete or unbounded answer that is taken for a whole one, and against a caller's data in the
+// text of an error.
+func TestDamagedAnswers(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\n"
+	for _, test := range []struct {
+		name, answer string
+		end          bool
+		kind         targethttp.Kind
+	}{
+		{"no answer", "", true, targethttp.Cut},
+		{"cut in status line", "HTTP/1.1 2", true, targethttp.Cut},
+		{"cut in headers", ok + "Content-Length: 5\r\nX-Secret: sec", true, targethttp.Cut},
+		{"cut in body", ok + "Content-Length: 50\r\n\r\nsecret", true, targethttp.Cut},
+		{"cut between chunks", ok + "Transfer-Encoding: chunked\r\n\r\n6\r\nsecret\r\n", true, targethttp.Cut},
+		{"body without length", ok + "\r\nsecret", true, targethttp.Malformed},
+		{"not HTTP", "secret secret\r\n\r\n", true, targethttp.Malformed},
+		{"no first byte", "", false, targethttp.Timeout},
+		{"stalled headers", ok + "X-Secret: sec", false, targethttp.Timeout},
+		{"stalled body", ok + "Content-Length: 50\r\n\r\nsecret", false, targethttp.Timeout},
+		{"long headers", ok + "X: " + strings.Repeat("y", 20_000) + "\r\n\r\n", false, targethttp.TooLarge},
+		{"long body", ok + "Content-Length: 1001\r\n\r\n" + strings.Repeat("y", 1001), false, targethttp.TooLarge},
+		{"huge length", ok + "Content-Length: 99999999999\r\n\r\n" + strings.Repeat("y", 2000), false, targethttp.TooLarge},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			address, _ := target(c, test.end, test.answer)
+			_, _, err := get(c, newClient(c), address)
+			var e *targethttp.Error
+			c.Assert(errors.As(err, &e), qt.IsTrue)
+			c.Assert(e.Kind, qt.Equals, test.kind, qt.Commentf("%v", err))
+			c.Assert(e.Sent(), qt.IsTrue)
+			c.Assert(strings.Contains(strings.ToLower(err.Error()), "secret"), qt.IsFalse, qt.Commentf("%v", err))
+		})
+	}
+}
+
+// Guards against reading the rest of an earlier exchange as an answer (R7): a target that writes two answers to one
+// request crosses all later ones on that connection.
+func TestUnexpectedBytesEndTheConnection(t *testing.T) {
+	c := qt.New(t)
+	const first = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none"
+	const second = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\ntwo"
+	address, connections := target(c, false, first+first, second)
+	client := newClient(c)
+	_, body, err := get(c, client, address)
+	c.Assert(err, qt.IsNil)
+	c.Assert(body, qt.Equals, "one")
+	_, body, err = get(c, client, address)
+	c.Assert(err, qt.IsNil)
+	c.Assert(body, qt.Equals, "two")
+	c.Assert(connections(), qt.Equals, 2)
+}
+
+// Guards against a new connection for each request, which would add a round trip to every call.
+func TestConnectionIsReused(t *testing.T) {
+	c := qt.New(t)
+	address, connections := target(c, false,
+		"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none",
+		"HTTP/1.1 204 No Content\r\n\r\n",
+		"HTTP/1.1 503 Busy\r\nRetry-After: 7\r\nTransfer-Encoding: chunked\r\n\r\n3\r\none\r\n0\r\n\r\n",
+	)
+	client := newClient(c)
+	for i := range 6 {
+		h, _, err := get(c, client, address)
+		c.Assert(err, qt.IsNil)
+		if i%3 == 2 {
+			c.Assert(h.RetryAfter, qt.Equals, 7*time.Second)
+			c.Assert(h.Leaving(), qt.IsFalse)
+		}
+	}
+	c.Assert(connections(), qt.Equals, 1)
+}
--- a/internal/targethttp/exchange.go
+++ b/internal/targethttp/exchange.go
@@ -140,11 +140,7 @@
 	resp.StreamBody = true
 	resp.SkipBody = r.Method == fasthttp.MethodHead
 	if err := resp.ReadLimitBody(br, 0); err != nil {
-		var small *fasthttp.ErrSmallBuffer
-		if errors.As(err, &small) {
-			return false, x.fail(TooLarge, errors.New("headers exceed their limit"))
-		}
-		return false, x.fail(Cut, err)
+		return false, x.headFailure(err)
 	}
 	defer func() { _ = resp.CloseBodyStream() }()
 
@@ -162,7 +158,8 @@
 		}
 		return false, x.fail(Aborted, err)
 	}
-	return x.atEnd(body) && !resp.ConnectionClose(), nil
+	// Bytes after the answer belong to no request, so that later answers on this connection could be crossed.
+	return x.atEnd(body) && br.Buffered() == 0 && !resp.ConnectionClose(), nil
 }
 
 // atEnd reports whether the body has ended. A stream's reader stops at the last event, before the body's end mark.
@@ -178,6 +175,24 @@
 	return n == 0 && errors.Is(err, io.EOF)
 }
 
+// headFailure returns the error for an answer whose head could not be read. It drops fasthttp's text, which quotes what
+// was received: that can be a caller's data.
+func (x *exchange) headFailure(err error) *Error {
+	var small *fasthttp.ErrSmallBuffer
+	var network *net.OpError
+	switch {
+	case errors.As(err, &small):
+		return x.fail(TooLarge, errors.New("headers exceed their limit"))
+	case errors.Is(err, fasthttp.ErrTimeout):
+		return x.fail(Cut, err)
+	case errors.As(err, &network):
+		return x.fail(Cut, network)
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		return x.fail(Cut, io.ErrUnexpectedEOF)
+	}
+	return x.fail(Malformed, errors.New("malformed headers"))
+}
+
 func (x *exchange) write(pool *fasthttp.HostClient, r Request) error {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
