--- a/standin/engine/batch/batch.go
+++ b/standin/engine/batch/batch.go
@@ -35,11 +35,7 @@
 // New returns a batch with a number of slots and a cache for a number of tokens. The speed divides all durations; the
 // text that padding returns is added to the first token of an answer. The cleanup ends the batch's goroutine.
 func New(slots, cacheTokens int, speed float64, padding func() string) (b *Batch, cleanup func()) {
-	b = &Batch{
-		slots: slots, speed: speed, padding: padding,
-		wake: make(chan struct{}, 1), done: make(chan struct{}),
-		cache: prefix.NewCache(cacheTokens), events: prefix.NewEventLog(),
-	}
+	b = idle(slots, cacheTokens, speed, padding)
 	var task sync.WaitGroup
 	task.Go(b.loop)
 	return b, func() {
@@ -48,6 +44,14 @@
 	}
 }
 
+func idle(slots, cacheTokens int, speed float64, padding func() string) *Batch {
+	return &Batch{
+		slots: slots, speed: speed, padding: padding,
+		wake: make(chan struct{}, 1), done: make(chan struct{}),
+		cache: prefix.NewCache(cacheTokens), events: prefix.NewEventLog(),
+	}
+}
+
 // Done is closed when the batch ends.
 func (b *Batch) Done() <-chan struct{} { return b.done }
 
--- a/standin/engine/orders.go
+++ b/standin/engine/orders.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"slices"
 	"sync"
 	"time"
 
@@ -33,11 +32,16 @@
 	fence   int64
 	orders  []Order
 	refused int
-	models  []string // empty: every model is served
+	all     bool            // models that no order named are served
+	loaded  map[string]bool // models given at start or named by orders
 }
 
 func newOrderBook(ignoreFencing bool, models []string) *orderBook {
-	return &orderBook{ignoreFencing: ignoreFencing, models: slices.Clone(models)}
+	b := &orderBook{ignoreFencing: ignoreFencing, all: len(models) == 0, loaded: make(map[string]bool)}
+	for _, m := range models {
+		b.loaded[m] = true
+	}
+	return b
 }
 
 // accept records an order, unless a higher fencing number was seen and numbers are checked.
@@ -53,24 +57,17 @@
 	return true
 }
 
-func (b *orderBook) load(model string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if len(b.models) > 0 && !slices.Contains(b.models, model) {
-		b.models = append(b.models, model)
-	}
-}
-
-func (b *orderBook) unload(model string) {
+func (b *orderBook) setLoaded(model string, loaded bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.models = slices.DeleteFunc(b.models, func(m string) bool { return m == model })
+	b.loaded[model] = loaded
 }
 
 func (b *orderBook) serves(model string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return len(b.models) == 0 || slices.Contains(b.models, model)
+	loaded, known := b.loaded[model]
+	return loaded || (b.all && !known)
 }
 
 func (b *orderBook) list() Orders {
@@ -93,9 +90,9 @@
 	switch o.Action {
 	case "loadModel", "loadAdapter", "loadVersion":
 		serve.Pause(e.batch.Done(), e.scaled(costs.LoadTime).Milliseconds())
-		e.orders.load(o.Model)
+		e.orders.setLoaded(o.Model, true)
 	case "unloadModel":
-		e.orders.unload(o.Model)
+		e.orders.setLoaded(o.Model, false)
 	case "setRole":
 	case "drain":
 		e.Drain()
