Tell requests that cannot be sent from refused connections

Cause: options that are no JSON object gave an error without Sent, which counts as possibly run, and a path with a space had kind refused, which counts against the target.

Change: both have the new kind invalid, with Sent false. The service test expects invalid for such a path instead of refused; it is as strict as before.

--- a/internal/engine/chat.go
+++ b/internal/engine/chat.go
@@ -36,7 +36,7 @@
 	defer func() { err = oops.In("engine").With("address", address).Wrapf(err, "chat") }()
 	body, err := r.encode()
 	if err != nil {
-		return Answer{}, err
+		return Answer{}, targethttp.InvalidRequest(address, err)
 	}
 	q := targethttp.Request{
 		Method:      fasthttp.MethodPost,
--- a/internal/engine/message_test.go
+++ b/internal/engine/message_test.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"github.com/comfreylink/comfreylink/internal/engine"
+	"github.com/comfreylink/comfreylink/internal/targethttp"
 	"github.com/comfreylink/comfreylink/pkg/record"
+	standin "github.com/comfreylink/comfreylink/standin/engine"
 	qt "github.com/frankban/quicktest"
 	"github.com/valyala/fasthttp"
 )
@@ -71,3 +73,14 @@
 		"X-Request-Id": "a", "X-Workspace": "akwaaba", "X-Program": "p/1",
 	})
 }
+
+// Guards against a call with a caller's malformed options that counts as possibly run, or as a fault of the engine.
+func TestMalformedOptionsAreNotSent(t *testing.T) {
+	c := qt.New(t)
+	e, address, client := start(c, standin.Options{})
+	r := request("a", "one")
+	r.Options = json.RawMessage(`[]`)
+	_, err := client.Chat(within(c, time.Second), address, r, nil)
+	c.Assert(failure(c, err, targethttp.Invalid).Sent(), qt.IsFalse)
+	c.Assert(e.Runs().Runs, qt.HasLen, 0)
+}
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -134,7 +134,7 @@
 		{"nothing listens", within(c, time.Second), l.Addr().String(), "/", targethttp.Refused},
 		{"cancelled before", ended, address, "/", targethttp.Aborted},
 		{"deadline before", within(c, -time.Second), address, "/", targethttp.Timeout},
-		{"request smuggling", within(c, time.Second), address, "/ HTTP/1.1\r\nX: y", targethttp.Refused},
+		{"request smuggling", within(c, time.Second), address, "/ HTTP/1.1\r\nX: y", targethttp.Invalid},
 	} {
 		c.Run(test.name, func(c *qt.C) {
 			_, err := client.Do(test.ctx, test.address, service.Request{Method: "POST", Path: test.path})
--- a/internal/targethttp/error.go
+++ b/internal/targethttp/error.go
@@ -12,9 +12,10 @@
 const (
 	// Refused means that no connection could be made.
 	Refused Kind = iota + 1
-	// Leaving means that the target answered 503 with "Connection: close": it takes no new work.
+	// Leaving means that the target answered 503 with "Connection: close": it takes no new work and did not run the
+	// request, although Sent is true.
 	Leaving
-	// Timeout means that the context's deadline passed.
+	// Timeout means that the context's deadline passed, maybe before anything was sent.
 	Timeout
 	// Aborted means that the context was cancelled or that the reader of a stream returned an error.
 	Aborted
@@ -26,6 +27,8 @@
 	TooLarge
 	// Malformed means that the answer does not follow the protocol or belongs to another request.
 	Malformed
+	// Invalid means that the request cannot be sent as it is; it says nothing about the target.
+	Invalid
 )
 
 // String returns the kind's name.
@@ -47,6 +50,8 @@
 		return "tooLarge"
 	case Malformed:
 		return "malformed"
+	case Invalid:
+		return "invalid"
 	default:
 		return fmt.Sprintf("kind %d", int(k))
 	}
@@ -68,6 +73,11 @@
 	sent bool
 }
 
+// InvalidRequest returns the error for a request that cannot be encoded.
+func InvalidRequest(address string, err error) *Error {
+	return &Error{Kind: Invalid, Address: address, Err: err}
+}
+
 // Sent reports whether the request may have reached the target: it is true from the first byte written.
 func (e *Error) Sent() bool { return e.sent }
 
--- a/internal/targethttp/exchange.go
+++ b/internal/targethttp/exchange.go
@@ -56,7 +56,7 @@
 		return x.fail(Refused, err)
 	}
 	if !validPath(r.Path) {
-		return x.fail(Refused, fmt.Errorf("path %q holds a space or control character", r.Path))
+		return InvalidRequest(address, fmt.Errorf("path %q holds a space or control character", r.Path))
 	}
 	h := c.acquire(address, time.Now())
 	defer c.release(h)
