--- a/pkg/program/admit.go
+++ b/pkg/program/admit.go
@@ -42,17 +42,18 @@
 
 // Admit decides on a request.
 func (s *Slot) Admit(r Request) Decision {
-	if r.Epoch != s.epoch {
+	if r.Epoch == 0 || r.Epoch != s.epoch {
 		return Decision{Action: ActionNotOwner}
 	}
 	state, known := s.Lookup(r.Workspace, r.Key)
 	if known && state.Fingerprint != r.Fingerprint {
 		return Decision{Action: ActionKeyReused}
 	}
-	if r.Running != nil {
-		return admitRunning(r)
-	}
 	switch {
+	case r.Running != nil && *r.Running != r.Fingerprint:
+		return Decision{Action: ActionKeyReused}
+	case r.Running != nil:
+		return Decision{Action: ActionWait}
 	case !known:
 		return Decision{Action: ActionRun}
 	case state.Phase == PhaseOutcome || state.Phase == PhaseTurn:
@@ -62,10 +63,3 @@
 		return Decision{Action: ActionUnknown}
 	}
 }
-
-func admitRunning(r Request) Decision {
-	if *r.Running != r.Fingerprint {
-		return Decision{Action: ActionKeyReused}
-	}
-	return Decision{Action: ActionWait}
-}
--- a/pkg/program/idle.go
+++ b/pkg/program/idle.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/comfreylink/comfreylink/pkg/ids"
 	"github.com/comfreylink/comfreylink/pkg/record"
 )
 
@@ -22,11 +21,7 @@
 		}
 	}
 	slices.SortFunc(ends, func(a, b *record.End) int {
-		return cmp.Or(comparePositions(*a.LastUse, *b.LastUse), cmp.Compare(a.Program, b.Program))
+		return cmp.Or(cmp.Compare(a.Workspace, b.Workspace), cmp.Compare(a.Program, b.Program))
 	})
 	return ends
 }
-
-func comparePositions(a, b ids.Position) int {
-	return cmp.Or(cmp.Compare(a.Offset, b.Offset), cmp.Compare(a.Index, b.Index))
-}
--- a/pkg/program/program.go
+++ b/pkg/program/program.go
@@ -5,12 +5,26 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"time"
 
 	"github.com/comfreylink/comfreylink/pkg/ids"
 	"github.com/comfreylink/comfreylink/pkg/record"
 )
 
+// Reasons why a record does not count.
+var (
+	ErrStaleEpoch     = errors.New("epoch is not the current one")
+	ErrNotOwner       = errors.New("writer is not the owner of the epoch")
+	ErrDuplicateKey   = errors.New("request key is used")
+	ErrWrongIndex     = errors.New("turn is not the next one")
+	ErrUnknownProgram = errors.New("program does not exist")
+	ErrNoIntent       = errors.New("no intent without outcome")
+	ErrSpending       = errors.New("settled less than the recorded spending")
+	ErrInUse          = errors.New("program was used since the end was decided")
+	ErrRecordType     = errors.New("record type does not belong here")
+)
+
 // DefaultKeyRetention is longer than any caller retries.
 const DefaultKeyRetention = 24 * time.Hour
 
