Try a dead target with any call after a second probation

Cause: a target on trial got repeatable calls only. A pool of plain services reports no load, so with nothing but non-idempotent requests a target that refused one connection was never used again.

Change: after twice the probation (10 s) a target on trial gets one call of any kind at a time.

--- a/pkg/dispatch/fair.go
+++ b/pkg/dispatch/fair.go
@@ -50,7 +50,7 @@
 	var free, full *target.Target
 	var freeCost, fullCost float64
 	for _, t := range q.targets.All() {
-		if !t.Usable(now) || !e.mayRun(t) {
+		if !t.Usable(now) || !e.mayRun(now, t) {
 			continue
 		}
 		cost := q.cost(now, e, t)
--- a/pkg/dispatch/item.go
+++ b/pkg/dispatch/item.go
@@ -116,8 +116,8 @@
 }
 
 // mayRun reports whether the item may go to the target when it has room.
-func (e *entry) mayRun(t *target.Target) bool {
-	if t.OnTrial() && !e.item.Repeatable {
+func (e *entry) mayRun(now time.Time, t *target.Target) bool {
+	if t.RepeatableOnly(now) && !e.item.Repeatable {
 		return false
 	}
 	return !slices.Contains(e.item.Excluded, t.ID())
@@ -125,5 +125,5 @@
 
 // fits reports whether the item may go to the target now.
 func (e *entry) fits(now time.Time, t *target.Target) bool {
-	return t.HasRoom(now) && e.mayRun(t)
+	return t.HasRoom(now) && e.mayRun(now, t)
 }
--- a/pkg/dispatch/policy.go
+++ b/pkg/dispatch/policy.go
@@ -84,7 +84,7 @@
 	key := string(e.Workspace) + "\x00" + string(e.Root)
 	var best uint64
 	for _, t := range q.targets.All() {
-		if !t.Usable(now) || !e.mayRun(t) {
+		if !t.Usable(now) || !e.mayRun(now, t) {
 			continue
 		}
 		if score := ids.Rendezvous(string(t.ID()), key); home == nil || score > best {
--- a/pkg/dispatch/targets_test.go
+++ b/pkg/dispatch/targets_test.go
@@ -95,6 +95,24 @@
 	c.Assert(q.Next(at(5*second)), qt.HasLen, 1)
 }
 
+// Guards against a pool that reports no load and gets no repeatable calls never using a target again that died once.
+func TestTrialOfAnyCall(t *testing.T) {
+	c := qt.New(t)
+	q := newQueue(c, options("fair", 10), live("a")...)
+	fill(q, 1, 1)
+	q.Next(epoch)
+	q.Done(epoch, 1, dispatch.Died, record.Usage{})
+	for n := range dispatch.Ticket(3) {
+		once := item(2+n, "ws", 10)
+		once.Repeatable = false
+		q.Enqueue(epoch, once)
+	}
+	c.Assert(q.Next(at(9*second)), qt.HasLen, 0)
+	c.Assert(q.Next(at(10*second)), qt.HasLen, 1)
+	q.Done(at(10*second), 2, dispatch.Completed, record.Usage{})
+	c.Assert(q.Next(at(21*second)), qt.HasLen, 2)
+}
+
 // Guards against a call returning to a target on which it failed.
 func TestExcludedTargets(t *testing.T) {
 	for _, policy := range []string{"fair", "roundRobin", "leastInFlight", "sticky"} {
--- a/pkg/target/report.go
+++ b/pkg/target/report.go
@@ -85,7 +85,8 @@
 	HintHalfLife time.Duration
 	// Ramp is the time in which a target that came back gets its full number of calls.
 	Ramp time.Duration
-	// Probation is how long a target gets nothing after a failure; then it gets one repeatable call.
+	// Probation is how long a target gets nothing after a failure; then it gets one repeatable call at a time, and after
+	// a second probation one call of any kind.
 	Probation time.Duration
 	// LeftFor is how long a target's own word that it is leaving stands against the list.
 	LeftFor time.Duration
--- a/pkg/target/target.go
+++ b/pkg/target/target.go
@@ -67,9 +67,18 @@
 // Slow returns the measured over the predicted duration of calls.
 func (t *Target) Slow() float64 { return t.slow }
 
-// OnTrial reports whether the target died and has not shown since that it works. It gets only repeatable calls.
+// OnTrial reports whether the target died and has not shown since that it works.
 func (t *Target) OnTrial() bool { return !t.failed.IsZero() }
 
+// trialOfAnyCall is after how many probations a target on trial gets any call. Without it, a pool that gets no
+// repeatable calls and reports no load would never use a target again that died once.
+const trialOfAnyCall = 2
+
+// RepeatableOnly reports whether the target may get only repeatable calls, because it is on trial.
+func (t *Target) RepeatableOnly(now time.Time) bool {
+	return t.OnTrial() && now.Sub(t.failed) < trialOfAnyCall*t.opt.Probation
+}
+
 // Usable reports whether the target may get new calls at all.
 func (t *Target) Usable(now time.Time) bool {
 	if !t.listed || t.state != Live {
