--- a/scenario/cluster/cluster.go
+++ b/scenario/cluster/cluster.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -32,9 +33,11 @@
 	Name string
 	// Address is where it serves HTTP.
 	Address string
-	cmd     *exec.Cmd
-	exited  chan struct{}
-	err     error
+	// Admin is a daemon's address for operators, and Peers that for other daemons.
+	Admin, Peers string
+	cmd          *exec.Cmd
+	exited       chan struct{}
+	err          error
 }
 
 // Cluster is a set of processes with their files.
@@ -48,12 +51,11 @@
 	caFile    string
 	mu        sync.Mutex
 	procs     map[string]*Process
-	ports     int
 }
 
 // New returns a cluster without processes. The returned cleanup ends all its processes.
 func New(dir, bin string) (c *Cluster, cleanup func(), err error) {
-	c = &Cluster{Dir: dir, Bin: bin, procs: map[string]*Process{}, ports: firstPort + rand.IntN(portRange)}
+	c = &Cluster{Dir: dir, Bin: bin, procs: map[string]*Process{}}
 	if c.authority, err = peer.NewAuthority(time.Now(), certValidity); err != nil {
 		return nil, nil, err
 	}
@@ -81,13 +83,20 @@
 	portRange = 8000
 )
 
+// ports is shared by all clusters of this process, which may look for a port at the same time. The first is drawn at
+// random, because other processes on the machine may do the same.
+var ports = struct {
+	sync.Mutex
+	last int
+}{last: firstPort + rand.IntN(portRange)}
+
 // FreeAddress returns a loopback address that nothing listens on.
 func (c *Cluster) FreeAddress() (address string, err error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	ports.Lock()
+	defer ports.Unlock()
 	for range portRange {
-		c.ports = firstPort + (c.ports+1-firstPort)%portRange
-		address = fmt.Sprintf("127.0.0.1:%d", c.ports)
+		ports.last = firstPort + (ports.last+1-firstPort)%portRange
+		address = fmt.Sprintf("127.0.0.1:%d", ports.last)
 		l, err := net.Listen("tcp", address)
 		if err == nil {
 			return address, l.Close()
@@ -246,6 +255,8 @@
 	Zone ids.Zone
 	// Settings are further lines by section, such as "ownership": "lease = 2s".
 	Settings map[string]string
+	// Log and List are addresses to use in place of those of the processes.
+	Log, List string
 }
 
 // Daemon writes the settings of a daemon, starts it and registers it with the instance list.
@@ -267,8 +278,8 @@
 	sections := []struct{ name, lines string }{
 		{"instance", fmt.Sprintf("id = %s\nzone = %s\nlisten = %s\nadmin = %s", o.ID, o.Zone, listen, admin)},
 		{"peer", fmt.Sprintf("listen = %s\nadvertise = %s\ncaFile = %s\ncertFile = %s\nkeyFile = %s", peers, peers, c.caFile, cert, key)},
-		{"log", "address = " + logService.Address + "\ntimeout = 1s"},
-		{"list", "address = " + list.Address + "\ninterval = 200ms"},
+		{"log", "address = " + cmp.Or(o.Log, logService.Address) + "\ntimeout = 1s"},
+		{"list", "address = " + cmp.Or(o.List, list.Address) + "\ninterval = 200ms"},
 		{"ownership", ""},
 		{"rate", ""},
 		{"dispatch", ""},
@@ -287,6 +298,7 @@
 	if p, err = c.start(string(o.ID), listen, filepath.Join(c.Bin, "comfreylink"), []string{"serve", "--settings", file}); err != nil {
 		return nil, err
 	}
+	p.Admin, p.Peers = admin, peers
 	return p, c.Register(Instance{ID: string(o.ID), Kind: "daemon", Zone: o.Zone, Address: peers, State: "live"})
 }
 
--- a/scenario/cluster/platform.go
+++ b/scenario/cluster/platform.go
@@ -60,6 +60,11 @@
 	return c.send(http.MethodGet, name, path, nil, into)
 }
 
+// Post sends a body to a process.
+func (c *Cluster) Post(name, path string, body []byte) error {
+	return c.send(http.MethodPost, name, path, body, nil)
+}
+
 func (c *Cluster) send(method, name, path string, body []byte, into any) (err error) {
 	p := c.Process(name)
 	if p == nil {
