--- a/internal/daemon/adapters.go
+++ b/internal/daemon/adapters.go
@@ -13,9 +13,9 @@
 	"github.com/comfreylink/comfreylink/internal/engine"
 	"github.com/comfreylink/comfreylink/internal/events"
 	"github.com/comfreylink/comfreylink/internal/logservice"
-	"github.com/comfreylink/comfreylink/internal/owner"
 	"github.com/comfreylink/comfreylink/internal/peer"
 	"github.com/comfreylink/comfreylink/internal/service"
+	"github.com/comfreylink/comfreylink/internal/targets"
 	"github.com/comfreylink/comfreylink/pkg/dispatch"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 	"github.com/comfreylink/comfreylink/pkg/record"
@@ -55,10 +55,10 @@
 	o.d.logger.Debug("a peer did not take a request", zap.String("writer", string(w)))
 }
 
-// leaseOf defers to the fleet, which is made after the owner.
+// leaseOf defers to the fleet, which is made after the slots.
 type leaseOf struct{ d *Daemon }
 
-// LeaseValid implements owner.Lease.
+// LeaseValid implements slots.Lease.
 func (l leaseOf) LeaseValid(now time.Time) bool { return l.d.fleet.LeaseValid(now) }
 
 // measuredLog records the time of appends, and tells the pace what the service answered.
@@ -82,10 +82,10 @@
 	return o, err
 }
 
-// targets implements owner.Targets.
-type targets struct{ d *Daemon }
+// access implements targets.Targets.
+type access struct{ d *Daemon }
 
-func (t targets) Place(ctx context.Context, pool ids.PoolID, it dispatch.Item) (owner.Placement, *peer.Refusal) {
+func (t access) Place(ctx context.Context, pool ids.PoolID, it dispatch.Item) (targets.Placement, *peer.Refusal) {
 	it.Zone = t.d.settings.Instance.Zone
 	began := time.Now()
 	p, r := t.d.dispatcher.Place(ctx, pool, it)
@@ -93,13 +93,13 @@
 	return p, r
 }
 
-func (t targets) Request() { t.d.retries.request() }
+func (t access) Request() { t.d.retries.request() }
 
-func (t targets) Done(p owner.Placement, o dispatch.Outcome, u record.Usage) {
+func (t access) Done(p targets.Placement, o dispatch.Outcome, u record.Usage) {
 	t.d.dispatcher.Done(p, o, u)
 }
 
-func (t targets) Acquire(ctx context.Context, ws ids.WorkspaceID) (owner.Grant, *peer.Refusal) {
+func (t access) Acquire(ctx context.Context, ws ids.WorkspaceID) (targets.Grant, *peer.Refusal) {
 	g, r := t.d.limiter.Acquire(ctx, ws)
 	if r != nil {
 		return nil, r
@@ -107,34 +107,34 @@
 	return g, nil
 }
 
-func (t targets) Died(ws ids.WorkspaceID, f ids.Fingerprint, target ids.TargetID) {
+func (t access) Died(ws ids.WorkspaceID, f ids.Fingerprint, target ids.TargetID) {
 	events.Log(t.d.logger, events.RequestSuspected, zap.String("workspace", string(ws)), zap.String("target", string(target)))
 	_ = t.d.fleetLog.Submit(&record.SuspectRequest{Workspace: ws, Fingerprint: f, Target: target})
 }
 
-func (t targets) Survived(ws ids.WorkspaceID, f ids.Fingerprint) {
+func (t access) Survived(ws ids.WorkspaceID, f ids.Fingerprint) {
 	if t.d.fleet.Suspected(ws, f) {
 		_ = t.d.fleetLog.Submit(&record.ClearRequest{Workspace: ws, Fingerprint: f})
 	}
 }
 
-func (t targets) Quarantined(ws ids.WorkspaceID, f ids.Fingerprint) bool {
+func (t access) Quarantined(ws ids.WorkspaceID, f ids.Fingerprint) bool {
 	return t.d.fleet.Quarantined(ws, f)
 }
 
-func (t targets) RetryAt(now time.Time, f retry.Failure) (at time.Time, why retry.Reason) {
+func (t access) RetryAt(now time.Time, f retry.Failure) (at time.Time, why retry.Reason) {
 	return t.d.retries.decide(now, f)
 }
 
-func (t targets) Chat(ctx context.Context, address string, r engine.Request, chunk func(engine.Chunk) error) (engine.Answer, error) {
+func (t access) Chat(ctx context.Context, address string, r engine.Request, chunk func(engine.Chunk) error) (engine.Answer, error) {
 	return t.d.engines.Chat(ctx, address, r, chunk)
 }
 
-func (t targets) Resume(ctx context.Context, address, id string, partial engine.Answer, chunk func(engine.Chunk) error) (engine.Answer, error) {
+func (t access) Resume(ctx context.Context, address, id string, partial engine.Answer, chunk func(engine.Chunk) error) (engine.Answer, error) {
 	return t.d.engines.Resume(ctx, address, id, partial, chunk)
 }
 
-func (t targets) Service(ctx context.Context, address string, r service.Request) (service.Answer, error) {
+func (t access) Service(ctx context.Context, address string, r service.Request) (service.Answer, error) {
 	return t.d.services.Do(ctx, address, r)
 }
 
@@ -189,7 +189,7 @@
 	case peer.MethodDone:
 		return answer(params, func(e peer.Done) any { h.d.dispatcher.End(e); return nil })
 	case peer.MethodLives:
-		return answer(params, func(l peer.Lives) any { return h.d.owner.Lives(l) })
+		return answer(params, func(l peer.Lives) any { return h.d.slots.Lives(l) })
 	case peer.MethodPing:
 		return answer(params, func(p peer.Pong) any { h.d.members.Heard(now, from, p); return h.d.describe(now) })
 	default:
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -53,7 +53,7 @@
 		{Name: "calls", Status: func() any { return callStatus{d.chat.Active(), d.server.Calls(), d.stopping.Load()} }},
 		{Name: "fleet", Status: func() any { return d.fleet.Status(time.Now()) }},
 		{Name: "members", Status: func() any { return d.members.Reports(time.Now()) }},
-		{Name: "slots", Status: func() any { return d.owner.Status() }},
+		{Name: "slots", Status: func() any { return d.slots.Status() }},
 		{Name: "limiter", Status: func() any { return d.limiter.Status() }},
 		{Name: "pools", Status: func() any { return d.dispatcher.Status(time.Now()) }},
 		{Name: "configStream", Status: func() any { return d.config.Status() }},
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -29,6 +29,8 @@
 	"github.com/comfreylink/comfreylink/internal/peer"
 	"github.com/comfreylink/comfreylink/internal/service"
 	"github.com/comfreylink/comfreylink/internal/settings"
+	"github.com/comfreylink/comfreylink/internal/slots"
+	"github.com/comfreylink/comfreylink/internal/targets"
 	"github.com/comfreylink/comfreylink/pkg/config"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 	"github.com/comfreylink/comfreylink/pkg/pace"
@@ -50,6 +52,7 @@
 	table      *slot.Table
 	members    *members.Members
 	fleet      *fleet.Fleet
+	slots      *slots.Slots
 	owner      *owner.Owner
 	limiter    *limiter.Limiter
 	dispatcher *dispatcher.Dispatcher
@@ -200,17 +203,21 @@
 		Logger:     d.logger,
 	})
 	var cleanup func()
-	d.owner, cleanup = owner.New(owner.Config{
+	d.slots, cleanup = slots.New(slots.Config{
 		Self:         d.self,
-		Instance:     d.settings.Instance.ID,
 		KeyRetention: d.settings.Ownership.KeyRetention,
 		Streams:      d,
 		Lease:        leaseOf{d},
-		Catalog:      d.catalog,
-		Targets:      targets{d},
 		Logger:       d.logger,
 	})
 	d.onClose(cleanup)
+	d.owner = owner.New(owner.Config{
+		Self:     d.self,
+		Instance: d.settings.Instance.ID,
+		Slots:    d.slots,
+		Lease:    leaseOf{d},
+		Targets:  targets.Access{Targets: access{d}, Catalog: d.catalog},
+	})
 	d.fleet = fleet.New(fleet.Config{
 		Self:         d.self,
 		Journal:      d.fleetLog,
@@ -218,7 +225,7 @@
 		Lease:        d.settings.Ownership.Lease,
 		SuspectAfter: d.settings.Ownership.SuspectAfter,
 		Members:      d.members,
-		Slots:        d.owner,
+		Slots:        d.slots,
 		Logger:       d.logger,
 	})
 	d.limiter = limiter.New(limiter.Config{
--- a/internal/daemon/programs.go
+++ b/internal/daemon/programs.go
@@ -46,7 +46,7 @@
 func (p programs) ask(ctx context.Context, ask peer.Lives) (a peer.Lived) {
 	w, _, _ := p.d.fleet.Owner(ask.Slot)
 	if w == p.d.self {
-		return p.d.owner.Lives(ask)
+		return p.d.slots.Lives(ask)
 	}
 	address, ok := p.d.members.Address(w)
 	if w == "" || !ok {
--- a/internal/daemon/tasks.go
+++ b/internal/daemon/tasks.go
@@ -36,7 +36,7 @@
 			if idle == 0 {
 				continue
 			}
-			if n := d.owner.EndIdle(ctx, now, idle); n > 0 {
+			if n := d.slots.EndIdle(ctx, now, idle); n > 0 {
 				events.Log(d.logger, events.ProgramEndedIdle, zap.Int("programs", n))
 			}
 		}
@@ -80,7 +80,7 @@
 			return nil
 		case <-ticker.C:
 		}
-		d.owner.WriteSnapshots(ctx)
+		d.slots.WriteSnapshots(ctx)
 		if w, _, _ := d.fleet.Owner(0); w == d.self {
 			for _, j := range []interface{ WriteSnapshot(context.Context) error }{d.config, d.fleetLog} {
 				if err := j.WriteSnapshot(ctx); err != nil {
--- a/internal/dispatcher/cache.go
+++ b/internal/dispatcher/cache.go
@@ -8,7 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/comfreylink/comfreylink/internal/engine"
-	"github.com/comfreylink/comfreylink/internal/owner"
+	"github.com/comfreylink/comfreylink/internal/targets"
 	"github.com/comfreylink/comfreylink/pkg/dispatch"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 	"github.com/comfreylink/comfreylink/pkg/prefix"
@@ -107,7 +107,7 @@
 		if e.Tokens == 0 {
 			change = dispatch.CacheEvicted
 		}
-		p.cacheEvent(now, dispatch.CacheEvent{Target: target, Change: change, Prefix: owner.PrefixOf(e.Workspace, e.Program), Tokens: e.Tokens})
+		p.cacheEvent(now, dispatch.CacheEvent{Target: target, Change: change, Prefix: targets.PrefixOf(e.Workspace, e.Program), Tokens: e.Tokens})
 	}
 	p.caches.mu.Lock()
 	p.caches.next[target] = page.Next
@@ -127,7 +127,7 @@
 		if e.Program == "" {
 			continue
 		}
-		key := owner.PrefixOf(e.Workspace, e.Program)
+		key := targets.PrefixOf(e.Workspace, e.Program)
 		entries[key] = e.ID
 		cached = append(cached, key)
 		programs = append(programs, ProgramID{e.Workspace, e.Program})
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -11,8 +11,8 @@
 	"go.uber.org/zap"
 
 	"github.com/comfreylink/comfreylink/internal/instancelist"
-	"github.com/comfreylink/comfreylink/internal/owner"
 	"github.com/comfreylink/comfreylink/internal/peer"
+	"github.com/comfreylink/comfreylink/internal/targets"
 	"github.com/comfreylink/comfreylink/pkg/dispatch"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 	"github.com/comfreylink/comfreylink/pkg/record"
@@ -75,7 +75,7 @@
 
 // Place waits for a target of a pool until ctx ends. It asks the live instance with the highest rendezvous score, and
 // the next one if that does not answer.
-func (d *Dispatcher) Place(ctx context.Context, id ids.PoolID, it dispatch.Item) (p owner.Placement, r *peer.Refusal) {
+func (d *Dispatcher) Place(ctx context.Context, id ids.PoolID, it dispatch.Item) (p targets.Placement, r *peer.Refusal) {
 	var failed []ids.InstanceID
 	for {
 		at := d.dispatcherOf(id, failed)
@@ -84,7 +84,7 @@
 			return p, placed.Refusal
 		}
 		if ok {
-			return owner.Placement{Target: placed.Target, Address: placed.Address, Pool: id, Ticket: placed.Ticket, Dispatcher: at}, nil
+			return targets.Placement{Target: placed.Target, Address: placed.Address, Pool: id, Ticket: placed.Ticket, Dispatcher: at}, nil
 		}
 		if at == d.Self {
 			failed = nil
@@ -167,7 +167,7 @@
 }
 
 // Done ends a placement.
-func (d *Dispatcher) Done(p owner.Placement, o dispatch.Outcome, u record.Usage) {
+func (d *Dispatcher) Done(p targets.Placement, o dispatch.Outcome, u record.Usage) {
 	body := peer.Done{Pool: p.Pool, Ticket: p.Ticket, Outcome: o, Usage: u}
 	if p.Dispatcher == d.Self {
 		d.End(body)
--- a/internal/owner/fifo.go
+++ b/internal/fifo/fifo.go
@@ -1,12 +1,13 @@
-package owner
+// Package fifo admits one holder for each name at a time, in the order of arrival.
+package fifo
 
 import (
 	"context"
 	"sync"
 )
 
-// fifo admits one holder for each name at a time, in the order of arrival.
-type fifo struct {
+// FIFO keeps a line for each name that has a holder.
+type FIFO struct {
 	mu    sync.Mutex
 	lines map[string]*line
 }
@@ -15,10 +16,11 @@
 	waiting []chan struct{}
 }
 
-func newFIFO() *fifo { return &fifo{lines: map[string]*line{}} }
+// New returns a FIFO without holders.
+func New() *FIFO { return &FIFO{lines: map[string]*line{}} }
 
-// acquire waits until all earlier arrivals for the name have released it. It returns the release function.
-func (f *fifo) acquire(ctx context.Context, name string) (release func(), err error) {
+// Acquire waits until all earlier arrivals for the name have released it. It returns the release function.
+func (f *FIFO) Acquire(ctx context.Context, name string) (release func(), err error) {
 	f.mu.Lock()
 	l := f.lines[name]
 	if l == nil {
@@ -38,13 +40,13 @@
 	}
 }
 
-func (f *fifo) release(name string) {
+func (f *FIFO) release(name string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.pass(name)
 }
 
-func (f *fifo) pass(name string) {
+func (f *FIFO) pass(name string) {
 	l := f.lines[name]
 	if len(l.waiting) == 0 {
 		delete(f.lines, name)
@@ -56,7 +58,7 @@
 }
 
 // abandon leaves the line; if the turn was given at the same moment, it is passed on.
-func (f *fifo) abandon(name string, turn chan struct{}) {
+func (f *FIFO) abandon(name string, turn chan struct{}) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	l := f.lines[name]
@@ -69,8 +71,8 @@
 	f.pass(name)
 }
 
-// busy reports whether the name has a holder.
-func (f *fifo) busy(name string) bool {
+// Busy reports whether the name has a holder.
+func (f *FIFO) Busy(name string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.lines[name] != nil
--- a/internal/owner/chat.go
+++ b/internal/owner/chat.go
@@ -9,6 +9,8 @@
 
 	"github.com/comfreylink/comfreylink/internal/engine"
 	"github.com/comfreylink/comfreylink/internal/peer"
+	"github.com/comfreylink/comfreylink/internal/slots"
+	"github.com/comfreylink/comfreylink/internal/targets"
 	"github.com/comfreylink/comfreylink/pkg/config"
 	"github.com/comfreylink/comfreylink/pkg/dispatch"
 	"github.com/comfreylink/comfreylink/pkg/ids"
@@ -30,16 +32,16 @@
 }
 
 // chat runs a model call of a program: one at a time for each program, in the order of arrival.
-func (o *Owner) chat(ctx context.Context, r *slotRun, c peer.Call, out *emitter) peer.Result {
-	release, err := r.lines.acquire(ctx, programLine(c))
+func (o *Owner) chat(ctx context.Context, r *slots.Run, c peer.Call, out *emitter) peer.Result {
+	release, err := r.Lines.Acquire(ctx, lineOf(c))
 	if err != nil {
-		return r.ended(ctx, c, peer.NotRun)
+		return ended(r, ctx, c, peer.NotRun)
 	}
 	defer release()
-	if answer, done := r.admitChat(c); done {
+	if answer, done := admitChat(r, c); done {
 		return answer
 	}
-	if !r.awaitLog(ctx) {
+	if !r.AwaitLog(ctx) {
 		return retryLater(refused(c, peer.CodeLogUnavailable, peer.NotRun, "the log is unavailable, so the turn could not be kept"), time.Second)
 	}
 	run, refusal := o.prepareChat(r, c)
@@ -57,76 +59,83 @@
 	}
 }
 
-func programLine(c peer.Call) string {
-	return "program\x00" + string(c.Workspace) + "\x00" + string(c.Program)
+// lineOf names the line in which the calls of a program wait for each other.
+func lineOf(c peer.Call) string { return programOf(c).Line() }
+
+func programOf(c peer.Call) slots.Program {
+	return slots.Program{Workspace: c.Workspace, ID: c.Program}
+}
+
+func rootOf(c peer.Call) slots.Program {
+	return slots.Program{Workspace: c.Workspace, ID: c.Program.Root()}
 }
 
 // attempt drives the procedure of one turn at one target. It reports retry if the call may go to another target.
-func (o *Owner) attempt(ctx context.Context, r *slotRun, run *chatRun, item dispatch.Item, attempt int, out *emitter) (result peer.Result, retry bool) {
+func (o *Owner) attempt(ctx context.Context, r *slots.Run, run *chatRun, item dispatch.Item, attempt int, out *emitter) (result peer.Result, retry bool) {
 	c := run.call
 	t, result, ok := o.reserve(ctx, r, run)
 	if !ok {
 		return result, false
 	}
-	s, refusal := o.prepare(ctx, c, run.route.Model.Pool, item, nil)
-	if refusal == nil && r.ctx.Err() != nil {
-		s.grant.Unused()
-		o.Targets.Done(s.place, dispatch.Unsent, record.Usage{})
+	s, refusal := o.Targets.Prepare(ctx, c, run.route.Model.Pool, item, nil)
+	if refusal == nil && r.Lost() {
+		s.Grant.Unused()
+		o.Targets.Done(s.Place, dispatch.Unsent, record.Usage{})
 		refusal = &peer.Refusal{Code: peer.CodeOwnerUnavailable, Run: peer.NotRun, Message: "the slot has another owner"}
 	}
-	r.mu.Lock()
-	if refusal != nil {
-		t.Checked(refusal)
-	} else {
-		t.Checked(nil)
-	}
-	r.mu.Unlock()
+	r.Locked(func() {
+		if refusal != nil {
+			t.Checked(refusal)
+		} else {
+			t.Checked(nil)
+		}
+	})
 	if refusal != nil {
-		return r.refusedBeforeSend(c, refusal), false
+		return refusedBeforeSend(r, c, refusal), false
 	}
-	result.Trace.Target = s.place.Target
+	result.Trace.Target = s.Place.Target
 	a, err := o.sendChat(ctx, s, run, attempt, out)
 	o.endPlacement(c, s, a.Usage, err)
 	if err != nil {
-		r.mu.Lock()
-		t.Failed(mayHaveReached(err), err)
-		r.mu.Unlock()
+		r.Locked(func() {
+			t.Failed(targets.MayHaveReached(err), err)
+		})
 		result.Refusal = o.chatFailed(ctx, c, err, attempt, out)
 		if result.Refusal != nil {
 			result.Refusal.RequestKey = c.RequestKey
 		}
 		return result, result.Refusal == nil
 	}
-	return o.commitTurn(ctx, r, run, t, a, s.place.Target), false
+	return o.commitTurn(ctx, r, run, t, a, s.Place.Target), false
 }
 
 // refusedBeforeSend answers a call that was not sent. If the slot was lost, another owner answers.
-func (r *slotRun) refusedBeforeSend(c peer.Call, refusal *peer.Refusal) peer.Result {
-	if r.ctx.Err() != nil {
-		return peer.Result{Redirect: &peer.Redirect{Epoch: r.epoch}}
+func refusedBeforeSend(r *slots.Run, c peer.Call, refusal *peer.Refusal) peer.Result {
+	if r.Lost() {
+		return peer.Result{Redirect: &peer.Redirect{Epoch: r.Epoch}}
 	}
 	refusal.RequestKey = c.RequestKey
 	return peer.Result{Refusal: refusal}
 }
 
 // endPlacement tells the dispatcher and the quarantine how a model call ended.
-func (o *Owner) endPlacement(c peer.Call, s sending, u record.Usage, err error) {
+func (o *Owner) endPlacement(c peer.Call, s targets.Sending, u record.Usage, err error) {
 	if err == nil {
-		o.Targets.Done(s.place, dispatch.Completed, u)
+		o.Targets.Done(s.Place, dispatch.Completed, u)
 		o.Targets.Survived(c.Workspace, c.Fingerprint)
 		return
 	}
-	o.Targets.Done(s.place, outcomeOf(err), record.Usage{})
-	if brokeOff(err) {
-		o.Targets.Died(c.Workspace, c.Fingerprint, s.place.Target)
+	o.Targets.Done(s.Place, targets.OutcomeOf(err, time.Since(s.Ready)), record.Usage{})
+	if targets.BrokeOff(err) {
+		o.Targets.Died(c.Workspace, c.Fingerprint, s.Place.Target)
 	}
 }
 
 // admitChat answers a repeated call from the stored turn.
-func (r *slotRun) admitChat(c peer.Call) (result peer.Result, done bool) {
+func admitChat(r *slots.Run, c peer.Call) (result peer.Result, done bool) {
 	var d program.Decision
-	r.journal.View(func() {
-		d = r.fold.Admit(program.Request{Workspace: c.Workspace, Key: c.RequestKey, Fingerprint: c.Fingerprint, Epoch: r.epoch})
+	r.View(func(s *program.Slot) {
+		d = s.Admit(program.Request{Workspace: c.Workspace, Key: c.RequestKey, Fingerprint: c.Fingerprint, Epoch: r.Epoch})
 	})
 	switch d.Action {
 	case program.ActionRun:
@@ -140,38 +149,35 @@
 	case program.ActionKeyReused:
 		return refused(c, peer.CodeKeyReused, peer.NotRun, "the key belongs to a request with another content"), true
 	case program.ActionNotOwner:
-		return peer.Result{Redirect: &peer.Redirect{Epoch: r.epoch}}, true
+		return peer.Result{Redirect: &peer.Redirect{Epoch: r.Epoch}}, true
 	default:
 		return refused(c, peer.CodeUndecided, peer.Unknown, "an earlier request with this key may have run"), true
 	}
 }
 
 // prepareChat collects the history and the limits of a call.
-func (o *Owner) prepareChat(r *slotRun, c peer.Call) (run *chatRun, refusal *peer.Refusal) {
+func (o *Owner) prepareChat(r *slots.Run, c peer.Call) (run *chatRun, refusal *peer.Refusal) {
 	run, refusal = o.routeChat(c)
 	if refusal != nil {
 		return nil, refusal
 	}
 	var state program.ProgramState
-	r.journal.View(func() { state, _ = r.fold.Program(c.Workspace, c.Program) })
+	r.View(func(s *program.Slot) { state, _ = s.Program(c.Workspace, c.Program) })
 	if most := run.route.Program.MaxTurns; most > 0 && state.Turns >= most {
 		return nil, &peer.Refusal{Code: peer.CodeTurnLimit, Run: peer.NotRun, Message: fmt.Sprintf("the program has had its %d turns", most), RequestKey: c.RequestKey}
 	}
 	run.turns = state.Turns
 	run.messages = append(state.Messages[:len(state.Messages):len(state.Messages)], c.Chat.Messages...)
-	r.mu.Lock()
-	counted := r.tokens[programKey{c.Workspace, c.Program}]
-	r.mu.Unlock()
-	if counted.messages != len(state.Messages) {
-		counted = knownTokens{}
-	}
-	run.known = counted.tokens
-	run.prompt = counted.tokens + bound(run.messages[counted.messages:])
+	counted := 0
+	if run.known = r.CountedTokens(programOf(c), len(state.Messages)); run.known > 0 {
+		counted = len(state.Messages)
+	}
+	run.prompt = run.known + bound(run.messages[counted:])
 	return run, nil
 }
 
 func (o *Owner) routeChat(c peer.Call) (run *chatRun, refusal *peer.Refusal) {
-	view := o.Catalog.Current()
+	view := o.Targets.Catalog.Current()
 	route, ok := view.Model(c.Workspace, c.Chat.Model)
 	if !ok {
 		return nil, &peer.Refusal{Code: peer.CodeUnknownModel, Run: peer.NotRun, Message: fmt.Sprintf("the workspace has no model %q", c.Chat.Model), RequestKey: c.RequestKey}
@@ -201,10 +207,10 @@
 
 // reserve starts the procedure of a turn and brings it to its check: the tokens that it may use are held, within an
 // accepted reservation.
-func (o *Owner) reserve(ctx context.Context, r *slotRun, run *chatRun) (t *turn.Call, result peer.Result, ok bool) {
+func (o *Owner) reserve(ctx context.Context, r *slots.Run, run *chatRun) (t *turn.Call, result peer.Result, ok bool) {
 	c := run.call
 	record := record.Turn{
-		Epoch:       r.epoch,
+		Epoch:       r.Epoch,
 		Workspace:   c.Workspace,
 		Program:     c.Program,
 		Index:       run.turns,
@@ -213,16 +219,16 @@
 		UnixMilli:   time.Now().UnixMilli(),
 	}
 	for {
-		r.mu.Lock()
-		t = turn.New(record, run.prompt+run.max, reserveChunk, r.ledger(programKey{c.Workspace, c.Program.Root()}, run.limits.Budget))
-		r.mu.Unlock()
+		r.WithLedger(rootOf(c), run.limits.Budget, func(l *turn.Ledger) {
+			t = turn.New(record, run.prompt+run.max, reserveChunk, l)
+		})
 		for t.Step() == program.StepReserve {
-			verdict, err := r.append(ctx, t.Reserve())
-			r.mu.Lock()
-			t.ReserveDone(verdict, err)
-			r.mu.Unlock()
+			verdict, err := r.Append(ctx, t.Reserve())
+			r.Locked(func() {
+				t.ReserveDone(verdict, err)
+			})
 			if verdict != nil || err != nil {
-				return t, r.notAppended(c, peer.NotRun, verdict, err), false
+				return t, notAppended(r, c, peer.NotRun, verdict, err), false
 			}
 		}
 		switch {
@@ -234,24 +240,11 @@
 		select {
 		case <-time.After(holdPause):
 		case <-ctx.Done():
-			return t, r.ended(ctx, c, peer.NotRun), false
+			return t, ended(r, ctx, c, peer.NotRun), false
 		}
 	}
 }
 
-// ledger returns the account of a root program. The caller holds r.mu.
-func (r *slotRun) ledger(root programKey, budget ids.Tokens) *turn.Ledger {
-	l, ok := r.ledgers[root]
-	if !ok {
-		var spending program.Spending
-		r.journal.View(func() { spending = r.fold.Budget(root.workspace, root.program) })
-		l = turn.NewLedger(budget, spending)
-		r.ledgers[root] = l
-	}
-	l.SetBudget(budget)
-	return l
-}
-
 // item describes a call to the dispatcher.
 func (run *chatRun) item() dispatch.Item {
 	c := run.call
@@ -266,7 +259,7 @@
 		Fingerprint:  c.Fingerprint,
 	}
 	if c.Program != "" {
-		item.Prefix = PrefixOf(c.Workspace, c.Program)
+		item.Prefix = targets.PrefixOf(c.Workspace, c.Program)
 	}
 	if run.known > 0 {
 		item.Prompt = run.known + (run.prompt-run.known)/bytesPerToken
@@ -279,11 +272,11 @@
 	item := run.item()
 	o.Targets.Request()
 	for attempt := 1; ; attempt++ {
-		s, r := o.prepare(ctx, run.call, run.route.Model.Pool, item, nil)
+		s, r := o.Targets.Prepare(ctx, run.call, run.route.Model.Pool, item, nil)
 		if r != nil {
 			return a, target, r
 		}
-		target = s.place.Target
+		target = s.Place.Target
 		a, err := o.sendChat(ctx, s, run, attempt, out)
 		o.endPlacement(run.call, s, a.Usage, err)
 		if err == nil {
@@ -300,10 +293,10 @@
 const bytesPerToken = 4
 
 // sendChat makes one attempt, and resumes the stream once if it broke.
-func (o *Owner) sendChat(ctx context.Context, s sending, run *chatRun, attempt int, out *emitter) (a engine.Answer, err error) {
+func (o *Owner) sendChat(ctx context.Context, s targets.Sending, run *chatRun, attempt int, out *emitter) (a engine.Answer, err error) {
 	c := run.call
 	req := engine.Request{
-		ID:        fmt.Sprintf("%s.%s.%d.%d", o.Self, c.RequestKey, o.nextAttempt(), attempt),
+		ID:        fmt.Sprintf("%s.%s.%d.%d", o.Self, c.RequestKey, o.attempts.Add(1), attempt),
 		Model:     c.Chat.Model,
 		Messages:  run.messages,
 		MaxTokens: run.max,
@@ -315,10 +308,10 @@
 		out.add(deltaText(ch.Delta))
 		return nil
 	}
-	s.grant.Used()
-	a, err = o.Targets.Chat(ctx, s.place.Address, req, emit)
-	if err != nil && brokeOff(err) && ctx.Err() == nil {
-		a, err = o.Targets.Resume(ctx, s.place.Address, req.ID, a, emit)
+	s.Grant.Used()
+	a, err = o.Targets.Chat(ctx, s.Place.Address, req, emit)
+	if err != nil && targets.BrokeOff(err) && ctx.Err() == nil {
+		a, err = o.Targets.Resume(ctx, s.Place.Address, req.ID, a, emit)
 	}
 	return a, err
 }
@@ -336,17 +329,17 @@
 // chatFailed returns the refusal after a failed attempt, or nil if the call may be sent to another target.
 func (o *Owner) chatFailed(ctx context.Context, c peer.Call, err error, attempt int, out *emitter) *peer.Refusal {
 	run := peer.Ran
-	if !mayHaveReached(err) {
+	if !targets.MayHaveReached(err) {
 		run = peer.NotRun
 	}
 	switch {
 	case ctx.Err() != nil:
 		return &peer.Refusal{Code: peer.CodeDeadline, Run: run, Message: "the deadline passed while a target ran the call"}
-	case badStatus(err) >= 400 && badStatus(err) < 500:
+	case targets.BadStatus(err) >= 400 && targets.BadStatus(err) < 500:
 		return &peer.Refusal{Code: peer.CodeBadRequest, Run: peer.NotRun, Message: "the target refused the request: " + root(err)}
 	case out.started():
 		return &peer.Refusal{Code: peer.CodeTargetFailed, Run: run, Message: "the target failed in mid-answer: " + root(err)}
-	case !o.mayRetry(ctx, c, err, attempt):
+	case !o.Targets.MayRetry(ctx, c, err, attempt):
 		return &peer.Refusal{Code: peer.CodeTargetFailed, Run: run, Message: "targets failed: " + root(err), RetryAfterMillis: 1000}
 	}
 	return nil
@@ -359,53 +352,3 @@
 	}
 	return err.Error()
 }
-
-// maxStoredAnswer keeps a turn's record, which holds the answer as message and as response, below the limit of an entry.
-const maxStoredAnswer = 384 << 10
-
-// commitTurn makes the turn durable; only then is the call complete.
-func (o *Owner) commitTurn(ctx context.Context, r *slotRun, run *chatRun, t *turn.Call, a engine.Answer, target ids.TargetID) (result peer.Result) {
-	defer func() { result.Trace.Target = target }()
-	c := run.call
-	answer := &peer.ChatResult{Content: contentText(a.Message), Finish: a.FinishReason, Usage: a.Usage, Message: a.Message}
-	response, err := json.Marshal(answer)
-	if err != nil {
-		return refused(c, peer.CodeTargetFailed, peer.Ran, "the target's answer cannot be encoded")
-	}
-	if len(response) > maxStoredAnswer {
-		return refused(c, peer.CodeAnswerTooLarge, peer.Ran, "the target's answer is too large to be kept")
-	}
-	r.mu.Lock()
-	t.Answered(append(c.Chat.Messages[:len(c.Chat.Messages):len(c.Chat.Messages)], a.Message), a.Usage, response)
-	r.mu.Unlock()
-	verdict, err := r.append(ctx, t.Turn())
-	t.TurnDone(verdict, err)
-	if err != nil || verdict != nil {
-		return r.notDurable(ctx, c, verdict, err)
-	}
-	r.mu.Lock()
-	r.tokens[programKey{c.Workspace, c.Program}] = knownTokens{messages: len(run.messages) + 1, tokens: a.Usage.Total()}
-	r.mu.Unlock()
-	return peer.Result{Chat: answer, Trace: peer.Trace{Turn: run.turns + 1}}
-}
-
-// notDurable answers a call that ran and whose turn is not known to be in the log. A repetition with the key finds the
-// turn, or runs again.
-func (r *slotRun) notDurable(ctx context.Context, c peer.Call, verdict, err error) peer.Result {
-	if r.ctx.Err() != nil || verdict != nil {
-		return peer.Result{Redirect: &peer.Redirect{Epoch: r.epoch, MayHaveRun: true}}
-	}
-	result := refused(c, peer.CodeLogUnavailable, peer.Unknown, "the call ran, but the log did not confirm the turn; repeat the request with its key")
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		result.Refusal.Message += fmt.Sprintf(" (%v)", err)
-	}
-	return retryLater(result, time.Second)
-}
-
-func contentText(m record.Message) string {
-	var s string
-	if json.Unmarshal(m.Content, &s) != nil {
-		return ""
-	}
-	return s
-}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -4,118 +4,47 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
-	"go.uber.org/zap"
-
-	"github.com/comfreylink/comfreylink/internal/journal"
 	"github.com/comfreylink/comfreylink/internal/peer"
-	"github.com/comfreylink/comfreylink/pkg/config"
+	"github.com/comfreylink/comfreylink/internal/slots"
+	"github.com/comfreylink/comfreylink/internal/targets"
 	"github.com/comfreylink/comfreylink/pkg/ids"
-	"github.com/comfreylink/comfreylink/pkg/replay"
 )
 
-// Streams opens the journal of a slot's stream.
-type Streams interface {
-	Open(s ids.Slot, fold replay.Fold) (j *journal.Journal, cleanup func(), err error)
-}
-
-// Lease tells whether this instance may act as the owner of its slots.
-type Lease interface {
-	LeaseValid(now time.Time) bool
-}
-
-// Catalog is the configuration in force.
-type Catalog interface {
-	Current() *config.View
-}
-
 // Config configures an Owner.
 type Config struct {
-	Self         ids.WriterID
-	Instance     ids.InstanceID
-	KeyRetention time.Duration
-	Streams      Streams
-	Lease        Lease
-	Catalog      Catalog
-	Targets      Targets
-	Logger       *zap.Logger
+	Self     ids.WriterID
+	Instance ids.InstanceID
+	Slots    *slots.Slots
+	Lease    slots.Lease
+	Targets  targets.Access
 }
 
-// Owner holds the slots of this instance.
+// Owner runs calls.
 type Owner struct {
 	Config
-	mu       sync.Mutex
-	slots    map[ids.Slot]*slotRun
-	attempts int64
-	stopped  bool
-	running  sync.WaitGroup
-}
-
-// New returns an owner without slots. The returned cleanup gives up all slots without releasing them in the log, and
-// waits for their tasks.
-func New(c Config) (o *Owner, cleanup func()) {
-	o = &Owner{Config: c, slots: map[ids.Slot]*slotRun{}}
-	return o, o.close
-}
-
-func (o *Owner) close() {
-	o.mu.Lock()
-	o.stopped = true
-	for s, r := range o.slots {
-		r.cancel()
-		delete(o.slots, s)
-	}
-	o.mu.Unlock()
-	o.running.Wait()
-}
-
-// Update opens the slots that are new and drops those that are gone or have another epoch.
-func (o *Owner) Update(owned map[ids.Slot]ids.Epoch) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if o.stopped {
-		return
-	}
-	for s, r := range o.slots {
-		if owned[s] != r.epoch {
-			r.cancel()
-			delete(o.slots, s)
-		}
-	}
-	for s, e := range owned {
-		if o.slots[s] == nil {
-			o.slots[s] = o.startSlot(s, e)
-		}
-	}
+	attempts atomic.Int64
 }
 
-func (o *Owner) slot(s ids.Slot) *slotRun {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.slots[s]
-}
-
-func (o *Owner) nextAttempt() int64 {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.attempts++
-	return o.attempts
-}
+// New returns an owner of the calls of some slots.
+func New(c Config) *Owner { return &Owner{Config: c} }
 
 // Call runs a call as the owner of its slot. The result redirects if this instance does not own the slot or is handing
 // it over. The call goes on when ctx ends early, within its own deadline, so that a repeated request finds its answer.
 func (o *Owner) Call(ctx context.Context, s ids.Slot, c peer.Call, onDelta func(string)) peer.Result {
-	r := o.slot(s)
-	if r == nil || !r.enter() {
+	r := o.Slots.Slot(s)
+	if r == nil || !r.Enter() {
 		return peer.Result{Redirect: &peer.Redirect{}}
 	}
 	out := &emitter{forward: onDelta}
 	done := make(chan peer.Result, 1)
 	go func() {
-		defer r.leave()
-		work, cancel := context.WithTimeout(r.ctx, time.Duration(c.DeadlineMillis)*time.Millisecond)
+		defer r.Leave()
+		work, cancel := context.WithTimeout(r.Context(), time.Duration(c.DeadlineMillis)*time.Millisecond)
 		defer cancel()
 		result := o.run(work, r, c, out)
 		result.Trace.Owner = o.Instance
@@ -126,15 +55,15 @@
 		return result
 	case <-ctx.Done():
 		out.stop()
-		return peer.Result{Redirect: &peer.Redirect{Epoch: r.epoch, MayHaveRun: true}}
+		return peer.Result{Redirect: &peer.Redirect{Epoch: r.Epoch, MayHaveRun: true}}
 	}
 }
 
-func (o *Owner) run(ctx context.Context, r *slotRun, c peer.Call, out *emitter) peer.Result {
+func (o *Owner) run(ctx context.Context, r *slots.Run, c peer.Call, out *emitter) peer.Result {
 	select {
-	case <-r.ready:
+	case <-r.Ready():
 	case <-ctx.Done():
-		return r.ended(ctx, c, peer.NotRun)
+		return ended(r, ctx, c, peer.NotRun)
 	}
 	switch c.Kind {
 	case peer.KindChat:
@@ -185,3 +114,25 @@
 	r.Refusal.RetryAfterMillis = ids.Millis(after)
 	return r
 }
+
+// ended explains why ctx ended: the slot was lost, so that another owner answers, or the deadline passed.
+func ended(r *slots.Run, ctx context.Context, c peer.Call, run peer.RunState) peer.Result {
+	if r.Lost() {
+		return peer.Result{Redirect: &peer.Redirect{Epoch: r.Epoch}}
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) || ctx.Err() == nil {
+		return refused(c, peer.CodeDeadline, run, "the deadline passed")
+	}
+	return refused(c, peer.CodeStopping, run, "the instance is stopping")
+}
+
+// notAppended explains why a record could not be appended.
+func notAppended(r *slots.Run, c peer.Call, run peer.RunState, verdict, err error) peer.Result {
+	if r.Lost() || verdict != nil && run == peer.NotRun {
+		return peer.Result{Redirect: &peer.Redirect{Epoch: r.Epoch}}
+	}
+	if verdict != nil {
+		return refused(c, peer.CodeOwnerUnavailable, run, "the slot has another owner: "+verdict.Error())
+	}
+	return retryLater(refused(c, peer.CodeLogUnavailable, run, "the log did not take a record in time: "+err.Error()), time.Second)
+}
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -7,6 +7,8 @@
 
 	"github.com/comfreylink/comfreylink/internal/peer"
 	"github.com/comfreylink/comfreylink/internal/service"
+	"github.com/comfreylink/comfreylink/internal/slots"
+	"github.com/comfreylink/comfreylink/internal/targets"
 	"github.com/comfreylink/comfreylink/pkg/config"
 	"github.com/comfreylink/comfreylink/pkg/dispatch"
 	"github.com/comfreylink/comfreylink/pkg/ids"
@@ -19,18 +21,18 @@
 
 // service runs a service request: a non-idempotent one at most once, by its intent in the log; a repeatable one, which
 // is here because it belongs to a program, in its program's order.
-func (o *Owner) service(ctx context.Context, r *slotRun, c peer.Call) peer.Result {
+func (o *Owner) service(ctx context.Context, r *slots.Run, c peer.Call) peer.Result {
 	route, refusal := o.routeService(c)
 	if refusal != nil {
 		return peer.Result{Refusal: refusal}
 	}
 	name := "key\x00" + string(c.Workspace) + "\x00" + string(c.RequestKey)
 	if c.Program != "" {
-		name = programLine(c)
+		name = lineOf(c)
 	}
-	release, err := r.lines.acquire(ctx, name)
+	release, err := r.Lines.Acquire(ctx, name)
 	if err != nil {
-		return r.ended(ctx, c, peer.NotRun)
+		return ended(r, ctx, c, peer.NotRun)
 	}
 	defer release()
 	if route.Repeatable(c.Service.Method) {
@@ -40,7 +42,7 @@
 }
 
 func (o *Owner) routeService(c peer.Call) (s config.Service, refusal *peer.Refusal) {
-	view := o.Catalog.Current()
+	view := o.Targets.Catalog.Current()
 	if route, ok := view.Service(c.Workspace, c.Service.Name); ok {
 		return route.Service, nil
 	}
@@ -51,7 +53,7 @@
 }
 
 func (o *Owner) serviceItem(c peer.Call, repeatable bool) dispatch.Item {
-	limits, _ := o.Catalog.Current().Limits(c.Workspace)
+	limits, _ := o.Targets.Catalog.Current().Limits(c.Workspace)
 	return dispatch.Item{
 		Workspace:   c.Workspace,
 		Weight:      float64(limits.Weight),
@@ -85,30 +87,30 @@
 	item := o.serviceItem(c, true)
 	o.Targets.Request()
 	for attempt := 1; ; attempt++ {
-		s, refusal := o.prepare(ctx, c, route.Pool, item, nil)
+		s, refusal := o.Targets.Prepare(ctx, c, route.Pool, item, nil)
 		if refusal != nil {
 			refusal.RequestKey = c.RequestKey
 			return peer.Result{Refusal: refusal}
 		}
-		target := s.place.Target
-		s.grant.Used()
-		a, err := o.Targets.Service(ctx, s.place.Address, request(c, 0))
+		target := s.Place.Target
+		s.Grant.Used()
+		a, err := o.Targets.Service(ctx, s.Place.Address, request(c, 0))
 		if err == nil && !a.Leaving {
-			o.Targets.Done(s.place, dispatch.Completed, record.Usage{})
+			o.Targets.Done(s.Place, dispatch.Completed, record.Usage{})
 			return peer.Result{Service: answerOf(a), Trace: peer.Trace{Target: target}}
 		}
 		ending := dispatch.Left
 		if err != nil {
-			ending = outcomeOf(err)
+			ending = targets.OutcomeOf(err, time.Since(s.Ready))
 		}
-		o.Targets.Done(s.place, ending, record.Usage{})
-		if err != nil && brokeOff(err) {
+		o.Targets.Done(s.Place, ending, record.Usage{})
+		if err != nil && targets.BrokeOff(err) {
 			o.Targets.Died(c.Workspace, c.Fingerprint, target)
 		}
 		if ctx.Err() != nil {
 			return refused(c, peer.CodeDeadline, peer.Unknown, "the deadline passed while a target ran the request")
 		}
-		if !o.mayRetry(ctx, c, err, attempt) {
+		if !o.Targets.MayRetry(ctx, c, err, attempt) {
 			return retryLater(refused(c, peer.CodeTargetFailed, peer.Unknown, "targets failed"), time.Second)
 		}
 		item.Excluded = append(item.Excluded, target)
@@ -120,10 +122,10 @@
 }
 
 // runOnce drives the execution of a non-idempotent request.
-func (o *Owner) runOnce(ctx context.Context, r *slotRun, c peer.Call, route config.Service) peer.Result {
+func (o *Owner) runOnce(ctx context.Context, r *slots.Run, c peer.Call, route config.Service) peer.Result {
 	var d program.Decision
-	r.journal.View(func() {
-		d = r.fold.Admit(program.Request{Workspace: c.Workspace, Key: c.RequestKey, Fingerprint: c.Fingerprint, Epoch: r.epoch})
+	r.View(func(s *program.Slot) {
+		d = s.Admit(program.Request{Workspace: c.Workspace, Key: c.RequestKey, Fingerprint: c.Fingerprint, Epoch: r.Epoch})
 	})
 	switch d.Action {
 	case program.ActionRun:
@@ -133,7 +135,7 @@
 	case program.ActionKeyReused:
 		return refused(c, peer.CodeKeyReused, peer.NotRun, "the key belongs to a request with another content")
 	case program.ActionNotOwner:
-		return peer.Result{Redirect: &peer.Redirect{Epoch: r.epoch}}
+		return peer.Result{Redirect: &peer.Redirect{Epoch: r.Epoch}}
 	default:
 		return undecided(c)
 	}
@@ -153,20 +155,20 @@
 
 // execute appends the intent, sends the request once and appends the outcome. The rate token is taken after the intent,
 // since it must be used at once; a request that then gets none was not sent, and its intent is cancelled.
-func (o *Owner) execute(ctx context.Context, r *slotRun, c peer.Call, route config.Service) peer.Result {
+func (o *Owner) execute(ctx context.Context, r *slots.Run, c peer.Call, route config.Service) peer.Result {
 	var e *program.Execution
 	o.Targets.Request()
-	s, refusal := o.prepare(ctx, c, route.Pool, o.serviceItem(c, false), func(p Placement) *peer.Refusal {
+	s, refusal := o.Targets.Prepare(ctx, c, route.Pool, o.serviceItem(c, false), func(p targets.Placement) *peer.Refusal {
 		e = program.NewExecution(record.Intent{
-			Epoch:       r.epoch,
+			Epoch:       r.Epoch,
 			Workspace:   c.Workspace,
 			Program:     c.Program,
 			Key:         c.RequestKey,
 			Fingerprint: c.Fingerprint,
 			Target:      p.Target,
 			UnixMilli:   time.Now().UnixMilli(),
-		}, o.nextAttempt())
-		e.IntentDone(r.append(ctx, e.Intent()))
+		}, o.attempts.Add(1))
+		e.IntentDone(r.Append(ctx, e.Intent()))
 		return nil
 	})
 	if refusal != nil {
@@ -174,52 +176,52 @@
 	}
 	if e.Step() == program.StepCheck {
 		var reason error
-		if now := time.Now(); !o.Lease.LeaseValid(now) || r.ctx.Err() != nil {
+		if now := time.Now(); !o.Lease.LeaseValid(now) || r.Lost() {
 			reason = errLeaseEnded
-		} else if !s.grant.Usable(now) {
+		} else if !s.Grant.Usable(now) {
 			reason = errors.New("the rate token is too old")
 		}
 		e.Checked(reason)
 	}
 	if e.Step() != program.StepSend {
-		s.grant.Unused()
-		o.Targets.Done(s.place, dispatch.Unsent, record.Usage{})
-		return o.finish(r, c, e, s.place.Target)
+		s.Grant.Unused()
+		o.Targets.Done(s.Place, dispatch.Unsent, record.Usage{})
+		return o.finish(r, c, e, s.Place.Target)
 	}
 	o.sendOnce(ctx, r, c, route, s, e)
 	if e.Step() == program.StepOutcome {
-		e.OutcomeDone(r.append(ctx, e.Outcome()))
+		e.OutcomeDone(r.Append(ctx, e.Outcome()))
 	}
-	return o.finish(r, c, e, s.place.Target)
+	return o.finish(r, c, e, s.Place.Target)
 }
 
-func (o *Owner) sendOnce(ctx context.Context, r *slotRun, c peer.Call, route config.Service, s sending, e *program.Execution) {
+func (o *Owner) sendOnce(ctx context.Context, r *slots.Run, c peer.Call, route config.Service, s targets.Sending, e *program.Execution) {
 	fence := ids.Epoch(0)
 	if route.ChecksFencing {
-		fence = r.epoch
+		fence = r.Epoch
 	}
-	s.grant.Used()
-	a, err := o.Targets.Service(ctx, s.place.Address, request(c, fence))
+	s.Grant.Used()
+	a, err := o.Targets.Service(ctx, s.Place.Address, request(c, fence))
 	if err == nil {
-		o.Targets.Done(s.place, dispatch.Completed, record.Usage{})
+		o.Targets.Done(s.Place, dispatch.Completed, record.Usage{})
 		e.Answered(a.Status, a.ContentType, a.Body)
 		return
 	}
-	o.Targets.Done(s.place, outcomeOf(err), record.Usage{})
-	if brokeOff(err) {
-		o.Targets.Died(c.Workspace, c.Fingerprint, s.place.Target)
+	o.Targets.Done(s.Place, targets.OutcomeOf(err, time.Since(s.Ready)), record.Usage{})
+	if targets.BrokeOff(err) {
+		o.Targets.Died(c.Workspace, c.Fingerprint, s.Place.Target)
 	}
-	e.Failed(mayHaveReached(err), err)
+	e.Failed(targets.MayHaveReached(err), err)
 }
 
 // notSent answers a request that was refused before it was sent.
-func (o *Owner) notSent(r *slotRun, c peer.Call, e *program.Execution, refusal *peer.Refusal) peer.Result {
+func (o *Owner) notSent(r *slots.Run, c peer.Call, e *program.Execution, refusal *peer.Refusal) peer.Result {
 	if e != nil {
 		e.Checked(refusal)
-		r.cancelIntent(e)
+		cancelIntent(r, e)
 	}
-	if r.ctx.Err() != nil {
-		return peer.Result{Redirect: &peer.Redirect{Epoch: r.epoch}}
+	if r.Lost() {
+		return peer.Result{Redirect: &peer.Redirect{Epoch: r.Epoch}}
 	}
 	refusal.RequestKey = c.RequestKey
 	return peer.Result{Refusal: refusal}
@@ -227,14 +229,14 @@
 
 // cancelIntent withdraws the intent of a request that was not sent. It does not wait: until the record is folded, a
 // repeated request is answered as unknown, which is safe.
-func (r *slotRun) cancelIntent(e *program.Execution) {
+func cancelIntent(r *slots.Run, e *program.Execution) {
 	if cancel := e.Cancel(); cancel != nil {
-		_ = r.journal.Submit(cancel)
+		_ = r.Submit(cancel)
 	}
 }
 
-func (o *Owner) finish(r *slotRun, c peer.Call, e *program.Execution, target ids.TargetID) peer.Result {
-	r.cancelIntent(e)
+func (o *Owner) finish(r *slots.Run, c peer.Call, e *program.Execution, target ids.TargetID) peer.Result {
+	cancelIntent(r, e)
 	answer := e.Answer()
 	trace := peer.Trace{Target: target}
 	switch {
@@ -245,8 +247,8 @@
 		result := undecided(c)
 		result.Trace = trace
 		return result
-	case answer.Retry || r.ctx.Err() != nil:
-		return peer.Result{Redirect: &peer.Redirect{Epoch: r.epoch}}
+	case answer.Retry || r.Lost():
+		return peer.Result{Redirect: &peer.Redirect{Epoch: r.Epoch}}
 	case errors.Is(answer.Reason, errLeaseEnded):
 		return retryLater(refused(c, peer.CodeLogUnavailable, peer.NotRun, "the owner cannot confirm its lease while the log is unavailable"), time.Second)
 	default:
--- a/internal/owner/status.go
+++ b/internal/slots/status.go
@@ -1,4 +1,4 @@
-package owner
+package slots
 
 import (
 	"cmp"
@@ -22,15 +22,15 @@
 }
 
 // Status returns the state of the owned slots.
-func (o *Owner) Status() (all []SlotStatus) {
+func (o *Slots) Status() (all []SlotStatus) {
 	ready := map[ids.Slot]bool{}
 	for _, r := range o.ready() {
-		ready[r.slot] = true
+		ready[r.Slot] = true
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	for _, r := range o.slots {
-		s := SlotStatus{Slot: r.slot, Epoch: r.epoch, Ready: ready[r.slot]}
+	for _, r := range o.runs {
+		s := SlotStatus{Slot: r.Slot, Epoch: r.Epoch, Ready: ready[r.Slot]}
 		if s.Ready {
 			s.Journal = r.journal.Status()
 		}
@@ -45,8 +45,8 @@
 
 // Lives tells which programs of a slot exist. A program whose first call is in progress exists although the log does not
 // show it yet.
-func (o *Owner) Lives(ask peer.Lives) (a peer.Lived) {
-	r := o.slot(ask.Slot)
+func (o *Slots) Lives(ask peer.Lives) (a peer.Lived) {
+	r := o.Slot(ask.Slot)
 	if r == nil || !r.open() || !o.Lease.LeaseValid(time.Now()) {
 		return peer.Lived{NotOwner: true}
 	}
@@ -57,13 +57,13 @@
 		}
 	})
 	for i, p := range ask.Programs {
-		a.Living[i] = a.Living[i] || r.lines.busy(programLine(peer.Call{Workspace: p.Workspace, Program: p.Program}))
+		a.Living[i] = a.Living[i] || r.Lines.Busy(Program{p.Workspace, p.Program}.Line())
 	}
 	return a
 }
 
 // open reports whether the slot's stream has been read and opened.
-func (r *slotRun) open() bool {
+func (r *Run) open() bool {
 	select {
 	case <-r.ready:
 		return true
--- a/internal/owner/targets.go
+++ b/internal/targets/targets.go
@@ -1,4 +1,6 @@
-package owner
+// Package targets takes a call to a target: a place in the queue of its pool, a rate token, and the checks right before
+// it is sent.
+package targets
 
 import (
 	"context"
