Bound the answer with one large entry separately

Cause: an entry too large for the bound of a page was skipped by one offset at a time, also from an offset that is no longer kept. Change: the adapter reads a single entry with a bound of 8 MiB and skips only what is larger. The stand-in's fault switches have a test over HTTP.

--- a/internal/logservice/logservice.go
+++ b/internal/logservice/logservice.go
@@ -23,6 +23,8 @@
 	requestTimeout = 5 * time.Second
 	// entryOverhead is more than the bytes that the answer to a read spends on an entry besides its data.
 	entryOverhead = 128
+	// maxSingleAnswer bounds the answer with only one entry, up to six times as large as one that is interpreted.
+	maxSingleAnswer = 8 << 20
 	// maxAppendAnswer is far above the size of {"offset":N}.
 	maxAppendAnswer = 4 << 10
 )
@@ -41,7 +43,8 @@
 	Next    ids.Offset `json:"next"`
 	Entries []Entry    `json:"entries"`
 	// AtEnd reports that the stream had no entry after Next during the read. The protocol does not say this; it follows
-	// from an empty page, or from room for one more entry of record.MaxEntryBytes that the service did not use.
+	// from an empty page, or from room for one more entry of record.MaxEntryBytes that the service did not use. So it is
+	// wrong, until the next read, if a larger entry of other origin ended the page.
 	AtEnd bool `json:"-"`
 }
 
@@ -91,19 +94,19 @@
 // An entry whose data cannot be read within the bound of an answer is returned without data.
 func (c *Client) Read(ctx context.Context, s ids.Stream, from ids.Offset, maxBytes int, wait time.Duration) (p Page, err error) {
 	defer func() { err = oops.In("logservice").With("stream", s).Wrapf(err, "read %s from %d", s, from) }()
-	p, err = c.read(ctx, s, from, maxBytes, wait)
+	// Base64 needs a third more than the data; twice the data leaves room for the JSON around it.
+	p, err = c.read(ctx, s, from, maxBytes, 2*(maxBytes+record.MaxEntryBytes), wait)
 	if !errors.Is(err, fasthttp.ErrBodyTooLarge) {
 		return p, err
 	}
-	p, err = c.read(ctx, s, from, 1, 0) // only the first entry
+	p, err = c.read(ctx, s, from, 1, maxSingleAnswer, 0)
 	if !errors.Is(err, fasthttp.ErrBodyTooLarge) {
-		p.AtEnd = false
 		return p, err
 	}
 	return Page{Oldest: from, Next: from + 1, Entries: []Entry{{Offset: from}}}, nil
 }
 
-func (c *Client) read(ctx context.Context, s ids.Stream, from ids.Offset, maxBytes int, wait time.Duration) (p Page, err error) {
+func (c *Client) read(ctx context.Context, s ids.Stream, from ids.Offset, maxBytes, maxAnswer int, wait time.Duration) (p Page, err error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+requestTimeout)
 	defer cancel()
 	req := fasthttp.AcquireRequest()
@@ -113,8 +116,7 @@
 	args.Set("from", strconv.FormatInt(int64(from), 10))
 	args.SetUint("maxBytes", maxBytes)
 	args.Set("waitMs", strconv.FormatInt(ids.Millis(wait), 10))
-	// Base64 needs a third more than the data; twice the data leaves room for the JSON around it.
-	if err := c.do(ctx, req, 2*(maxBytes+record.MaxEntryBytes), &p); err != nil {
+	if err := c.do(ctx, req, maxAnswer, &p); err != nil {
 		return Page{}, err
 	}
 	if err := p.check(from); err != nil {
--- a/internal/logservice/logservice_test.go
+++ b/internal/logservice/logservice_test.go
@@ -103,9 +103,13 @@
 func TestReadPassesOversizedEntry(t *testing.T) {
 	c := qt.New(t)
 	client, server := start(c, logstore.Options{})
+	server.Store().Append(time.Now(), "s", make([]byte, 7*record.MaxEntryBytes))
 	server.Store().Append(time.Now(), "s", make([]byte, 3*record.MaxEntryBytes))
-	server.Store().Append(time.Now(), "s", []byte("b"))
 	p, err := client.Read(context.Background(), "s", 0, 1000, 0)
 	c.Assert(err, qt.IsNil)
 	c.Assert(p, qt.DeepEquals, logservice.Page{Next: 1, Entries: []logservice.Entry{{}}})
+	p, err = client.Read(context.Background(), "s", 1, 1000, 0)
+	c.Assert(err, qt.IsNil)
+	c.Assert(p.Next, qt.Equals, ids.Offset(2))
+	c.Assert(p.Entries[0].Data, qt.HasLen, 3*record.MaxEntryBytes)
 }
--- a/standin/logstore/store_test.go
+++ b/standin/logstore/store_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/valyala/fasthttp"
 
 	"github.com/comfreylink/comfreylink/standin/logstore"
 )
@@ -27,6 +28,34 @@
 	c.Assert(offset, qt.Equals, int64(5))
 }
 
+// Guards against a switched fault that has no effect, or that switches off another one.
+func TestFaultsOverHTTP(t *testing.T) {
+	c := qt.New(t)
+	_, address, stop, err := logstore.Start(logstore.Options{})
+	c.Assert(err, qt.IsNil)
+	defer stop()
+	post := func(path, body string) (status int, answer string) {
+		req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+		req.SetRequestURI("http://" + address + path)
+		req.Header.SetMethod(fasthttp.MethodPost)
+		req.SetBodyString(body)
+		c.Assert(fasthttp.Do(req, resp), qt.IsNil)
+		return resp.StatusCode(), string(resp.Body())
+	}
+	post("/faults", `{"failStream":"bad"}`)
+	_, answer := post("/faults", `{"delayMs":1}`)
+	c.Assert(answer, qt.Equals, `{"outage":false,"appendOutage":false,"delayMs":1,"loseAnswers":0,"failStream":"bad"}`)
+	status, _ := post("/v1/streams/bad/entries", "x")
+	c.Assert(status, qt.Equals, fasthttp.StatusServiceUnavailable)
+	_, answer = post("/v1/streams/good/entries", "x")
+	c.Assert(answer, qt.Equals, `{"offset":0}`)
+	post("/faults", `{"outage":true}`)
+	status, _ = post("/v1/streams/good/entries", "x")
+	c.Assert(status, qt.Equals, fasthttp.StatusServiceUnavailable)
+	status, _ = post("/faults", `{`)
+	c.Assert(status, qt.Equals, fasthttp.StatusBadRequest)
+}
+
 // Guards against a rate limit that lets more appends through than it says, or none after a pause.
 func TestAppendRate(t *testing.T) {
 	c := qt.New(t)
