--- /dev/null
+++ b/internal/journal/journal_test.go
@@ -0,0 +1,378 @@
+package journal
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+
+	"github.com/comfreylink/comfreylink/internal/logservice"
+	"github.com/comfreylink/comfreylink/pkg/ids"
+	"github.com/comfreylink/comfreylink/pkg/record"
+	"github.com/comfreylink/comfreylink/standin/logstore"
+)
+
+// TestMain runs fewer generated cases than usual, because each starts a service and waits for repeats.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.checks"); f.Value.String() == f.DefValue {
+		_ = f.Value.Set("40")
+	}
+	os.Exit(m.Run())
+}
+
+const testStream ids.Stream = "fleet"
+
+// list is a fold that keeps every record; it ignores odd numbers.
+type list struct{ values []ids.Tokens }
+
+var errOdd = errors.New("odd")
+
+func (l *list) Apply(_ ids.Position, _ ids.WriterID, b record.Body) error {
+	v := b.(*record.Reserve).UpTo
+	if v%2 != 0 {
+		return errOdd
+	}
+	l.values = append(l.values, v)
+	return nil
+}
+func (l *list) Snapshot() ([]byte, error) { return json.Marshal(l.values) }
+func (l *list) Restore(data []byte) error { return json.Unmarshal(data, &l.values) }
+
+func reserve(v int) record.Body {
+	return &record.Reserve{Epoch: 1, Workspace: "w", Program: "p", UpTo: ids.Tokens(v)}
+}
+
+type instance struct {
+	*Journal
+	fold *list
+	stop func()
+}
+
+func (i *instance) values() (v []ids.Tokens) {
+	i.View(func() { v = slices.Clone(i.fold.values) })
+	return v
+}
+
+func newInstance(t testing.TB, l Log, w ids.WriterID) *instance {
+	f := &list{}
+	j, cleanup, err := New(Config{
+		Stream: testStream, Writer: w, Log: l, Fold: f, Now: time.Now, Pace: NewBucket(1e6, 1e6, time.Now()),
+	})
+	qt.Assert(t, err, qt.IsNil)
+	j.delays = delays{firstRetry: 2 * time.Millisecond, firstRepeat: 20 * time.Millisecond, last: 50 * time.Millisecond}
+	return &instance{Journal: j, fold: f, stop: cleanup}
+}
+
+// start runs a journal until stop.
+func start(t testing.TB, l Log, w ids.WriterID) *instance {
+	i := newInstance(t, l, w)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- i.Run(ctx) }()
+	i.stop = func() {
+		cancel()
+		qt.Check(t, <-ended, qt.IsNil)
+	}
+	return i
+}
+
+// watchedLog counts the calls that have ended, and can hold back the answers to reads.
+type watchedLog struct {
+	Log
+	mu      sync.Mutex
+	changed *sync.Cond
+	held    bool
+	appends int // ended
+	reading int // not ended
+}
+
+func watch(l Log) *watchedLog {
+	w := &watchedLog{Log: l}
+	w.changed = sync.NewCond(&w.mu)
+	return w
+}
+
+func (w *watchedLog) Append(ctx context.Context, s ids.Stream, data []byte) (ids.Offset, error) {
+	o, err := w.Log.Append(ctx, s, data)
+	w.update(func() { w.appends++ })
+	return o, err
+}
+
+func (w *watchedLog) Read(ctx context.Context, s ids.Stream, from ids.Offset, maxBytes int, wait time.Duration) (logservice.Page, error) {
+	w.update(func() { w.reading++ })
+	defer w.update(func() { w.reading-- })
+	p, err := w.Log.Read(ctx, s, from, maxBytes, wait)
+	w.await(func() bool { return !w.held || ctx.Err() != nil })
+	return p, err
+}
+
+func (w *watchedLog) update(f func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	f()
+	w.changed.Broadcast()
+}
+
+func (w *watchedLog) await(f func() bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for !f() {
+		w.changed.Wait()
+	}
+}
+
+func startLog(t testing.TB) (*logstore.Server, *logservice.Client, func()) {
+	server, address, stop, err := logstore.Start(logstore.Options{})
+	qt.Assert(t, err, qt.IsNil)
+	client, cleanup, err := logservice.New(address)
+	qt.Assert(t, err, qt.IsNil)
+	return server, client, func() {
+		cleanup()
+		stop()
+	}
+}
+
+// limit is far above what any step of a test takes.
+func limit(t testing.TB) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// generated is a test whose failures are those of a generated case.
+type generated struct {
+	testing.TB
+	rt *rapid.T
+}
+
+func (g generated) Fatal(args ...any) { g.rt.Fatal(args...) }
+func (g generated) Error(args ...any) { g.rt.Error(args...) }
+
+// events are drawn evenly.
+var events = []string{"submit", "submit", "submit", "answers lost", "outage", "reader behind", "late copy", "snapshot"}
+
+// Guards against records that are lost, applied twice, or reported with a verdict that other readers do not share, while
+// answers are lost, the reader is behind, requests fail, copies arrive late, and entries are dropped behind a snapshot.
+func TestFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		c := qt.New(generated{t, rt})
+		server, client, stopLog := startLog(c)
+		defer stopLog()
+		ctx := limit(t)
+		log := watch(client)
+		a, b := start(c, log, "a#1"), start(c, log, "b#1")
+		defer func() { a.stop(); b.stop() }()
+		clearFaults := func() {
+			server.SetFaults(logstore.Faults{})
+			log.update(func() { log.held = false })
+		}
+		defer clearFaults()
+		barrier := func(i *instance) {
+			verdicts, err := i.Append(ctx, reserve(1))
+			c.Assert(err, qt.IsNil)
+			c.Assert(fmt.Sprint(verdicts), qt.Equals, "[odd]")
+		}
+		var want []ids.Tokens
+		submit := func(i *instance, appends int) { // and waits for the end of some appends
+			v := 2 * len(want)
+			want = append(want, ids.Tokens(v))
+			before := 0
+			log.update(func() { before = log.appends })
+			c.Assert(i.Submit(reserve(v), reserve(v+1)), qt.IsNil)
+			log.await(func() bool { return log.appends >= before+appends })
+		}
+		barrier(a)
+		barrier(b)
+		for range rapid.IntRange(5, 15).Draw(rt, "steps") {
+			n := rapid.IntRange(0, 20).Draw(rt, "number")
+			switch rapid.SampledFrom(events).Draw(rt, "event") {
+			case "submit":
+				submit([]*instance{a, b}[n%2], 1)
+			case "answers lost":
+				clearFaults()
+				barrier(a) // nothing of its own is in flight
+				log.update(func() { log.held = true })
+				server.SetFaults(logstore.Faults{LoseAnswers: 1 + n%2})
+				submit(a, 2) // the second one repeats the batch
+			case "outage":
+				server.SetFaults(logstore.Faults{AppendOutage: n%3 == 0, Outage: n%3 == 1})
+			case "reader behind":
+				log.update(func() { log.held = !log.held })
+			case "late copy":
+				p, _ := server.Store().Read(time.Now(), string(testStream), 0, readBytes)
+				server.Store().Append(time.Now(), string(testStream), p.Entries[n%len(p.Entries)].Data)
+			case "snapshot": // it takes the place of what it covers, and an instance is replaced
+				clearFaults()
+				barrier(a)
+				covered := a.Status().Next
+				c.Assert(a.WriteSnapshot(ctx), qt.IsNil)
+				barrier(b)
+				b.stop()
+				server.Store().Trim(string(testStream), int64(covered))
+				b = start(c, log, "b#1")
+				barrier(b)
+			}
+		}
+		clearFaults()
+		barrier(a)
+		barrier(b)
+		barrier(a) // a has read what b appended, and b what a did
+		got := a.values()
+		c.Assert(b.values(), qt.DeepEquals, got)
+		slices.Sort(got)
+		c.Assert(got, qt.DeepEquals, want)
+	})
+}
+
+func isDone(it *item) bool {
+	select {
+	case <-it.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// Guards against verdicts of another batch: one that an earlier journal of the same writer left behind takes the number.
+func TestNumberTakenByEarlierJournal(t *testing.T) {
+	c := qt.New(t)
+	j := newInstance(t, storeLog{}, "a")
+	it, err := newItem(false, []record.Body{reserve(1)})
+	c.Assert(err, qt.IsNil)
+	first := j.begin([]*item{it})
+	other := []byte(`{"writer":"a","seq":1,"records":[]}`)
+	j.apply(logservice.Page{Next: 2, Entries: []logservice.Entry{{Offset: 0, Data: other}, {Offset: 1, Data: first.data}}}, time.Now())
+	c.Assert(first.needsNumber(), qt.IsTrue)
+	second := j.begin(first.items)
+	c.Assert(second.seq, qt.Equals, int64(2))
+	j.apply(logservice.Page{Next: 3, Entries: []logservice.Entry{{Offset: 2, Data: second.data}}}, time.Now())
+	c.Assert(isDone(it), qt.IsTrue)
+	c.Assert(it.verdicts, qt.HasLen, 1)
+	c.Assert(it.verdicts[0], qt.Equals, errOdd)
+	c.Assert(j.Status().Repeated, qt.Equals, int64(1))
+}
+
+// Guards against a caller that waits for ever, or is told a wrong verdict, when its batch is behind a snapshot.
+func TestOvertakenWhileInFlight(t *testing.T) {
+	c := qt.New(t)
+	j, other := newInstance(t, storeLog{}, "a"), newInstance(t, storeLog{}, "b")
+	it, err := newItem(false, []record.Body{reserve(2)})
+	c.Assert(err, qt.IsNil)
+	b := j.begin([]*item{it})
+	other.apply(logservice.Page{Next: 1, Entries: []logservice.Entry{{Data: b.data}}}, time.Now())
+	parts, err := other.replay.Snapshot()
+	c.Assert(err, qt.IsNil)
+	snapshot, err := newItem(true, parts)
+	c.Assert(err, qt.IsNil)
+	entry := logservice.Entry{Offset: 1, Data: other.begin([]*item{snapshot}).data}
+	page := logservice.Page{Oldest: 1, Next: 2, Entries: []logservice.Entry{entry}, AtEnd: true}
+	j.apply(page, time.Now())
+	c.Assert(isDone(it), qt.IsTrue)
+	var e *Error
+	c.Assert(errors.As(it.err, &e), qt.IsTrue)
+	c.Assert(e.Code, qt.Equals, CodeVerdictUnknown)
+	c.Assert(j.values(), qt.DeepEquals, []ids.Tokens{2})
+	c.Assert(j.Fresh().IsZero(), qt.IsTrue, qt.Commentf("the entries after the snapshot are not read again yet"))
+	now := time.Now()
+	j.apply(page, now)
+	c.Assert(j.Fresh(), qt.Equals, now)
+}
+
+// Guards against memory that grows during an outage, and against a caller that cannot tell whether its records may
+// still be appended.
+func TestQueueIsBounded(t *testing.T) {
+	c := qt.New(t)
+	j := newInstance(t, storeLog{}, "a")
+	code := func(err error) Code {
+		var e *Error
+		c.Assert(errors.As(err, &e), qt.IsTrue, qt.Commentf("%v", err))
+		c.Assert(e.Sent(), qt.IsFalse)
+		return e.Code
+	}
+	c.Assert(code(j.Submit(&record.Outcome{Body: make([]byte, record.MaxEntryBytes)})), qt.Equals, CodeTooLarge)
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	for range maxQueuedItems + 1 {
+		_, err := j.Append(ended, reserve(1)) // withdrawn, so the queue does not fill
+		c.Assert(code(err), qt.Equals, CodeCanceled)
+	}
+	for range maxQueuedItems {
+		c.Assert(j.Submit(reserve(1)), qt.IsNil)
+	}
+	_, err := j.Append(limit(t), reserve(1))
+	c.Assert(code(err), qt.Equals, CodeFull)
+	c.Assert(j.queue.take(1<<20), qt.HasLen, maxQueuedItems)
+	large := &record.Outcome{Body: make([]byte, 600<<10)}
+	for range maxQueuedBytes / (801 << 10) {
+		c.Assert(j.Submit(large), qt.IsNil)
+	}
+	c.Assert(code(j.Submit(large)), qt.Equals, CodeFull)
+	c.Assert(j.queue.take(j.maxRecordBytes()), qt.HasLen, 1, qt.Commentf("two do not fit in an entry"))
+	j.stop()
+	c.Assert(code(j.Submit(reserve(1))), qt.Equals, CodeStopped)
+}
+
+// storeLog is the stand-in without HTTP.
+type storeLog struct{ store *logstore.Store }
+
+func (l storeLog) Append(_ context.Context, s ids.Stream, data []byte) (ids.Offset, error) {
+	o, _ := l.store.Append(time.Now(), string(s), data)
+	return ids.Offset(o), nil
+}
+
+func (l storeLog) Read(ctx context.Context, s ids.Stream, from ids.Offset, maxBytes int, wait time.Duration) (logservice.Page, error) {
+	p := l.store.Poll(ctx, string(s), int64(from), maxBytes, wait)
+	if ctx.Err() != nil {
+		time.Sleep(20 * time.Millisecond) // a task that Run does not wait for is still here when Run returns
+	}
+	page := logservice.Page{Oldest: ids.Offset(p.Oldest), Next: ids.Offset(p.Next), AtEnd: true}
+	for _, e := range p.Entries {
+		page.Entries = append(page.Entries, logservice.Entry{Offset: ids.Offset(e.Offset), Data: e.Data})
+	}
+	return page, ctx.Err()
+}
+
+// Guards against tasks that outlive Run, and callers that wait for a stopped journal.
+func TestRunEndsItsTasks(t *testing.T) {
+	c := qt.New(t)
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	log := watch(storeLog{store: logstore.NewStore(logstore.Options{})})
+	j := start(t, log, "a")
+	c.Assert(j.CaughtUp(limit(t)), qt.IsNil)
+	changed := j.Changed()
+	verdicts, err := j.Append(limit(t), reserve(2), reserve(3))
+	c.Assert(err, qt.IsNil)
+	c.Assert(fmt.Sprint(verdicts), qt.Equals, "[<nil> odd]")
+	<-changed
+	j.stop()
+	log.update(func() { c.Check(log.reading, qt.Equals, 0) })
+	_, err = j.Append(limit(t), reserve(2))
+	c.Assert(err, qt.ErrorMatches, ".*stopped")
+}
+
+// Guards against more appends than the bucket's rate, whoever waits for them.
+func TestBucket(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	b := NewBucket(10, 2, now)
+	var waits []time.Duration
+	for range 4 {
+		waits = append(waits, b.Take(now))
+	}
+	c.Assert(waits, qt.DeepEquals, []time.Duration{0, 0, 100 * time.Millisecond, 200 * time.Millisecond})
+	c.Assert(b.Take(now.Add(300*time.Millisecond)), qt.Equals, time.Duration(0))
+	c.Assert(b.Take(now.Add(time.Hour)), qt.Equals, time.Duration(0))
+	c.Assert(b.Take(now.Add(time.Hour)), qt.Equals, time.Duration(0))
+	c.Assert(b.Take(now.Add(time.Hour)), qt.Equals, 100*time.Millisecond)
+}
--- /dev/null
+++ b/internal/journal/reader.go
@@ -0,0 +1,128 @@
+package journal
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/comfreylink/comfreylink/internal/logservice"
+	"github.com/comfreylink/comfreylink/pkg/ids"
+	"github.com/comfreylink/comfreylink/pkg/record"
+	"github.com/comfreylink/comfreylink/pkg/replay"
+)
+
+const (
+	// readBytes is several times record.MaxEntryBytes, so that a page can show that it reaches the stream's end.
+	readBytes = 4 << 20
+	// readWait bounds the age of Fresh on an idle stream: the answer to a read that waited this long is the proof until
+	// the next one has waited too. Twice readWait stays well below the 5 s for which a configuration is fresh.
+	readWait = time.Second
+)
+
+// read is the reader task. A read waits for entries only if the one before it reached the stream's end, so that a
+// start on an idle stream and the return of the log are noticed at once.
+func (j *Journal) read(ctx context.Context) error {
+	wait := time.Duration(0)
+	for failures := 0; ctx.Err() == nil; {
+		started := j.config.Now()
+		from := j.next()
+		p, err := j.config.Log.Read(ctx, j.config.Stream, from, readBytes, wait)
+		if err == nil && p.Next < from {
+			err = fmt.Errorf("the stream ends at offset %d, but was read up to %d before", p.Next, from)
+		}
+		if ctx.Err() != nil {
+			return nil
+		}
+		j.noteRead(err)
+		if err != nil {
+			pause(ctx, j.delays.retry(failures))
+			failures++
+			wait = 0
+			continue
+		}
+		failures = 0
+		returnedEarly := len(p.Entries) == 0 && j.config.Now().Sub(started) < wait/2
+		wait = 0
+		if j.apply(p, started) {
+			wait = readWait
+		}
+		if returnedEarly { // the service does not wait for entries
+			pause(ctx, j.delays.retry(0))
+		}
+	}
+	return nil
+}
+
+func (j *Journal) next() ids.Offset {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.replay.Next()
+}
+
+// apply folds a page that was read from the reader's next offset, and reports whether it has reached the stream's end.
+func (j *Journal) apply(p logservice.Page, started time.Time) (atEnd bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.beginPage(p.Oldest)
+	applied := false
+	for _, e := range p.Entries {
+		res := j.replay.Entry(e.Offset, e.Data)
+		j.count(e.Offset, res)
+		j.settle(e.Data, res)
+		applied = applied || res.Kind == replay.Applied || res.Kind == replay.Restored
+	}
+	j.replay.Advance(p.Next)
+	// A reader that looks for a snapshot waits for entries too, but knows no state that could be up to date.
+	atEnd = p.AtEnd && j.replay.Next() >= p.Next
+	if atEnd && j.replay.Ready() {
+		j.status.Fresh = started
+		j.caughtUpOnce.Do(func() { close(j.caughtUp) })
+	}
+	if applied {
+		close(j.changed)
+		j.changed = make(chan struct{})
+	}
+	return atEnd
+}
+
+func (j *Journal) beginPage(oldest ids.Offset) {
+	ready := j.replay.Ready()
+	next := j.replay.Next()
+	j.replay.Page(oldest)
+	if ready && !j.replay.Ready() {
+		j.config.Logger.Warn("snapshotNeeded", zap.Int64("next", int64(next)), zap.Int64("oldest", int64(oldest)))
+	}
+}
+
+func (j *Journal) count(o ids.Offset, res replay.Result) {
+	switch res.Kind {
+	case replay.Malformed:
+		j.status.Skipped++
+		j.config.Logger.Warn("entrySkipped", zap.Int64("offset", int64(o)), zap.Error(res.Err))
+	case replay.Repeated:
+		j.status.Repeated++
+	case replay.Restored:
+		j.status.Restored++
+		j.config.Logger.Info("snapshotRestored", zap.Int64("offset", int64(o)), zap.Int64("next", int64(j.replay.Next())))
+	case replay.Applied:
+		for i, v := range res.Verdicts {
+			if errors.Is(v, record.ErrMalformed) {
+				j.status.Ignored++
+				j.config.Logger.Warn("recordSkipped", zap.Int64("offset", int64(o)), zap.Int("index", i), zap.Error(v))
+			}
+		}
+	}
+}
+
+// noteRead keeps the last read's error and logs the first of a row.
+func (j *Journal) noteRead(err error) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if err != nil && j.status.ReadError == nil {
+		j.config.Logger.Warn("logReadFailed", zap.Error(err))
+	}
+	j.status.ReadError = err
+}
