--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -41,6 +41,7 @@
 // Journal is one stream's reader and writer. Its methods may be called concurrently.
 type Journal struct {
 	config Config
+	delays delays
 	queue  *queue
 
 	mu       sync.Mutex // guards the fields below and the fold
@@ -69,6 +70,7 @@
 	c.Logger = c.Logger.With(zap.String("stream", string(c.Stream)))
 	j = &Journal{
 		config:   c,
+		delays:   defaultDelays,
 		queue:    newQueue(),
 		replay:   replay.New(c.Fold),
 		changed:  make(chan struct{}),
--- a/internal/journal/reader.go
+++ b/internal/journal/reader.go
@@ -38,16 +38,20 @@
 		}
 		j.noteRead(err)
 		if err != nil {
-			pause(ctx, retryDelay(failures))
+			pause(ctx, j.delays.retry(failures))
 			failures++
 			wait = 0
 			continue
 		}
 		failures = 0
+		returnedEarly := len(p.Entries) == 0 && j.config.Now().Sub(started) < wait/2
 		wait = 0
 		if j.apply(p, started) {
 			wait = readWait
 		}
+		if returnedEarly { // the service does not wait for entries
+			pause(ctx, j.delays.retry(0))
+		}
 	}
 	return nil
 }
