--- a/internal/daemon/adapters.go
+++ b/internal/daemon/adapters.go
@@ -108,7 +108,7 @@
 }
 
 func (t access) Died(ws ids.WorkspaceID, f ids.Fingerprint, target ids.TargetID) {
-	events.Log(t.d.logger, events.RequestSuspected, zap.String("workspace", string(ws)), zap.String("target", string(target)))
+	events.Log(t.d.logger, events.RequestSuspected, zap.String("workspace", string(ws)), zap.String("fingerprint", string(f)), zap.String("target", string(target)))
 	_ = t.d.fleetLog.Submit(&record.SuspectRequest{Workspace: ws, Fingerprint: f, Target: target})
 }
 
@@ -119,11 +119,19 @@
 }
 
 func (t access) Quarantined(ws ids.WorkspaceID, f ids.Fingerprint) bool {
-	return t.d.fleet.Quarantined(ws, f)
+	quarantined := t.d.fleet.Quarantined(ws, f)
+	if quarantined {
+		events.Log(t.d.logger, events.RequestQuarantined, zap.String("workspace", string(ws)), zap.String("fingerprint", string(f)))
+	}
+	return quarantined
 }
 
 func (t access) RetryAt(now time.Time, f retry.Failure) (at time.Time, why retry.Reason) {
-	return t.d.retries.decide(now, f)
+	at, why = t.d.retries.decide(now, f)
+	if why == retry.BudgetSpent {
+		events.Log(t.d.logger, events.RetryBudgetUsedUp, zap.Float64("retryBudget", t.d.settings.Dispatch.RetryBudget))
+	}
+	return at, why
 }
 
 func (t access) Chat(ctx context.Context, address string, r engine.Request, chunk func(engine.Chunk) error) (engine.Answer, error) {
@@ -169,7 +177,8 @@
 	}
 	o.d.metrics.Refused(string(refusal.Code))
 	events.Log(o.d.logger, events.RequestRefused,
-		zap.String("route", route), zap.String("code", string(refusal.Code)), zap.String("run", string(refusal.Run)))
+		zap.String("requestKey", string(refusal.RequestKey)), zap.String("code", string(refusal.Code)),
+		zap.String("run", string(refusal.Run)), zap.String("reason", refusal.Message))
 }
 
 // handler implements peer.Handler.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -116,7 +116,7 @@
 		return err
 	}
 	d.onClose(cleanup)
-	if d.config, cleanup, err = d.journal(ids.ConfigStream, d.catalog); err != nil {
+	if d.config, cleanup, err = d.journal(ids.ConfigStream, watched{d.catalog, d.logger}); err != nil {
 		return err
 	}
 	d.onClose(cleanup)
@@ -134,11 +134,16 @@
 		Log:    measuredLog{d.log, d},
 		Fold:   f,
 		Pace:   d.pace,
-		Logger: d.logger,
-		Now:    time.Now,
+		// A lease counts from the last read, which on an idle stream is up to twice as old as a read waits.
+		ReadWait: min(journal.DefaultReadWait, d.settings.Ownership.Lease/leaseReads),
+		Logger:   d.logger,
+		Now:      time.Now,
 	})
 }
 
+// leaseReads is how many idle reads fit into a lease at least.
+const leaseReads = 6
+
 // Open implements owner.Streams.
 func (d *Daemon) Open(s ids.Slot, f replay.Fold) (j *journal.Journal, cleanup func(), err error) {
 	return d.journal(ids.Stream(fmt.Sprintf("slot-%03d", s)), f)
@@ -151,7 +156,7 @@
 	}
 	var cleanup func()
 	d.server, cleanup, err = peer.Listen(d.settings.Peer.Listen, credentials, func(address string, reason error) {
-		events.Log(d.logger, events.PeerRejected, zap.String("address", address), zap.Error(reason))
+		events.Log(d.logger, events.PeerRejected, zap.String("address", address), zap.NamedError("reason", reason))
 	})
 	if err != nil {
 		return err
@@ -280,7 +285,7 @@
 		g.Go(func() error { return task(tasks) })
 	}
 	g.Go(d.chat.Serve)
-	events.Log(d.logger, events.Ready, zap.String("callers", d.chat.Address()), zap.String("peers", d.server.Address()))
+	g.Go(func() error { return d.awaitReady(tasks) })
 	select {
 	case <-ctx.Done():
 	case <-d.drain:
@@ -294,7 +299,8 @@
 // stop hands the slots over, while callers are still served through the other instances, and then finishes the calls
 // that came in here.
 func (d *Daemon) stop() {
-	events.Log(d.logger, events.Draining)
+	events.Log(d.logger, events.Draining,
+		zap.Int64("inProgress", d.chat.Active()), zap.Duration("timeout", d.settings.Instance.DrainTimeout))
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Instance.DrainTimeout)
 	defer cancel()
 	d.stopping.Store(true)
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -14,13 +15,14 @@
 func Serve(ctx context.Context, s settings.Settings) (err error) {
 	logger := events.NewLogger(os.Stderr, s.Observe.LogLevel).
 		With(zap.String("instance", string(s.Instance.ID)), zap.String("zone", string(s.Instance.Zone)))
-	events.Log(logger, events.Started)
 	d, cleanup, err := New(s, logger)
 	if err != nil {
 		return err
 	}
+	events.Log(logger, events.Started, zap.String("writer", string(d.self)))
+	began := time.Now()
 	err = d.Run(ctx)
 	cleanup()
-	events.Log(logger, events.Stopped, zap.Error(err))
+	events.Log(logger, events.Stopped, zap.Duration("duration", time.Since(began)), zap.Error(err))
 	return err
 }
--- a/internal/daemon/tasks.go
+++ b/internal/daemon/tasks.go
@@ -37,7 +37,7 @@
 				continue
 			}
 			if n := d.slots.EndIdle(ctx, now, idle); n > 0 {
-				events.Log(d.logger, events.ProgramEndedIdle, zap.Int("programs", n))
+				events.Log(d.logger, events.ProgramEndedIdle, zap.Int("programs", n), zap.Duration("idle", idle))
 			}
 		}
 	}
--- a/internal/dispatcher/pool.go
+++ b/internal/dispatcher/pool.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/comfreylink/comfreylink/internal/events"
 	"github.com/comfreylink/comfreylink/internal/instancelist"
 	"github.com/comfreylink/comfreylink/internal/peer"
 	"github.com/comfreylink/comfreylink/pkg/dispatch"
@@ -33,18 +34,26 @@
 	id      ids.PoolID
 	reports bool
 	caches  *caches
+	logger  *zap.Logger
 
 	mu      sync.Mutex
 	queue   *dispatch.Queue
 	next    dispatch.Ticket
 	waiting map[dispatch.Ticket]chan peer.Placed
-	placed  map[dispatch.Ticket]time.Time
+	placed  map[dispatch.Ticket]placed
+	failing map[ids.TargetID]struct{}
 	targets map[ids.TargetID]dispatch.Target
 	address map[ids.TargetID]string
 	used    time.Time
 	dropped time.Time
 }
 
+// placed is an item that waits or is at a target.
+type placed struct {
+	deadline time.Time
+	target   ids.TargetID
+}
+
 // Serve waits for a target as the dispatcher of a pool.
 func (d *Dispatcher) Serve(ctx context.Context, ask peer.Place) peer.Placed {
 	p, err := d.pool(ask.Pool)
@@ -92,7 +101,9 @@
 		caches:  newCaches(),
 		queue:   queue,
 		waiting: map[dispatch.Ticket]chan peer.Placed{},
-		placed:  map[dispatch.Ticket]time.Time{},
+		placed:  map[dispatch.Ticket]placed{},
+		failing: map[ids.TargetID]struct{}{},
+		logger:  d.Logger,
 		targets: map[ids.TargetID]dispatch.Target{},
 		address: map[ids.TargetID]string{},
 		used:    time.Now(),
@@ -197,7 +208,7 @@
 	p.next++
 	it.Ticket = p.next
 	p.waiting[it.Ticket] = answer
-	p.placed[it.Ticket] = it.Deadline
+	p.placed[it.Ticket] = placed{deadline: it.Deadline}
 	p.refuse(now, p.queue.Enqueue(now, it))
 	p.place(now)
 	return it.Ticket, answer
@@ -223,11 +234,32 @@
 	if _, ok := p.placed[e.Ticket]; !ok {
 		return
 	}
+	target := p.placed[e.Ticket].target
 	delete(p.placed, e.Ticket)
 	p.queue.Done(now, e.Ticket, e.Outcome, e.Usage)
+	p.note(target, e.Outcome)
 	p.place(now)
 }
 
+// note logs when a target begins or ceases to fail.
+func (p *pool) note(target ids.TargetID, o dispatch.Outcome) {
+	_, failing := p.failing[target]
+	fields := []zap.Field{zap.String("target", string(target)), zap.String("pool", string(p.id))}
+	switch {
+	case o == dispatch.Died && !failing:
+		events.Log(p.logger, events.TargetDead, fields...)
+	case o == dispatch.Left && !failing:
+		events.Log(p.logger, events.TargetLeaving, fields...)
+	case o == dispatch.Completed && failing:
+		delete(p.failing, target)
+		events.Log(p.logger, events.TargetBack, fields...)
+		return
+	default:
+		return
+	}
+	p.failing[target] = struct{}{}
+}
+
 func (p *pool) tick(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -236,8 +268,8 @@
 		p.dropped = now
 		p.queue.DropOld(now)
 	}
-	for t, deadline := range p.placed {
-		if _, waits := p.waiting[t]; !waits && now.Sub(deadline) > placedSlack {
+	for t, at := range p.placed {
+		if _, waits := p.waiting[t]; !waits && now.Sub(at.deadline) > placedSlack {
 			delete(p.placed, t)
 			p.queue.Done(now, t, dispatch.Failed, noUsage)
 		}
@@ -253,6 +285,7 @@
 			continue
 		}
 		delete(p.waiting, pl.Ticket)
+		p.placed[pl.Ticket] = placed{deadline: p.placed[pl.Ticket].deadline, target: pl.Target}
 		answer <- peer.Placed{Target: pl.Target, Address: p.address[pl.Target], Ticket: pl.Ticket}
 	}
 }
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -46,27 +46,34 @@
 		"stream", "offset", "index", "writer", "reason")
 	SnapshotWritten = define(203, "snapshotWritten", info,
 		"A snapshot of a stream was appended.", nothing,
-		"stream", "covers", "parts", "bytes")
+		"stream", "parts")
 	RecordIgnored = define(204, "recordIgnored", debug,
 		"A well-formed record does not count by the rules of its stream.", nothing,
-		"stream", "offset", "index", "writer", "type", "reason")
+		"stream", "offset", "index", "writer", "reason")
+	SnapshotNeeded = define(205, "snapshotNeeded", warn,
+		"The log no longer keeps the entries that a reader needs; the reader looks for a snapshot.",
+		"If snapshotRestored does not follow, check that the log keeps entries for the retention that the settings say.",
+		"stream", "next", "oldest")
+	SnapshotRestored = define(206, "snapshotRestored", info,
+		"A reader took over the state of a snapshot.", nothing,
+		"stream", "offset", "next")
 )
 
 // Events of slot ownership.
 var (
 	SlotClaimed = define(300, "slotClaimed", info,
 		"This instance's claim of a slot counts.", nothing,
-		"slot", "epoch", "owner", "previousOwner")
+		"slot", "epoch")
 	SlotOpened = define(301, "slotOpened", info,
 		"This instance has the state of a slot and serves it.", nothing,
-		"slot", "epoch", "programs", "duration")
+		"slot", "epoch", "duration")
 	SlotReleased = define(302, "slotReleased", info,
-		"This instance released a slot in a planned stop.", nothing,
-		"slot", "epoch", "successor")
+		"This instance gave up a slot after its calls had finished.", nothing,
+		"slot", "epoch")
 	SlotLost = define(303, "slotLost", warn,
-		"Another instance has claimed a slot of this one, or the lease ran out.",
+		"Another instance has claimed a slot of this one.",
 		"If it happens often, look for pauses of the process and for slow reads of the log.",
-		"slot", "epoch", "owner", "reason")
+		"slot", "epoch")
 )
 
 // Events of other daemons.
@@ -74,14 +81,14 @@
 	PeerSuspected = define(400, "peerSuspected", warn,
 		"Another daemon does not answer; its slots can be claimed after a lease.",
 		"If the instance runs, check the network to it.",
-		"peer", "writer", "reason")
+		"peer", "writer")
 	PeerAlive = define(401, "peerAlive", info,
 		"A suspected daemon, perhaps this one, contradicted the suspicion.", nothing,
 		"peer", "writer")
 	PeerRejected = define(402, "peerRejected", warn,
 		"A connection was closed: no certificate of the fleet's authority, or a malformed message.",
 		"If the address is one of the daemons, check its certificate and version; otherwise find who connects.",
-		"address", "peer", "reason")
+		"address", "reason")
 )
 
 // Events of configuration.
@@ -99,7 +106,7 @@
 	ConfigStale = define(503, "configStale", warn,
 		"The configuration may be out of date; requests are refused with code stale.",
 		"Check the log service and the connections between daemons.",
-		"revision", "age")
+		"revision")
 	ConfigFresh = define(504, "configFresh", info,
 		"The configuration is up to date again.", nothing,
 		"revision", "duration")
@@ -109,21 +116,21 @@
 var (
 	RequestRefused = define(600, "requestRefused", debug,
 		"A request was refused with an error code.", nothing,
-		"workspace", "program", "requestKey", "code", "run", "reason")
+		"requestKey", "code", "run", "reason")
 	RequestSuspected = define(601, "requestSuspected", warn,
 		"A target died while it ran a request; after a second death the request is refused.", nothing,
 		"workspace", "fingerprint", "target")
 	RequestQuarantined = define(602, "requestQuarantined", fault,
-		"Two targets died while they ran a request; it is refused from now on.",
+		"A request was refused, because two targets had died while they ran it.",
 		"Ask the workspace about the request; report it to the engine's maintainers.",
-		"workspace", "fingerprint", "target")
+		"workspace", "fingerprint")
 	RetryBudgetUsedUp = define(603, "retryBudgetUsedUp", warn,
 		"Requests that could be retried end with an error because too many retries were made.",
 		"Look for failing targets.",
-		"pool", "retryBudget")
+		"retryBudget")
 	ProgramEndedIdle = define(604, "programEndedIdle", info,
-		"A program was not used for the idle time of its template and has ended.", nothing,
-		"workspace", "program", "idle")
+		"Programs were not used for the idle time of the templates and have ended.", nothing,
+		"programs", "idle")
 )
 
 // Events of targets.
@@ -131,17 +138,17 @@
 	TargetDead = define(700, "targetDead", warn,
 		"A target does not answer or broke off its answers.",
 		"Check the target.",
-		"target", "pool", "zone", "reason")
+		"target", "pool")
 	TargetLeaving = define(701, "targetLeaving", info,
 		"A target is leaving and gets no new work.", nothing,
-		"target", "pool", "zone", "reason")
+		"target", "pool")
 	TargetBack = define(702, "targetBack", info,
 		"A target that was dead or leaving gets work again.", nothing,
-		"target", "pool", "zone")
+		"target", "pool")
 )
 
 // InternalError is the event of a fault in the daemon.
 var InternalError = define(900, "internalError", fault,
 	"A fault in the daemon; the request or task it concerns has ended with an error.",
 	"Report it with the fields of the event.",
-	"task", "requestKey", "error")
+	"task", "slot", "error")
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -68,6 +68,7 @@
 	rebalance time.Time
 	stopping  bool
 	silent    map[ids.WriterID]time.Time
+	suspected map[ids.WriterID]bool
 }
 
 // New returns a fleet; Run makes it work.
@@ -114,6 +115,7 @@
 		defer f.mu.Unlock()
 		f.reads.Observe(now, f.Table)
 		f.contact.observe(now, fresh)
+		f.logSuspicions(f.reads.Suspicions())
 		f.lease.Observe(f.Table, f.Self, fresh)
 		f.publish()
 		for _, s := range f.Table.Slots(f.Self) {
--- /dev/null
+++ b/internal/fleet/watch.go
@@ -0,0 +1,30 @@
+package fleet
+
+import (
+	"go.uber.org/zap"
+
+	"github.com/comfreylink/comfreylink/internal/events"
+	"github.com/comfreylink/comfreylink/pkg/ids"
+	"github.com/comfreylink/comfreylink/pkg/slot"
+)
+
+// logSuspicions logs the suspicions that are new and those that were contradicted since the last call.
+func (f *Fleet) logSuspicions(reads []slot.SuspicionRead) {
+	now := map[ids.WriterID]bool{}
+	for _, r := range reads {
+		now[r.Writer] = true
+		if !f.suspected[r.Writer] {
+			f.logSuspicion(events.PeerSuspected, r.Writer)
+		}
+	}
+	for w := range f.suspected {
+		if !now[w] && f.Table.Slots(w) != nil {
+			f.logSuspicion(events.PeerAlive, w)
+		}
+	}
+	f.suspected = now
+}
+
+func (f *Fleet) logSuspicion(e *events.Event, w ids.WriterID) {
+	events.Log(f.Logger, e, zap.String("peer", string(slot.InstanceOf(w))), zap.String("writer", string(w)))
+}
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/comfreylink/comfreylink/internal/events"
 	"github.com/comfreylink/comfreylink/internal/logservice"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 	"github.com/comfreylink/comfreylink/pkg/record"
@@ -33,11 +34,17 @@
 	// Fold is only used by the journal from now on; others look at it inside View.
 	Fold replay.Fold
 	// Pace is shared by all journals of the instance.
-	Pace   Pace
-	Logger *zap.Logger
-	Now    func() time.Time
+	Pace Pace
+	// ReadWait is how long a read waits for entries, DefaultReadWait if it is 0. On an idle stream Fresh is up to twice
+	// as old, so it must stay well below the lease and the time for which a configuration is fresh.
+	ReadWait time.Duration
+	Logger   *zap.Logger
+	Now      func() time.Time
 }
 
+// DefaultReadWait is the ReadWait of a journal whose Config names none.
+const DefaultReadWait = time.Second
+
 // Journal is one stream's reader and writer. Its methods may be called concurrently.
 type Journal struct {
 	config Config
@@ -50,6 +57,7 @@
 	inFlight *batch
 	changed  chan struct{}
 	status   Status
+	lost     time.Time // when reads began to fail
 
 	caughtUp     chan struct{} // closed once the reader has reached the end
 	caughtUpOnce sync.Once
@@ -67,6 +75,9 @@
 	if c.Logger == nil {
 		c.Logger = zap.NewNop()
 	}
+	if c.ReadWait == 0 {
+		c.ReadWait = DefaultReadWait
+	}
 	c.Logger = c.Logger.With(zap.String("stream", string(c.Stream)))
 	j = &Journal{
 		config:   c,
@@ -125,6 +136,7 @@
 			return err
 		}
 	}
+	j.event(events.SnapshotWritten, zap.Int("parts", len(parts)))
 	return nil
 }
 
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -159,8 +159,8 @@
 func (g generated) Fatal(args ...any) { g.rt.Fatal(args...) }
 func (g generated) Error(args ...any) { g.rt.Error(args...) }
 
-// events are drawn evenly.
-var events = []string{"submit", "submit", "submit", "answers lost", "outage", "reader behind", "late copy", "snapshot"}
+// steps of a schedule are drawn evenly.
+var steps = []string{"submit", "submit", "submit", "answers lost", "outage", "reader behind", "late copy", "snapshot"}
 
 // Guards against records that are lost, applied twice, or reported with a verdict that other readers do not share, while
 // answers are lost, the reader is behind, requests fail, copies arrive late, and entries are dropped behind a snapshot.
@@ -196,7 +196,7 @@
 		barrier(b)
 		for range rapid.IntRange(5, 15).Draw(rt, "steps") {
 			n := rapid.IntRange(0, 20).Draw(rt, "number")
-			switch rapid.SampledFrom(events).Draw(rt, "event") {
+			switch rapid.SampledFrom(steps).Draw(rt, "event") {
 			case "submit":
 				submit([]*instance{a, b}[n%2], 1)
 			case "answers lost":
--- a/internal/journal/reader.go
+++ b/internal/journal/reader.go
@@ -8,19 +8,15 @@
 
 	"go.uber.org/zap"
 
+	"github.com/comfreylink/comfreylink/internal/events"
 	"github.com/comfreylink/comfreylink/internal/logservice"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 	"github.com/comfreylink/comfreylink/pkg/record"
 	"github.com/comfreylink/comfreylink/pkg/replay"
 )
 
-const (
-	// readBytes is several times record.MaxEntryBytes, so that a page can show that it reaches the stream's end.
-	readBytes = 4 << 20
-	// readWait bounds the age of Fresh on an idle stream: the answer to a read that waited this long is the proof until
-	// the next one has waited too. Twice readWait stays well below the 5 s for which a configuration is fresh.
-	readWait = time.Second
-)
+// readBytes is several times record.MaxEntryBytes, so that a page can show that it reaches the stream's end.
+const readBytes = 4 << 20
 
 // read is the reader task. A read waits for entries only if the one before it reached the stream's end, so that a
 // start on an idle stream and the return of the log are noticed at once.
@@ -47,7 +43,7 @@
 		returnedEarly := len(p.Entries) == 0 && j.config.Now().Sub(started) < wait/2
 		wait = 0
 		if j.apply(p, started) {
-			wait = readWait
+			wait = j.config.ReadWait
 		}
 		if returnedEarly { // the service does not wait for entries
 			pause(ctx, j.delays.retry(0))
@@ -93,7 +89,7 @@
 	next := j.replay.Next()
 	j.replay.Page(oldest)
 	if ready && !j.replay.Ready() {
-		j.config.Logger.Warn("snapshotNeeded", zap.Int64("next", int64(next)), zap.Int64("oldest", int64(oldest)))
+		j.event(events.SnapshotNeeded, zap.Int64("next", int64(next)), zap.Int64("oldest", int64(oldest)))
 	}
 }
 
@@ -101,28 +97,40 @@
 	switch res.Kind {
 	case replay.Malformed:
 		j.status.Skipped++
-		j.config.Logger.Warn("entrySkipped", zap.Int64("offset", int64(o)), zap.Error(res.Err))
+		j.event(events.EntrySkipped, zap.Int64("offset", int64(o)), zap.NamedError("reason", res.Err))
 	case replay.Repeated:
 		j.status.Repeated++
 	case replay.Restored:
 		j.status.Restored++
-		j.config.Logger.Info("snapshotRestored", zap.Int64("offset", int64(o)), zap.Int64("next", int64(j.replay.Next())))
+		j.event(events.SnapshotRestored, zap.Int64("offset", int64(o)), zap.Int64("next", int64(j.replay.Next())))
 	case replay.Applied:
 		for i, v := range res.Verdicts {
 			if errors.Is(v, record.ErrMalformed) {
 				j.status.Ignored++
-				j.config.Logger.Warn("recordSkipped", zap.Int64("offset", int64(o)), zap.Int("index", i), zap.Error(v))
+				j.event(events.EntrySkipped, zap.Int64("offset", int64(o)), zap.Int("index", i), zap.NamedError("reason", v))
+			} else if v != nil {
+				j.event(events.RecordIgnored, zap.Int64("offset", int64(o)), zap.Int("index", i),
+					zap.String("writer", string(res.Writer)), zap.NamedError("reason", v))
 			}
 		}
 	}
 }
 
+// event logs an event; the logger names the stream.
+func (j *Journal) event(e *events.Event, fields ...zap.Field) {
+	events.Log(j.config.Logger, e, fields...)
+}
+
 // noteRead keeps the last read's error and logs the first of a row.
 func (j *Journal) noteRead(err error) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if err != nil && j.status.ReadError == nil {
-		j.config.Logger.Warn("logReadFailed", zap.Error(err))
+		j.lost = j.config.Now()
+		j.event(events.LogContactLost, zap.String("operation", "read"), zap.Error(err))
+	}
+	if err == nil && j.status.ReadError != nil {
+		j.event(events.LogContactRegained, zap.Duration("duration", j.config.Now().Sub(j.lost)))
 	}
 	j.status.ReadError = err
 }
--- a/internal/journal/writer.go
+++ b/internal/journal/writer.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/comfreylink/comfreylink/internal/events"
 	"github.com/comfreylink/comfreylink/pkg/record"
 	"github.com/comfreylink/comfreylink/pkg/replay"
 )
@@ -182,7 +183,7 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if err != nil && j.status.AppendError == nil {
-		j.config.Logger.Warn("logAppendFailed", zap.Error(err))
+		j.event(events.LogContactLost, zap.String("operation", "append"), zap.Error(err))
 	}
 	j.status.AppendError = err
 }
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -169,6 +169,7 @@
 			UnixMilli:   time.Now().UnixMilli(),
 		}, o.attempts.Add(1))
 		e.IntentDone(r.Append(ctx, e.Intent()))
+		o.awaitLease(ctx, r)
 		return nil
 	})
 	if refusal != nil {
@@ -195,6 +196,21 @@
 	return o.finish(r, c, e, s.Place.Target)
 }
 
+// leasePoll is how often a waiting request looks whether the lease is valid again.
+const leasePoll = 20 * time.Millisecond
+
+// awaitLease waits until the owner's lease is valid, so that a short gap in the reads of the log delays a request and
+// does not refuse it.
+func (o *Owner) awaitLease(ctx context.Context, r *slots.Run) {
+	for !o.Lease.LeaseValid(time.Now()) && !r.Lost() {
+		select {
+		case <-time.After(leasePoll):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 func (o *Owner) sendOnce(ctx context.Context, r *slots.Run, c peer.Call, route config.Service, s targets.Sending, e *program.Execution) {
 	fence := ids.Epoch(0)
 	if route.ChecksFencing {
--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -75,17 +75,31 @@
 	}
 	for s, r := range o.runs {
 		if owned[s] != r.Epoch {
+			o.dropped(r)
 			r.cancel()
 			delete(o.runs, s)
 		}
 	}
 	for s, e := range owned {
 		if o.runs[s] == nil {
+			events.Log(o.Logger, events.SlotClaimed, zap.Int("slot", int(s)), zap.Int64("epoch", int64(e)))
 			o.runs[s] = o.startSlot(s, e)
 		}
 	}
 }
 
+// dropped logs how a slot was given up.
+func (o *Slots) dropped(r *Run) {
+	r.mu.Lock()
+	released := r.draining
+	r.mu.Unlock()
+	event := events.SlotLost
+	if released {
+		event = events.SlotReleased
+	}
+	events.Log(o.Logger, event, zap.Int("slot", int(r.Slot)), zap.Int64("epoch", int64(r.Epoch)))
+}
+
 // Slot returns the run of an owned slot, or nil.
 func (o *Slots) Slot(s ids.Slot) *Run {
 	o.mu.Lock()
@@ -133,6 +147,7 @@
 
 // openSlot appends the open record that starts the epoch. It counts only if no later epoch was opened.
 func (o *Slots) openSlot(ctx context.Context, r *Run) error {
+	began := time.Now()
 	if err := r.journal.CaughtUp(ctx); err != nil {
 		return nil
 	}
@@ -145,7 +160,8 @@
 		return fmt.Errorf("open slot %d in epoch %d: %w", r.Slot, r.Epoch, verdicts[0])
 	}
 	close(r.ready)
-	events.Log(o.Logger, events.SlotOpened, zap.Int("slot", int(r.Slot)), zap.Int64("epoch", int64(r.Epoch)))
+	events.Log(o.Logger, events.SlotOpened, zap.Int("slot", int(r.Slot)), zap.Int64("epoch", int64(r.Epoch)),
+		zap.Duration("duration", time.Since(began)))
 	return nil
 }
 
