--- a/pkg/slot/decide.go
+++ b/pkg/slot/decide.go
@@ -113,22 +113,22 @@
 		if suspected || w == d.view.Self || d.pendingSuspect(w) {
 			continue
 		}
-		since, silent := d.silentSince(w)
-		rank, ok := d.rank("suspect/" + string(w))
-		wait := d.view.SuspectAfter + time.Duration(rank)*d.stagger()
-		if ok && (d.restarted(w) || silent && d.now.Sub(since) >= wait) {
+		if d.restarted(w) || d.turnToSuspect(w) {
 			bodies = append(bodies, &record.Suspect{By: d.view.Self, Writer: w})
 		}
 	}
 	return bodies
 }
 
-func (d *decision) silentSince(w ids.WriterID) (since time.Time, silent bool) {
+// turnToSuspect reports whether a run is silent and this instance's turn to say so has come.
+func (d *decision) turnToSuspect(w ids.WriterID) bool {
 	i := slices.IndexFunc(d.view.Silent, func(s Silence) bool { return s.Writer == w })
 	if i < 0 {
-		return time.Time{}, false
+		return false
 	}
-	return d.view.Silent[i].Since, true
+	rank, ok := d.rank("suspect/" + string(w))
+	wait := d.view.SuspectAfter + time.Duration(rank)*d.stagger()
+	return ok && d.now.Sub(d.view.Silent[i].Since) >= wait
 }
 
 // restarted reports whether a run is an earlier run of this instance. Each instance suspects its own earlier runs.
