Count the reservation as spent when a ledger is made again

Cause: an owner that drops an idle program's ledger and makes it again in the same epoch forgot the tokens of calls that failed after sending. Change: NewLedger starts from the reservation. Since this change, an open that does not count the reserved tokens no longer fails TestBudgetHolds, which both mechanisms protect; TestSettledBudgetIsExact checks the open itself and fails then.

--- a/pkg/program/promises_test.go
+++ b/pkg/program/promises_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/comfreylink/comfreylink/pkg/ids"
 	"github.com/comfreylink/comfreylink/pkg/program"
+	"github.com/comfreylink/comfreylink/pkg/turn"
 )
 
 const owners = 3
@@ -94,6 +95,7 @@
 		schedule(t,
 			func(t *rapid.T, o *owner) { o.converse(t) },
 			seldom(func(_ *rapid.T, o *owner) { o.settle() }),
+			seldom(func(_ *rapid.T, o *owner) { o.forget() }),
 		)
 	})
 }
@@ -107,6 +109,13 @@
 	}
 }
 
+// forget drops the ledgers without calls in progress, as an owner does that keeps few in memory.
+func (o *owner) forget() {
+	maps.DeleteFunc(o.ledgers, func(root ids.ProgramID, _ *turn.Ledger) bool {
+		return o.running(func(r *request) bool { return r.call != nil && r.program.Root() == root }) == nil
+	})
+}
+
 // Guards against lost, reordered or mixed turns (R2), and against readers that disagree.
 func TestHistoryIsKept(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/pkg/program/slot_test.go
+++ b/pkg/program/slot_test.go
@@ -108,7 +108,8 @@
 	c.Check(program.New(program.Options{}).Admit(program.Request{}).Action, qt.Equals, program.ActionNotOwner)
 }
 
-// Guards against budget that is lost at a planned hand-over, where the spending is known exactly.
+// Guards against budget that is lost at a planned hand-over, where the spending is known exactly, and against budget that
+// is won at a takeover, where it is not (R3).
 func TestSettledBudgetIsExact(t *testing.T) {
 	c := qt.New(t)
 	s := program.New(program.Options{})
@@ -126,8 +127,11 @@
 	spent, ok := l.Close()
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(s.Apply(ids.Position{}, "a#1", settlement(1, "p", spent)), qt.IsNil)
+	unsettled := &record.Reserve{Epoch: 1, Workspace: workspace, Program: "q", UpTo: 50}
+	c.Assert(s.Apply(ids.Position{}, "a#1", unsettled), qt.IsNil)
 	c.Assert(s.Apply(ids.Position{}, "b#1", &record.Open{Epoch: 2, Owner: "b#1"}), qt.IsNil)
 	c.Check(s.Budget(workspace, "p"), qt.Equals, program.Spending{Spent: 11, Reserved: 11})
+	c.Check(s.Budget(workspace, "q"), qt.Equals, program.Spending{Spent: 50, Reserved: 50})
 }
 
 // An execution asks the daemon for one step after the other, and the fold gives the verdicts.
--- a/pkg/turn/ledger.go
+++ b/pkg/turn/ledger.go
@@ -15,7 +15,8 @@
 
 // Ledger is the owner's account of a root program's budget within one epoch. Before a call is sent, it holds the most
 // tokens that the call may use, within an accepted reservation. The next owner counts the whole reservation as spent, so
-// the calls of several owners together stay within the budget.
+// the calls of several owners together stay within the budget. A root has at most one ledger at a time, which the owner
+// may drop when no call uses it.
 type Ledger struct {
 	budget   ids.Tokens
 	reserved ids.Tokens
@@ -24,9 +25,11 @@
 	closed   bool
 }
 
-// NewLedger starts the account of an owner that has folded its open record; s is the root's spending at that time.
+// NewLedger starts the account of an owner that has folded its open record; s is the root's spending at that time. What
+// is reserved counts as spent, also when the owner has dropped an earlier ledger of the root in this epoch, since only
+// that one knew the use of calls that failed.
 func NewLedger(budget ids.Tokens, s program.Spending) *Ledger {
-	return &Ledger{budget: budget, reserved: s.Reserved, spent: s.Spent}
+	return &Ledger{budget: budget, reserved: s.Reserved, spent: s.Reserved}
 }
 
 // SetBudget replaces the budget; calls that hold tokens are not affected.
