--- a/scenario/script/fault.go
+++ b/scenario/fault_test.go
@@ -1,4 +1,4 @@
-package script
+package scenario_test
 
 import (
 	"encoding/json"
--- a/scenario/script/load.go
+++ b/scenario/load_test.go
@@ -1,4 +1,4 @@
-package script
+package scenario_test
 
 import (
 	"cmp"
@@ -57,8 +57,10 @@
 	return nil
 }
 
+// turnsPerProgram is below the limit of turns in the example template.
+const turnsPerProgram = 100
+
 func (w *world) work(l *load, worker int, tokens string) {
-	program := fmt.Sprintf("%s-%d", l.name, worker)
 	who := &caller.Caller{Key: w.keys[l.as], HTTP: &http.Client{Transport: &http.Transport{DisableKeepAlives: worker%2 == 0}}}
 	for n := 0; ; n++ {
 		select {
@@ -68,6 +70,7 @@
 			return
 		default:
 		}
+		program := fmt.Sprintf("%s-%d.%d", l.name, worker, n/turnsPerProgram)
 		r := loadRequest{key: fmt.Sprintf("%s-%d", program, n), program: program}
 		w.repeat(l, &r, who, worker+n, tokens)
 		l.mu.Lock()
@@ -80,6 +83,13 @@
 func (w *world) repeat(l *load, r *loadRequest, who *caller.Caller, first int, tokens string) {
 	for attempt, end := 0, time.Now().Add(patience); ; attempt++ {
 		names := w.live()
+		if len(names) == 0 {
+			time.Sleep(10 * time.Millisecond)
+			if w.ctx.Err() != nil || time.Now().After(end) {
+				return
+			}
+			continue
+		}
 		p := w.cluster.Process(names[(first+attempt)%len(names)])
 		if p == nil || w.ctx.Err() != nil {
 			return
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -1,3 +1,5 @@
+// Package scenario_test runs scripted scenarios on real processes. Its test language has words that start processes, make
+// them fail, call daemons as callers do, and check what came of it.
 package scenario_test
 
 import (
@@ -9,7 +11,6 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/comfreylink/comfreylink/scenario/cluster"
-	"github.com/comfreylink/comfreylink/scenario/script"
 )
 
 // atOnce is how many scenarios run at a time; each has about ten processes.
@@ -41,11 +42,11 @@
 	free := make(chan struct{}, atOnce)
 	testscript.Run(t, testscript.Params{
 		Dir:  "testdata",
-		Cmds: script.Commands(),
+		Cmds: commands(),
 		Setup: func(env *testscript.Env) error {
 			free <- struct{}{}
 			env.Defer(func() { <-free })
-			return script.Setup(env, bin)
+			return setUp(env, bin)
 		},
 		RequireUniqueNames: true,
 	})
--- a/scenario/script/state.go
+++ b/scenario/state_test.go
@@ -1,4 +1,4 @@
-package script
+package scenario_test
 
 import (
 	"encoding/json"
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -124,6 +125,44 @@
 	return nil
 }
 
+// calling DAEMON COUNT: checks that a daemon runs at least so many calls as owner of slots.
+func (w *world) calling(_ *reply, args []string) error {
+	if err := need(args, 2, "calling DAEMON COUNT"); err != nil {
+		return err
+	}
+	s, err := w.stateOf(args[0])
+	if err != nil {
+		return err
+	}
+	n := 0
+	for _, slot := range s.slots {
+		n += slot.Calls
+	}
+	if want, err := strconv.Atoi(args[1]); err != nil || n < want {
+		return fmt.Errorf("%s runs %d calls, want %s", args[0], n, args[1])
+	}
+	return nil
+}
+
+// owned DAEMON PROGRAM: checks that the other daemons take a daemon for the owner of a program's slot. They need not all
+// have read the same of the log.
+func (w *world) owned(_ *reply, args []string) error {
+	if err := need(args, 2, "owned DAEMON PROGRAM"); err != nil {
+		return err
+	}
+	slot := ids.SlotOf(studio, ids.ProgramID(args[1]), slotCount)
+	for _, id := range w.live() {
+		if id == args[0] {
+			continue
+		}
+		s, err := w.stateOf(id)
+		if err == nil && slices.Contains(s.fleet.Owned, slot) {
+			return fmt.Errorf("%s owns slot %d", id, slot)
+		}
+	}
+	return nil
+}
+
 // status DAEMON PATH TEXT...: checks that a page of the admin server contains texts; with ! that it does not.
 func (w *world) status(_ *reply, args []string) error {
 	if err := need(args, 3, "status DAEMON PATH TEXT..."); err != nil {
--- a/scenario/script/world.go
+++ b/scenario/world_test.go
@@ -1,6 +1,4 @@
-// Package script is the test language of the scenarios: words that start processes, make them fail, call daemons as
-// callers do, and check what came of it.
-package script
+package scenario_test
 
 import (
 	"context"
@@ -75,26 +73,27 @@
 		"history": (*world).history, "load": (*world).load, "finish": (*world).finishLoad, "status": (*world).status,
 		"revision": (*world).revision, "watch": (*world).watch, "append": (*world).appendRaw, "output": (*world).output,
 		"peertalk": (*world).peerTalk, "await": (*world).await, "sleep": (*world).sleep, "answered": (*world).answered,
+		"calling": (*world).calling, "owned": (*world).owned,
 	}
 }
 
-// Commands returns the words for testscript.
-func Commands() map[string]func(*testscript.TestScript, bool, []string) {
-	commands := map[string]func(*testscript.TestScript, bool, []string){
+// commands returns the words for testscript.
+func commands() map[string]func(*testscript.TestScript, bool, []string) {
+	all := map[string]func(*testscript.TestScript, bool, []string){
 		"background": func(ts *testscript.TestScript, neg bool, args []string) { run(ts, neg, "background", args) },
 		"eventually": func(ts *testscript.TestScript, neg bool, args []string) { run(ts, neg, "eventually", args) },
 	}
 	for name := range words() {
-		commands[name] = func(ts *testscript.TestScript, neg bool, args []string) { run(ts, neg, name, args) }
+		all[name] = func(ts *testscript.TestScript, neg bool, args []string) { run(ts, neg, name, args) }
 	}
-	return commands
+	return all
 }
 
 // worldKey is the key of the world among a script's values.
 type worldKey struct{}
 
-// Setup gives a script a world without processes, which end with the script.
-func Setup(env *testscript.Env, bin string) error {
+// setUp gives a script a world without processes, which end with the script.
+func setUp(env *testscript.Env, bin string) error {
 	dir := env.WorkDir
 	c, endProcesses, err := cluster.New(dir, bin)
 	if err != nil {
