--- a/internal/daemon/tasks.go
+++ b/internal/daemon/tasks.go
@@ -20,6 +20,10 @@
 	idleInterval = 5 * time.Second
 	// snapshotsPerRetention is how many snapshots are written within the time that the log keeps entries.
 	snapshotsPerRetention = 4
+	// snapshotChecks is how often in the interval between two snapshots a daemon looks whether any is due, and
+	// maxSnapshotCheck the longest time between two looks. An instance that lives shorter than that may write none.
+	snapshotChecks   = 32
+	maxSnapshotCheck = 10 * time.Second
 	// staleAfter is the age of the last up-to-date read of the configuration after which requests are refused.
 	staleAfter = 5 * time.Second
 )
@@ -65,28 +69,36 @@
 }
 
 // writeSnapshots keeps every stream readable from its snapshots alone. The owner of slot 0 also writes those of the
-// streams that all instances read.
+// streams that all instances read. A stream's snapshots are due at fixed times of the clock, whoever owns it then, since
+// an instance may be replaced before it has run for the interval between two of them.
 func (d *Daemon) writeSnapshots(ctx context.Context) error {
 	interval := d.settings.Log.Retention / snapshotsPerRetention
-	if interval <= 0 {
-		<-ctx.Done()
-		return nil
-	}
-	ticker := time.NewTicker(interval)
+	ticker := time.NewTicker(min(interval/snapshotChecks, maxSnapshotCheck))
 	defer ticker.Stop()
-	for {
+	for last := time.Now(); ; {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
 		}
-		d.owner.WriteSnapshots(ctx)
-		if w, _, _ := d.fleet.Owner(0); w == d.self {
-			for _, j := range []interface{ WriteSnapshot(context.Context) error }{d.config, d.fleetLog} {
-				if err := j.WriteSnapshot(ctx); err != nil {
-					d.logger.Warn("write a snapshot", zap.Error(err))
-				}
-			}
+		now := time.Now()
+		due := func(s ids.Slot) bool {
+			// The slots' times are spread over the interval.
+			offset := interval * time.Duration(s) / time.Duration(d.settings.Ownership.Slots)
+			return now.Add(-offset).Truncate(interval).After(last.Add(-offset))
+		}
+		d.owner.WriteSnapshots(ctx, due)
+		if w, _, _ := d.fleet.Owner(0); w == d.self && due(0) {
+			d.writeCommonSnapshots(ctx)
+		}
+		last = now
+	}
+}
+
+func (d *Daemon) writeCommonSnapshots(ctx context.Context) {
+	for _, j := range []interface{ WriteSnapshot(context.Context) error }{d.config, d.fleetLog} {
+		if err := j.WriteSnapshot(ctx); err != nil {
+			d.logger.Warn("write a snapshot", zap.Error(err))
 		}
 	}
 }
--- a/internal/owner/end.go
+++ b/internal/owner/end.go
@@ -8,6 +8,7 @@
 
 	"github.com/comfreylink/comfreylink/internal/events"
 	"github.com/comfreylink/comfreylink/internal/peer"
+	"github.com/comfreylink/comfreylink/pkg/ids"
 	"github.com/comfreylink/comfreylink/pkg/record"
 )
 
@@ -105,10 +106,14 @@
 	return ended
 }
 
-// WriteSnapshots writes a snapshot of each owned slot's stream.
-func (o *Owner) WriteSnapshots(ctx context.Context) {
+// WriteSnapshots writes a snapshot of each owned slot's stream that is due.
+func (o *Owner) WriteSnapshots(ctx context.Context, due func(ids.Slot) bool) {
 	for _, r := range o.ready() {
-		if err := r.journal.WriteSnapshot(ctx); err != nil {
+		if !due(r.slot) {
+			continue
+		}
+		// A slot that is handed over meanwhile gets its snapshots from its next owner.
+		if err := r.journal.WriteSnapshot(ctx); err != nil && r.ctx.Err() == nil && ctx.Err() == nil {
 			events.Log(o.Logger, events.InternalError, zap.Int("slot", int(r.slot)), zap.Error(err))
 		}
 	}
