Let requests on public routes through without a rate token

Cause: a request without a key ran under the workspace "public", which nobody publishes, so it had no rate and every such request was refused with rateExceeded. A workspace of that name would have shared its request keys with all callers.

Change: such requests run under a name that no workspace can have, and need no token.

--- a/internal/daemon/adapters.go
+++ b/internal/daemon/adapters.go
@@ -100,6 +100,9 @@
 }
 
 func (t targets) Acquire(ctx context.Context, ws ids.WorkspaceID) (owner.Grant, *peer.Refusal) {
+	if ws == publicWorkspace {
+		return unlimited{}, nil
+	}
 	g, r := t.d.limiter.Acquire(ctx, ws)
 	if r != nil {
 		return nil, r
@@ -149,8 +152,21 @@
 	return chat.Caller{Workspace: ws, KeyHash: hashOf(key)}, true
 }
 
-// publicWorkspace is the workspace of requests on routes that are open to all.
-const publicWorkspace ids.WorkspaceID = "public"
+// publicWorkspace is the workspace of requests without a key on routes that are open to all. No workspace can be
+// published under this name, so these requests share no request keys or programs with one.
+const publicWorkspace ids.WorkspaceID = "~public"
+
+// unlimited is the grant of a request on a public route, which counts against no workspace's rate.
+type unlimited struct{}
+
+// Usable implements owner.Grant.
+func (unlimited) Usable(time.Time) bool { return true }
+
+// Used implements owner.Grant.
+func (unlimited) Used() {}
+
+// Unused implements owner.Grant.
+func (unlimited) Unused() {}
 
 func (a directory) Public(service string) (chat.Caller, bool) {
 	_, ok := a.d.catalog.PublicService(service)
