--- a/scenario/call_test.go
+++ b/scenario/call_test.go
@@ -214,6 +214,21 @@
 	return nil
 }
 
+// accepted DAEMON LABEL: makes a repeatable request with a key, which must be answered.
+func (w *world) accepted(_ *reply, args []string) error {
+	if err := need(args, 2, "accepted DAEMON LABEL"); err != nil {
+		return err
+	}
+	var r reply
+	if err := w.call(&r, []string{args[0], deskPool, "-", "method=GET", "deadline=5s", "as=" + args[1]}); err != nil {
+		return err
+	}
+	if r.broken != nil || r.answer.Status != http.StatusOK {
+		return fmt.Errorf("key %s at %s: %s", args[1], args[0], &r)
+	}
+	return nil
+}
+
 // answered NAME: succeeds if a request in the background has ended.
 func (w *world) answered(_ *reply, args []string) error {
 	if err := need(args, 1, "answered NAME"); err != nil {
--- a/scenario/state_test.go
+++ b/scenario/state_test.go
@@ -40,6 +40,11 @@
 	fleet  fleetState
 	slots  []slotState
 	config configState
+	pools  map[string]poolState
+}
+
+type poolState struct {
+	Queued int `json:"queued"`
 }
 
 // admin reads a page of a daemon's admin server.
@@ -76,7 +81,7 @@
 	if err := json.Unmarshal(data, &report); err != nil {
 		return s, err
 	}
-	into := map[string]any{"fleet": &s.fleet, "slots": &s.slots, "config": &s.config}
+	into := map[string]any{"fleet": &s.fleet, "slots": &s.slots, "config": &s.config, "pools": &s.pools}
 	for _, p := range report.Parts {
 		if target, ok := into[p.Name]; ok {
 			if err := json.Unmarshal(p.State, target); err != nil {
@@ -144,6 +149,29 @@
 	return nil
 }
 
+// queued POOL COUNT: checks that at least so many calls wait for a target of a pool.
+func (w *world) queued(_ *reply, args []string) error {
+	if err := need(args, 2, "queued POOL COUNT"); err != nil {
+		return err
+	}
+	want, err := strconv.Atoi(args[1])
+	if err != nil {
+		return err
+	}
+	n := 0
+	for _, id := range w.live() {
+		s, err := w.stateOf(id)
+		if err != nil {
+			return err
+		}
+		n += s.pools[args[0]].Queued
+	}
+	if n < want {
+		return fmt.Errorf("%d calls wait for %s, want %d", n, args[0], want)
+	}
+	return nil
+}
+
 // owned DAEMON PROGRAM: checks that the other daemons take a daemon for the owner of a program's slot. They need not all
 // have read the same of the log.
 func (w *world) owned(_ *reply, args []string) error {
--- a/scenario/verify_test.go
+++ b/scenario/verify_test.go
@@ -76,19 +76,41 @@
 	return nil
 }
 
-// arrived TARGET COUNT: checks how many requests a target has run or runs.
-func (w *world) arrived(_ *reply, args []string) error {
-	if err := need(args, 2, "arrived TARGET COUNT"); err != nil {
+// inFlight ENGINE COUNT: checks that an engine runs at least so many requests now.
+func (w *world) inFlight(_ *reply, args []string) error {
+	if err := need(args, 2, "inflight ENGINE COUNT"); err != nil {
 		return err
 	}
-	var r struct {
-		Runs []json.RawMessage `json:"runs"`
+	var load struct {
+		Running int `json:"running"`
+		Waiting int `json:"waiting"`
 	}
-	if err := w.cluster.Get(args[0], "/runs", &r); err != nil {
+	if err := w.cluster.Get(args[0], "/v1/load", &load); err != nil {
 		return err
 	}
-	if n := strconv.Itoa(len(r.Runs)); n != args[1] {
-		return fmt.Errorf("%s has %s runs, want %s", args[0], n, args[1])
+	if want, err := strconv.Atoi(args[1]); err != nil || load.Running+load.Waiting < want {
+		return fmt.Errorf("%s runs %d requests, want %s", args[0], load.Running+load.Waiting, args[1])
+	}
+	return nil
+}
+
+// arrived TARGET,TARGET... COUNT: checks how many requests targets have run or run.
+func (w *world) arrived(_ *reply, args []string) error {
+	if err := need(args, 2, "arrived TARGET,TARGET... COUNT"); err != nil {
+		return err
+	}
+	n := 0
+	for id := range strings.SplitSeq(args[0], ",") {
+		var r struct {
+			Runs []json.RawMessage `json:"runs"`
+		}
+		if err := w.cluster.Get(id, "/runs", &r); err != nil {
+			return err
+		}
+		n += len(r.Runs)
+	}
+	if strconv.Itoa(n) != args[1] {
+		return fmt.Errorf("%s have %d runs, want %s", args[0], n, args[1])
 	}
 	return nil
 }
--- a/scenario/world_test.go
+++ b/scenario/world_test.go
@@ -74,6 +74,8 @@
 		"revision": (*world).revision, "watch": (*world).watch, "append": (*world).appendRaw, "output": (*world).output,
 		"peertalk": (*world).peerTalk, "await": (*world).await, "sleep": (*world).sleep, "answered": (*world).answered,
 		"calling": (*world).calling, "owned": (*world).owned,
+		"accepted": (*world).accepted, "queued": (*world).queued, "inflight": (*world).inFlight,
+		"revisionof": (*world).revisionOf, "exactlyone": (*world).exactlyOne, "invalid": (*world).invalid,
 	}
 }
 
