--- a/internal/slots/upkeep.go
+++ b/internal/slots/upkeep.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/comfreylink/comfreylink/internal/events"
+	"github.com/comfreylink/comfreylink/pkg/ids"
 	"github.com/comfreylink/comfreylink/pkg/record"
 )
 
@@ -35,10 +36,14 @@
 	return ended
 }
 
-// WriteSnapshots writes a snapshot of each owned slot's stream.
-func (o *Slots) WriteSnapshots(ctx context.Context) {
+// WriteSnapshots writes a snapshot of each owned slot's stream that is due.
+func (o *Slots) WriteSnapshots(ctx context.Context, due func(ids.Slot) bool) {
 	for _, r := range o.ready() {
-		if err := r.journal.WriteSnapshot(ctx); err != nil {
+		if !due(r.Slot) {
+			continue
+		}
+		// A slot that is handed over meanwhile gets its snapshots from its next owner.
+		if err := r.journal.WriteSnapshot(ctx); err != nil && !r.Lost() && ctx.Err() == nil {
 			events.Log(o.Logger, events.InternalError, zap.Int("slot", int(r.Slot)), zap.Error(err))
 		}
 	}
