Refuse with notRun only if no attempt may have run the request

Cause: three refusals said notRun for requests that may have run. A call whose stream broke was resumed, and the failure of the resumption (connection refused, so unsent) replaced that of the call; for the same reason a request that killed its engine was never suspected. A repeated attempt that found no target, token or time answered notRun although an earlier attempt had reached a target. The entry instance did the same with an earlier attempt at another owner. Besides, calls without a stream counted as answered in part and were not repeated at another engine.

Change: the first failure stands if the resumption fails; earlier attempts that reached a target turn notRun into unknown; deltas are only given on to callers that stream.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -76,6 +76,10 @@
 		out.startAttempt()
 		result, sent, answered := f.attempt(ctx, slot, c, out)
 		if answered {
+			if mayHaveRun && result.Refusal != nil && result.Refusal.Run == peer.NotRun {
+				// The owner that refused may not know of an earlier attempt at another owner.
+				result.Refusal.Run = peer.Unknown
+			}
 			return out.check(result)
 		}
 		mayHaveRun = mayHaveRun || sent
@@ -102,7 +106,11 @@
 	defer cancel()
 	c.DeadlineMillis = ownerDeadline(remaining(ctx, c.DeadlineMillis))
 	if owner == f.self {
-		r = f.local.Call(ctx, slot, c, out.add)
+		var onDelta func(string)
+		if out.forward != nil {
+			onDelta = out.add
+		}
+		r = f.local.Call(ctx, slot, c, onDelta)
 		return r, redirectedLate(r), r.Redirect == nil
 	}
 	address, ok := f.owners.Address(owner)
--- a/internal/owner/chat.go
+++ b/internal/owner/chat.go
@@ -29,6 +29,8 @@
 	prompt   ids.Tokens // upper bound
 	max      ids.Tokens // most tokens to generate
 	known    ids.Tokens // tokens of the history, as the last target counted them
+	// mayHaveRun says that an earlier attempt reached a target, so that no refusal may say that the call did not run.
+	mayHaveRun bool
 }
 
 // chat runs a model call of a program: one at a time for each program, in the order of arrival.
@@ -53,6 +55,10 @@
 	for attempt := 1; ; attempt++ {
 		result, retry := o.attempt(ctx, r, run, item, attempt, out)
 		if !retry {
+			result.Refusal = truthful(result.Refusal, run.mayHaveRun)
+			if result.Redirect != nil {
+				result.Redirect.MayHaveRun = result.Redirect.MayHaveRun || run.mayHaveRun
+			}
 			return result
 		}
 		item.Excluded = append(item.Excluded, result.Trace.Target)
@@ -101,10 +107,12 @@
 			t.Failed(targets.MayHaveReached(err), err)
 		})
 		result.Refusal = o.chatFailed(ctx, c, err, attempt, out)
-		if result.Refusal != nil {
-			result.Refusal.RequestKey = c.RequestKey
+		if result.Refusal == nil {
+			run.mayHaveRun = run.mayHaveRun || targets.MayHaveReached(err)
+			return result, true
 		}
-		return result, result.Refusal == nil
+		result.Refusal.RequestKey = c.RequestKey
+		return result, false
 	}
 	return o.commitTurn(ctx, r, run, t, a, s.Place.Target), false
 }
@@ -274,7 +282,7 @@
 	for attempt := 1; ; attempt++ {
 		s, r := o.Targets.Prepare(ctx, run.call, run.route.Model.Pool, item, nil)
 		if r != nil {
-			return a, target, r
+			return a, target, truthful(r, run.mayHaveRun)
 		}
 		target = s.Place.Target
 		a, err := o.sendChat(ctx, s, run, attempt, out)
@@ -283,8 +291,9 @@
 			return a, target, nil
 		}
 		if refusal := o.chatFailed(ctx, run.call, err, attempt, out); refusal != nil {
-			return a, target, refusal
+			return a, target, truthful(refusal, run.mayHaveRun)
 		}
+		run.mayHaveRun = run.mayHaveRun || targets.MayHaveReached(err)
 		item.Excluded = append(item.Excluded, target)
 	}
 }
@@ -311,7 +320,10 @@
 	s.Grant.Used()
 	a, err = o.Targets.Chat(ctx, s.Place.Address, req, emit)
 	if err != nil && targets.BrokeOff(err) && ctx.Err() == nil {
-		a, err = o.Targets.Resume(ctx, s.Place.Address, req.ID, a, emit)
+		// A failed resumption does not change how the call ended: it was sent, and the target may have died of it.
+		if whole, failed := o.Targets.Resume(ctx, s.Place.Address, req.ID, a, emit); failed == nil {
+			return whole, nil
+		}
 	}
 	return a, err
 }
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -86,11 +86,12 @@
 func (o *Owner) runRepeatable(ctx context.Context, c peer.Call, route config.Service) peer.Result {
 	item := o.serviceItem(c, true)
 	o.Targets.Request()
+	mayHaveRun := false
 	for attempt := 1; ; attempt++ {
 		s, refusal := o.Targets.Prepare(ctx, c, route.Pool, item, nil)
 		if refusal != nil {
 			refusal.RequestKey = c.RequestKey
-			return peer.Result{Refusal: refusal}
+			return peer.Result{Refusal: truthful(refusal, mayHaveRun)}
 		}
 		target := s.Place.Target
 		s.Grant.Used()
@@ -113,10 +114,19 @@
 		if !o.Targets.MayRetry(ctx, c, err, attempt) {
 			return retryLater(refused(c, peer.CodeTargetFailed, peer.Unknown, "targets failed"), time.Second)
 		}
+		mayHaveRun = mayHaveRun || err != nil && targets.MayHaveReached(err)
 		item.Excluded = append(item.Excluded, target)
 	}
 }
 
+// truthful changes a refusal that says notRun if an earlier attempt of the request may have run. r may be nil.
+func truthful(r *peer.Refusal, mayHaveRun bool) *peer.Refusal {
+	if r != nil && mayHaveRun && r.Run == peer.NotRun {
+		r.Run = peer.Unknown
+	}
+	return r
+}
+
 func answerOf(a service.Answer) *peer.ServiceResult {
 	return &peer.ServiceResult{Status: a.Status, ContentType: a.ContentType, Body: a.Body}
 }
