Stop sending non-idempotent requests to a service that says it leaves

Cause: the answer 503 with "Connection: close" to a non-idempotent request was told to the dispatcher as a completion, so the service went on getting requests. A refused connection was reported with the code logUnavailable.

Change: the dispatcher learns that the target left; the caller still gets the target's answer, since it proves nothing about the run. The code of an unreachable target is targetFailed.

--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -8,6 +8,7 @@
 	"github.com/comfreylink/comfreylink/internal/peer"
 	"github.com/comfreylink/comfreylink/internal/service"
 	"github.com/comfreylink/comfreylink/internal/slots"
+	"github.com/comfreylink/comfreylink/internal/targethttp"
 	"github.com/comfreylink/comfreylink/internal/targets"
 	"github.com/comfreylink/comfreylink/pkg/config"
 	"github.com/comfreylink/comfreylink/pkg/dispatch"
@@ -229,7 +230,12 @@
 	s.Grant.Used()
 	a, err := o.Targets.Service(ctx, s.Place.Address, request(c, fence))
 	if err == nil {
-		o.Targets.Done(s.Place, dispatch.Completed, record.Usage{})
+		ending := dispatch.Completed
+		if a.Leaving {
+			ending = dispatch.Left
+		}
+		o.Targets.Done(s.Place, ending, record.Usage{})
+		// The answer of a leaving target is no proof that the request did not run, so it is not sent to another.
 		e.Answered(a.Status, a.ContentType, a.Body)
 		return
 	}
@@ -265,6 +271,7 @@
 	cancelIntent(r, e)
 	answer := e.Answer()
 	trace := peer.Trace{Target: target}
+	var failed *targethttp.Error
 	switch {
 	case answer.Run == program.RunDone:
 		result := &peer.ServiceResult{Status: answer.Status, ContentType: answer.ContentType, Body: answer.Body}
@@ -277,6 +284,8 @@
 		return peer.Result{Redirect: &peer.Redirect{Epoch: r.Epoch}}
 	case errors.Is(answer.Reason, errLeaseEnded):
 		return retryLater(refused(c, peer.CodeLogUnavailable, peer.NotRun, "the owner cannot confirm its lease while the log is unavailable"), time.Second)
+	case errors.As(answer.Reason, &failed):
+		return retryLater(refused(c, peer.CodeTargetFailed, peer.NotRun, "the target cannot be reached: "+root(failed)), time.Second)
 	default:
 		return retryLater(refused(c, peer.CodeLogUnavailable, peer.NotRun, "the request was not sent: "+answer.Reason.Error()), time.Second)
 	}
