Admit no request before the configuration was read once to its end

Cause: a daemon that had folded a part of the stream and knew no peers counted itself as the majority that has no contact with the log, and answered 401 to valid keys.

Change: the rule of the majority applies only after one read up to the end, its own or a peer's.

--- a/internal/daemon/tasks.go
+++ b/internal/daemon/tasks.go
@@ -194,11 +194,12 @@
 
 // fresh implements the admission rule of the design page, section 4.8.
 func (d *Daemon) fresh(now time.Time) bool {
-	if at := d.freshAt(); !at.IsZero() && now.Sub(at) < staleAfter {
-		return true
+	at := d.freshAt()
+	if at.IsZero() {
+		return false // not read to its end yet: what is there may be a part
 	}
-	if d.catalog.Current().Revision() == ids.NoRevision {
-		return false
+	if now.Sub(at) < staleAfter {
+		return true
 	}
 	reports := d.members.Reports(now)
 	withoutLog := 1
