Count the bytes that control sends and receives

The connections to the log service and to and from peers count their bytes below TLS; the metric comfreylink_network_io_bytes_total reports them by link and direction. The instance list and targets are not counted yet.

scenario/cluster gives the id of a started process, for measurements.

--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -14,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"github.com/comfreylink/comfreylink/internal/admin"
+	"github.com/comfreylink/comfreylink/internal/traffic"
 	"github.com/comfreylink/comfreylink/pkg/config"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 	"github.com/comfreylink/comfreylink/pkg/record"
@@ -43,8 +45,15 @@
 
 func start(t *testing.T) *fixture {
 	f := &fixture{t: t, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	var link traffic.Counter
+	near, far := net.Pipe()
+	go func() { _, _ = io.Copy(io.Discard, far) }()
+	_, err := link.Conn(near).Write([]byte("ping"))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, near.Close(), qt.IsNil)
 	metrics, endMetrics, err := admin.NewMetrics(admin.Observed{
 		ConfigRevision: func() ids.Revision { return 17 }, OwnedSlots: func() int { return 5 },
+		Links: func() map[string]*traffic.Counter { return map[string]*traffic.Counter{"log": &link} },
 	})
 	qt.Assert(t, err, qt.IsNil)
 	f.metrics = metrics
@@ -157,6 +166,7 @@
 		`comfreylink_log_entry_skipped_total{comfreylink_stream_kind="fleet"} 1`,
 		`comfreylink_config_revision 17`,
 		`comfreylink_slot_owned 5`,
+		`comfreylink_network_io_bytes_total{comfreylink_link="log",network_io_direction="transmit"} 4`,
 	} {
 		qt.Check(t, body, qt.Contains, "\n"+line+"\n")
 	}
--- a/internal/admin/metrics.go
+++ b/internal/admin/metrics.go
@@ -15,6 +15,7 @@
 	"go.opentelemetry.io/otel/metric"
 	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
 
+	"github.com/comfreylink/comfreylink/internal/traffic"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 )
 
@@ -36,12 +37,16 @@
 	attrPool     = attribute.Key("comfreylink.pool")
 	attrTemplate = attribute.Key("comfreylink.template")
 	attrFailed   = attribute.Key("comfreylink.failed")
+	attrLink     = attribute.Key("comfreylink.link")
+	attrIO       = attribute.Key("network.io.direction")
 )
 
 // Observed are the values that metrics read when they are collected. The functions may be called at any time.
 type Observed struct {
 	ConfigRevision func() ids.Revision
 	OwnedSlots     func() int
+	// Links returns the byte counters of connections by what they connect to.
+	Links func() map[string]*traffic.Counter
 }
 
 // Metrics are the daemon's instruments. Its methods may be called concurrently.
@@ -75,6 +80,7 @@
 		func() int64 { return int64(o.ConfigRevision()) })
 	i.gauge("comfreylink.slot.owned", "{slot}", "Slots that this instance serves.",
 		func() int64 { return int64(o.OwnedSlots()) })
+	i.links(o.Links)
 	return m, func() { _ = m.provider.Shutdown(context.Background()) }, i.err
 }
 
@@ -112,6 +118,20 @@
 	i.keep(err)
 }
 
+// links reports the bytes that control sends and receives, for which the design page sets a limit.
+func (i *instruments) links(links func() map[string]*traffic.Counter) {
+	_, err := i.meter.Int64ObservableCounter("comfreylink.network.io", metric.WithUnit("By"),
+		metric.WithDescription("Bytes of connections, without those of TCP and below."),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			for name, c := range links() {
+				o.Observe(c.Sent(), metric.WithAttributes(attrLink.String(name), attrIO.String("transmit")))
+				o.Observe(c.Received(), metric.WithAttributes(attrLink.String(name), attrIO.String("receive")))
+			}
+			return nil
+		}))
+	i.keep(err)
+}
+
 // handler serves the metrics in the Prometheus text format.
 func (m *Metrics) handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/comfreylink/comfreylink/internal/admin"
+	"github.com/comfreylink/comfreylink/internal/traffic"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 )
 
@@ -12,6 +13,7 @@
 	var cleanup func()
 	d.metrics, cleanup, err = admin.NewMetrics(admin.Observed{
 		ConfigRevision: func() ids.Revision { return d.catalog.Current().Revision() },
+		Links:          d.links,
 		OwnedSlots:     func() int { return len(d.fleet.Status(time.Now()).Owned) },
 	})
 	if err != nil {
@@ -21,6 +23,15 @@
 	return nil
 }
 
+// links returns the byte counters of the connections for control.
+func (d *Daemon) links() map[string]*traffic.Counter {
+	return map[string]*traffic.Counter{
+		"log":       d.log.Traffic(),
+		"fromPeers": d.server.Traffic(),
+		"toPeers":   d.peers.Traffic(),
+	}
+}
+
 // openAdmin binds the address for operators and registers what /status and /dump show.
 func (d *Daemon) openAdmin() (err error) {
 	var cleanup func()
--- a/internal/logservice/conn.go
+++ b/internal/logservice/conn.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/comfreylink/comfreylink/internal/traffic"
 )
 
 const (
@@ -23,6 +25,7 @@
 type pool struct {
 	address string
 	dialer  net.Dialer
+	traffic traffic.Counter
 
 	mu     sync.Mutex
 	idle   []*conn
@@ -77,6 +80,7 @@
 	if err != nil {
 		return nil, err
 	}
+	n = p.traffic.Conn(n)
 	return &conn{Conn: n, r: bufio.NewReader(n), w: bufio.NewWriter(n)}, nil
 }
 
--- a/internal/logservice/logservice.go
+++ b/internal/logservice/logservice.go
@@ -14,6 +14,7 @@
 	"github.com/samber/oops"
 	"github.com/valyala/fasthttp"
 
+	"github.com/comfreylink/comfreylink/internal/traffic"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 	"github.com/comfreylink/comfreylink/pkg/record"
 )
@@ -59,6 +60,9 @@
 	return c, c.pool.close, nil
 }
 
+// Traffic counts the bytes of the connections to the log service.
+func (c *Client) Traffic() *traffic.Counter { return &c.pool.traffic }
+
 // Append adds an entry of at most record.MaxEntryBytes to a stream and returns its offset. After an error with Sent the
 // entry may have been appended, or may still be.
 func (c *Client) Append(ctx context.Context, s ids.Stream, data []byte) (o ids.Offset, err error) {
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -15,6 +15,7 @@
 	"github.com/samber/oops"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"github.com/comfreylink/comfreylink/internal/traffic"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 )
 
@@ -47,6 +48,7 @@
 	conns       map[Address]*clientConn
 	next        atomic.Int64
 	closed      bool
+	traffic     traffic.Counter
 }
 
 // New returns a client. The returned cleanup closes all connections.
@@ -96,8 +98,7 @@
 	defer p.forget(c, to)
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
-	dialer := tls.Dialer{Config: p.credentials.clientConfig(to.Instance)}
-	conn, err := dialer.DialContext(ctx, "tcp", to.HostPort)
+	conn, err := p.connect(ctx, to)
 	if err != nil {
 		c.err = err
 		close(c.ready)
@@ -109,6 +110,24 @@
 	<-c.rpc.DisconnectNotify()
 }
 
+// connect makes a connection whose bytes are counted below TLS.
+func (p *Client) connect(ctx context.Context, to Address) (secure *tls.Conn, err error) {
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", to.HostPort)
+	if err != nil {
+		return nil, err
+	}
+	secure = tls.Client(p.traffic.Conn(conn), p.credentials.clientConfig(to.Instance))
+	if err := secure.HandshakeContext(ctx); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return secure, nil
+}
+
+// Traffic counts the bytes of the connections to peers.
+func (p *Client) Traffic() *traffic.Counter { return &p.traffic }
+
 func (p *Client) forget(c *clientConn, to Address) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -15,6 +15,7 @@
 	"github.com/samber/oops"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"github.com/comfreylink/comfreylink/internal/traffic"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 )
 
@@ -42,6 +43,7 @@
 	rejected Rejected
 	open     sync.WaitGroup
 	calls    atomic.Int64
+	traffic  traffic.Counter
 }
 
 // Listen binds the peer address. The returned cleanup closes the listener.
@@ -61,6 +63,9 @@
 // Calls returns the number of requests under way.
 func (s *Server) Calls() int64 { return s.calls.Load() }
 
+// Traffic counts the bytes of the connections from peers.
+func (s *Server) Traffic() *traffic.Counter { return &s.traffic }
+
 // Serve answers requests until ctx ends; then it closes all connections and waits for their goroutines.
 func (s *Server) Serve(ctx context.Context, h Handler) error {
 	s.handler = h
@@ -82,7 +87,7 @@
 
 func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
 	defer s.open.Done()
-	secure := tls.Server(conn, s.tls)
+	secure := tls.Server(s.traffic.Conn(conn), s.tls)
 	handshake, cancel := context.WithTimeout(ctx, handshakeTimeout)
 	err := secure.HandshakeContext(handshake)
 	cancel()
--- a/scenario/cluster/cluster.go
+++ b/scenario/cluster/cluster.go
@@ -225,6 +225,9 @@
 	}
 }
 
+// PID returns the process id.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
 // Exited reports whether a process has ended.
 func (p *Process) Exited() bool {
 	select {
