Add programs that measure the costs behind the capacity page

scenario/slope builds the states of the decision packages at three or more sizes and measures live memory, processor time with that of the collector, garbage, and bytes of messages and records. scenario/cmd/slopes prints its tables (memory, work, messages), and measures real daemons for combinations of daemons, targets, slots and requests (daemons) from /proc and from the daemons' metrics.

--- /dev/null
+++ b/scenario/cmd/slopes/proc.go
@@ -0,0 +1,126 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/comfreylink/comfreylink/scenario/cluster"
+)
+
+// clockTicks is the unit of processor times in /proc, USER_HZ of Linux, in ticks a second.
+const clockTicks = 100
+
+// sample is what a daemon has used since its start, and its present memory.
+type sample struct {
+	processor time.Duration
+	resident  float64 // bytes
+	metrics   map[string]float64
+}
+
+func sampleOf(c *cluster.Cluster, name string) (s sample, err error) {
+	p := c.Process(name)
+	if s.processor, err = processorOf(p.PID()); err != nil {
+		return s, err
+	}
+	if s.resident, err = residentOf(p.PID()); err != nil {
+		return s, err
+	}
+	admin, err := adminOf(filepath.Join(c.Dir, name+".ini"))
+	if err != nil {
+		return s, err
+	}
+	s.metrics, err = metricsOf(admin)
+	return s, err
+}
+
+func processorOf(pid int) (d time.Duration, err error) {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0, err
+	}
+	// The name in the second field is in parentheses and may hold spaces; the times are the 14th and 15th fields.
+	_, rest, _ := strings.Cut(string(data), ") ")
+	fields := strings.Fields(rest)
+	const user, system = 14 - 3, 15 - 3
+	if len(fields) <= system {
+		return 0, fmt.Errorf("process %d: short stat line", pid)
+	}
+	for _, i := range []int{user, system} {
+		ticks, err := strconv.ParseInt(fields[i], 10, 64)
+		if err != nil {
+			return 0, err
+		}
+		d += time.Duration(ticks) * time.Second / clockTicks
+	}
+	return d, nil
+}
+
+func residentOf(pid int) (bytes float64, err error) {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0, err
+	}
+	_, rest, found := strings.Cut(string(data), "VmRSS:")
+	fields := strings.Fields(rest)
+	if !found || len(fields) == 0 {
+		return 0, fmt.Errorf("process %d: no VmRSS", pid)
+	}
+	kib, err := strconv.ParseFloat(fields[0], 64)
+	return kib * 1024, err
+}
+
+// adminOf reads the address for operators from a daemon's settings.
+func adminOf(file string) (address string, err error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return "", err
+	}
+	for line := range strings.Lines(string(data)) {
+		if value, ok := strings.CutPrefix(line, "admin = "); ok {
+			return strings.TrimSpace(value), nil
+		}
+	}
+	return "", fmt.Errorf("%s has no admin address", file)
+}
+
+// metricsOf returns the samples of a daemon's metrics by name and labels.
+func metricsOf(admin string) (all map[string]float64, err error) {
+	resp, err := http.Get("http://" + admin + "/metrics")
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	all = map[string]float64{}
+	scanner := bufio.NewScanner(resp.Body)
+	for scanner.Scan() {
+		line := scanner.Text()
+		i := strings.LastIndexByte(line, ' ')
+		if strings.HasPrefix(line, "#") || i < 0 {
+			continue
+		}
+		if v, err := strconv.ParseFloat(line[i+1:], 64); err == nil {
+			all[line[:i]] = v
+		}
+	}
+	return all, scanner.Err()
+}
+
+// sum adds the samples whose name and labels contain every part.
+func (s sample) sum(parts ...string) (v float64) {
+next:
+	for name, x := range s.metrics {
+		for _, p := range parts {
+			if !strings.Contains(name, p) {
+				continue next
+			}
+		}
+		v += x
+	}
+	return v
+}
--- /dev/null
+++ b/scenario/slope/messages.go
@@ -0,0 +1,102 @@
+package slope
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/comfreylink/comfreylink/pkg/ids"
+	"github.com/comfreylink/comfreylink/pkg/member"
+	"github.com/comfreylink/comfreylink/pkg/record"
+)
+
+// ticksPerSecond is how often pkg/member wants to be called.
+const ticksPerSecond = 10
+
+// second lets the view's time pass by one second and returns the bytes of the messages that it sends: its probes, and
+// the answers to as many probes of others. The other view has contact with the log when this one has.
+func (t *talk) second() (sent int) {
+	for range ticksPerSecond {
+		t.now = t.now.Add(time.Second / ticksPerSecond)
+		for _, ping := range t.view.Tick(t.now) {
+			sent += size(ping)
+			for _, ack := range t.other.Receive(t.now, ping) {
+				ack.From, ack.Target = ping.To, ping.To
+				t.view.Receive(t.now, ack)
+			}
+			back := member.Message{Kind: member.Ping, From: ping.To, To: ping.From, Seq: ping.Seq}
+			for _, ack := range t.view.Receive(t.now, back) {
+				sent += size(ack)
+			}
+		}
+	}
+	return sent
+}
+
+func (t *talk) contact(at time.Time) {
+	for _, v := range []*member.View{t.view, t.other} {
+		v.SetSelf(member.Self{Writer: writer, Zone: "osu", LogContact: at})
+	}
+}
+
+func size(v any) int {
+	data, err := json.Marshal(v)
+	must(err)
+	return len(data)
+}
+
+// PrintMessages prints the bytes of messages and records, before framing and TLS.
+func PrintMessages(out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	const seconds = 60
+	for _, peers := range []int{24, 95, 190, 380} {
+		with, without := 0, 0
+		t := newTalk(peers)
+		for range seconds {
+			t.contact(t.now)
+			with += t.second()
+		}
+		for range seconds {
+			without += t.second()
+		}
+		fmt.Fprintf(w, "pkg/member, %d peers\t%d neighbors\t%d B/s sent\t%d B/s without the log\n",
+			peers, len(t.view.Neighbors()), with/seconds, without/seconds)
+	}
+	for _, n := range []int{245, 490, 980} {
+		fmt.Fprintf(w, "instance list, %d instances\t%d B\n", n, len(instanceList(n)))
+	}
+	for _, r := range records() {
+		fmt.Fprintf(w, "record %s\t%d B as an entry\n", r.Type(), len(openSlot().entry(r)))
+	}
+	for _, n := range []int{400, 1600, 3200} {
+		s, _ := configured(n)
+		parts, err := s.replay.Snapshot()
+		must(err)
+		bytes := 0
+		for _, p := range parts {
+			bytes += len(p.(*record.Snapshot).Data)
+		}
+		fmt.Fprintf(w, "snapshot of config, %d workspaces\t%d B\t%d parts\n", n, bytes, len(parts))
+	}
+	for _, n := range []int{1, 2, 4} {
+		fmt.Fprintf(w, "snapshot of a slot, %d programs of 210,000 tokens\t%d B\n", n, len(snapshotOf(histories(n))))
+	}
+	return w.Flush()
+}
+
+func records() []record.Body {
+	at := ids.Position{Offset: 1_000_000}
+	return []record.Body{
+		turn(0, 100, promptBytes, generatedBytes),
+		turn(0, 100, 0, 0),
+		&record.Reserve{Epoch: 1, Workspace: workspaceID(1), Program: "program-00000001", UpTo: 400_000, UnixMilli: baseMillis},
+		&record.Intent{Epoch: 1, Workspace: workspaceID(1), Program: "program-00000001", Key: "request-00000001", Fingerprint: "0123456789abcdef0123456789abcdef", Target: "service-01", UnixMilli: baseMillis},
+		&record.Outcome{Epoch: 1, Workspace: workspaceID(1), Key: "request-00000001", Status: 200, ContentType: "application/json", Body: make([]byte, generatedBytes)},
+		&record.Claim{Owner: writer, Slots: []record.SlotEpoch{{Slot: 1, Epoch: 2}, {Slot: 2, Epoch: 2}, {Slot: 3, Epoch: 2}}, SuspectedAt: &at},
+		&record.Suspect{By: writer, Writer: writer},
+		&record.Release{Owner: writer, Slots: []record.SlotEpoch{{Slot: 1, Epoch: 2}, {Slot: 2, Epoch: 2}, {Slot: 3, Epoch: 2}}, Successor: writer},
+		publish(1, 1_000_000),
+	}
+}
