--- a/internal/daemon/tasks.go
+++ b/internal/daemon/tasks.go
@@ -49,25 +49,12 @@
 
 // idleTimeout returns the longest idle time of all templates, so that no program ends before its own.
 func (d *Daemon) idleTimeout() (longest time.Duration) {
-	for _, t := range templates(d.catalog.Current()) {
+	for _, t := range d.catalog.Current().Templates() {
 		longest = max(longest, t.Program.IdleTimeout.Std())
 	}
 	return longest
 }
 
-func templates(view *config.View) (all []config.Template) {
-	for _, o := range view.Objects() {
-		kind, name, err := config.SplitObject(o.Name)
-		if err != nil || kind != config.TemplateKind {
-			continue
-		}
-		if t, ok := view.Template(name); ok {
-			all = append(all, t)
-		}
-	}
-	return all
-}
-
 // writeSnapshots keeps every stream readable from its snapshots alone. The owner of slot 0 also writes those of the
 // streams that all instances read. A stream's snapshots are due at fixed times of the clock, whoever owns it then, since
 // an instance may be replaced before it has run for the interval between two of them.
@@ -127,7 +114,7 @@
 	o = dispatch.DefaultOptions()
 	o.Policy = string(d.settings.Dispatch.Policy)
 	o.MaxInFlight = d.settings.Dispatch.MaxInFlight
-	for _, t := range templates(d.catalog.Current()) {
+	for _, t := range d.catalog.Current().Templates() {
 		for _, m := range t.Models {
 			if m.Pool != pool {
 				continue
@@ -143,7 +130,7 @@
 
 // modelPools returns the pools of engines that the templates name.
 func (d *Daemon) modelPools() (pools []ids.PoolID) {
-	for _, t := range templates(d.catalog.Current()) {
+	for _, t := range d.catalog.Current().Templates() {
 		for _, m := range t.Models {
 			if !slices.Contains(pools, m.Pool) {
 				pools = append(pools, m.Pool)
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -123,21 +123,54 @@
 
 // runOnce drives the execution of a non-idempotent request.
 func (o *Owner) runOnce(ctx context.Context, r *slots.Run, c peer.Call, route config.Service) peer.Result {
-	var d program.Decision
+	for {
+		d := admitOnce(r, c)
+		switch d.Action {
+		case program.ActionRun:
+			return o.execute(ctx, r, c, route)
+		case program.ActionWait:
+			if !waitRunning(ctx, r) {
+				return ended(r, ctx, c, peer.Unknown)
+			}
+		case program.ActionReplay:
+			return replayed(c, d.State)
+		case program.ActionKeyReused:
+			return refused(c, peer.CodeKeyReused, peer.NotRun, "the key belongs to a request with another content")
+		case program.ActionNotOwner:
+			return peer.Result{Redirect: &peer.Redirect{Epoch: r.Epoch}}
+		default:
+			return undecided(c)
+		}
+	}
+}
+
+func admitOnce(r *slots.Run, c peer.Call) (d program.Decision) {
+	running := r.Executing(keyOf(c))
 	r.View(func(s *program.Slot) {
-		d = s.Admit(program.Request{Workspace: c.Workspace, Key: c.RequestKey, Fingerprint: c.Fingerprint, Epoch: r.Epoch})
+		d = s.Admit(program.Request{
+			Workspace:   c.Workspace,
+			Key:         c.RequestKey,
+			Fingerprint: c.Fingerprint,
+			Epoch:       r.Epoch,
+			Running:     running,
+		})
 	})
-	switch d.Action {
-	case program.ActionRun:
-		return o.execute(ctx, r, c, route)
-	case program.ActionReplay:
-		return replayed(c, d.State)
-	case program.ActionKeyReused:
-		return refused(c, peer.CodeKeyReused, peer.NotRun, "the key belongs to a request with another content")
-	case program.ActionNotOwner:
-		return peer.Result{Redirect: &peer.Redirect{Epoch: r.Epoch}}
-	default:
-		return undecided(c)
+	return d
+}
+
+func keyOf(c peer.Call) slots.Key {
+	return slots.Key{Workspace: c.Workspace, Key: c.RequestKey}
+}
+
+// runningPoll is how often a request looks whether an earlier one with its key has ended.
+const runningPoll = 10 * time.Millisecond
+
+func waitRunning(ctx context.Context, r *slots.Run) bool {
+	select {
+	case <-time.After(runningPoll):
+		return !r.Lost()
+	case <-ctx.Done():
+		return false
 	}
 }
 
@@ -158,6 +191,8 @@
 func (o *Owner) execute(ctx context.Context, r *slots.Run, c peer.Call, route config.Service) peer.Result {
 	var e *program.Execution
 	o.Targets.Request()
+	r.Begin(keyOf(c), c.Fingerprint)
+	defer func() { endExecution(r, c, e) }()
 	s, refusal := o.Targets.Prepare(ctx, c, route.Pool, o.serviceItem(c, false), func(p targets.Placement) *peer.Refusal {
 		e = program.NewExecution(record.Intent{
 			Epoch:       r.Epoch,
@@ -234,7 +269,6 @@
 func (o *Owner) notSent(r *slots.Run, c peer.Call, e *program.Execution, refusal *peer.Refusal) peer.Result {
 	if e != nil {
 		e.Checked(refusal)
-		cancelIntent(r, e)
 	}
 	if r.Lost() {
 		return peer.Result{Redirect: &peer.Redirect{Epoch: r.Epoch}}
@@ -243,16 +277,21 @@
 	return peer.Result{Refusal: refusal}
 }
 
-// cancelIntent withdraws the intent of a request that was not sent. It does not wait: until the record is folded, a
-// repeated request is answered as unknown, which is safe.
-func cancelIntent(r *slots.Run, e *program.Execution) {
-	if cancel := e.Cancel(); cancel != nil {
-		_ = r.Submit(cancel)
+// endExecution withdraws the intent of a request that was not sent. Until the log shows the withdrawal, a request with the
+// same key waits, since this owner knows that the first one will not be sent.
+func endExecution(r *slots.Run, c peer.Call, e *program.Execution) {
+	if e == nil || e.Cancel() == nil {
+		r.End(keyOf(c))
+		return
 	}
+	cancel := e.Cancel()
+	go func() {
+		defer r.End(keyOf(c))
+		_, _ = r.Append(r.Context(), cancel)
+	}()
 }
 
 func (o *Owner) finish(r *slots.Run, c peer.Call, e *program.Execution, target ids.TargetID) peer.Result {
-	cancelIntent(r, e)
 	answer := e.Answer()
 	trace := peer.Trace{Target: target}
 	switch {
