--- a/internal/slots/run.go
+++ b/internal/slots/run.go
@@ -32,6 +32,14 @@
 	idle     chan struct{}
 	ledgers  map[Program]*turn.Ledger
 	tokens   map[Program]knownTokens
+	// executing are the fingerprints of the requests whose intent or cancel may still reach the log.
+	executing map[Key]ids.Fingerprint
+}
+
+// Key names a request of a workspace.
+type Key struct {
+	Workspace ids.WorkspaceID
+	Key       ids.RequestKey
 }
 
 // Program names a program of a workspace.
@@ -183,3 +191,28 @@
 	defer r.mu.Unlock()
 	f()
 }
+
+// Begin notes that an execution of a request begins.
+func (r *Run) Begin(k Key, f ids.Fingerprint) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.executing[k] = f
+}
+
+// End notes that the last append of an execution has ended.
+func (r *Run) End(k Key) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.executing, k)
+}
+
+// Executing returns the fingerprint of the execution of a request in progress, or nil.
+func (r *Run) Executing(k Key) *ids.Fingerprint {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f, ok := r.executing[k]
+	if !ok {
+		return nil
+	}
+	return &f
+}
--- a/pkg/slot/decide.go
+++ b/pkg/slot/decide.go
@@ -120,10 +120,12 @@
 	return bodies
 }
 
-// turnToSuspect reports whether a run is silent and this instance's turn to say so has come.
+// turnToSuspect reports whether a run is silent and this instance's turn to say so has come. The rank, which takes a hash
+// for each candidate, is only computed for owners that are silent for long enough: for all owners of a fleet of 380
+// instances, it took 25 ms of each decision.
 func (d *decision) turnToSuspect(w ids.WriterID) bool {
 	i := slices.IndexFunc(d.view.Silent, func(s Silence) bool { return s.Writer == w })
-	if i < 0 {
+	if i < 0 || d.now.Sub(d.view.Silent[i].Since) < d.view.SuspectAfter {
 		return false
 	}
 	rank, ok := d.rank("suspect/" + string(w))
