Read the rest of a body that is refused for its size

Cause: the connection was closed with unread bytes, which resets it; a caller that was still writing lost the answer 413.

Change: up to 64 MiB of the body are read, for at most 2 s and until 200 ms of silence, before the connection closes.

--- a/internal/chat/errors.go
+++ b/internal/chat/errors.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"net"
 	"strconv"
 	"time"
 
@@ -67,3 +68,28 @@
 func refuse(code peer.Code, run peer.RunState, message string) *peer.Refusal {
 	return &peer.Refusal{Code: code, Run: run, Message: message}
 }
+
+const (
+	// drainIdle is the silence after which a caller is taken to have sent its whole body.
+	drainIdle = 200 * time.Millisecond
+	// drainTimeout and drainBytes bound what is read of a body that is refused.
+	drainTimeout = 2 * time.Second
+	drainBytes   = 64 << 20
+)
+
+// drainBody reads the rest of a body that is refused. Closing a connection with unread bytes resets it, and the caller
+// would lose the answer that is on its way.
+func drainBody(conn net.Conn) {
+	buf := make([]byte, 64<<10)
+	end := time.Now().Add(drainTimeout)
+	for left := drainBytes; left > 0 && time.Now().Before(end); {
+		if conn.SetReadDeadline(time.Now().Add(drainIdle)) != nil {
+			return
+		}
+		n, err := conn.Read(buf)
+		if err != nil {
+			return
+		}
+		left -= n
+	}
+}
--- a/internal/chat/server.go
+++ b/internal/chat/server.go
@@ -129,6 +129,7 @@
 func (s *Server) protocolError(ctx *fasthttp.RequestCtx, err error) {
 	ctx.SetConnectionClose()
 	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+		drainBody(ctx.Conn())
 		writeRefusal(ctx, refuse(peer.CodeBodyTooLarge, peer.NotRun, "the body is above "+strconv.Itoa(s.limits.MaxBodyBytes)+" bytes"))
 		return
 	}
