Spread changed beliefs of pkg/member at once and name writers

An instance probes only its neighbors on the ring, but others need the writer id of every daemon and must notice each failure. Suspicions went along with answers only: at 24 instances this took up to 12 s, and a writer id was known to the neighbors alone.

Suspicions, new writers and planned stops are now sent to the neighbors at once and passed on by each instance to which they are news. Pings carry a checksum of all beliefs; an answer holds the whole table if they differ. A failed send or a failed request (Doubt) shortens the wait but is no proof. An instance that did not run begins its waits anew and suspects nobody because of that. Instances that left the list are probed by all that remember them.

--- a/pkg/member/member_test.go
+++ b/pkg/member/member_test.go
@@ -29,26 +29,33 @@
 	log   func(n int) bool // which instances can read the log
 	lastN []time.Time      // last log contact
 	rev   []ids.Revision
-	queue []member.Message
-	bytes int // of all messages
+	list  []member.Listed
+	nonce []string
+	// leaving are the instances in a planned stop.
+	leaving []bool
+	queue   []member.Message
+	// count says whether bytes, those of all messages, are counted.
+	count bool
+	bytes int
 }
 
 func newFleet(n int) *fleet {
 	f := &fleet{
 		now: epoch, index: map[ids.InstanceID]int{}, down: map[int]bool{}, lastN: make([]time.Time, n), rev: make([]ids.Revision, n),
-		cut: func(int, int) bool { return false }, log: func(int) bool { return true },
+		leaving: make([]bool, n),
+		cut:     func(int, int) bool { return false }, log: func(int) bool { return true },
 	}
-	list := []member.Listed{}
 	for i := range n {
 		id := ids.InstanceID(fmt.Sprintf("comfreylink-%03d.osu.accra", i))
 		f.index[id] = i
 		f.ids = append(f.ids, id)
 		f.rev[i] = 12345
 		f.views = append(f.views, member.New(id, member.DefaultOptions(), rand.New(rand.NewPCG(1, uint64(i)))))
-		list = append(list, member.Listed{ID: id, Zone: "osu"})
+		f.nonce = append(f.nonce, "0123456789abcdef")
+		f.list = append(f.list, member.Listed{ID: id, Zone: "osu"})
 	}
 	for _, v := range f.views {
-		v.SetList(epoch, list)
+		v.SetList(epoch, f.list)
 	}
 	return f
 }
@@ -63,7 +70,8 @@
 				f.lastN[i] = f.now
 			}
 			v.SetSelf(member.Self{
-				Writer: ids.WriterID(f.ids[i] + "#0123456789abcdef"), Zone: "osu", Revision: f.rev[i], LogContact: f.lastN[i], Load: 12,
+				Writer: writer(f.ids[i], f.nonce[i]), Zone: "osu", Revision: f.rev[i], LogContact: f.lastN[i], Load: 12,
+				Leaving: f.leaving[i],
 			})
 			if !f.down[i] {
 				f.send(i, v.Tick(f.now))
@@ -79,7 +87,9 @@
 
 func (f *fleet) send(from int, l []member.Message) {
 	for _, m := range l {
-		f.bytes += wireBytes(m)
+		if f.count {
+			f.bytes += wireBytes(m)
+		}
 		f.queue = append(f.queue, m)
 	}
 }
@@ -185,7 +195,7 @@
 	f := newFleet(n)
 	f.run(3 * time.Second)
 	perSecond := func(d time.Duration) float64 {
-		f.bytes = 0
+		f.count, f.bytes = true, 0
 		f.run(d)
 		return float64(f.bytes) / n / d.Seconds()
 	}
--- a/pkg/member/message.go
+++ b/pkg/member/message.go
@@ -23,6 +23,9 @@
 	PingRequest Kind = "pingRequest"
 	// Ack answers a Ping or PingRequest with the same Seq. Target is the instance that answered.
 	Ack Kind = "ack"
+	// News tells neighbors of changed beliefs at once and expects no answer. A receiver to whom they are news passes
+	// them on, so that they cross the ring of neighbors in a logarithmic number of steps.
+	News Kind = "news"
 )
 
 // Info is what an instance says about itself in an Ack.
@@ -41,21 +44,27 @@
 	Leaving bool `json:"leaving,omitempty"`
 }
 
-// Rumor is a suspicion by another instance.
+// Rumor is what another instance believes of a run.
 type Rumor struct {
-	ID    ids.InstanceID `json:"id"`
-	AgeMs int64          `json:"ageMs"`
+	Writer ids.WriterID `json:"w"`
+	// AgeMs is the time since the suspicion, or since the newest sign that the run was alive. It is rounded up.
+	AgeMs   int64 `json:"a"`
+	Suspect bool  `json:"s,omitempty"`
+	Leaving bool  `json:"l,omitempty"`
 }
 
-// Message is sent between daemons.
+// Message is sent between daemons. From is not sent: the receiver takes it from the sender's certificate.
 type Message struct {
 	Kind   Kind           `json:"kind"`
-	From   ids.InstanceID `json:"from"`
+	From   ids.InstanceID `json:"-"`
 	To     ids.InstanceID `json:"-"`
 	Seq    uint64         `json:"seq"`
 	Target ids.InstanceID `json:"target,omitempty"`
 	Info   *Info          `json:"info,omitempty"`
-	// Rumors are the sender's suspicions, in an Ack of the sender's own.
+	// Sum is a checksum of what the sender of a Ping believes; zero if it wants no comparison.
+	Sum uint32 `json:"sum,omitempty"`
+	// Rumors are all beliefs of the sender in an Ack, if they differ from those of the Ping's sender, and the changed ones
+	// in News.
 	Rumors []Rumor `json:"rumors,omitempty"`
 	// WithoutLog tells which instances have no contact with the log, in an Ack of a sender that has none; see digest.
 	WithoutLog []byte `json:"withoutLog,omitempty"`
@@ -63,8 +72,11 @@
 
 // Options are the settings of probes.
 type Options struct {
-	// Interval is the time between an instance's probes.
+	// Interval is the time between an instance's probes, in a fleet of more than SmallFleet listed instances.
 	Interval time.Duration
+	// SmallInterval takes its place in a smaller fleet. At 380 instances it would cost more than 2 KB a second.
+	SmallInterval time.Duration
+	SmallFleet    int
 	// OutageInterval takes its place while the instance has no contact with the log, so that more than half of the
 	// fleet hear of each other within StatementFor.
 	OutageInterval time.Duration
@@ -83,7 +95,8 @@
 // DefaultOptions are the settings that the tests' figures hold for.
 func DefaultOptions() Options {
 	return Options{
-		Interval: time.Second, OutageInterval: 500 * time.Millisecond, Timeout: 300 * time.Millisecond, Helpers: 3,
+		Interval: time.Second, SmallInterval: 500 * time.Millisecond, SmallFleet: 32,
+		OutageInterval: 500 * time.Millisecond, Timeout: 250 * time.Millisecond, Helpers: 3,
 		NoContactAfter: 2 * time.Second, StatementFor: 10 * time.Second,
 	}
 }
--- a/pkg/member/probe.go
+++ b/pkg/member/probe.go
@@ -7,12 +7,19 @@
 	"github.com/comfreylink/comfreylink/pkg/ids"
 )
 
+// minDoubtInterval is the least time between probes of one peer because of failed requests. A request to an owner that
+// does not take it is repeated each 25 ms.
+const minDoubtInterval = 250 * time.Millisecond
+
 // probe is a ping that was not answered yet.
 type probe struct {
 	target ids.InstanceID
 	sent   time.Time
-	// indirect is when helpers were asked; zero before.
-	indirect time.Time
+	// waiting is the start of the present wait: for the answer, or for those of the helpers. It is later than sent if
+	// this instance was paused meanwhile.
+	waiting time.Time
+	// indirect says that helpers were asked, and failed that the ping could not be sent.
+	indirect, failed bool
 	// origin asked for the probe with its own seq; empty if the probe is this instance's own.
 	origin    ids.InstanceID
 	originSeq uint64
@@ -20,6 +27,7 @@
 
 // Tick returns the messages to send now. Call it at least every 100 ms.
 func (v *View) Tick(now time.Time) (out []Message) {
+	v.noticePause(now)
 	seqs := make([]uint64, 0, len(v.probes))
 	for seq := range v.probes {
 		seqs = append(seqs, seq)
@@ -28,60 +36,132 @@
 	for _, seq := range seqs {
 		out = append(out, v.overdue(now, seq, v.probes[seq])...)
 	}
-	if now.Before(v.nextProbe) || len(v.neighbors) == 0 {
-		return out
+	if id, ok := v.due(now); ok {
+		out = append(out, v.ping(now, probe{target: id, sent: now}))
 	}
-	v.nextProbe = now.Add(v.opt.Interval)
-	if v.noContact(now) {
-		v.nextProbe = now.Add(v.opt.OutageInterval)
+	return append(out, v.flush(now)...)
+}
+
+// noticePause begins the waits for answers anew if this instance did not run for longer than such a wait: it could not
+// receive the answers, so their absence says nothing about the others.
+func (v *View) noticePause(now time.Time) {
+	if !v.lastTick.IsZero() && now.Sub(v.lastTick) > v.opt.Timeout {
+		for _, p := range v.probes {
+			p.waiting = now
+		}
 	}
-	return append(out, v.ping(probe{target: v.next(), sent: now}))
+	v.lastTick = now
 }
 
-// next returns the neighbor to probe: all of them in a random order, then all in another.
-func (v *View) next() (id ids.InstanceID) {
+// due returns the instance that is to be probed now.
+func (v *View) due(now time.Time) (id ids.InstanceID, ok bool) {
+	if now.Before(v.nextProbe) {
+		return "", false
+	}
+	v.nextProbe = now.Add(v.interval(now))
 	if len(v.round) == 0 {
-		v.round = slices.Clone(v.neighbors)
+		v.round = v.probed()
 		v.random.Shuffle(len(v.round), func(i, j int) { v.round[i], v.round[j] = v.round[j], v.round[i] })
 	}
+	if len(v.round) == 0 {
+		return "", false
+	}
 	id, v.round = v.round[0], v.round[1:]
-	return id
+	return id, true
+}
+
+func (v *View) interval(now time.Time) time.Duration {
+	switch {
+	case v.noContact(now):
+		return v.opt.OutageInterval
+	case len(v.listed) <= v.opt.SmallFleet:
+		return v.opt.SmallInterval
+	default:
+		return v.opt.Interval
+	}
 }
 
-func (v *View) ping(p probe) Message {
+// probed returns the instances of a round: the neighbors, and all that are not listed any more but remembered, because
+// the ring leaves them out and nobody else may probe them.
+func (v *View) probed() (l []ids.InstanceID) {
+	l = slices.Clone(v.neighbors)
+	for id, p := range v.peers {
+		if p.wasListed && !p.Listed {
+			l = append(l, id)
+		}
+	}
+	slices.Sort(l)
+	return l
+}
+
+func (v *View) ping(now time.Time, p probe) Message {
 	v.lastSeq++
+	p.waiting = now
 	v.probes[v.lastSeq] = &p
-	return Message{Kind: Ping, From: v.id, To: p.target, Seq: v.lastSeq}
+	m := Message{Kind: Ping, From: v.id, To: p.target, Seq: v.lastSeq}
+	if p.origin == "" && !now.Before(v.nextSum) {
+		m.Sum = v.sum()
+	}
+	return m
+}
+
+// Doubt returns a probe of an instance to which a request failed, unless one is under way. The failure alone is no proof.
+func (v *View) Doubt(now time.Time, id ids.InstanceID) (out []Message) {
+	t := v.peers[id]
+	if t == nil || !t.wasListed || now.Sub(t.doubted) < minDoubtInterval {
+		return nil
+	}
+	for _, p := range v.probes {
+		if p.target == id && p.origin == "" {
+			return nil
+		}
+	}
+	t.doubted = now
+	return []Message{v.ping(now, probe{target: id, sent: now})}
+}
+
+// Failed takes a message that could not be sent, and returns the messages to send in turn. A failed probe need not wait
+// for its answer before helpers are asked.
+func (v *View) Failed(now time.Time, m Message) (out []Message) {
+	p := v.probes[m.Seq]
+	if m.Kind != Ping || p == nil || p.indirect {
+		return nil
+	}
+	p.failed = true
+	return v.overdue(now, m.Seq, p)
 }
 
 // overdue asks helpers for a probe that was not answered in time, and suspects its target when they fail too.
 func (v *View) overdue(now time.Time, seq uint64, p *probe) (out []Message) {
+	waited := now.Sub(p.waiting)
 	switch {
-	case p.indirect.IsZero() && now.Sub(p.sent) < v.opt.Timeout:
+	case !p.indirect && !p.failed && waited < v.opt.Timeout:
 		return nil
 	case p.origin != "":
 		delete(v.probes, seq)
 		return nil
-	case p.indirect.IsZero():
-		p.indirect = now
-		for _, id := range v.helpers(now, p.target) {
+	case !p.indirect:
+		p.indirect, p.waiting = true, now
+		for _, id := range v.helpers(p.target) {
 			out = append(out, Message{Kind: PingRequest, From: v.id, To: id, Seq: seq, Target: p.target})
 		}
 		return out
-	case now.Sub(p.indirect) < 2*v.opt.Timeout:
+	case waited < 2*v.opt.Timeout:
 		return nil
 	}
 	delete(v.probes, seq)
 	if t := v.peers[p.target]; t != nil {
+		before := t.belief()
 		t.suspected = now
+		v.tellIfChanged(t, before)
 	}
 	return nil
 }
 
 // helpers returns instances that are believed alive, in random order.
-func (v *View) helpers(now time.Time, target ids.InstanceID) (l []ids.InstanceID) {
+func (v *View) helpers(target ids.InstanceID) (l []ids.InstanceID) {
 	for _, id := range v.neighbors {
-		if p := v.peers[id]; id != target && p != nil && p.state(now) != Suspect {
+		if p := v.peers[id]; id != target && p != nil && p.state() != Suspect {
 			l = append(l, id)
 		}
 	}
@@ -102,15 +182,26 @@
 		if m.Target == "" || m.Target == v.id {
 			return []Message{v.ack(now, m)}
 		}
-		return []Message{v.ping(probe{target: m.Target, sent: now, origin: m.From, originSeq: m.Seq})}
+		if t := v.peers[m.Target]; t == nil || !t.wasListed {
+			return nil
+		}
+		return []Message{v.ping(now, probe{target: m.Target, sent: now, origin: m.From, originSeq: m.Seq})}
 	case Ack:
 		return v.answered(now, m)
+	case News:
+		for _, r := range m.Rumors[:min(len(m.Rumors), maxRumors)] {
+			out = append(out, v.hear(now, now, r)...)
+		}
+		return out
 	}
 	return nil
 }
 
 func (v *View) ack(now time.Time, m Message) Message {
-	a := Message{Kind: Ack, From: v.id, To: m.From, Seq: m.Seq, Target: v.id, Info: v.info(now), Rumors: v.rumors(now)}
+	a := Message{Kind: Ack, From: v.id, To: m.From, Seq: m.Seq, Target: v.id, Info: v.info(now)}
+	if m.Sum != 0 && m.Sum != v.sum() {
+		a.Rumors = v.beliefs(now)
+	}
 	if v.noContact(now) {
 		a.WithoutLog = encodeDigest(&v.segments, func(id ids.InstanceID) time.Duration { return v.withoutAge(now, id) })
 	}
@@ -128,15 +219,13 @@
 		out = append(out, Message{Kind: Ack, From: v.id, To: p.origin, Seq: p.originSeq, Target: m.Target, Info: m.Info})
 	}
 	t := v.peer(m.Target)
-	t.seen = now
-	t.LastContact, t.Info = p.sent, *m.Info
-	v.learn(p.sent, t, *m.Info)
+	if !p.sent.Before(t.LastContact) {
+		v.contacted(now, p.sent, t, *m.Info)
+	}
 	if m.From != m.Target {
 		return out
 	}
-	for _, r := range m.Rumors[:min(len(m.Rumors), maxRumors)] {
-		v.hear(p.sent, r)
-	}
+	out = append(out, v.compared(now, p.sent, m.Rumors)...)
 	decodeDigest(&v.segments, m.WithoutLog, func(id ids.InstanceID, age time.Duration) {
 		if o := v.peers[id]; o != nil && p.sent.Add(-age).After(o.without) {
 			o.without = p.sent.Add(-age)
@@ -145,6 +234,20 @@
 	return out
 }
 
+// contacted takes over what a peer says about itself in the newest answer.
+func (v *View) contacted(now, sent time.Time, t *peer, i Info) {
+	before := t.belief()
+	if i.Writer != t.Writer {
+		t.suspected = time.Time{}
+	}
+	t.seen = now
+	t.LastContact, t.Info = sent, i
+	t.alive = later(t.alive, sent)
+	t.Writer, t.Leaving = i.Writer, i.Leaving
+	v.learn(sent, t, i)
+	v.tellIfChanged(t, before)
+}
+
 // learn takes what an answer says about the log. It was written after the probe was sent at the given time.
 func (v *View) learn(sent time.Time, t *peer, i Info) {
 	v.highest = max(v.highest, i.Revision)
@@ -165,26 +268,6 @@
 	}
 }
 
-// hear takes a suspicion by another, unless this instance or the suspect's answer knows better.
-func (v *View) hear(sent time.Time, r Rumor) {
-	t := v.peers[r.ID]
-	if t == nil || r.AgeMs < 0 {
-		return
-	}
-	t.suspected = later(t.suspected, sent.Add(-time.Duration(r.AgeMs)*time.Millisecond))
-}
-
-// rumors returns the newest suspicions that still count.
-func (v *View) rumors(now time.Time) (l []Rumor) {
-	for id, p := range v.peers {
-		if p.state(now) == Suspect {
-			l = append(l, Rumor{ID: id, AgeMs: ids.Millis(now.Sub(p.suspected))})
-		}
-	}
-	slices.SortFunc(l, func(a, b Rumor) int { return int(a.AgeMs - b.AgeMs) })
-	return l[:min(len(l), maxRumors)]
-}
-
 // info returns what this instance says about itself. Ages are rounded up.
 func (v *View) info(now time.Time) *Info {
 	i := &Info{
--- a/pkg/member/view.go
+++ b/pkg/member/view.go
@@ -10,11 +10,8 @@
 )
 
 const (
-	// rumorFor is how long a suspicion by another counts. It is longer than a round of probes of 9 neighbors, after which
-	// the suspicion is repeated or withdrawn.
-	rumorFor = 20 * time.Second
-	// maxRumors bounds a message; a zone's failure takes several messages to tell.
-	maxRumors = 8
+	// maxRumors bounds the beliefs in a message; 1024 take about 90 KB.
+	maxRumors = 1024
 	// unlistedFor is how long an instance that is not listed is remembered after its last message.
 	unlistedFor = 30 * time.Second
 )
@@ -24,11 +21,11 @@
 
 // States of instances.
 const (
-	// Unprobed: listed, and neither contacted nor suspected.
+	// Unprobed: neither contacted, nor heard of, nor suspected.
 	Unprobed State = iota
-	// Alive: answered, and was not suspected since.
+	// Alive: answered here or at another instance, and was not suspected since.
 	Alive
-	// Suspect: did not answer direct and indirect probes, here or at another instance.
+	// Suspect: did not answer direct and indirect probes, here or at another instance, and no sign of life is newer.
 	Suspect
 )
 
@@ -37,6 +34,9 @@
 	ID     ids.InstanceID
 	Listed bool
 	State  State
+	// Writer is the newest run that is known, from its own answers or by rumor; empty if none is.
+	Writer  ids.WriterID
+	Leaving bool
 	// LastContact is when the probe of the last answer was sent; zero if there was none.
 	LastContact time.Time
 	// Info is what the last answer carried.
@@ -51,8 +51,11 @@
 
 type peer struct {
 	Peer
-	suspected time.Time // newest suspicion, by probes or rumor; zero if contacted since
+	suspected time.Time // newest suspicion of the run, by probes or rumor
+	alive     time.Time // newest sign that the run was alive, by answers or rumor
 	seen      time.Time // last message of any kind
+	doubted   time.Time // last probe because of a failed request
+	wasListed bool      // listed now or before, so that it can be reached
 	without   time.Time // newest statement to have no contact with the log
 	with      time.Time // newest statement to have contact
 }
@@ -64,8 +67,11 @@
 	Revision ids.Revision
 	// LogContact is the start of the last own read that showed the configuration up to date; zero if none.
 	LogContact time.Time
-	Load       int
-	Leaving    bool
+	// Engaged keeps the instance from saying that it has no contact with the log, for reasons that LogContact does not
+	// show.
+	Engaged bool
+	Load    int
+	Leaving bool
 }
 
 // View is one instance's view of the others.
@@ -83,7 +89,12 @@
 	probes    map[uint64]*probe
 	lastSeq   uint64
 	nextProbe time.Time
-	round     []ids.InstanceID // neighbors still to be probed, in random order
+	lastTick  time.Time
+	round     []ids.InstanceID // instances still to be probed, in random order
+
+	news    map[ids.InstanceID]bool // changed beliefs that the neighbors were not told of yet
+	nextSum time.Time               // when beliefs may be compared again
+	sumWait time.Duration
 
 	learned  time.Time // newest log contact of others whose revision this instance has
 	pending  time.Time // newest one whose revision it lacks
@@ -95,12 +106,15 @@
 func New(id ids.InstanceID, o Options, random *rand.Rand) *View {
 	return &View{
 		opt: o, id: id, random: random, self: Self{Revision: ids.NoRevision}, peers: make(map[ids.InstanceID]*peer),
-		probes: make(map[uint64]*probe), highest: ids.NoRevision, pendingR: ids.NoRevision,
+		probes: make(map[uint64]*probe), news: make(map[ids.InstanceID]bool), highest: ids.NoRevision, pendingR: ids.NoRevision,
 	}
 }
 
 // SetSelf tells the view what this instance knows of itself.
 func (v *View) SetSelf(s Self) {
+	if s.Writer != v.self.Writer || s.Leaving != v.self.Leaving {
+		v.news[v.id] = true
+	}
 	v.self = s
 	v.highest = max(v.highest, s.Revision)
 	if s.Revision >= v.pendingR && v.pending.After(v.learned) {
@@ -108,6 +122,25 @@
 	}
 }
 
+// WithoutSince returns the earliest of the times at which the others at the latest had no contact with the log by their
+// own statements, if there is such a statement of each one that is listed or remembered. Without others it returns now.
+//
+// The time of a statement is the sending of the probe that it answered, so the instance had no contact at that time or
+// later. Ages in digests are rounded up and count from the sending of the probe that the digest answered, so a statement
+// that came over others only looks older.
+func (v *View) WithoutSince(now time.Time) (since time.Time, all bool) {
+	since = now
+	for _, p := range v.peers {
+		if v.withoutAge(now, p.ID) < 0 {
+			return time.Time{}, false
+		}
+		if p.without.Before(since) {
+			since = p.without
+		}
+	}
+	return since, true
+}
+
 // SetList takes over the platform's list. Instances that are not in it are remembered while they send messages.
 func (v *View) SetList(now time.Time, list []Listed) {
 	for _, p := range v.peers {
@@ -120,27 +153,27 @@
 			continue
 		}
 		p := v.peer(l.ID)
-		p.Listed = true
+		p.Listed, p.wasListed = true, true
 		p.Info.Zone = l.Zone
 	}
 	for id, p := range v.peers {
-		if !p.Listed && now.Sub(p.seen) > unlistedFor {
+		if !p.Listed && (now.Sub(p.seen) > unlistedFor || p.state() == Suspect) {
 			delete(v.peers, id)
 		}
 	}
 	if v.nextProbe.IsZero() {
-		v.nextProbe = now.Add(time.Duration(v.random.Float64() * float64(v.opt.Interval))) // instances started together
+		v.nextProbe = now.Add(time.Duration(v.random.Float64() * float64(v.opt.SmallInterval))) // instances started together
 	}
 	v.segments = segmentsOf(v.listed)
 	v.neighbors = neighbors(v.id, v.listed)
-	v.round = slices.DeleteFunc(v.round, func(id ids.InstanceID) bool { return !slices.Contains(v.neighbors, id) })
+	v.round = slices.DeleteFunc(v.round, func(id ids.InstanceID) bool { return v.peers[id] == nil })
 }
 
 // Peers returns the view of all other instances by id.
 func (v *View) Peers(now time.Time) (l []Peer) {
 	for _, p := range v.peers {
 		q := p.Peer
-		q.State = p.state(now)
+		q.State = p.state()
 		l = append(l, q)
 	}
 	slices.SortFunc(l, func(a, b Peer) int { return cmp.Compare(a.ID, b.ID) })
@@ -165,7 +198,7 @@
 
 // noContact reports whether the instance's own reads fail.
 func (v *View) noContact(now time.Time) bool {
-	return v.self.LogContact.IsZero() || now.Sub(v.self.LogContact) > v.opt.NoContactAfter
+	return !v.self.Engaged && (v.self.LogContact.IsZero() || now.Sub(v.self.LogContact) > v.opt.NoContactAfter)
 }
 
 // withoutAge returns how long ago an instance said that it has no contact with the log; negative if it has not, or has
@@ -193,11 +226,11 @@
 	return p
 }
 
-func (p *peer) state(now time.Time) State {
+func (p *peer) state() State {
 	switch {
-	case p.suspected.After(p.LastContact) && now.Sub(p.suspected) <= rumorFor:
+	case p.suspected.After(p.alive):
 		return Suspect
-	case p.LastContact.IsZero():
+	case p.alive.IsZero():
 		return Unprobed
 	default:
 		return Alive
