Make internal/members a thin adapter of pkg/member

The adapter probed every peer each 500 ms by itself, which at 380 daemons costs far more than 2 KB a second, and the daemon had an admission rule of its own.

Admission is member.Knowledge.Admit. A failed forward leads to a probe at once. Connections to suspected peers are dropped; Drop no longer waits for a dial that hangs at a paused peer.

Three faults of the fleet's side are closed: a read begun before a statement and answered after it did not begin the claimant's wait anew; the wait passed during the outage; a claim under way could take effect after the statement. The statement now needs both streams' reads to be old, 3 s, because two waits of a read take 2 s. In fleets of up to 32 a few bursts of probes at the start of an outage keep admission without a gap; before, 24 views refused for up to 1.1 s.

--- a/internal/daemon/adapters.go
+++ b/internal/daemon/adapters.go
@@ -18,6 +18,7 @@
 	"github.com/comfreylink/comfreylink/internal/service"
 	"github.com/comfreylink/comfreylink/pkg/dispatch"
 	"github.com/comfreylink/comfreylink/pkg/ids"
+	"github.com/comfreylink/comfreylink/pkg/member"
 	"github.com/comfreylink/comfreylink/pkg/record"
 	"github.com/comfreylink/comfreylink/pkg/retry"
 )
@@ -28,7 +29,7 @@
 	d *Daemon
 }
 
-// Call implements members.Prober, limiter.Caller and dispatcher.Caller.
+// Call implements members.Peers, limiter.Caller and dispatcher.Caller.
 func (p prober) Call(ctx context.Context, to peer.Address, m peer.Method, params, result any) error {
 	began := time.Now()
 	err := p.Client.Call(ctx, to, m, params, result, nil)
@@ -53,6 +54,7 @@
 // Unreachable implements forward.Owners.
 func (o owners) Unreachable(w ids.WriterID) {
 	o.d.logger.Debug("a peer did not take a request", zap.String("writer", string(w)))
+	o.d.members.Unreachable(w)
 }
 
 // leaseOf defers to the fleet, which is made after the owner.
@@ -191,7 +193,7 @@
 	case peer.MethodLives:
 		return answer(params, func(l peer.Lives) any { return h.d.owner.Lives(l) })
 	case peer.MethodPing:
-		return answer(params, func(p peer.Pong) any { h.d.members.Heard(now, from, p); return h.d.describe(now) })
+		return answer(params, func(m member.Message) any { return h.d.members.Serve(from, m) })
 	default:
 		return nil, peer.ErrUnknownMethod
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -31,6 +31,7 @@
 	"github.com/comfreylink/comfreylink/internal/settings"
 	"github.com/comfreylink/comfreylink/pkg/config"
 	"github.com/comfreylink/comfreylink/pkg/ids"
+	"github.com/comfreylink/comfreylink/pkg/member"
 	"github.com/comfreylink/comfreylink/pkg/pace"
 	"github.com/comfreylink/comfreylink/pkg/replay"
 	"github.com/comfreylink/comfreylink/pkg/slot"
@@ -62,10 +63,9 @@
 	admin      *admin.Server
 	metrics    *admin.Metrics
 
-	fromPeers freshness
-	stopping  atomic.Bool
-	cleanups  []func()
-	drain     chan struct{}
+	stopping atomic.Bool
+	cleanups []func()
+	drain    chan struct{}
 }
 
 // New binds the addresses of an instance and connects its parts. The returned cleanup closes what New opened.
@@ -176,12 +176,11 @@
 	d.onClose(cleanup)
 	d.members = members.New(members.Config{
 		Self:     slot.Member{Writer: d.self, Instance: d.settings.Instance.ID},
-		Zone:     d.settings.Instance.Zone,
 		Interval: d.settings.List.Interval,
 		List:     list,
 		Peers:    prober{d.peers, d},
 		Describe: d.describe,
-		Learned:  d.learned,
+		Options:  member.DefaultOptions(),
 		Logger:   d.logger,
 	})
 	return nil
--- a/internal/daemon/tasks.go
+++ b/internal/daemon/tasks.go
@@ -3,16 +3,15 @@
 import (
 	"context"
 	"slices"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/comfreylink/comfreylink/internal/events"
-	"github.com/comfreylink/comfreylink/internal/peer"
 	"github.com/comfreylink/comfreylink/pkg/config"
 	"github.com/comfreylink/comfreylink/pkg/dispatch"
 	"github.com/comfreylink/comfreylink/pkg/ids"
+	"github.com/comfreylink/comfreylink/pkg/member"
 )
 
 const (
@@ -20,8 +19,8 @@
 	idleInterval = 5 * time.Second
 	// snapshotsPerRetention is how many snapshots are written within the time that the log keeps entries.
 	snapshotsPerRetention = 4
-	// staleAfter is the age of the last up-to-date read of the configuration after which requests are refused.
-	staleAfter = 5 * time.Second
+	// freshFor is how long a read that showed the configuration up to date counts.
+	freshFor = 5 * time.Second
 )
 
 func (d *Daemon) endIdlePrograms(ctx context.Context) error {
@@ -92,24 +91,18 @@
 }
 
 // describe tells peers about this instance.
-func (d *Daemon) describe(now time.Time) peer.Pong {
-	return peer.Pong{
-		Writer:         d.self,
-		Revision:       d.catalog.Current().Revision(),
-		LogAgeMillis:   age(now, d.config.Fresh()),
-		FreshAgeMillis: age(now, d.freshAt()),
-		LogLost:        d.fleet.LogLost(now),
-		Leaving:        d.stopping.Load(),
+func (d *Daemon) describe(time.Time) member.Self {
+	return member.Self{
+		Writer:     d.self,
+		Zone:       d.settings.Instance.Zone,
+		Revision:   d.catalog.Current().Revision(),
+		LogContact: d.config.Fresh(),
+		Engaged:    !d.fleet.LogLost(),
+		Load:       int(d.server.Calls()),
+		Leaving:    d.stopping.Load(),
 	}
 }
 
-func age(now, at time.Time) int64 {
-	if at.IsZero() {
-		return -1
-	}
-	return now.Sub(at).Milliseconds()
-}
-
 // poolOptions returns the options of a pool's queue from the settings and the templates.
 func (d *Daemon) poolOptions(pool ids.PoolID) (o dispatch.Options, reports bool) {
 	o = dispatch.DefaultOptions()
@@ -143,58 +136,10 @@
 
 func hashOf(key string) string { return config.HashKey(key).String() }
 
-// freshness keeps the newest up-to-date read of the config stream that peers told of.
-type freshness struct {
-	mu sync.Mutex
-	at time.Time
-}
-
-func (f *freshness) note(at time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if at.After(f.at) {
-		f.at = at
-	}
-}
-
-func (f *freshness) get() time.Time {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.at
-}
-
-func (d *Daemon) freshAt() time.Time {
-	at := d.config.Fresh()
-	if p := d.fromPeers.get(); p.After(at) {
-		return p
-	}
-	return at
-}
-
-// learned takes over what a peer said: a read that it knows of makes the configuration here as fresh, if this instance
-// has the same revision.
-func (d *Daemon) learned(now time.Time, _ ids.InstanceID, p peer.Pong) {
-	if p.FreshAgeMillis < 0 || d.catalog.Current().Revision() < p.Revision {
-		return
-	}
-	d.fromPeers.note(now.Add(-time.Duration(p.FreshAgeMillis) * time.Millisecond))
-}
-
 // fresh implements the admission rule of the design page, section 4.8.
 func (d *Daemon) fresh(now time.Time) bool {
-	if at := d.freshAt(); !at.IsZero() && now.Sub(at) < staleAfter {
+	if own := d.config.Fresh(); !own.IsZero() && now.Sub(own) <= freshFor {
 		return true
 	}
-	if d.catalog.Current().Revision() == ids.NoRevision {
-		return false
-	}
-	reports := d.members.Reports(now)
-	withoutLog := 1
-	for _, r := range reports {
-		recent := r.HeardMillis >= 0 && r.HeardMillis < staleAfter.Milliseconds()
-		if recent && (r.Pong.LogAgeMillis < 0 || r.Pong.LogAgeMillis >= staleAfter.Milliseconds()-r.HeardMillis) {
-			withoutLog++
-		}
-	}
-	return 2*withoutLog > len(reports)+1
+	return d.members.Admit(now, freshFor) != member.Stale
 }
--- a/internal/fleet/contact.go
+++ b/internal/fleet/contact.go
@@ -15,6 +15,9 @@
 type contact struct {
 	fresh    time.Time
 	regained time.Time
+	// stated says that peers were told of lost contact and none was regained since. A read that began before such a
+	// statement may still succeed after it, so the age of reads alone does not show that the wait must be counted anew.
+	stated bool
 }
 
 // observe takes over the start of the last up-to-date read.
@@ -22,22 +25,29 @@
 	if !fresh.After(c.fresh) {
 		return
 	}
-	if fresh.Sub(c.fresh) > contactLostAfter {
+	if c.stated || fresh.Sub(c.fresh) > contactLostAfter {
 		c.regained = now
 	}
+	c.stated = false
 	c.fresh = fresh
 }
 
-// lost reports whether there is no contact.
-func (c *contact) lost(now time.Time) bool {
-	return c.fresh.IsZero() || now.Sub(c.fresh) > contactLostAfter
+// state reports whether there is no contact, for a statement to peers.
+func (c *contact) state(now time.Time) (lost bool) {
+	lost = c.fresh.IsZero() || now.Sub(c.fresh) > contactLostAfter
+	c.stated = c.stated || lost
+	return lost
 }
 
-// delay counts suspicions as read no earlier than contact was regained.
-func (c *contact) delay(reads []slot.SuspicionRead) []slot.SuspicionRead {
+// delay counts suspicions as read no earlier than contact was regained. While it is lost, the wait does not pass.
+func (c *contact) delay(now time.Time, reads []slot.SuspicionRead) []slot.SuspicionRead {
+	from := c.regained
+	if c.stated {
+		from = now
+	}
 	for i := range reads {
-		if reads[i].Read.Before(c.regained) {
-			reads[i].Read = c.regained
+		if reads[i].Read.Before(from) {
+			reads[i].Read = from
 		}
 	}
 	return reads
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -23,8 +23,8 @@
 type Members interface {
 	// Live returns the live runs with this one, without those that are leaving.
 	Live(now time.Time) []slot.Member
-	// LogLostSince returns the earliest time at which a peer was asked for its contact with the log, if every peer has
-	// answered that it has none.
+	// LogLostSince returns the earliest of the times at or after which the others had no contact with the log, if each
+	// one that is listed or answers has said so.
 	LogLostSince(now time.Time) (since time.Time, all bool)
 	// Answers reports whether a run, leaving or not, answers.
 	Answers(now time.Time, w ids.WriterID) bool
@@ -94,7 +94,7 @@
 	defer ticker.Stop()
 	for ctx.Err() == nil {
 		changed := f.Journal.Changed()
-		f.step(ctx, g, time.Now())
+		f.step(ctx, g, time.Now)
 		select {
 		case <-changed:
 		case <-ticker.C:
@@ -104,7 +104,9 @@
 	return g.Wait()
 }
 
-func (f *Fleet) step(ctx context.Context, g *errgroup.Group, now time.Time) {
+// step decides once. It asks for the time under the lock, so that a statement made to a peer before the decision is not
+// later than the decision's time.
+func (f *Fleet) step(ctx context.Context, g *errgroup.Group, clock func() time.Time) {
 	var decided []record.Body
 	var drain *ids.Slot
 	owned := map[ids.Slot]ids.Epoch{}
@@ -112,6 +114,7 @@
 	f.Journal.View(func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
+		now := clock()
 		f.reads.Observe(now, f.Table)
 		f.contact.observe(now, fresh)
 		f.lease.Observe(f.Table, f.Self, fresh)
@@ -159,7 +162,7 @@
 		Self:          f.Self,
 		Live:          f.Members.Live(now),
 		Silent:        f.silence(now),
-		Suspicions:    f.contact.delay(f.reads.Suspicions()),
+		Suspicions:    f.contact.delay(now, f.reads.Suspicions()),
 		Releases:      f.reads.Releases(),
 		Lease:         f.Lease,
 		SuspectAfter:  f.SuspectAfter,
@@ -256,11 +259,18 @@
 	return all && f.lease.Known() && slot.LeaseValid(now, since, f.Lease)
 }
 
-// LogLost reports whether this instance has no contact with the log.
-func (f *Fleet) LogLost(now time.Time) bool {
+// LogLost reports whether this instance may tell peers that it has no contact with the log. From then on it waits a
+// lease after it regains contact before it takes over a slot. It may not while such a claim is under way: the claim may
+// be in the log already, or get there as soon as the log takes appends.
+func (f *Fleet) LogLost() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.contact.lost(now)
+	for _, b := range f.pending {
+		if c, ok := b.(*record.Claim); ok && c.SuspectedAt != nil {
+			return false
+		}
+	}
+	return f.contact.state(time.Now())
 }
 
 // Quarantined reports whether a request was running at two targets when they died.
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -117,14 +117,16 @@
 	}
 }
 
-// Drop closes the connection to a peer that does not answer, so that its calls end and the next call dials again.
+// Drop closes the connection to a peer that does not answer, so that its calls end and the next call dials again. It
+// does not wait: a connection that is being made can be closed when dialing has ended, and the peer may not take the
+// notice of the end.
 func (p *Client) Drop(to Address) {
 	p.mu.Lock()
 	c := p.conns[to]
 	delete(p.conns, to)
 	p.mu.Unlock()
 	if c != nil {
-		c.close()
+		go c.close()
 	}
 }
 
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -26,7 +26,7 @@
 	MethodDone Method = "done"
 	// MethodLives asks the owner of a slot which programs exist.
 	MethodLives Method = "lives"
-	// MethodPing probes a peer.
+	// MethodPing carries a member.Message, and its answer if there is one.
 	MethodPing Method = "ping"
 	// MethodEntries asks for entries of the config stream.
 	MethodEntries Method = "entries"
@@ -239,21 +239,6 @@
 	Usage   record.Usage     `json:"usage"`
 }
 
-// Pong is what a daemon tells about itself, in a probe and in the answer to one.
-type Pong struct {
-	Writer ids.WriterID `json:"writer"`
-	// Revision is the newest configuration revision that the daemon has.
-	Revision ids.Revision `json:"revision"`
-	// LogAgeMillis is the age of the daemon's last up-to-date read of the config stream; -1 if there was none.
-	LogAgeMillis int64 `json:"logAgeMillis"`
-	// FreshAgeMillis is the age of the newest up-to-date read that the daemon knows of, its own or a peer's.
-	FreshAgeMillis int64 `json:"freshAgeMillis"`
-	// LogLost says that the daemon has no contact with the log; it will wait one lease after it regains contact before
-	// it claims a suspected owner's slots.
-	LogLost bool `json:"logLost,omitempty"`
-	Leaving bool `json:"leaving,omitempty"`
-}
-
 // Lives asks the owner of a slot which of its programs exist.
 type Lives struct {
 	Slot     ids.Slot        `json:"slot"`
--- a/pkg/member/admission_test.go
+++ b/pkg/member/admission_test.go
@@ -75,6 +75,25 @@
 	}
 }
 
+// Guards against refusals at the start of a log outage, before instances know that nobody has contact.
+func TestNoRefusalsAtTheStartOfAnOutage(t *testing.T) {
+	for _, n := range []int{1, 2, 3, 8, 16, 24, 32} {
+		for early := range 2 {
+			f := newFleet(n)
+			f.run(5 * time.Second)
+			f.log = func(i int) bool { return i%2 < early } // one half may lose contact later
+			f.run(time.Duration(early) * 900 * time.Millisecond)
+			f.log = func(int) bool { return false }
+			for range 100 {
+				f.run(step)
+				if b := f.bases(from(0, n)...); b[member.Stale] > 0 {
+					t.Errorf("%d instances: %v", n, b)
+				}
+			}
+		}
+	}
+}
+
 // Guards against the smaller half of a split fleet admitting without a log, and the one with the log refusing.
 func TestSplitFleet(t *testing.T) {
 	c := qt.New(t)
--- a/pkg/member/message.go
+++ b/pkg/member/message.go
@@ -85,7 +85,7 @@
 	// Helpers is the number of indirect probes.
 	Helpers int
 	// NoContactAfter is the age of the own last read from which the instance says that it has no contact. It must exceed
-	// the longest wait of a read.
+	// two waits of reads, 2 s: a read proves contact at its start, and the next one takes as long.
 	NoContactAfter time.Duration
 	// StatementFor is how long the statement to have no contact counts for admission. With 5 s, an instance of 380 knew
 	// 148 (median of a test); with 10 s all 380, at 1.9 KB sent a second.
@@ -97,6 +97,6 @@
 	return Options{
 		Interval: time.Second, SmallInterval: 500 * time.Millisecond, SmallFleet: 32,
 		OutageInterval: 500 * time.Millisecond, Timeout: 250 * time.Millisecond, Helpers: 3,
-		NoContactAfter: 2 * time.Second, StatementFor: 10 * time.Second,
+		NoContactAfter: 3 * time.Second, StatementFor: 10 * time.Second,
 	}
 }
--- a/pkg/member/probe.go
+++ b/pkg/member/probe.go
@@ -11,6 +11,13 @@
 // does not take it is repeated each 25 ms.
 const minDoubtInterval = 250 * time.Millisecond
 
+// maxBursts times burstInterval is the time in which a fleet loses contact with the log: the last read that succeeds is
+// up to a second older at one instance than at another. Two bursts reach more than half of 32 instances.
+const (
+	maxBursts     = 5
+	burstInterval = 400 * time.Millisecond
+)
+
 // probe is a ping that was not answered yet.
 type probe struct {
 	target ids.InstanceID
@@ -36,7 +43,9 @@
 	for _, seq := range seqs {
 		out = append(out, v.overdue(now, seq, v.probes[seq])...)
 	}
-	if id, ok := v.due(now); ok {
+	if all := v.burst(now); len(all) > 0 {
+		out = append(out, all...)
+	} else if id, ok := v.due(now); ok {
 		out = append(out, v.ping(now, probe{target: id, sent: now}))
 	}
 	return append(out, v.flush(now)...)
@@ -70,6 +79,28 @@
 	return id, true
 }
 
+// burst returns probes of all neighbors, some times at the start of an outage of the log. More than half of a small fleet
+// then hear of each other before their configuration is no longer fresh; with a probe at a time, 24 instances refused
+// requests for up to 1.1 s.
+func (v *View) burst(now time.Time) (out []Message) {
+	if !v.noContact(now) {
+		v.bursts = 0
+		return nil
+	}
+	if v.bursts >= maxBursts || now.Before(v.nextBurst) || len(v.listed) > v.opt.SmallFleet {
+		return nil
+	}
+	v.bursts++
+	v.nextBurst = now.Add(burstInterval)
+	v.nextProbe = now.Add(v.opt.OutageInterval)
+	for _, id := range v.neighbors {
+		if v.peers[id].state() != Suspect {
+			out = append(out, v.ping(now, probe{target: id, sent: now}))
+		}
+	}
+	return out
+}
+
 func (v *View) interval(now time.Time) time.Duration {
 	switch {
 	case v.noContact(now):
--- a/pkg/member/rumor.go
+++ b/pkg/member/rumor.go
@@ -45,7 +45,7 @@
 // tellIfChanged notes that the neighbors are to be told of a peer.
 func (v *View) tellIfChanged(p *peer, before belief) {
 	if p.Writer != "" && p.belief() != before {
-		v.news[p.ID] = true
+		v.note(p.ID)
 	}
 }
 
@@ -140,7 +140,9 @@
 		return nil
 	}
 	if ids.InstanceID(id) == v.id {
-		v.news[v.id] = v.news[v.id] || r.Suspect || r.Writer != v.self.Writer || r.Leaving != v.self.Leaving
+		if r.Suspect || r.Writer != v.self.Writer || r.Leaving != v.self.Leaving {
+			v.note(v.id)
+		}
 		return nil
 	}
 	p := v.peer(ids.InstanceID(id))
@@ -151,7 +153,7 @@
 		return nil
 	}
 	p.seen = later(p.seen, at)
-	v.news[p.ID] = true
+	v.note(p.ID)
 	if p.state() == Suspect && slices.Contains(v.neighbors, p.ID) {
 		return v.Doubt(now, p.ID)
 	}
--- a/pkg/member/view.go
+++ b/pkg/member/view.go
@@ -90,8 +90,11 @@
 	lastSeq   uint64
 	nextProbe time.Time
 	lastTick  time.Time
+	bursts    int // since contact with the log was lost
+	nextBurst time.Time
 	round     []ids.InstanceID // instances still to be probed, in random order
 
+	changes uint64
 	news    map[ids.InstanceID]bool // changed beliefs that the neighbors were not told of yet
 	nextSum time.Time               // when beliefs may be compared again
 	sumWait time.Duration
@@ -113,7 +116,7 @@
 // SetSelf tells the view what this instance knows of itself.
 func (v *View) SetSelf(s Self) {
 	if s.Writer != v.self.Writer || s.Leaving != v.self.Leaving {
-		v.news[v.id] = true
+		v.note(v.id)
 	}
 	v.self = s
 	v.highest = max(v.highest, s.Revision)
@@ -164,6 +167,7 @@
 	if v.nextProbe.IsZero() {
 		v.nextProbe = now.Add(time.Duration(v.random.Float64() * float64(v.opt.SmallInterval))) // instances started together
 	}
+	v.changes++
 	v.segments = segmentsOf(v.listed)
 	v.neighbors = neighbors(v.id, v.listed)
 	v.round = slices.DeleteFunc(v.round, func(id ids.InstanceID) bool { return v.peers[id] == nil })
@@ -180,6 +184,15 @@
 	return l
 }
 
+// Changes counts the changes of the list and of what is believed of others, apart from the time and content of answers.
+func (v *View) Changes() uint64 { return v.changes }
+
+// note makes a change known to the neighbors with the next Tick.
+func (v *View) note(id ids.InstanceID) {
+	v.changes++
+	v.news[id] = true
+}
+
 // Neighbors returns the instances that this one probes.
 func (v *View) Neighbors() []ids.InstanceID { return v.neighbors }
 
