--- a/internal/journal/queue.go
+++ b/internal/journal/queue.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// maxQueuedItems and maxQueuedBytes bound the queue before the writer. At a hundred appends a second of an instance,
-	// 1024 single records wait about ten seconds if each needs an append of its own.
+	// maxQueuedItems and maxQueuedBytes bound the queue before the writer. A few appends empty it, because queued items
+	// share entries of up to 1 MiB; it fills when the log is unavailable.
 	maxQueuedItems = 1024
 	maxQueuedBytes = 8 << 20
 	// recordOverhead is the size of {"type":"","body":}, around a record.
--- a/internal/journal/writer.go
+++ b/internal/journal/writer.go
@@ -8,18 +8,25 @@
 
 	"go.uber.org/zap"
 
+	"github.com/comfreylink/comfreylink/internal/events"
 	"github.com/comfreylink/comfreylink/pkg/record"
 	"github.com/comfreylink/comfreylink/pkg/replay"
 )
 
+// delays are the waits between requests; each doubles from first to last.
+type delays struct {
+	// firstRetry follows a failed request.
+	firstRetry time.Duration
+	// firstRepeat follows an append that succeeded, and gives the reader time to see the entry.
+	firstRepeat time.Duration
+	last        time.Duration
+}
+
+// defaultDelays: the reader usually sees an entry within milliseconds, and a repeat would cost an append of the shared
+// rate. The last wait stays below the 5 s for which a configuration is fresh, so that a recovered log is noticed in time.
+var defaultDelays = delays{firstRetry: 100 * time.Millisecond, firstRepeat: time.Second, last: 2 * time.Second}
+
 const (
-	// firstRetry and lastRetry bound the wait after a failed request; it doubles from one to the other. The last one stays
-	// below the 5 s for which a configuration is fresh, so that a recovered log is noticed in time.
-	firstRetry = 100 * time.Millisecond
-	lastRetry  = 2 * time.Second
-	// firstRepeat is the wait for the reader after an append that succeeded. The reader usually sees the entry within
-	// milliseconds; a repeat would cost an append of the shared rate.
-	firstRepeat = time.Second
 	// envelopeBytes is more than the size of a batch around its records, besides the writer's name.
 	envelopeBytes = 64
 	// maxEscape is the growth of a byte of a name that JSON has to escape.
@@ -49,6 +56,8 @@
 		case <-ctx.Done():
 			return nil
 		}
+		// Waiting before the items are taken lets more of them share the append.
+		pause(ctx, j.config.Pace.Take(j.config.Now()))
 		if items := j.queue.take(j.maxRecordBytes()); len(items) > 0 {
 			j.deliver(ctx, items)
 		}
@@ -93,18 +102,15 @@
 // repeat appends a batch again and again until it has ended, or ctx has.
 func (j *Journal) repeat(ctx context.Context, b *batch) {
 	for attempt := 0; ; attempt++ {
-		if wait := j.config.Pace.Take(j.config.Now()); !b.wait(ctx, wait) {
-			return
-		}
 		_, err := j.config.Log.Append(ctx, j.config.Stream, b.data)
 		if ctx.Err() == nil {
 			j.noteAppend(err)
 		}
-		wait := repeatDelay(attempt)
+		wait := j.delays.repeat(attempt)
 		if err != nil {
-			wait = retryDelay(attempt)
+			wait = j.delays.retry(attempt)
 		}
-		if !b.wait(ctx, wait) {
+		if !b.wait(ctx, wait) || !b.wait(ctx, j.config.Pace.Take(j.config.Now())) {
 			return
 		}
 	}
@@ -177,7 +183,7 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if err != nil && j.status.AppendError == nil {
-		j.config.Logger.Warn("logAppendFailed", zap.Error(err))
+		j.event(events.LogContactLost, zap.String("operation", "append"), zap.Error(err))
 	}
 	j.status.AppendError = err
 }
@@ -187,18 +193,18 @@
 	return record.MaxEntryBytes - envelopeBytes - maxEscape*len(j.config.Writer)
 }
 
-func retryDelay(failures int) time.Duration { return backoff(firstRetry, failures) }
+func (d delays) retry(failures int) time.Duration { return d.backoff(d.firstRetry, failures) }
 
-func repeatDelay(attempt int) time.Duration { return backoff(firstRepeat, attempt) }
+func (d delays) repeat(attempt int) time.Duration { return d.backoff(d.firstRepeat, attempt) }
 
-// backoff returns a wait that doubles with n up to lastRetry, shortened at random by up to half, so that instances do
-// not return to a recovered service all at once.
-func backoff(first time.Duration, n int) time.Duration {
-	d := lastRetry
+// backoff returns a wait that doubles with n up to the last, shortened at random by up to half, so that instances do not
+// return to a recovered service all at once.
+func (d delays) backoff(first time.Duration, n int) time.Duration {
+	wait := d.last
 	if n < 16 { // first<<n does not overflow
-		d = min(first<<n, lastRetry)
+		wait = min(first<<n, d.last)
 	}
-	return d/2 + rand.N(d/2)
+	return wait/2 + rand.N(wait/2)
 }
 
 func pause(ctx context.Context, d time.Duration) {
