Take missing entries of the configuration from a peer

A daemon that is cut from the log heard of higher revisions from its peers, but had no way to get them: it refused all requests from then on, and peer.MethodEntries was a name only.

They go through the same replay in offset order, so the reader continues behind them when the log is back and passes over copies. They do not count as an own read: admission still needs a peer's contact or a majority without contact. A peer is trusted like the log. If it does not keep all the entries, it says so and the daemon stays stale.

--- /dev/null
+++ b/internal/catchup/catchup_test.go
@@ -0,0 +1,113 @@
+package catchup
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+
+	"github.com/comfreylink/comfreylink/internal/journal"
+	"github.com/comfreylink/comfreylink/internal/logservice"
+	"github.com/comfreylink/comfreylink/internal/peer"
+	"github.com/comfreylink/comfreylink/pkg/ids"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// stub is a journal whose revision is its last offset, and a set of peers with one that answers from another journal.
+type stub struct {
+	mu      sync.Mutex
+	entries []logservice.Entry
+	fresh   time.Time
+	other   *Catchup
+	asked   int
+}
+
+func (s *stub) Status() journal.Status {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return journal.Status{Next: ids.Offset(len(s.entries)), Fresh: s.fresh}
+}
+
+func (s *stub) revision() ids.Revision { return ids.Revision(s.Status().Next) - 1 }
+
+func (s *stub) Recent(from ids.Offset) (p logservice.Page, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next := ids.Offset(len(s.entries))
+	if from >= next {
+		return p, false
+	}
+	return logservice.Page{Next: next, Entries: s.entries[from:]}, true
+}
+
+func (s *stub) Feed(from ids.Offset, p logservice.Page) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.entries = append(s.entries[:from:from], p.Entries...)
+	return nil
+}
+
+func (s *stub) Ahead(r ids.Revision) []peer.Address {
+	if s.other == nil || s.other.Revision() <= r {
+		return nil
+	}
+	return []peer.Address{{Instance: "other"}}
+}
+
+func (s *stub) Call(_ context.Context, _ peer.Address, m peer.Method, params, result any) error {
+	s.mu.Lock()
+	s.asked++
+	failed := s.asked == 1
+	s.mu.Unlock()
+	if m != peer.MethodEntries || failed {
+		return errors.New("failed")
+	}
+	*result.(*peer.EntryPage) = s.other.Serve(params.(peer.Entries))
+	return nil
+}
+
+func newCatchup(s *stub) *Catchup {
+	return New(Config{Journal: s, Members: s, Peers: s, Revision: s.revision, Logger: zap.NewNop()})
+}
+
+// Guards against a daemon that is cut from the log and does not learn of a withdrawn key, or gives up after a failure.
+func TestEntriesAreTakenFromAPeer(t *testing.T) {
+	c := qt.New(t)
+	here := &stub{entries: make([]logservice.Entry, 2)}
+	here.other = newCatchup(&stub{entries: make([]logservice.Entry, 5)})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- newCatchup(here).Run(ctx) }()
+	for began := time.Now(); here.revision() != 4; time.Sleep(5 * time.Millisecond) {
+		if time.Since(began) > 5*time.Second {
+			t.Fatal("entries were not taken")
+		}
+	}
+	cancel()
+	c.Assert(<-ended, qt.IsNil)
+	c.Assert(here.asked, qt.Equals, 2)
+}
+
+// Guards against questions to peers while the log can be read or nobody has a newer configuration, and against an answer
+// that looks whole although entries are missing.
+func TestPeersAreNotAskedWithoutNeed(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	here := &stub{entries: make([]logservice.Entry, 2), fresh: now.Add(-unreadAfter + 1)}
+	there := newCatchup(&stub{entries: make([]logservice.Entry, 5)})
+	here.other = there
+	_, ok := newCatchup(here).due(now)
+	c.Check(ok, qt.IsFalse)
+	_, ok = newCatchup(here).due(now.Add(1))
+	c.Check(ok, qt.IsTrue)
+	c.Check(there.Serve(peer.Entries{From: 5}).Missing, qt.IsTrue)
+	here.entries = make([]logservice.Entry, 5)
+	_, ok = newCatchup(here).due(now.Add(1))
+	c.Check(ok, qt.IsFalse)
+}
--- a/internal/daemon/adapters.go
+++ b/internal/daemon/adapters.go
@@ -219,6 +219,8 @@
 		return answer(params, func(l peer.Lives) any { return h.d.slots.Lives(l) })
 	case peer.MethodPing:
 		return answer(params, func(m member.Message) any { return h.d.members.Serve(from, m) })
+	case peer.MethodEntries:
+		return answer(params, func(e peer.Entries) any { return h.d.catchup.Serve(e) })
 	default:
 		return nil, peer.ErrUnknownMethod
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/comfreylink/comfreylink/internal/admin"
+	"github.com/comfreylink/comfreylink/internal/catchup"
 	"github.com/comfreylink/comfreylink/internal/chat"
 	"github.com/comfreylink/comfreylink/internal/dispatcher"
 	"github.com/comfreylink/comfreylink/internal/engine"
@@ -39,6 +40,10 @@
 	"github.com/comfreylink/comfreylink/pkg/slot"
 )
 
+// recentConfigBytes bounds the entries of the config stream that are kept for peers that cannot read the log. It is
+// above record.MaxEntryBytes, so that the last entry is always there.
+const recentConfigBytes = 2 << 20
+
 // Daemon is one running instance.
 type Daemon struct {
 	settings settings.Settings
@@ -52,6 +57,7 @@
 	fleetLog   *journal.Journal
 	table      *slot.Table
 	members    *members.Members
+	catchup    *catchup.Catchup
 	fleet      *fleet.Fleet
 	slots      *slots.Slots
 	owner      *owner.Owner
@@ -128,7 +134,7 @@
 }
 
 func (d *Daemon) journal(s ids.Stream, f replay.Fold) (j *journal.Journal, cleanup func(), err error) {
-	return journal.New(journal.Config{
+	c := journal.Config{
 		Stream: s,
 		Writer: d.self,
 		Log:    measuredLog{d.log, d},
@@ -138,7 +144,11 @@
 		ReadWait: min(journal.DefaultReadWait, d.settings.Ownership.Lease/leaseReads),
 		Logger:   d.logger,
 		Now:      time.Now,
-	})
+	}
+	if s == ids.ConfigStream {
+		c.RecentBytes = recentConfigBytes
+	}
+	return journal.New(c)
 }
 
 // leaseReads is how many idle reads fit into a lease at least.
@@ -191,6 +201,13 @@
 		Options:  member.DefaultOptions(),
 		Logger:   d.logger,
 	})
+	d.catchup = catchup.New(catchup.Config{
+		Journal:  d.config,
+		Members:  d.members,
+		Peers:    prober{d.peers, d},
+		Revision: func() ids.Revision { return d.catalog.Current().Revision() },
+		Logger:   d.logger,
+	})
 	return nil
 }
 
@@ -272,6 +289,7 @@
 		d.config.Run,
 		d.fleetLog.Run,
 		d.members.Run,
+		d.catchup.Run,
 		d.fleet.Run,
 		d.limiter.Run,
 		d.dispatcher.Run,
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -57,6 +57,9 @@
 	SnapshotRestored = define(206, "snapshotRestored", info,
 		"A reader took over the state of a snapshot.", nothing,
 		"stream", "offset", "next")
+	EntriesFromPeer = define(207, "entriesFromPeer", info,
+		"The log cannot be read here; entries of the configuration were taken from another daemon.", nothing,
+		"instance", "from", "entries", "configRevision")
 )
 
 // Events of slot ownership.
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -38,8 +38,10 @@
 	// ReadWait is how long a read waits for entries, DefaultReadWait if it is 0. On an idle stream Fresh is up to twice
 	// as old, so it must stay well below the lease and the time for which a configuration is fresh.
 	ReadWait time.Duration
-	Logger   *zap.Logger
-	Now      func() time.Time
+	// RecentBytes bounds the entries that are kept for Recent; 0 keeps none.
+	RecentBytes int
+	Logger      *zap.Logger
+	Now         func() time.Time
 }
 
 // DefaultReadWait is the ReadWait of a journal whose Config names none.
@@ -53,6 +55,7 @@
 
 	mu       sync.Mutex // guards the fields below and the fold
 	replay   *replay.Replay
+	recent   recent
 	seq      int64
 	inFlight *batch
 	changed  chan struct{}
@@ -84,6 +87,7 @@
 		delays:   defaultDelays,
 		queue:    newQueue(),
 		replay:   replay.New(c.Fold),
+		recent:   recent{maxBytes: c.RecentBytes},
 		changed:  make(chan struct{}),
 		caughtUp: make(chan struct{}),
 		stopped:  make(chan struct{}),
--- a/internal/journal/reader.go
+++ b/internal/journal/reader.go
@@ -63,25 +63,31 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.beginPage(p.Oldest)
+	j.applyEntries(p)
+	// A reader that looks for a snapshot waits for entries too, but knows no state that could be up to date.
+	atEnd = p.AtEnd && j.replay.Next() >= p.Next
+	if atEnd && j.replay.Ready() {
+		j.status.Fresh = started
+		j.caughtUpOnce.Do(func() { close(j.caughtUp) })
+	}
+	return atEnd
+}
+
+// applyEntries folds the entries of a page. The lock is held.
+func (j *Journal) applyEntries(p logservice.Page) {
 	applied := false
 	for _, e := range p.Entries {
 		res := j.replay.Entry(e.Offset, e.Data)
+		j.recent.add(e, res.Kind)
 		j.count(e.Offset, res)
 		j.settle(e.Data, res)
 		applied = applied || res.Kind == replay.Applied || res.Kind == replay.Restored
 	}
 	j.replay.Advance(p.Next)
-	// A reader that looks for a snapshot waits for entries too, but knows no state that could be up to date.
-	atEnd = p.AtEnd && j.replay.Next() >= p.Next
-	if atEnd && j.replay.Ready() {
-		j.status.Fresh = started
-		j.caughtUpOnce.Do(func() { close(j.caughtUp) })
-	}
 	if applied {
 		close(j.changed)
 		j.changed = make(chan struct{})
 	}
-	return atEnd
 }
 
 func (j *Journal) beginPage(oldest ids.Offset) {
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -169,7 +169,7 @@
 	m.seen = m.view.Changes()
 	before := m.peers
 	m.peers, m.live = map[ids.InstanceID]member.Peer{}, nil
-	for _, p := range m.view.Peers(now) {
+	for _, p := range m.view.Peers() {
 		m.peers[p.ID] = p
 		at, reachable := m.places[p.ID]
 		if reachable && p.State == member.Suspect && before[p.ID].State == member.Alive {
--- a/internal/members/reads.go
+++ b/internal/members/reads.go
@@ -82,6 +82,19 @@
 	return at.address, ok
 }
 
+// Ahead returns where the instances listen for peers whose last answers told of a newer configuration than a revision.
+func (m *Members) Ahead(r ids.Revision) (all []peer.Address) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range m.view.Peers() {
+		at, ok := m.places[p.ID]
+		if ok && p.State == member.Alive && !p.LastContact.IsZero() && p.Info.Revision > r {
+			all = append(all, at.address)
+		}
+	}
+	return all
+}
+
 // Targets returns the targets of the last list, and a channel that is closed when there is a newer list.
 func (m *Members) Targets() (targets []instancelist.Instance, changed <-chan struct{}) {
 	m.mu.Lock()
@@ -109,7 +122,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	neighbors := m.view.Neighbors()
-	for _, p := range m.view.Peers(now) {
+	for _, p := range m.view.Peers() {
 		at := m.places[p.ID]
 		r := Report{
 			Instance: p.ID, Zone: at.zone, Writer: p.Writer, Listed: p.Listed, Leaving: p.Leaving || at.leaving,
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -239,6 +239,26 @@
 	Usage   record.Usage     `json:"usage"`
 }
 
+// Entries asks for the entries of the config stream from an offset.
+type Entries struct {
+	From ids.Offset `json:"from"`
+}
+
+// EntryPage is the answer to Entries.
+type EntryPage struct {
+	// Missing says that the instance does not keep all the entries, or has none.
+	Missing bool `json:"missing,omitempty"`
+	// Next is the offset that follows the entries.
+	Next    ids.Offset `json:"next"`
+	Entries []Entry    `json:"entries,omitempty"`
+}
+
+// Entry is one entry of a stream as it is in the log.
+type Entry struct {
+	Offset ids.Offset `json:"offset"`
+	Data   []byte     `json:"data"`
+}
+
 // Lives asks the owner of a slot which of its programs exist.
 type Lives struct {
 	Slot     ids.Slot        `json:"slot"`
--- a/pkg/member/member_test.go
+++ b/pkg/member/member_test.go
@@ -114,7 +114,7 @@
 }
 
 func (f *fleet) state(of, by int) member.State {
-	for _, p := range f.views[by].Peers(f.now) {
+	for _, p := range f.views[by].Peers() {
 		if p.ID == f.ids[of] {
 			return p.State
 		}
@@ -163,9 +163,9 @@
 	c.Assert(out, qt.HasLen, 1)
 	c.Assert(out[0].To, qt.Equals, ids.InstanceID("new"))
 	v.SetList(epoch.Add(20*time.Second), []member.Listed{{ID: "a"}})
-	c.Assert(v.Peers(epoch), qt.HasLen, 1)
+	c.Assert(v.Peers(), qt.HasLen, 1)
 	v.SetList(epoch.Add(31*time.Second), []member.Listed{{ID: "a"}})
-	c.Assert(v.Peers(epoch), qt.HasLen, 0)
+	c.Assert(v.Peers(), qt.HasLen, 0)
 }
 
 // Guards against a delayed or repeated answer, or one nobody asked for, looking like a fresh contact.
--- a/pkg/member/rumor_test.go
+++ b/pkg/member/rumor_test.go
@@ -61,7 +61,7 @@
 		f.run(time.Duration(pause) * 300 * time.Millisecond)
 		f.down[0] = false
 		f.run(step)
-		for _, p := range v.Peers(f.now) {
+		for _, p := range v.Peers() {
 			if p.State == member.Suspect {
 				t.Errorf("suspects %s after a pause of %d ms", p.ID, 300*pause)
 			}
@@ -94,7 +94,7 @@
 			f.restart(7, "new")
 			f.run(3 * time.Second)
 			for i, v := range f.views {
-				for _, p := range v.Peers(f.now) {
+				for _, p := range v.Peers() {
 					want := writer(p.ID, f.nonce[f.index[p.ID]])
 					c.Check(p.Writer, qt.Equals, want, qt.Commentf("by %d", i))
 					c.Check(p.State, qt.Equals, member.Alive, qt.Commentf("%s by %d", p.ID, i))
@@ -112,7 +112,7 @@
 	f.leaving[7] = true
 	f.run(time.Second)
 	for i, v := range f.views {
-		for _, p := range v.Peers(f.now) {
+		for _, p := range v.Peers() {
 			c.Check(p.Leaving, qt.Equals, p.ID == f.ids[7], qt.Commentf("%s by %d", p.ID, i))
 		}
 	}
--- a/pkg/member/view.go
+++ b/pkg/member/view.go
@@ -174,7 +174,7 @@
 }
 
 // Peers returns the view of all other instances by id.
-func (v *View) Peers(now time.Time) (l []Peer) {
+func (v *View) Peers() (l []Peer) {
 	for _, p := range v.peers {
 		q := p.Peer
 		q.State = p.state()
