--- a/scenario/cmd/slopes/report.go
+++ b/scenario/cmd/slopes/report.go
@@ -10,7 +10,7 @@
 	"github.com/comfreylink/comfreylink/scenario/slope"
 )
 
-const header = "daemons\ttargets\tslots\tworkspaces\trequests/s\tms of processor/s of a daemon: median (range)\tsum\tresident MB\theap in use MB\t" +
+const header = "daemons\ttargets\tslots\tworkspaces\trequests/s\ttokens\tms of processor/s of a daemon: median (range)\tsum\tresident MB\theap in use MB\t" +
 	"to log B/s\tfrom log B/s\tpeers sent B/s\tcalls to peers/s\tappends/s slot\tfleet\tfailed"
 
 // measure runs one deployment and prints its line. Figures are of one daemon, as median and range over the daemons, or
@@ -97,8 +97,8 @@
 	}
 	processor, processorSum := rate(func(s sample) float64 { return float64(s.processor.Microseconds()) / 1000 })
 	calls, _ := rate(func(s sample) float64 { return s.sum("rpc_client_call_duration_seconds_count") })
-	fmt.Fprintf(w, "%d\t%d\t%d\t%d\t%g\t%v\t%.4g\t%v\t%v\t%v\t%v\t%v\t%v\t%.4g\t%.4g\t%d\n",
-		d.daemons, d.targets, d.slots, d.workspaces, d.requests, processor, processorSum,
+	fmt.Fprintf(w, "%d\t%d\t%d\t%d\t%g\t%d\t%v\t%.4g\t%v\t%v\t%v\t%v\t%v\t%v\t%.4g\t%.4g\t%d\n",
+		d.daemons, d.targets, d.slots, d.workspaces, d.requests, d.tokens, processor, processorSum,
 		now(func(s sample) float64 { return s.resident }), now(func(s sample) float64 { return s.sum("go_memstats_heap_inuse_bytes") }),
 		bytes("transmit", "log"), bytes("receive", "log"), bytes("transmit", "toPeers", "fromPeers"), calls,
 		appends("slot"), appends("fleet"), failed)
--- a/scenario/slope/messages.go
+++ b/scenario/slope/messages.go
@@ -7,6 +7,8 @@
 	"text/tabwriter"
 	"time"
 
+	"github.com/comfreylink/comfreylink/internal/peer"
+	"github.com/comfreylink/comfreylink/pkg/dispatch"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 	"github.com/comfreylink/comfreylink/pkg/member"
 	"github.com/comfreylink/comfreylink/pkg/record"
@@ -70,6 +72,9 @@
 	for _, r := range records() {
 		fmt.Fprintf(w, "record %s\t%d B as an entry\n", r.Type(), len(openSlot().entry(r)))
 	}
+	for _, m := range requestMessages() {
+		fmt.Fprintf(w, "message %T\t%d B\n", m, size(m))
+	}
 	for _, n := range []int{400, 1600, 3200} {
 		s, _ := configured(n)
 		parts, err := s.replay.Snapshot()
@@ -100,3 +105,19 @@
 		publish(1, 1_000_000),
 	}
 }
+
+// requestMessages are what one request costs between daemons besides the forwarded call: a question and an answer each
+// for the target and the rate token, and a report each of their end.
+func requestMessages() []any {
+	item := call(1, 133)
+	item.Fingerprint = "0123456789abcdef0123456789abcdef"
+	return []any{
+		peer.Place{Pool: "model-01", Item: item, DeadlineMillis: 60_000},
+		peer.Placed{Target: "engine-001", Address: "10.0.1.1:8000", Ticket: 1_000_000},
+		peer.Done{Pool: "model-01", Ticket: 1_000_000, Outcome: dispatch.Completed, Usage: record.Usage{Prompt: 60_000, Completion: 300, Cached: 59_000}},
+		peer.Acquire{Workspace: workspaceID(1), DeadlineMillis: 60_000},
+		peer.Acquired{Epoch: 12, Granted: true, Grant: 1_000_000},
+		peer.GrantReport{Workspace: workspaceID(1), Epoch: 12, Grant: 1_000_000, Used: true},
+		peer.Pong{Writer: writer, Revision: 1_000_000, LogAgeMillis: 500, FreshAgeMillis: 500},
+	}
+}
