--- a/internal/daemon/adapters.go
+++ b/internal/daemon/adapters.go
@@ -13,9 +13,9 @@
 	"github.com/comfreylink/comfreylink/internal/engine"
 	"github.com/comfreylink/comfreylink/internal/events"
 	"github.com/comfreylink/comfreylink/internal/logservice"
-	"github.com/comfreylink/comfreylink/internal/owner"
 	"github.com/comfreylink/comfreylink/internal/peer"
 	"github.com/comfreylink/comfreylink/internal/service"
+	"github.com/comfreylink/comfreylink/internal/targets"
 	"github.com/comfreylink/comfreylink/pkg/dispatch"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 	"github.com/comfreylink/comfreylink/pkg/record"
@@ -55,10 +55,10 @@
 	o.d.logger.Debug("a peer did not take a request", zap.String("writer", string(w)))
 }
 
-// leaseOf defers to the fleet, which is made after the owner.
+// leaseOf defers to the fleet, which is made after the slots.
 type leaseOf struct{ d *Daemon }
 
-// LeaseValid implements owner.Lease.
+// LeaseValid implements slots.Lease.
 func (l leaseOf) LeaseValid(now time.Time) bool { return l.d.fleet.LeaseValid(now) }
 
 // measuredLog records the time of appends, and tells the pace what the service answered.
@@ -82,10 +82,10 @@
 	return o, err
 }
 
-// targets implements owner.Targets.
-type targets struct{ d *Daemon }
+// access implements targets.Targets.
+type access struct{ d *Daemon }
 
-func (t targets) Place(ctx context.Context, pool ids.PoolID, it dispatch.Item) (owner.Placement, *peer.Refusal) {
+func (t access) Place(ctx context.Context, pool ids.PoolID, it dispatch.Item) (targets.Placement, *peer.Refusal) {
 	it.Zone = t.d.settings.Instance.Zone
 	began := time.Now()
 	p, r := t.d.dispatcher.Place(ctx, pool, it)
@@ -93,13 +93,16 @@
 	return p, r
 }
 
-func (t targets) Request() { t.d.retries.request() }
+func (t access) Request() { t.d.retries.request() }
 
-func (t targets) Done(p owner.Placement, o dispatch.Outcome, u record.Usage) {
+func (t access) Done(p targets.Placement, o dispatch.Outcome, u record.Usage) {
 	t.d.dispatcher.Done(p, o, u)
 }
 
-func (t targets) Acquire(ctx context.Context, ws ids.WorkspaceID) (owner.Grant, *peer.Refusal) {
+func (t access) Acquire(ctx context.Context, ws ids.WorkspaceID) (targets.Grant, *peer.Refusal) {
+	if ws == publicWorkspace {
+		return unlimited{}, nil
+	}
 	g, r := t.d.limiter.Acquire(ctx, ws)
 	if r != nil {
 		return nil, r
@@ -107,34 +110,42 @@
 	return g, nil
 }
 
-func (t targets) Died(ws ids.WorkspaceID, f ids.Fingerprint, target ids.TargetID) {
-	events.Log(t.d.logger, events.RequestSuspected, zap.String("workspace", string(ws)), zap.String("target", string(target)))
+func (t access) Died(ws ids.WorkspaceID, f ids.Fingerprint, target ids.TargetID) {
+	events.Log(t.d.logger, events.RequestSuspected, zap.String("workspace", string(ws)), zap.String("fingerprint", string(f)), zap.String("target", string(target)))
 	_ = t.d.fleetLog.Submit(&record.SuspectRequest{Workspace: ws, Fingerprint: f, Target: target})
 }
 
-func (t targets) Survived(ws ids.WorkspaceID, f ids.Fingerprint) {
+func (t access) Survived(ws ids.WorkspaceID, f ids.Fingerprint) {
 	if t.d.fleet.Suspected(ws, f) {
 		_ = t.d.fleetLog.Submit(&record.ClearRequest{Workspace: ws, Fingerprint: f})
 	}
 }
 
-func (t targets) Quarantined(ws ids.WorkspaceID, f ids.Fingerprint) bool {
-	return t.d.fleet.Quarantined(ws, f)
+func (t access) Quarantined(ws ids.WorkspaceID, f ids.Fingerprint) bool {
+	quarantined := t.d.fleet.Quarantined(ws, f)
+	if quarantined {
+		events.Log(t.d.logger, events.RequestQuarantined, zap.String("workspace", string(ws)), zap.String("fingerprint", string(f)))
+	}
+	return quarantined
 }
 
-func (t targets) RetryAt(now time.Time, f retry.Failure) (at time.Time, why retry.Reason) {
-	return t.d.retries.decide(now, f)
+func (t access) RetryAt(now time.Time, f retry.Failure) (at time.Time, why retry.Reason) {
+	at, why = t.d.retries.decide(now, f)
+	if why == retry.BudgetSpent {
+		events.Log(t.d.logger, events.RetryBudgetUsedUp, zap.Float64("retryBudget", t.d.settings.Dispatch.RetryBudget))
+	}
+	return at, why
 }
 
-func (t targets) Chat(ctx context.Context, address string, r engine.Request, chunk func(engine.Chunk) error) (engine.Answer, error) {
+func (t access) Chat(ctx context.Context, address string, r engine.Request, chunk func(engine.Chunk) error) (engine.Answer, error) {
 	return t.d.engines.Chat(ctx, address, r, chunk)
 }
 
-func (t targets) Resume(ctx context.Context, address, id string, partial engine.Answer, chunk func(engine.Chunk) error) (engine.Answer, error) {
+func (t access) Resume(ctx context.Context, address, id string, partial engine.Answer, chunk func(engine.Chunk) error) (engine.Answer, error) {
 	return t.d.engines.Resume(ctx, address, id, partial, chunk)
 }
 
-func (t targets) Service(ctx context.Context, address string, r service.Request) (service.Answer, error) {
+func (t access) Service(ctx context.Context, address string, r service.Request) (service.Answer, error) {
 	return t.d.services.Do(ctx, address, r)
 }
 
@@ -149,8 +160,21 @@
 	return chat.Caller{Workspace: ws, KeyHash: hashOf(key)}, true
 }
 
-// publicWorkspace is the workspace of requests on routes that are open to all.
-const publicWorkspace ids.WorkspaceID = "public"
+// publicWorkspace is the workspace of requests without a key on routes that are open to all. No workspace can be
+// published under this name, so these requests share no request keys or programs with one.
+const publicWorkspace ids.WorkspaceID = "~public"
+
+// unlimited is the grant of a request on a public route, which counts against no workspace's rate.
+type unlimited struct{}
+
+// Usable implements owner.Grant.
+func (unlimited) Usable(time.Time) bool { return true }
+
+// Used implements owner.Grant.
+func (unlimited) Used() {}
+
+// Unused implements owner.Grant.
+func (unlimited) Unused() {}
 
 func (a directory) Public(service string) (chat.Caller, bool) {
 	_, ok := a.d.catalog.PublicService(service)
@@ -169,7 +193,8 @@
 	}
 	o.d.metrics.Refused(string(refusal.Code))
 	events.Log(o.d.logger, events.RequestRefused,
-		zap.String("route", route), zap.String("code", string(refusal.Code)), zap.String("run", string(refusal.Run)))
+		zap.String("requestKey", string(refusal.RequestKey)), zap.String("code", string(refusal.Code)),
+		zap.String("run", string(refusal.Run)), zap.String("reason", refusal.Message))
 }
 
 // handler implements peer.Handler.
@@ -189,7 +214,7 @@
 	case peer.MethodDone:
 		return answer(params, func(e peer.Done) any { h.d.dispatcher.End(e); return nil })
 	case peer.MethodLives:
-		return answer(params, func(l peer.Lives) any { return h.d.owner.Lives(l) })
+		return answer(params, func(l peer.Lives) any { return h.d.slots.Lives(l) })
 	case peer.MethodPing:
 		return answer(params, func(p peer.Pong) any { h.d.members.Heard(now, from, p); return h.d.describe(now) })
 	default:
--- a/pkg/slot/decide.go
+++ b/pkg/slot/decide.go
@@ -113,33 +113,23 @@
 		if suspected || w == d.view.Self || d.pendingSuspect(w) {
 			continue
 		}
-		if d.turnToSuspect(w) {
+		if d.restarted(w) || d.turnToSuspect(w) {
 			bodies = append(bodies, &record.Suspect{By: d.view.Self, Writer: w})
 		}
 	}
 	return bodies
 }
 
-// turnToSuspect reports whether this instance should suspect an owner now. The rank, which takes a hash for each
-// candidate, is only computed for owners that are silent for long enough: for all owners of a fleet of 380 instances,
-// it took 25 ms of each decision.
+// turnToSuspect reports whether a run is silent and this instance's turn to say so has come. The rank, which takes a hash
+// for each candidate, is computed for silent owners only: for all owners of 380 instances it took 25 ms of each decision.
 func (d *decision) turnToSuspect(w ids.WriterID) bool {
-	since, silent := d.silentSince(w)
-	restarted := d.restarted(w)
-	if !restarted && (!silent || d.now.Sub(since) < d.view.SuspectAfter) {
+	i := slices.IndexFunc(d.view.Silent, func(s Silence) bool { return s.Writer == w })
+	if i < 0 {
 		return false
 	}
 	rank, ok := d.rank("suspect/" + string(w))
 	wait := d.view.SuspectAfter + time.Duration(rank)*d.stagger()
-	return ok && (restarted || d.now.Sub(since) >= wait)
-}
-
-func (d *decision) silentSince(w ids.WriterID) (since time.Time, silent bool) {
-	i := slices.IndexFunc(d.view.Silent, func(s Silence) bool { return s.Writer == w })
-	if i < 0 {
-		return time.Time{}, false
-	}
-	return d.view.Silent[i].Since, true
+	return ok && d.now.Sub(d.view.Silent[i].Since) >= wait
 }
 
 // restarted reports whether a run is an earlier run of this instance. Each instance suspects its own earlier runs.
--- a/pkg/slot/decide_test.go
+++ b/pkg/slot/decide_test.go
@@ -29,8 +29,8 @@
 	return t, v
 }
 
-// BenchmarkDecide is what each instance does ten times a second while nothing happens.
-func BenchmarkDecide(b *testing.B) {
+// BenchmarkDecideInSteadyFleet is what each instance does ten times a second while nothing happens.
+func BenchmarkDecideInSteadyFleet(b *testing.B) {
 	for _, instances := range []int{24, 95, 190, 380} {
 		b.Run(fmt.Sprintf("instances=%d", instances), func(b *testing.B) {
 			t, v := steady(instances, 3)
--- a/scenario/script/state.go
+++ b/scenario/state_test.go
@@ -1,4 +1,4 @@
-package script
+package scenario_test
 
 import (
 	"encoding/json"
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -39,6 +40,11 @@
 	fleet  fleetState
 	slots  []slotState
 	config configState
+	pools  map[string]poolState
+}
+
+type poolState struct {
+	Queued int `json:"queued"`
 }
 
 // admin reads a page of a daemon's admin server.
@@ -75,7 +81,7 @@
 	if err := json.Unmarshal(data, &report); err != nil {
 		return s, err
 	}
-	into := map[string]any{"fleet": &s.fleet, "slots": &s.slots, "config": &s.config}
+	into := map[string]any{"fleet": &s.fleet, "slots": &s.slots, "config": &s.config, "pools": &s.pools}
 	for _, p := range report.Parts {
 		if target, ok := into[p.Name]; ok {
 			if err := json.Unmarshal(p.State, target); err != nil {
@@ -124,6 +130,67 @@
 	return nil
 }
 
+// calling DAEMON COUNT: checks that a daemon runs at least so many calls as owner of slots.
+func (w *world) calling(_ *reply, args []string) error {
+	if err := need(args, 2, "calling DAEMON COUNT"); err != nil {
+		return err
+	}
+	s, err := w.stateOf(args[0])
+	if err != nil {
+		return err
+	}
+	n := 0
+	for _, slot := range s.slots {
+		n += slot.Calls
+	}
+	if want, err := strconv.Atoi(args[1]); err != nil || n < want {
+		return fmt.Errorf("%s runs %d calls, want %s", args[0], n, args[1])
+	}
+	return nil
+}
+
+// queued POOL COUNT: checks that at least so many calls wait for a target of a pool.
+func (w *world) queued(_ *reply, args []string) error {
+	if err := need(args, 2, "queued POOL COUNT"); err != nil {
+		return err
+	}
+	want, err := strconv.Atoi(args[1])
+	if err != nil {
+		return err
+	}
+	n := 0
+	for _, id := range w.live() {
+		s, err := w.stateOf(id)
+		if err != nil {
+			return err
+		}
+		n += s.pools[args[0]].Queued
+	}
+	if n < want {
+		return fmt.Errorf("%d calls wait for %s, want %d", n, args[0], want)
+	}
+	return nil
+}
+
+// owned DAEMON PROGRAM: checks that the other daemons take a daemon for the owner of a program's slot. They need not all
+// have read the same of the log.
+func (w *world) owned(_ *reply, args []string) error {
+	if err := need(args, 2, "owned DAEMON PROGRAM"); err != nil {
+		return err
+	}
+	slot := ids.SlotOf(studio, ids.ProgramID(args[1]), slotCount)
+	for _, id := range w.live() {
+		if id == args[0] {
+			continue
+		}
+		s, err := w.stateOf(id)
+		if err == nil && slices.Contains(s.fleet.Owned, slot) {
+			return fmt.Errorf("%s owns slot %d", id, slot)
+		}
+	}
+	return nil
+}
+
 // status DAEMON PATH TEXT...: checks that a page of the admin server contains texts; with ! that it does not.
 func (w *world) status(_ *reply, args []string) error {
 	if err := need(args, 3, "status DAEMON PATH TEXT..."); err != nil {
