Let instances wait for each other before the first claims

The fleet did not tell the decision when the instance had started, so an unowned slot could be claimed from the year 1 on: the first instance that read the fleet stream claimed every slot at once, and then handed over one each lease. The start is now the first step after the stream was read.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -65,6 +65,7 @@
 	next      int
 	draining  map[ids.Slot]ids.Epoch
 	drained   map[ids.Slot]ids.Epoch
+	started   time.Time // first step with the stream read up to date
 	rebalance time.Time
 	stopping  bool
 	silent    map[ids.WriterID]time.Time
@@ -121,6 +122,9 @@
 		for _, s := range f.Table.Slots(f.Self) {
 			owned[s.Slot] = s.Epoch
 		}
+		if f.started.IsZero() {
+			f.started = now
+		}
 		view := f.view(now)
 		decided = f.Table.Decide(now, view)
 		if s, ok := f.Table.Rebalance(now, view); ok && len(f.draining) == 0 {
@@ -166,6 +170,7 @@
 		Lease:         f.Lease,
 		SuspectAfter:  f.SuspectAfter,
 		Stopping:      f.stopping,
+		Started:       f.started,
 		LastRebalance: f.rebalance,
 	}
 	for s := range f.drained {
--- a/pkg/slot/decide_test.go
+++ b/pkg/slot/decide_test.go
@@ -73,3 +73,26 @@
 		t.Errorf("suspected %v, want the instance's own earlier run", w)
 	}
 }
+
+// Guards against the first instance of a fleet that starts claiming every slot before it knows the others, which then
+// get one slot each lease: with 64 slots and 16 instances that would be ten minutes.
+func TestUnownedSlotsAreClaimedInTurn(t *testing.T) {
+	_, v := steady(16, 0)
+	table := slot.New(64)
+	v.Started = time.Unix(1_000_000, 0)
+	if bodies := table.Decide(v.Started, v); len(bodies) > 0 {
+		t.Errorf("claimed %v at the start", bodies)
+	}
+	claimed := func(after time.Duration) (n int) {
+		for _, b := range table.Decide(v.Started.Add(after), v) {
+			n += len(b.(*record.Claim).Slots)
+		}
+		return n
+	}
+	if n := claimed(v.Lease / 10); n == 0 || n > 16 {
+		t.Errorf("claimed %d of 64 slots at first, want about 4", n)
+	}
+	if n := claimed(17 * v.Lease / 10); n != 64 {
+		t.Errorf("claimed %d of 64 slots that no other instance claimed, want all", n)
+	}
+}
