--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -65,8 +65,8 @@
 	next      int
 	draining  map[ids.Slot]ids.Epoch
 	drained   map[ids.Slot]ids.Epoch
-	started   time.Time // first step with the stream read up to date
 	rebalance time.Time
+	started   time.Time
 	stopping  bool
 	silent    map[ids.WriterID]time.Time
 	suspected map[ids.WriterID]bool
@@ -91,6 +91,8 @@
 	if err := f.Journal.CaughtUp(ctx); err != nil {
 		return nil
 	}
+	f.started = time.Now()
+	f.rebalance = f.started
 	g, ctx := errgroup.WithContext(ctx)
 	ticker := time.NewTicker(decideInterval)
 	defer ticker.Stop()
@@ -122,9 +124,6 @@
 		for _, s := range f.Table.Slots(f.Self) {
 			owned[s.Slot] = s.Epoch
 		}
-		if f.started.IsZero() {
-			f.started = now
-		}
 		view := f.view(now)
 		decided = f.Table.Decide(now, view)
 		if s, ok := f.Table.Rebalance(now, view); ok && len(f.draining) == 0 {
--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -111,15 +111,16 @@
 func (o *Slots) startSlot(s ids.Slot, e ids.Epoch) *Run {
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &Run{
-		Slot:    s,
-		Epoch:   e,
-		ctx:     ctx,
-		cancel:  cancel,
-		ready:   make(chan struct{}),
-		fold:    program.New(program.Options{KeyRetention: o.KeyRetention}),
-		Lines:   fifo.New(),
-		ledgers: map[Program]*turn.Ledger{},
-		tokens:  map[Program]knownTokens{},
+		Slot:      s,
+		Epoch:     e,
+		ctx:       ctx,
+		cancel:    cancel,
+		ready:     make(chan struct{}),
+		fold:      program.New(program.Options{KeyRetention: o.KeyRetention}),
+		Lines:     fifo.New(),
+		ledgers:   map[Program]*turn.Ledger{},
+		tokens:    map[Program]knownTokens{},
+		executing: map[Key]ids.Fingerprint{},
 	}
 	o.running.Add(1)
 	go func() {
