--- a/scenario/slope/messages.go
+++ b/scenario/slope/messages.go
@@ -11,6 +11,7 @@
 	"github.com/comfreylink/comfreylink/pkg/dispatch"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 	"github.com/comfreylink/comfreylink/pkg/member"
+	"github.com/comfreylink/comfreylink/pkg/member"
 	"github.com/comfreylink/comfreylink/pkg/record"
 )
 
@@ -118,6 +119,6 @@
 		peer.Acquire{Workspace: workspaceID(1), DeadlineMillis: 60_000},
 		peer.Acquired{Epoch: 12, Granted: true, Grant: 1_000_000},
 		peer.GrantReport{Workspace: workspaceID(1), Epoch: 12, Grant: 1_000_000, Used: true},
-		peer.Pong{Writer: writer, Revision: 1_000_000, LogAgeMillis: 500, FreshAgeMillis: 500},
+		member.Message{Kind: member.Ack, From: "entry-001", Seq: 1, Info: &member.Info{Writer: writer, Revision: 1_000_000, LogAgeMs: 500}},
 	}
 }
