--- a/internal/peer/authority.go
+++ b/internal/certs/certs.go
@@ -1,4 +1,5 @@
-package peer
+// Package certs issues the certificates by which the daemons of a fleet know each other.
+package certs
 
 import (
 	"crypto/ecdsa"
@@ -32,7 +33,7 @@
 
 // NewAuthority makes a certificate authority that is valid for a time.
 func NewAuthority(now time.Time, validity time.Duration) (a *Authority, err error) {
-	defer func() { err = oops.In("peer").Wrapf(err, "make the fleet's certificate authority") }()
+	defer func() { err = oops.In("certs").Wrapf(err, "make the fleet's certificate authority") }()
 	a = &Authority{}
 	if a.key, err = ecdsa.GenerateKey(elliptic.P256(), rand.Reader); err != nil {
 		return nil, err
@@ -63,7 +64,7 @@
 
 // Issue writes ID.pem and ID.key for an instance and returns their paths.
 func (a *Authority) Issue(now time.Time, dir string, id ids.InstanceID) (certFile, keyFile string, err error) {
-	defer func() { err = oops.In("peer").With("instance", id).Wrapf(err, "issue a certificate") }()
+	defer func() { err = oops.In("certs").With("instance", id).Wrapf(err, "issue a certificate") }()
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
 		return "", "", err
--- a/internal/cli/certs.go
+++ b/internal/cli/certs.go
@@ -8,7 +8,7 @@
 
 	ucli "github.com/urfave/cli/v3"
 
-	"github.com/comfreylink/comfreylink/internal/peer"
+	"github.com/comfreylink/comfreylink/internal/certs"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 )
 
@@ -38,7 +38,7 @@
 	if err := os.MkdirAll(dir, certsDirMode); err != nil {
 		return err
 	}
-	authority, err := peer.NewAuthority(now, r.Duration("validity"))
+	authority, err := certs.NewAuthority(now, r.Duration("validity"))
 	if err != nil {
 		return err
 	}
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/comfreylink/comfreylink/internal/logservice"
 	"github.com/comfreylink/comfreylink/pkg/ids"
+	"github.com/comfreylink/comfreylink/pkg/pace"
 	"github.com/comfreylink/comfreylink/pkg/record"
 	"github.com/comfreylink/comfreylink/standin/logstore"
 )
@@ -67,7 +68,7 @@
 func newInstance(t testing.TB, l Log, w ids.WriterID) *instance {
 	f := &list{}
 	j, cleanup, err := New(Config{
-		Stream: testStream, Writer: w, Log: l, Fold: f, Now: time.Now, Pace: NewBucket(1e6, 1e6, time.Now()),
+		Stream: testStream, Writer: w, Log: l, Fold: f, Now: time.Now, Pace: pace.New(time.Now(), 1e6),
 	})
 	qt.Assert(t, err, qt.IsNil)
 	j.delays = delays{firstRetry: 2 * time.Millisecond, firstRepeat: 20 * time.Millisecond, last: 50 * time.Millisecond}
@@ -360,19 +361,3 @@
 	_, err = j.Append(limit(t), reserve(2))
 	c.Assert(err, qt.ErrorMatches, ".*stopped")
 }
-
-// Guards against more appends than the bucket's rate, whoever waits for them.
-func TestBucket(t *testing.T) {
-	c := qt.New(t)
-	now := time.Unix(1000, 0)
-	b := NewBucket(10, 2, now)
-	var waits []time.Duration
-	for range 4 {
-		waits = append(waits, b.Take(now))
-	}
-	c.Assert(waits, qt.DeepEquals, []time.Duration{0, 0, 100 * time.Millisecond, 200 * time.Millisecond})
-	c.Assert(b.Take(now.Add(300*time.Millisecond)), qt.Equals, time.Duration(0))
-	c.Assert(b.Take(now.Add(time.Hour)), qt.Equals, time.Duration(0))
-	c.Assert(b.Take(now.Add(time.Hour)), qt.Equals, time.Duration(0))
-	c.Assert(b.Take(now.Add(time.Hour)), qt.Equals, 100*time.Millisecond)
-}
--- a/internal/journal/recent_test.go
+++ b/internal/journal/recent_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/comfreylink/comfreylink/internal/logservice"
 	"github.com/comfreylink/comfreylink/pkg/ids"
+	"github.com/comfreylink/comfreylink/pkg/pace"
 	"github.com/comfreylink/comfreylink/pkg/record"
 	"github.com/comfreylink/comfreylink/pkg/replay"
 )
@@ -54,7 +55,7 @@
 func newFollower(t *rapid.T, keep int) *instance {
 	f := &list{}
 	j, cleanup, err := New(Config{
-		Stream: testStream, Writer: "reader#1", Log: storeLog{}, Fold: f, Now: time.Now, Pace: NewBucket(1, 1, time.Now()),
+		Stream: testStream, Writer: "reader#1", Log: storeLog{}, Fold: f, Now: time.Now, Pace: pace.New(time.Now(), 1),
 		RecentBytes: keep,
 	})
 	if err != nil {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -14,6 +14,7 @@
 	"go.uber.org/goleak"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/comfreylink/comfreylink/internal/certs"
 	"github.com/comfreylink/comfreylink/internal/peer"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 )
@@ -40,7 +41,7 @@
 	rejected chan error
 }
 
-func credentials(c *qt.C, a *peer.Authority, id ids.InstanceID) peer.Credentials {
+func credentials(c *qt.C, a *certs.Authority, id ids.InstanceID) peer.Credentials {
 	dir := c.TempDir()
 	ca, err := a.WriteAuthority(dir)
 	c.Assert(err, qt.IsNil)
@@ -52,7 +53,7 @@
 }
 
 func newFleet(c *qt.C) *fleet {
-	authority, err := peer.NewAuthority(time.Now(), time.Hour)
+	authority, err := certs.NewAuthority(time.Now(), time.Hour)
 	c.Assert(err, qt.IsNil)
 	f := &fleet{rejected: make(chan error, 16)}
 	server, cleanup, err := peer.Listen("127.0.0.1:0", credentials(c, authority, "osu-1"), func(_ string, err error) { f.rejected <- err })
@@ -104,7 +105,7 @@
 func TestForeignCertificateIsRejected(t *testing.T) {
 	c := qt.New(t)
 	f := newFleet(c)
-	other, err := peer.NewAuthority(time.Now(), time.Hour)
+	other, err := certs.NewAuthority(time.Now(), time.Hour)
 	c.Assert(err, qt.IsNil)
 	client, cleanup := peer.New(credentials(c, other, "tema-1"))
 	defer cleanup()
--- a/pkg/pace/pace_test.go
+++ b/pkg/pace/pace_test.go
@@ -74,3 +74,21 @@
 	p.Take(now.Add(time.Minute))
 	c.Assert(p.Rate(), qt.Equals, 20.0)
 }
+
+// Guards against more appends than the rate, whoever waits for them.
+func TestTakeSpacesAppends(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	p := pace.New(now, 10)
+	for range 40 {
+		c.Assert(p.Take(now), qt.Equals, time.Duration(0))
+	}
+	c.Assert(p.Take(now), qt.Equals, 100*time.Millisecond)
+	c.Assert(p.Take(now), qt.Equals, 200*time.Millisecond)
+	c.Assert(p.Take(now.Add(300*time.Millisecond)), qt.Equals, time.Duration(0))
+	later := now.Add(time.Hour)
+	for range 40 {
+		c.Assert(p.Take(later), qt.Equals, time.Duration(0))
+	}
+	c.Assert(p.Take(later), qt.Equals, 100*time.Millisecond)
+}
--- a/scenario/cluster/cluster.go
+++ b/scenario/cluster/cluster.go
@@ -19,7 +19,7 @@
 	"syscall"
 	"time"
 
-	"github.com/comfreylink/comfreylink/internal/peer"
+	"github.com/comfreylink/comfreylink/internal/certs"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 )
 
@@ -47,7 +47,7 @@
 	// Bin holds the binaries comfreylink and standin.
 	Bin string
 
-	authority *peer.Authority
+	authority *certs.Authority
 	caFile    string
 	mu        sync.Mutex
 	procs     map[string]*Process
@@ -56,7 +56,7 @@
 // New returns a cluster without processes. The returned cleanup ends all its processes.
 func New(dir, bin string) (c *Cluster, cleanup func(), err error) {
 	c = &Cluster{Dir: dir, Bin: bin, procs: map[string]*Process{}}
-	if c.authority, err = peer.NewAuthority(time.Now(), certValidity); err != nil {
+	if c.authority, err = certs.NewAuthority(time.Now(), certValidity); err != nil {
 		return nil, nil, err
 	}
 	if c.caFile, err = c.authority.WriteAuthority(dir); err != nil {
