--- a/scenario/cmd/load/added.go
+++ b/scenario/cmd/load/added.go
@@ -12,6 +12,7 @@
 
 	"github.com/comfreylink/comfreylink/scenario/caller"
 	"github.com/comfreylink/comfreylink/scenario/cluster"
+	"github.com/comfreylink/comfreylink/scenario/deploy"
 )
 
 // addedCommand measures what daemons add to a call, against a direct call to the same stand-in.
@@ -39,15 +40,15 @@
 	if err := cluster.Build(ctx, dir); err != nil {
 		return err
 	}
-	d := deployments["akwaaba"]
-	d.engines, d.services = 1, 1
+	d := deploy.Known["akwaaba"]
+	d.Engines, d.Services = 1, 1
 	const unlimited = 1e5
-	f, cleanup, err := d.start(ctx, dir, dir, fleetOptions{daemons: daemons, policy: "fair", speed: 1000, requests: unlimited})
+	f, cleanup, err := d.Start(ctx, dir, dir, deploy.Options{Daemons: daemons, Policy: "fair", Speed: 1000, Requests: unlimited})
 	if err != nil {
 		return err
 	}
 	defer cleanup()
-	m := &addedRun{fleet: f, calls: calls, pause: pause, caller: f.callers["large-1"]}
+	m := &addedRun{fleet: f, calls: calls, pause: pause, caller: f.Callers["large-1"]}
 	fmt.Println("call                            P50 us   P95 us   P99 us   (one caller, calls one after the other)")
 	if err := m.services(ctx); err != nil {
 		return err
@@ -56,7 +57,7 @@
 }
 
 type addedRun struct {
-	fleet  *fleet
+	fleet  *deploy.Fleet
 	caller *caller.Caller
 	calls  int
 	pause  time.Duration
@@ -90,9 +91,9 @@
 }
 
 func (m *addedRun) services(ctx context.Context) error {
-	direct := "http://" + m.fleet.cluster.Process("service-1").Address + "/stock"
-	entry := m.fleet.cluster.Process(m.fleet.daemons[0]).Address
-	route := "http://" + entry + "/services/" + string(m.fleet.service) + "/stock"
+	direct := "http://" + m.fleet.Cluster.Process("service-1").Address + "/stock"
+	entry := m.fleet.Cluster.Process(m.fleet.Daemons[0]).Address
+	route := "http://" + entry + "/services/" + string(m.fleet.Service) + "/stock"
 	err := m.time("GET direct", func(int) (caller.Answer, error) {
 		return m.caller.Do(ctx, caller.Request{Method: http.MethodGet, URL: direct})
 	})
@@ -112,12 +113,12 @@
 
 // chats measures model calls of programs, split by whether the entry instance owns the program's slot.
 func (m *addedRun) chats(ctx context.Context) error {
-	entry := m.fleet.cluster.Process(m.fleet.daemons[0]).Address
+	entry := m.fleet.Cluster.Process(m.fleet.Daemons[0]).Address
 	same, other := newHistogram(), newHistogram()
 	for i := range m.calls {
 		time.Sleep(m.pause)
 		began := time.Now()
-		a, err := m.caller.Chat(ctx, entry, caller.Chat{Program: fmt.Sprintf("added-%d", i), Model: string(m.fleet.model), Text: "x", Tokens: 1, Deadline: 10 * time.Second})
+		a, err := m.caller.Chat(ctx, entry, caller.Chat{Program: fmt.Sprintf("added-%d", i), Model: string(m.fleet.Model), Text: "x", Tokens: 1, Deadline: 10 * time.Second})
 		if err != nil {
 			return err
 		}
@@ -133,11 +134,11 @@
 		}
 	}
 	h := newHistogram()
-	direct := m.fleet.cluster.Process("engine-1").Address
+	direct := m.fleet.Cluster.Process("engine-1").Address
 	for i := range m.calls {
 		time.Sleep(m.pause)
 		began := time.Now()
-		if _, err := m.caller.Chat(ctx, direct, caller.Chat{Program: fmt.Sprintf("direct-%d", i), Model: string(m.fleet.model), Text: "x", Tokens: 1}); err != nil {
+		if _, err := m.caller.Chat(ctx, direct, caller.Chat{Program: fmt.Sprintf("direct-%d", i), Model: string(m.fleet.Model), Text: "x", Tokens: 1}); err != nil {
 			return err
 		}
 		if err := h.RecordValue(time.Since(began).Microseconds()); err != nil {
--- a/scenario/cmd/load/fault.go
+++ b/scenario/cmd/load/fault.go
@@ -35,7 +35,7 @@
 }
 
 func (r *runner) fault(kind string) error {
-	c := r.fleet.cluster
+	c := r.fleet.Cluster
 	switch kind {
 	case "killDaemon":
 		return r.killDaemon("entry-2")
@@ -48,8 +48,8 @@
 	case "slowTarget":
 		return c.Fault("engine-1", slowFault{DelayMs: slowDelay.Milliseconds()})
 	case "zone":
-		for i, d := range r.fleet.daemons {
-			if i%len(r.fleet.zones) == 0 {
+		for i, d := range r.fleet.Daemons {
+			if i%len(r.fleet.Zones) == 0 {
 				if err := r.killDaemon(d); err != nil {
 					return err
 				}
@@ -68,28 +68,28 @@
 const slowDelay = 500 * time.Millisecond
 
 func (r *runner) killDaemon(name string) error {
-	if err := r.fleet.cluster.Kill(name); err != nil {
+	if err := r.fleet.Cluster.Kill(name); err != nil {
 		return err
 	}
 	time.AfterFunc(balancerDelay, func() {
 		r.mu.Lock()
 		r.dead[name] = true
 		r.mu.Unlock()
-		_ = r.fleet.cluster.Unregister(name)
+		_ = r.fleet.Cluster.Unregister(name)
 	})
 	return nil
 }
 
 func (r *runner) killZoneTargets() error {
-	for i := range r.fleet.engines {
-		if i%len(r.fleet.zones) != 0 {
+	for i := range r.fleet.Engines {
+		if i%len(r.fleet.Zones) != 0 {
 			continue
 		}
 		name := fmt.Sprintf("engine-%d", i+1)
-		if err := r.fleet.cluster.Kill(name); err != nil {
+		if err := r.fleet.Cluster.Kill(name); err != nil {
 			return err
 		}
-		if err := r.fleet.cluster.Unregister(name); err != nil {
+		if err := r.fleet.Cluster.Unregister(name); err != nil {
 			return err
 		}
 	}
--- a/scenario/cmd/load/run.go
+++ b/scenario/cmd/load/run.go
@@ -14,6 +14,7 @@
 
 	"github.com/comfreylink/comfreylink/scenario/caller"
 	"github.com/comfreylink/comfreylink/scenario/cluster"
+	"github.com/comfreylink/comfreylink/scenario/deploy"
 	"github.com/comfreylink/comfreylink/scenario/workload"
 )
 
@@ -92,7 +93,7 @@
 
 // measure starts a deployment, sends it the programs, and collects what happened.
 func measure(ctx context.Context, o options, policy string) (r result, err error) {
-	d, ok := deployments[o.Deployment]
+	d, ok := deploy.Known[o.Deployment]
 	if !ok {
 		return r, fmt.Errorf("unknown deployment %q", o.Deployment)
 	}
@@ -104,13 +105,13 @@
 	if err := cluster.Build(ctx, dir); err != nil {
 		return r, err
 	}
-	f, cleanup, err := d.start(ctx, dir, dir, fleetOptions{daemons: o.Daemons, policy: policy, speed: o.Speed, requests: callsPerProgram * o.Rate})
+	f, cleanup, err := d.Start(ctx, dir, dir, deploy.Options{Daemons: o.Daemons, Policy: policy, Speed: o.Speed, Requests: callsPerProgram * o.Rate})
 	if err != nil {
 		return r, err
 	}
 	defer cleanup()
 	programs := workload.Generate(workload.Options{
-		Seed: o.Seed, Rate: o.Rate, Duration: o.Duration, Workspaces: d.workspaces(),
+		Seed: o.Seed, Rate: o.Rate, Duration: o.Duration, Workspaces: d.Workspaces(),
 		Noisy: workspaceID(o.Noisy), NoisyFactor: noisyFactor, Speed: o.Speed,
 	})
 	run := &runner{fleet: f, record: newRecord(o, policy), began: time.Now()}
@@ -135,7 +136,7 @@
 }
 
 type runner struct {
-	fleet  *fleet
+	fleet  *deploy.Fleet
 	record *recorder
 	began  time.Time
 	mu     sync.Mutex
@@ -147,9 +148,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for {
-		name := r.fleet.daemons[random.IntN(len(r.fleet.daemons))]
+		name := r.fleet.Daemons[random.IntN(len(r.fleet.Daemons))]
 		if !r.dead[name] {
-			return r.fleet.cluster.Process(name).Address
+			return r.fleet.Cluster.Process(name).Address
 		}
 	}
 }
@@ -172,7 +173,7 @@
 		}
 	}
 	r.record.finished(p.Workspace, time.Since(began))
-	c := r.fleet.callers[p.Workspace]
+	c := r.fleet.Callers[p.Workspace]
 	_, _ = c.Do(ctx, caller.Request{Method: http.MethodDelete, URL: "http://" + r.entry(random) + "/v1/programs/" + p.ID})
 }
 
@@ -203,21 +204,21 @@
 }
 
 func (r *runner) tool(ctx context.Context, random *rand.Rand, p workload.Program, i int) bool {
-	c := r.fleet.callers[p.Workspace]
+	c := r.fleet.Callers[p.Workspace]
 	return r.repeat(ctx, p, "tool", func() (caller.Answer, error) {
 		return c.Do(ctx, caller.Request{
-			Method: http.MethodPost, URL: "http://" + r.entry(random) + "/services/" + string(r.fleet.service) + "/orders",
+			Method: http.MethodPost, URL: "http://" + r.entry(random) + "/services/" + string(r.fleet.Service) + "/orders",
 			Program: p.ID, Key: fmt.Sprintf("%s-tool-%d", p.ID, i), Deadline: programDeadline, Body: []byte(`{}`),
 		})
 	})
 }
 
 func (r *runner) turn(ctx context.Context, random *rand.Rand, p workload.Program, id, key string, t workload.Turn) bool {
-	c := r.fleet.callers[p.Workspace]
+	c := r.fleet.Callers[p.Workspace]
 	text := strings.Repeat("word ", t.PromptTokens*4/5+1)
 	return r.repeat(ctx, p, "chat", func() (caller.Answer, error) {
 		return c.Chat(ctx, r.entry(random), caller.Chat{
-			Program: id, Key: id + "-" + key, Model: string(r.fleet.model), Text: text, Tokens: t.AnswerTokens, Stream: true, Deadline: programDeadline,
+			Program: id, Key: id + "-" + key, Model: string(r.fleet.Model), Text: text, Tokens: t.AnswerTokens, Stream: true, Deadline: programDeadline,
 		})
 	})
 }
