Ask peers for entries only after an own read of the log

A daemon that started in an outage of the log took the configuration from its peers, admitted requests and let them wait for their deadlines, since it knew no owners: scenario config-start-in-outage failed with deadlineExceeded instead of stale. It now waits for its first own read.

--- a/internal/catchup/catchup.go
+++ b/internal/catchup/catchup.go
@@ -74,9 +74,12 @@
 	}
 }
 
-// due returns a peer to ask, at random, so that one that lacks entries or does not answer is not asked each time.
+// due returns a peer to ask, at random, so that one that lacks entries or does not answer is not asked each time. A
+// daemon that was started without contact with the log waits for its first own read: it knows no owners before, so
+// admitted requests would only wait for their deadlines.
 func (c *Catchup) due(now time.Time) (to peer.Address, ok bool) {
-	if now.Sub(c.Journal.Status().Fresh) < unreadAfter {
+	fresh := c.Journal.Status().Fresh
+	if fresh.IsZero() || now.Sub(fresh) < unreadAfter {
 		return to, false
 	}
 	ahead := c.Members.Ahead(c.Revision())
--- a/internal/catchup/catchup_test.go
+++ b/internal/catchup/catchup_test.go
@@ -79,7 +79,7 @@
 // Guards against a daemon that is cut from the log and does not learn of a withdrawn key, or gives up after a failure.
 func TestEntriesAreTakenFromAPeer(t *testing.T) {
 	c := qt.New(t)
-	here := &stub{entries: make([]logservice.Entry, 2)}
+	here := &stub{entries: make([]logservice.Entry, 2), fresh: time.Now().Add(-unreadAfter)}
 	here.other = newCatchup(&stub{entries: make([]logservice.Entry, 5)})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
@@ -107,6 +107,10 @@
 	_, ok = newCatchup(here).due(now.Add(1))
 	c.Check(ok, qt.IsTrue)
 	c.Check(there.Serve(peer.Entries{From: 5}).Missing, qt.IsTrue)
+	here.fresh = time.Time{}
+	_, ok = newCatchup(here).due(now.Add(1))
+	c.Check(ok, qt.IsFalse)
+	here.fresh = now.Add(-unreadAfter)
 	here.entries = make([]logservice.Entry, 5)
 	_, ok = newCatchup(here).due(now.Add(1))
 	c.Check(ok, qt.IsFalse)
