--- a/internal/daemon/tasks.go
+++ b/internal/daemon/tasks.go
@@ -48,25 +48,12 @@
 
 // idleTimeout returns the longest idle time of all templates, so that no program ends before its own.
 func (d *Daemon) idleTimeout() (longest time.Duration) {
-	for _, t := range templates(d.catalog.Current()) {
+	for _, t := range d.catalog.Current().Templates() {
 		longest = max(longest, t.Program.IdleTimeout.Std())
 	}
 	return longest
 }
 
-func templates(view *config.View) (all []config.Template) {
-	for _, o := range view.Objects() {
-		kind, name, err := config.SplitObject(o.Name)
-		if err != nil || kind != config.TemplateKind {
-			continue
-		}
-		if t, ok := view.Template(name); ok {
-			all = append(all, t)
-		}
-	}
-	return all
-}
-
 // writeSnapshots keeps every stream readable from its snapshots alone. The owner of slot 0 also writes those of the
 // streams that all instances read. A stream's snapshots are due at fixed times of the clock, whoever owns it then, since
 // an instance may be replaced before it has run for the interval between two of them.
@@ -120,7 +107,7 @@
 	o = dispatch.DefaultOptions()
 	o.Policy = string(d.settings.Dispatch.Policy)
 	o.MaxInFlight = d.settings.Dispatch.MaxInFlight
-	for _, t := range templates(d.catalog.Current()) {
+	for _, t := range d.catalog.Current().Templates() {
 		for _, m := range t.Models {
 			if m.Pool != pool {
 				continue
@@ -136,7 +123,7 @@
 
 // modelPools returns the pools of engines that the templates name.
 func (d *Daemon) modelPools() (pools []ids.PoolID) {
-	for _, t := range templates(d.catalog.Current()) {
+	for _, t := range d.catalog.Current().Templates() {
 		for _, m := range t.Models {
 			if !slices.Contains(pools, m.Pool) {
 				pools = append(pools, m.Pool)
@@ -150,8 +137,13 @@
 
 // fresh implements the admission rule of the design page, section 4.8.
 func (d *Daemon) fresh(now time.Time) bool {
-	if own := d.config.Fresh(); !own.IsZero() && now.Sub(own) <= freshFor {
+	own := d.config.Fresh()
+	if !own.IsZero() && now.Sub(own) <= freshFor {
 		return true
 	}
-	return d.members.Admit(now, freshFor) != member.Stale
+	basis := d.members.Admit(now, freshFor)
+	if own.IsZero() && basis != member.PeerContact {
+		return false // not read to its end yet: what is there may be a part
+	}
+	return basis != member.Stale
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -66,6 +66,7 @@
 	draining  map[ids.Slot]ids.Epoch
 	drained   map[ids.Slot]ids.Epoch
 	rebalance time.Time
+	started   time.Time
 	stopping  bool
 	silent    map[ids.WriterID]time.Time
 	suspected map[ids.WriterID]bool
@@ -90,6 +91,8 @@
 	if err := f.Journal.CaughtUp(ctx); err != nil {
 		return nil
 	}
+	f.started = time.Now()
+	f.rebalance = f.started
 	g, ctx := errgroup.WithContext(ctx)
 	ticker := time.NewTicker(decideInterval)
 	defer ticker.Stop()
@@ -169,6 +172,7 @@
 		Lease:         f.Lease,
 		SuspectAfter:  f.SuspectAfter,
 		Stopping:      f.stopping,
+		Started:       f.started,
 		LastRebalance: f.rebalance,
 	}
 	for s := range f.drained {
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -8,6 +8,7 @@
 	"github.com/comfreylink/comfreylink/internal/peer"
 	"github.com/comfreylink/comfreylink/internal/service"
 	"github.com/comfreylink/comfreylink/internal/slots"
+	"github.com/comfreylink/comfreylink/internal/targethttp"
 	"github.com/comfreylink/comfreylink/internal/targets"
 	"github.com/comfreylink/comfreylink/pkg/config"
 	"github.com/comfreylink/comfreylink/pkg/dispatch"
@@ -86,11 +87,12 @@
 func (o *Owner) runRepeatable(ctx context.Context, c peer.Call, route config.Service) peer.Result {
 	item := o.serviceItem(c, true)
 	o.Targets.Request()
+	mayHaveRun := false
 	for attempt := 1; ; attempt++ {
 		s, refusal := o.Targets.Prepare(ctx, c, route.Pool, item, nil)
 		if refusal != nil {
 			refusal.RequestKey = c.RequestKey
-			return peer.Result{Refusal: refusal}
+			return peer.Result{Refusal: truthful(refusal, mayHaveRun)}
 		}
 		target := s.Place.Target
 		s.Grant.Used()
@@ -113,31 +115,73 @@
 		if !o.Targets.MayRetry(ctx, c, err, attempt) {
 			return retryLater(refused(c, peer.CodeTargetFailed, peer.Unknown, "targets failed"), time.Second)
 		}
+		mayHaveRun = mayHaveRun || err != nil && targets.MayHaveReached(err)
 		item.Excluded = append(item.Excluded, target)
 	}
 }
 
+// truthful changes a refusal that says notRun if an earlier attempt of the request may have run. r may be nil.
+func truthful(r *peer.Refusal, mayHaveRun bool) *peer.Refusal {
+	if r != nil && mayHaveRun && r.Run == peer.NotRun {
+		r.Run = peer.Unknown
+	}
+	return r
+}
+
 func answerOf(a service.Answer) *peer.ServiceResult {
 	return &peer.ServiceResult{Status: a.Status, ContentType: a.ContentType, Body: a.Body}
 }
 
 // runOnce drives the execution of a non-idempotent request.
 func (o *Owner) runOnce(ctx context.Context, r *slots.Run, c peer.Call, route config.Service) peer.Result {
-	var d program.Decision
+	for {
+		d := admitOnce(r, c)
+		switch d.Action {
+		case program.ActionRun:
+			return o.execute(ctx, r, c, route)
+		case program.ActionWait:
+			if !waitRunning(ctx, r) {
+				return ended(r, ctx, c, peer.Unknown)
+			}
+		case program.ActionReplay:
+			return replayed(c, d.State)
+		case program.ActionKeyReused:
+			return refused(c, peer.CodeKeyReused, peer.NotRun, "the key belongs to a request with another content")
+		case program.ActionNotOwner:
+			return peer.Result{Redirect: &peer.Redirect{Epoch: r.Epoch}}
+		default:
+			return undecided(c)
+		}
+	}
+}
+
+func admitOnce(r *slots.Run, c peer.Call) (d program.Decision) {
+	running := r.Executing(keyOf(c))
 	r.View(func(s *program.Slot) {
-		d = s.Admit(program.Request{Workspace: c.Workspace, Key: c.RequestKey, Fingerprint: c.Fingerprint, Epoch: r.Epoch})
+		d = s.Admit(program.Request{
+			Workspace:   c.Workspace,
+			Key:         c.RequestKey,
+			Fingerprint: c.Fingerprint,
+			Epoch:       r.Epoch,
+			Running:     running,
+		})
 	})
-	switch d.Action {
-	case program.ActionRun:
-		return o.execute(ctx, r, c, route)
-	case program.ActionReplay:
-		return replayed(c, d.State)
-	case program.ActionKeyReused:
-		return refused(c, peer.CodeKeyReused, peer.NotRun, "the key belongs to a request with another content")
-	case program.ActionNotOwner:
-		return peer.Result{Redirect: &peer.Redirect{Epoch: r.Epoch}}
-	default:
-		return undecided(c)
+	return d
+}
+
+func keyOf(c peer.Call) slots.Key {
+	return slots.Key{Workspace: c.Workspace, Key: c.RequestKey}
+}
+
+// runningPoll is how often a request looks whether an earlier one with its key has ended.
+const runningPoll = 10 * time.Millisecond
+
+func waitRunning(ctx context.Context, r *slots.Run) bool {
+	select {
+	case <-time.After(runningPoll):
+		return !r.Lost()
+	case <-ctx.Done():
+		return false
 	}
 }
 
@@ -158,6 +202,8 @@
 func (o *Owner) execute(ctx context.Context, r *slots.Run, c peer.Call, route config.Service) peer.Result {
 	var e *program.Execution
 	o.Targets.Request()
+	r.Begin(keyOf(c), c.Fingerprint)
+	defer func() { endExecution(r, c, e) }()
 	s, refusal := o.Targets.Prepare(ctx, c, route.Pool, o.serviceItem(c, false), func(p targets.Placement) *peer.Refusal {
 		e = program.NewExecution(record.Intent{
 			Epoch:       r.Epoch,
@@ -219,7 +265,12 @@
 	s.Grant.Used()
 	a, err := o.Targets.Service(ctx, s.Place.Address, request(c, fence))
 	if err == nil {
-		o.Targets.Done(s.Place, dispatch.Completed, record.Usage{})
+		ending := dispatch.Completed
+		if a.Leaving {
+			ending = dispatch.Left
+		}
+		o.Targets.Done(s.Place, ending, record.Usage{})
+		// The answer of a leaving target is no proof that the request did not run, so it is not sent to another.
 		e.Answered(a.Status, a.ContentType, a.Body)
 		return
 	}
@@ -234,7 +285,6 @@
 func (o *Owner) notSent(r *slots.Run, c peer.Call, e *program.Execution, refusal *peer.Refusal) peer.Result {
 	if e != nil {
 		e.Checked(refusal)
-		cancelIntent(r, e)
 	}
 	if r.Lost() {
 		return peer.Result{Redirect: &peer.Redirect{Epoch: r.Epoch}}
@@ -243,18 +293,24 @@
 	return peer.Result{Refusal: refusal}
 }
 
-// cancelIntent withdraws the intent of a request that was not sent. It does not wait: until the record is folded, a
-// repeated request is answered as unknown, which is safe.
-func cancelIntent(r *slots.Run, e *program.Execution) {
-	if cancel := e.Cancel(); cancel != nil {
-		_ = r.Submit(cancel)
+// endExecution withdraws the intent of a request that was not sent. Until the log shows the withdrawal, a request with the
+// same key waits, since this owner knows that the first one will not be sent.
+func endExecution(r *slots.Run, c peer.Call, e *program.Execution) {
+	if e == nil || e.Cancel() == nil {
+		r.End(keyOf(c))
+		return
 	}
+	cancel := e.Cancel()
+	go func() {
+		defer r.End(keyOf(c))
+		_, _ = r.Append(r.Context(), cancel)
+	}()
 }
 
 func (o *Owner) finish(r *slots.Run, c peer.Call, e *program.Execution, target ids.TargetID) peer.Result {
-	cancelIntent(r, e)
 	answer := e.Answer()
 	trace := peer.Trace{Target: target}
+	var failed *targethttp.Error
 	switch {
 	case answer.Run == program.RunDone:
 		result := &peer.ServiceResult{Status: answer.Status, ContentType: answer.ContentType, Body: answer.Body}
@@ -267,6 +323,8 @@
 		return peer.Result{Redirect: &peer.Redirect{Epoch: r.Epoch}}
 	case errors.Is(answer.Reason, errLeaseEnded):
 		return retryLater(refused(c, peer.CodeLogUnavailable, peer.NotRun, "the owner cannot confirm its lease while the log is unavailable"), time.Second)
+	case errors.As(answer.Reason, &failed):
+		return retryLater(refused(c, peer.CodeTargetFailed, peer.NotRun, "the target cannot be reached: "+root(failed)), time.Second)
 	default:
 		return retryLater(refused(c, peer.CodeLogUnavailable, peer.NotRun, "the request was not sent: "+answer.Reason.Error()), time.Second)
 	}
