Remove an import given twice; close what was opened when a daemon cannot start

A daemon whose address is taken ended with a nil pointer in the deferred close, seen in scenario history-rolling-replacement, instead of the reason.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -94,9 +94,10 @@
 		retries:  newRetryBudget(s.Dispatch.RetryBudget),
 		drain:    make(chan struct{}, 1),
 	}
+	opened := d // a return of an error sets d to nil
 	defer func() {
 		if err != nil {
-			d.close()
+			opened.close()
 		}
 	}()
 	for _, step := range []func() error{d.openMetrics, d.openLog, d.openPeers, d.openTargets, d.openFleet, d.openCallers, d.openAdmin} {
--- a/scenario/slope/messages.go
+++ b/scenario/slope/messages.go
@@ -11,7 +11,6 @@
 	"github.com/comfreylink/comfreylink/pkg/dispatch"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 	"github.com/comfreylink/comfreylink/pkg/member"
-	"github.com/comfreylink/comfreylink/pkg/member"
 	"github.com/comfreylink/comfreylink/pkg/record"
 )
 
