--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -8,6 +8,7 @@
 	"github.com/comfreylink/comfreylink/internal/peer"
 	"github.com/comfreylink/comfreylink/internal/service"
 	"github.com/comfreylink/comfreylink/internal/slots"
+	"github.com/comfreylink/comfreylink/internal/targethttp"
 	"github.com/comfreylink/comfreylink/internal/targets"
 	"github.com/comfreylink/comfreylink/pkg/config"
 	"github.com/comfreylink/comfreylink/pkg/dispatch"
@@ -86,11 +87,12 @@
 func (o *Owner) runRepeatable(ctx context.Context, c peer.Call, route config.Service) peer.Result {
 	item := o.serviceItem(c, true)
 	o.Targets.Request()
+	mayHaveRun := false
 	for attempt := 1; ; attempt++ {
 		s, refusal := o.Targets.Prepare(ctx, c, route.Pool, item, nil)
 		if refusal != nil {
 			refusal.RequestKey = c.RequestKey
-			return peer.Result{Refusal: refusal}
+			return peer.Result{Refusal: truthful(refusal, mayHaveRun)}
 		}
 		target := s.Place.Target
 		s.Grant.Used()
@@ -113,10 +115,19 @@
 		if !o.Targets.MayRetry(ctx, c, err, attempt) {
 			return retryLater(refused(c, peer.CodeTargetFailed, peer.Unknown, "targets failed"), time.Second)
 		}
+		mayHaveRun = mayHaveRun || err != nil && targets.MayHaveReached(err)
 		item.Excluded = append(item.Excluded, target)
 	}
 }
 
+// truthful changes a refusal that says notRun if an earlier attempt of the request may have run. r may be nil.
+func truthful(r *peer.Refusal, mayHaveRun bool) *peer.Refusal {
+	if r != nil && mayHaveRun && r.Run == peer.NotRun {
+		r.Run = peer.Unknown
+	}
+	return r
+}
+
 func answerOf(a service.Answer) *peer.ServiceResult {
 	return &peer.ServiceResult{Status: a.Status, ContentType: a.ContentType, Body: a.Body}
 }
@@ -254,7 +265,12 @@
 	s.Grant.Used()
 	a, err := o.Targets.Service(ctx, s.Place.Address, request(c, fence))
 	if err == nil {
-		o.Targets.Done(s.Place, dispatch.Completed, record.Usage{})
+		ending := dispatch.Completed
+		if a.Leaving {
+			ending = dispatch.Left
+		}
+		o.Targets.Done(s.Place, ending, record.Usage{})
+		// The answer of a leaving target is no proof that the request did not run, so it is not sent to another.
 		e.Answered(a.Status, a.ContentType, a.Body)
 		return
 	}
@@ -294,6 +310,7 @@
 func (o *Owner) finish(r *slots.Run, c peer.Call, e *program.Execution, target ids.TargetID) peer.Result {
 	answer := e.Answer()
 	trace := peer.Trace{Target: target}
+	var failed *targethttp.Error
 	switch {
 	case answer.Run == program.RunDone:
 		result := &peer.ServiceResult{Status: answer.Status, ContentType: answer.ContentType, Body: answer.Body}
@@ -306,6 +323,8 @@
 		return peer.Result{Redirect: &peer.Redirect{Epoch: r.Epoch}}
 	case errors.Is(answer.Reason, errLeaseEnded):
 		return retryLater(refused(c, peer.CodeLogUnavailable, peer.NotRun, "the owner cannot confirm its lease while the log is unavailable"), time.Second)
+	case errors.As(answer.Reason, &failed):
+		return retryLater(refused(c, peer.CodeTargetFailed, peer.NotRun, "the target cannot be reached: "+root(failed)), time.Second)
 	default:
 		return retryLater(refused(c, peer.CodeLogUnavailable, peer.NotRun, "the request was not sent: "+answer.Reason.Error()), time.Second)
 	}
