--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/comfreylink/comfreylink/internal/admin"
+	"github.com/comfreylink/comfreylink/internal/catchup"
 	"github.com/comfreylink/comfreylink/internal/chat"
 	"github.com/comfreylink/comfreylink/internal/dispatcher"
 	"github.com/comfreylink/comfreylink/internal/engine"
@@ -33,11 +34,16 @@
 	"github.com/comfreylink/comfreylink/internal/targets"
 	"github.com/comfreylink/comfreylink/pkg/config"
 	"github.com/comfreylink/comfreylink/pkg/ids"
+	"github.com/comfreylink/comfreylink/pkg/member"
 	"github.com/comfreylink/comfreylink/pkg/pace"
 	"github.com/comfreylink/comfreylink/pkg/replay"
 	"github.com/comfreylink/comfreylink/pkg/slot"
 )
 
+// recentConfigBytes bounds the entries of the config stream that are kept for peers that cannot read the log. It is
+// above record.MaxEntryBytes, so that the last entry is always there.
+const recentConfigBytes = 2 << 20
+
 // Daemon is one running instance.
 type Daemon struct {
 	settings settings.Settings
@@ -51,6 +57,7 @@
 	fleetLog   *journal.Journal
 	table      *slot.Table
 	members    *members.Members
+	catchup    *catchup.Catchup
 	fleet      *fleet.Fleet
 	slots      *slots.Slots
 	owner      *owner.Owner
@@ -65,10 +72,9 @@
 	admin      *admin.Server
 	metrics    *admin.Metrics
 
-	fromPeers freshness
-	stopping  atomic.Bool
-	cleanups  []func()
-	drain     chan struct{}
+	stopping atomic.Bool
+	cleanups []func()
+	drain    chan struct{}
 }
 
 // New binds the addresses of an instance and connects its parts. The returned cleanup closes what New opened.
@@ -88,9 +94,10 @@
 		retries:  newRetryBudget(s.Dispatch.RetryBudget),
 		drain:    make(chan struct{}, 1),
 	}
+	opened := d // a return of an error sets d to nil
 	defer func() {
 		if err != nil {
-			d.close()
+			opened.close()
 		}
 	}()
 	for _, step := range []func() error{d.openMetrics, d.openLog, d.openPeers, d.openTargets, d.openFleet, d.openCallers, d.openAdmin} {
@@ -128,7 +135,7 @@
 }
 
 func (d *Daemon) journal(s ids.Stream, f replay.Fold) (j *journal.Journal, cleanup func(), err error) {
-	return journal.New(journal.Config{
+	c := journal.Config{
 		Stream: s,
 		Writer: d.self,
 		Log:    measuredLog{d.log, d},
@@ -138,7 +145,11 @@
 		ReadWait: min(journal.DefaultReadWait, d.settings.Ownership.Lease/leaseReads),
 		Logger:   d.logger,
 		Now:      time.Now,
-	})
+	}
+	if s == ids.ConfigStream {
+		c.RecentBytes = recentConfigBytes
+	}
+	return journal.New(c)
 }
 
 // leaseReads is how many idle reads fit into a lease at least.
@@ -184,12 +195,18 @@
 	d.onClose(cleanup)
 	d.members = members.New(members.Config{
 		Self:     slot.Member{Writer: d.self, Instance: d.settings.Instance.ID},
-		Zone:     d.settings.Instance.Zone,
 		Interval: d.settings.List.Interval,
 		List:     list,
 		Peers:    prober{d.peers, d},
 		Describe: d.describe,
-		Learned:  d.learned,
+		Options:  member.DefaultOptions(),
+		Logger:   d.logger,
+	})
+	d.catchup = catchup.New(catchup.Config{
+		Journal:  d.config,
+		Members:  d.members,
+		Peers:    prober{d.peers, d},
+		Revision: func() ids.Revision { return d.catalog.Current().Revision() },
 		Logger:   d.logger,
 	})
 	return nil
@@ -273,6 +290,7 @@
 		d.config.Run,
 		d.fleetLog.Run,
 		d.members.Run,
+		d.catchup.Run,
 		d.fleet.Run,
 		d.limiter.Run,
 		d.dispatcher.Run,
