--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -301,7 +301,10 @@
 		return
 	}
 	cancel := e.Cancel()
+	// The slot is not handed over before, since the next owner would have to answer that the request may have run.
+	r.Hold()
 	go func() {
+		defer r.Leave()
 		defer r.End(keyOf(c))
 		_, _ = r.Append(r.Context(), cancel)
 	}()
--- a/internal/slots/run.go
+++ b/internal/slots/run.go
@@ -68,6 +68,13 @@
 	return true
 }
 
+// Hold counts in what a call leaves to be done after its answer.
+func (r *Run) Hold() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.calls++
+}
+
 // Leave counts a call out.
 func (r *Run) Leave() {
 	r.mu.Lock()
