Refill a rate token when its target begins to answer

A token started to refill when its request was sent, so a request that arrived later than others of its window could bring one run too many into a window at the targets. rate-cut saw 63 runs in 4.599 s at a rate of 5 and a burst of 40, which is 1 ms short of the allowed 4.6 s; no pause was involved.

The use is now reported when the answer begins or the call fails, and grantMax stays the latest time.

Measured: TestScenario/rate-.*, 9 cases, pass once with the race detector on a busy machine.

--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -123,7 +123,8 @@
 	return rate.Usable(g.asked, g.answered, now, g.limiter.GrantMax)
 }
 
-// Used tells the owner that the request was sent, so that the token starts to refill.
+// Used tells the owner that the request has arrived or failed, so that the token starts to refill. Without the report it
+// starts at the age limit of grants.
 func (g *Grant) Used() { g.report(true) }
 
 // Unused gives the token back.
--- a/internal/owner/chat.go
+++ b/internal/owner/chat.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/comfreylink/comfreylink/internal/engine"
@@ -313,11 +314,13 @@
 		Workspace: c.Workspace,
 		Program:   c.Program,
 	}
+	used := sync.OnceFunc(s.Grant.Used)
+	defer used()
 	emit := func(ch engine.Chunk) error {
+		used()
 		out.add(deltaText(ch.Delta))
 		return nil
 	}
-	s.Grant.Used()
 	a, err = o.Targets.Chat(ctx, s.Place.Address, req, emit)
 	if err != nil && targets.BrokeOff(err) && ctx.Err() == nil {
 		// A failed resumption does not change how the call ended: it was sent, and the target may have died of it.
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -95,8 +95,8 @@
 			return peer.Result{Refusal: truthful(refusal, mayHaveRun)}
 		}
 		target := s.Place.Target
-		s.Grant.Used()
 		a, err := o.Targets.Service(ctx, s.Place.Address, request(c, 0))
+		s.Grant.Used()
 		if err == nil && !a.Leaving {
 			o.Targets.Done(s.Place, dispatch.Completed, record.Usage{})
 			return peer.Result{Service: answerOf(a), Trace: peer.Trace{Target: target}}
@@ -262,8 +262,8 @@
 	if route.ChecksFencing {
 		fence = r.Epoch
 	}
-	s.Grant.Used()
 	a, err := o.Targets.Service(ctx, s.Place.Address, request(c, fence))
+	s.Grant.Used()
 	if err == nil {
 		ending := dispatch.Completed
 		if a.Leaving {
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -55,7 +55,8 @@
 type Grant interface {
 	// Usable reports whether the request may still be sent with it.
 	Usable(now time.Time) bool
-	// Used tells that the request was sent.
+	// Used tells that the target has begun to answer or the request failed, so that the token starts to refill. Reported at
+	// the sending, a token could refill before its request arrives, and a window at the target could hold one run too many.
 	Used()
 	// Unused gives the token back.
 	Unused()
