Add scenarios of rate and burst

The word windows checks every window of the runs at the services against rate x length + burst, to the millisecond of the stand-ins' times; limits publishes other limits with the keys; load has every=DURATION and the kind get.

Around a change of the limit, the higher one is allowed from before the raising publish until 1 s (grantMax) after all daemons have the lowering revision; the burst is that of the window's start.

--- a/scenario/load_test.go
+++ b/scenario/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"errors"
 	"fmt"
 	"net/http"
@@ -19,6 +20,7 @@
 	as         string
 	retry      bool
 	deadline   time.Duration
+	turns      <-chan time.Time // a request is made for each; nil: at once
 	stopped    chan struct{}
 	workers    sync.WaitGroup
 
@@ -33,14 +35,15 @@
 	replies []reply
 }
 
-// load NAME KIND [workers=4] [retry=true] [deadline=20s] [tokens=8] [as=LABEL]: starts callers that make requests at all daemons in
-// turn. KIND call: non-idempotent service requests. KIND chat: streamed turns, each caller with a program of its own.
-// With retry=false, a request is made once and not repeated.
+// load NAME KIND [workers=4] [retry=true] [deadline=20s] [tokens=8] [as=LABEL] [every=DURATION]: starts callers that make
+// requests at all daemons in turn. KIND call: non-idempotent service requests. KIND get: repeatable ones. KIND chat:
+// streamed turns, each caller with a program of its own. With retry=false, a request is made once and not repeated. With
+// every, the callers together make one request in this time, as long as one of them is free.
 func (w *world) load(_ *reply, args []string) error {
-	if err := need(args, 2, "load NAME call|chat [OPTION=VALUE...]"); err != nil {
+	if err := need(args, 2, "load NAME call|get|chat [OPTION=VALUE...]"); err != nil {
 		return err
 	}
-	o, err := options(args[2:], "workers", "retry", "deadline", "tokens", "as")
+	o, err := options(args[2:], "workers", "retry", "deadline", "tokens", "as", "every")
 	if err != nil {
 		return err
 	}
@@ -50,6 +53,15 @@
 		return err
 	}
 	l := &load{kind: args[1], name: args[0], as: cmp.Or(o["as"], mainKey), retry: o["retry"] != "false", deadline: deadline, stopped: make(chan struct{})}
+	if text, ok := o["every"]; ok {
+		every, err := time.ParseDuration(text)
+		if err != nil {
+			return err
+		}
+		ticker := time.NewTicker(every)
+		l.turns = ticker.C
+		context.AfterFunc(w.ctx, ticker.Stop)
+	}
 	w.loads[args[0]] = l
 	for i := range workers {
 		l.workers.Go(func() { w.work(l, i, cmp.Or(o["tokens"], "8")) })
@@ -70,6 +82,13 @@
 			return
 		default:
 		}
+		if l.turns != nil {
+			select {
+			case <-l.turns:
+			case <-l.stopped:
+				return
+			}
+		}
 		program := fmt.Sprintf("%s-%d.%d", l.name, worker, n/turnsPerProgram)
 		r := loadRequest{key: fmt.Sprintf("%s-%d", program, n), program: program}
 		w.repeat(l, &r, who, worker+n, tokens)
@@ -112,9 +131,9 @@
 
 func (w *world) once(l *load, r *loadRequest, who *caller.Caller, address, tokens string) (out reply) {
 	out.asked = true
-	if l.kind == "call" {
+	if method, ok := map[string]string{"call": http.MethodPost, "get": http.MethodGet}[l.kind]; ok {
 		out.answer, out.broken = who.Do(w.ctx, caller.Request{
-			Method: http.MethodPost, URL: "http://" + address + "/services/" + deskPool + "/prints", Key: r.key, Deadline: l.deadline,
+			Method: method, URL: "http://" + address + "/services/" + deskPool + "/prints", Key: r.key, Deadline: l.deadline,
 			// Requests with the same content would be quarantined together when services break off.
 			Body: []byte(`{"order":"` + r.key + `"}`),
 		})
@@ -132,7 +151,7 @@
 
 // finish NAME CHECK...: ends a load and checks what came of it. Checks: once (no key ran twice; a key that was answered
 // ran, a key whose answers all said notRun did not), clean (every request was answered the first time), histories (the
-// history of every program is whole), some (at least one request was answered).
+// history of every program is whole), some (at least one request was answered), admitted (no answer was a refusal).
 func (w *world) finishLoad(_ *reply, args []string) error {
 	if err := need(args, 1, "finish NAME CHECK..."); err != nil {
 		return err
@@ -144,7 +163,7 @@
 	close(l.stopped)
 	l.workers.Wait()
 	w.note("load %s: %s", l.name, l.summary())
-	checks := map[string]func(*load) error{"once": w.checkOnce, "clean": w.checkClean, "histories": w.checkHistories, "some": w.checkSome}
+	checks := map[string]func(*load) error{"once": w.checkOnce, "clean": w.checkClean, "histories": w.checkHistories, "some": w.checkSome, "admitted": w.checkAdmitted}
 	for _, name := range args[1:] {
 		check, ok := checks[name]
 		if !ok {
@@ -238,3 +257,23 @@
 	}
 	return errors.New("no request was answered")
 }
+
+// checkAdmitted counts refusals. Connections that broke with a daemon are none.
+func (w *world) checkAdmitted(l *load) error {
+	refused, broken := map[string]int{}, 0
+	for _, r := range l.requests {
+		for _, reply := range r.replies {
+			switch {
+			case reply.broken != nil:
+				broken++
+			case reply.answer.Error != nil && reply.answer.Error.Run == "notRun":
+				refused[reply.answer.Error.Code]++
+			}
+		}
+	}
+	w.note("load %s: of %d requests refused: %v; connections broken: %d", l.name, len(l.requests), refused, broken)
+	if len(refused) > 0 {
+		return fmt.Errorf("refused: %v", refused)
+	}
+	return nil
+}
--- a/scenario/verify_test.go
+++ b/scenario/verify_test.go
@@ -23,6 +23,8 @@
 	Runs []struct {
 		Key           string `json:"key"`
 		Workspace     string `json:"workspace"`
+		Fence         int64  `json:"fence"`
+		ArrivedMs     int64  `json:"arrivedMs"`
 		Authorization bool   `json:"authorization"`
 	} `json:"runs"`
 	Refused int `json:"refused"`
--- a/scenario/world_test.go
+++ b/scenario/world_test.go
@@ -54,6 +54,7 @@
 	watched  []string                     // faults that were seen beside the script
 	notes    []string
 	arrivals map[string]int // requests at targets, by notenew
+	moments  map[string]time.Time
 	// setenv sets a variable of the script.
 	setenv func(name, value string)
 	last   reply
@@ -78,6 +79,7 @@
 		"drain": (*world).drain, "ended": (*world).ended,
 		"notenew": (*world).noteNew, "nothingnew": (*world).nothingNew, "accepted": (*world).accepted, "queued": (*world).queued, "inflight": (*world).inFlight,
 		"revisionof": (*world).revisionOf, "exactlyone": (*world).exactlyOne, "invalid": (*world).invalid,
+		"moment": (*world).moment, "windows": (*world).windows, "ranafter": (*world).ranAfter, "limits": (*world).setLimits,
 	}
 }
 
@@ -108,7 +110,7 @@
 	w := &world{
 		cluster: c, links: links, dir: dir, ctx: ctx,
 		keys: map[string]string{}, turns: map[string][]turn{}, jobs: map[string]*job{}, loads: map[string]*load{},
-		settings: map[string]map[string]string{}, arrivals: map[string]int{},
+		settings: map[string]map[string]string{}, arrivals: map[string]int{}, moments: map[string]time.Time{},
 	}
 	env.Values[worldKey{}] = w
 	env.Defer(func() {
