Hold a request while the configuration is being read

Cause: scenario stop-under-load on a busy machine: a caller of a daemon that had just started was refused as stale, because the port is open before the configuration has been read. Change: a request waits up to 3 s within its deadline for a current configuration before it is refused.

--- a/internal/chat/server.go
+++ b/internal/chat/server.go
@@ -183,24 +183,45 @@
 	default:
 		return "unknown", c, refuse(peer.CodeUnknownRoute, peer.NotRun, "no route for "+method+" "+path)
 	}
-	if !s.dir.Admitting(now) {
-		r = refuse(peer.CodeStale, peer.NotRun, "this instance cannot tell whether its configuration is current")
-		r.RetryAfterMillis = 1000
+	if r = s.parseHeaders(ctx, &c); r != nil {
 		return route, c, r
 	}
-	if r = s.parseHeaders(ctx, &c); r != nil {
+	if !s.awaitAdmitting(&c, now) {
+		r = refuse(peer.CodeStale, peer.NotRun, "this instance cannot tell whether its configuration is current")
+		r.RetryAfterMillis = 1000
 		return route, c, r
 	}
 	if r = s.parseContent(ctx, &c, path, method); r != nil {
 		return route, c, r
 	}
-	if r = s.authenticate(ctx, &c, now); r != nil {
+	if r = s.authenticate(ctx, &c, time.Now()); r != nil {
 		return route, c, r
 	}
 	c.Fingerprint = fingerprint(ctx, &c)
 	return route, c, nil
 }
 
+const (
+	// staleHold bounds the wait for a current configuration, such as right after a start, when the port is open already.
+	staleHold = 3 * time.Second
+	stalePoll = 10 * time.Millisecond
+)
+
+// awaitAdmitting waits, within the request's deadline, until the configuration is fresh enough to admit requests.
+func (s *Server) awaitAdmitting(c *peer.Call, began time.Time) bool {
+	hold := min(staleHold, time.Duration(c.DeadlineMillis)*time.Millisecond)
+	for now := began; ; now = time.Now() {
+		if s.dir.Admitting(now) {
+			c.DeadlineMillis -= now.Sub(began).Milliseconds()
+			return c.DeadlineMillis > 0
+		}
+		if now.Sub(began) >= hold {
+			return false
+		}
+		time.Sleep(stalePoll)
+	}
+}
+
 func (s *Server) authenticate(ctx *fasthttp.RequestCtx, c *peer.Call, now time.Time) *peer.Refusal {
 	key, ok := strings.CutPrefix(string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization)), "Bearer ")
 	if ok {
