--- a/scenario/world_test.go
+++ b/scenario/world_test.go
@@ -56,6 +56,7 @@
 	arrivals map[string]int // requests at targets, by notenew
 	// readyOnce holds the processes that have been ready.
 	readyOnce map[string]*cluster.Process
+	moments   map[string]time.Time
 	// setenv sets a variable of the script.
 	setenv func(name, value string)
 	last   reply
@@ -80,6 +81,7 @@
 		"drain": (*world).drain, "ended": (*world).ended,
 		"notenew": (*world).noteNew, "nothingnew": (*world).nothingNew, "accepted": (*world).accepted, "queued": (*world).queued, "inflight": (*world).inFlight,
 		"revisionof": (*world).revisionOf, "exactlyone": (*world).exactlyOne, "invalid": (*world).invalid,
+		"moment": (*world).moment, "windows": (*world).windows, "ranafter": (*world).ranAfter, "limits": (*world).setLimits,
 	}
 }
 
@@ -110,7 +112,8 @@
 	w := &world{
 		cluster: c, links: links, dir: dir, ctx: ctx,
 		keys: map[string]string{}, turns: map[string][]turn{}, jobs: map[string]*job{}, loads: map[string]*load{},
-		settings: map[string]map[string]string{}, arrivals: map[string]int{}, readyOnce: map[string]*cluster.Process{},
+		settings: map[string]map[string]string{}, arrivals: map[string]int{}, moments: map[string]time.Time{},
+		readyOnce: map[string]*cluster.Process{},
 	}
 	env.Values[worldKey{}] = w
 	env.Defer(func() {
