Close the listener when a stand-in stops

internal/engine's tests hung in Stop on a loaded machine: Shutdown was called before Serve had begun and did not know the listener. Seen once with the race detector at a load of 35 (goroutine dump); passes once since, which does not show that it is gone.

--- a/standin/serve/serve.go
+++ b/standin/serve/serve.go
@@ -22,9 +22,10 @@
 
 // Server is a running HTTP server.
 type Server struct {
-	address string
-	http    *fasthttp.Server
-	done    chan error
+	address  string
+	listener net.Listener
+	http     *fasthttp.Server
+	done     chan error
 }
 
 // Start listens on address and serves until Stop.
@@ -33,7 +34,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	s = &Server{address: l.Addr().String(), done: make(chan error, 1)}
+	s = &Server{address: l.Addr().String(), listener: l, done: make(chan error, 1)}
 	s.http = &fasthttp.Server{
 		Handler:            h,
 		Name:               "standin",
@@ -53,6 +54,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
 	_ = s.http.ShutdownWithContext(ctx)
+	// Shutdown does not know the listener if Serve has not begun yet, and Serve would then wait for connections for ever.
+	_ = s.listener.Close()
 	return <-s.done
 }
 
