Add scenarios of the budget

The word spent sums the prompt and generated tokens of all runs of a root program at the engines, whose stand-ins now list the generated tokens, and compares them with the budget.

Seen to fail on scratch copies: with Ledger.Hold always granting, budget-loop and budget-sub-agents met no budget until the limit of turns; with a ledger that starts with nothing spent, budget-owner-killed ran the repeated call instead of refusing it. budget-planned-stop was not seen to fail.

The commit also holds the words of the memory and quarantine scenarios.

--- a/scenario/load_test.go
+++ b/scenario/load_test.go
@@ -19,6 +19,7 @@
 	kind, name string
 	as         string
 	retry      bool
+	stream     bool
 	deadline   time.Duration
 	turns      <-chan time.Time // a request is made for each; nil: at once
 	stopped    chan struct{}
@@ -35,7 +36,8 @@
 	replies []reply
 }
 
-// load NAME KIND [workers=4] [retry=true] [deadline=20s] [tokens=8] [as=LABEL] [every=DURATION]: starts callers that make
+// load NAME KIND [workers=4] [retry=true] [deadline=20s] [tokens=8] [as=LABEL] [every=DURATION]
+// [stream=true]: starts callers that make
 // requests at all daemons in turn. KIND call: non-idempotent service requests. KIND get: repeatable ones. KIND chat:
 // streamed turns, each caller with a program of its own. With retry=false, a request is made once and not repeated. With
 // every, the callers together make one request in this time, as long as one of them is free.
@@ -43,7 +45,7 @@
 	if err := need(args, 2, "load NAME call|get|chat [OPTION=VALUE...]"); err != nil {
 		return err
 	}
-	o, err := options(args[2:], "workers", "retry", "deadline", "tokens", "as", "every")
+	o, err := options(args[2:], "workers", "retry", "deadline", "tokens", "as", "every", "stream")
 	if err != nil {
 		return err
 	}
@@ -52,7 +54,7 @@
 	if err := errors.Join(err1, err2); err != nil {
 		return err
 	}
-	l := &load{kind: args[1], name: args[0], as: cmp.Or(o["as"], mainKey), retry: o["retry"] != "false", deadline: deadline, stopped: make(chan struct{})}
+	l := &load{kind: args[1], name: args[0], as: cmp.Or(o["as"], mainKey), retry: o["retry"] != "false", stream: o["stream"] != "false", deadline: deadline, stopped: make(chan struct{})}
 	if text, ok := o["every"]; ok {
 		every, err := time.ParseDuration(text)
 		if err != nil {
@@ -139,7 +141,7 @@
 		})
 	} else {
 		count, _ := strconv.Atoi(tokens)
-		c := caller.Chat{Program: r.program, Key: r.key, Model: brainPool, Text: "text of " + r.key, Tokens: count, Stream: true, Deadline: l.deadline}
+		c := caller.Chat{Program: r.program, Key: r.key, Model: brainPool, Text: "text of " + r.key, Tokens: count, Stream: l.stream, Deadline: l.deadline}
 		out.answer, out.broken = who.Chat(w.ctx, address, c)
 		w.noteTurn(c, out)
 	}
@@ -151,7 +153,8 @@
 
 // finish NAME CHECK...: ends a load and checks what came of it. Checks: once (no key ran twice; a key that was answered
 // ran, a key whose answers all said notRun did not), clean (every request was answered the first time), histories (the
-// history of every program is whole), some (at least one request was answered), admitted (no answer was a refusal).
+// history of every program is whole), some (at least one request was answered), admitted (no answer was a refusal), served
+// (every request was answered in the end, and none was refused as quarantined).
 func (w *world) finishLoad(_ *reply, args []string) error {
 	if err := need(args, 1, "finish NAME CHECK..."); err != nil {
 		return err
@@ -163,7 +166,7 @@
 	close(l.stopped)
 	l.workers.Wait()
 	w.note("load %s: %s", l.name, l.summary())
-	checks := map[string]func(*load) error{"once": w.checkOnce, "clean": w.checkClean, "histories": w.checkHistories, "some": w.checkSome, "admitted": w.checkAdmitted}
+	checks := map[string]func(*load) error{"once": w.checkOnce, "clean": w.checkClean, "histories": w.checkHistories, "some": w.checkSome, "admitted": w.checkAdmitted, "served": w.checkServed}
 	for _, name := range args[1:] {
 		check, ok := checks[name]
 		if !ok {
@@ -277,3 +280,17 @@
 	}
 	return nil
 }
+
+func (w *world) checkServed(l *load) error {
+	for _, r := range l.requests {
+		for _, reply := range r.replies {
+			if reply.broken == nil && reply.answer.Error != nil && reply.answer.Error.Code == "quarantined" {
+				return fmt.Errorf("key %s was quarantined: %v", r.key, r.replies)
+			}
+		}
+		if outcomeOf(r) != "200" {
+			return fmt.Errorf("key %s was not served: %v", r.key, r.replies)
+		}
+	}
+	return nil
+}
--- a/scenario/verify_test.go
+++ b/scenario/verify_test.go
@@ -33,7 +33,10 @@
 // engineRuns is what an engine stand-in says of its runs.
 type engineRuns struct {
 	Runs []struct {
+		Workspace string `json:"workspace"`
 		Program   string `json:"program"`
+		Prompt    int    `json:"promptTokens"`
+		Generated int    `json:"generatedTokens"`
 		ArrivedMs int64  `json:"arrivedMs"`
 	} `json:"runs"`
 	Authorization int `json:"authorization"`
--- a/scenario/world_test.go
+++ b/scenario/world_test.go
@@ -80,6 +80,7 @@
 		"notenew": (*world).noteNew, "nothingnew": (*world).nothingNew, "accepted": (*world).accepted, "queued": (*world).queued, "inflight": (*world).inFlight,
 		"revisionof": (*world).revisionOf, "exactlyone": (*world).exactlyOne, "invalid": (*world).invalid,
 		"moment": (*world).moment, "windows": (*world).windows, "ranafter": (*world).ranAfter, "limits": (*world).setLimits,
+		"spent": (*world).spent, "cached": (*world).cached, "uncached": (*world).uncached, "died": (*world).died, "spentout": (*world).spentOut, "quarantinedat": (*world).quarantinedAt, "fenced": (*world).fenced,
 	}
 }
 
--- a/standin/engine/batch/generation.go
+++ b/standin/engine/batch/generation.go
@@ -20,12 +20,14 @@
 	Digest       string `json:"digest"`
 	PromptTokens int    `json:"promptTokens"`
 	CachedTokens int    `json:"cachedTokens"`
-	ArrivedMs    int64  `json:"arrivedMs"`
-	StartedMs    int64  `json:"startedMs"`
-	FirstTokenMs int64  `json:"firstTokenMs"`
-	EndedMs      int64  `json:"endedMs"`
-	Completed    bool   `json:"completed"`
-	Cancelled    bool   `json:"cancelled"`
+	// Generated is the number of tokens generated so far.
+	Generated    int   `json:"generatedTokens"`
+	ArrivedMs    int64 `json:"arrivedMs"`
+	StartedMs    int64 `json:"startedMs"`
+	FirstTokenMs int64 `json:"firstTokenMs"`
+	EndedMs      int64 `json:"endedMs"`
+	Completed    bool  `json:"completed"`
+	Cancelled    bool  `json:"cancelled"`
 }
 
 // Generation is one answer. It goes on without a connection and can be read by any number of readers.
@@ -179,7 +181,9 @@
 func (g *Generation) Record() Run {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.run
+	r := g.run
+	r.Generated = g.produced
+	return r
 }
 
 func (g *Generation) usage() *Usage {
