Log a batch that needs a new number

Cause: stop-under-load (KNOWN-RED) shows an open record that counted and was reported as ignored; a batch that was appended twice under two numbers would explain it, and nothing shows whether that happens. Change: event 208 batchRenumbered.

--- a/internal/journal/writer.go
+++ b/internal/journal/writer.go
@@ -159,6 +159,8 @@
 		b.fail(&Error{Code: CodeVerdictUnknown, sent: true})
 	default:
 		b.stale = true
+		j.event(events.BatchRenumbered, zap.Int64("seq", b.seq), zap.Int64("lastSeq", j.replay.LastSeq(j.config.Writer)),
+			zap.Int("kind", int(res.Kind)), zap.String("writer", string(res.Writer)), zap.Int64("offset", int64(j.replay.Next()-1)))
 	}
 	j.inFlight = nil
 	close(b.ended)
