--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -54,16 +54,16 @@
 		"The log no longer keeps the entries that a reader needs; the reader looks for a snapshot.",
 		"If snapshotRestored does not follow, check that the log keeps entries for the retention that the settings say.",
 		"stream", "next", "oldest")
-	BatchRenumbered = define(208, "batchRenumbered", warn,
-		"A batch of this instance had no effect, because its number was used by another batch; it is appended with a new one.",
-		"If it happens often, report it with the fields of the event.",
-		"stream", "seq", "lastSeq", "kind", "writer", "offset")
 	SnapshotRestored = define(206, "snapshotRestored", info,
 		"A reader took over the state of a snapshot.", nothing,
 		"stream", "offset", "next")
 	EntriesFromPeer = define(207, "entriesFromPeer", info,
 		"The log cannot be read here; entries of the configuration were taken from another daemon.", nothing,
 		"instance", "from", "entries", "configRevision")
+	BatchRenumbered = define(208, "batchRenumbered", warn,
+		"A batch of this instance had no effect, because its number was used by another batch; it is appended with a new one.",
+		"If it happens often, report it with the fields of the event.",
+		"stream", "seq", "lastSeq", "kind", "writer", "offset")
 )
 
 // Events of slot ownership.
