--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -29,6 +29,7 @@
 	"github.com/comfreylink/comfreylink/internal/owner"
 	"github.com/comfreylink/comfreylink/internal/peer"
 	"github.com/comfreylink/comfreylink/internal/service"
+	"github.com/comfreylink/comfreylink/internal/services"
 	"github.com/comfreylink/comfreylink/internal/settings"
 	"github.com/comfreylink/comfreylink/internal/slots"
 	"github.com/comfreylink/comfreylink/internal/targets"
@@ -233,12 +234,13 @@
 		Logger:       d.logger,
 	})
 	d.onClose(cleanup)
+	way := targets.Access{Targets: access{d}, Catalog: d.catalog}
 	d.owner = owner.New(owner.Config{
 		Self:     d.self,
 		Instance: d.settings.Instance.ID,
 		Slots:    d.slots,
-		Lease:    leaseOf{d},
-		Targets:  targets.Access{Targets: access{d}, Catalog: d.catalog},
+		Targets:  way,
+		Services: services.New(leaseOf{d}, way),
 	})
 	d.fleet = fleet.New(fleet.Config{
 		Self:         d.self,
--- a/internal/owner/chat.go
+++ b/internal/owner/chat.go
@@ -10,6 +10,7 @@
 
 	"github.com/comfreylink/comfreylink/internal/engine"
 	"github.com/comfreylink/comfreylink/internal/peer"
+	"github.com/comfreylink/comfreylink/internal/refusal"
 	"github.com/comfreylink/comfreylink/internal/slots"
 	"github.com/comfreylink/comfreylink/internal/targets"
 	"github.com/comfreylink/comfreylink/pkg/config"
@@ -38,25 +39,25 @@
 func (o *Owner) chat(ctx context.Context, r *slots.Run, c peer.Call, out *emitter) peer.Result {
 	release, err := r.Lines.Acquire(ctx, lineOf(c))
 	if err != nil {
-		return ended(r, ctx, c, peer.NotRun)
+		return refusal.Ended(r, ctx, c, peer.NotRun)
 	}
 	defer release()
 	if answer, done := admitChat(r, c); done {
 		return answer
 	}
 	if !r.AwaitLog(ctx) {
-		return retryLater(refused(c, peer.CodeLogUnavailable, peer.NotRun, "the log is unavailable, so the turn could not be kept"), time.Second)
+		return refusal.Later(refusal.Of(c, peer.CodeLogUnavailable, peer.NotRun, "the log is unavailable, so the turn could not be kept"), time.Second)
 	}
-	run, refusal := o.prepareChat(r, c)
-	if refusal != nil {
-		return peer.Result{Refusal: refusal}
+	run, refused := o.prepareChat(r, c)
+	if refused != nil {
+		return peer.Result{Refusal: refused}
 	}
 	item := run.item()
 	o.Targets.Request()
 	for attempt := 1; ; attempt++ {
 		result, retry := o.attempt(ctx, r, run, item, attempt, out)
 		if !retry {
-			result.Refusal = truthful(result.Refusal, run.mayHaveRun)
+			result.Refusal = refusal.Truthful(result.Refusal, run.mayHaveRun)
 			if result.Redirect != nil {
 				result.Redirect.MayHaveRun = result.Redirect.MayHaveRun || run.mayHaveRun
 			}
@@ -84,21 +85,21 @@
 	if !ok {
 		return result, false
 	}
-	s, refusal := o.Targets.Prepare(ctx, c, run.route.Model.Pool, item, nil)
-	if refusal == nil && r.Lost() {
+	s, refused := o.Targets.Prepare(ctx, c, run.route.Model.Pool, item, nil)
+	if refused == nil && r.Lost() {
 		s.Grant.Unused()
 		o.Targets.Done(s.Place, dispatch.Unsent, record.Usage{})
-		refusal = &peer.Refusal{Code: peer.CodeOwnerUnavailable, Run: peer.NotRun, Message: "the slot has another owner"}
+		refused = &peer.Refusal{Code: peer.CodeOwnerUnavailable, Run: peer.NotRun, Message: "the slot has another owner"}
 	}
 	r.Locked(func() {
-		if refusal != nil {
-			t.Checked(refusal)
+		if refused != nil {
+			t.Checked(refused)
 		} else {
 			t.Checked(nil)
 		}
 	})
-	if refusal != nil {
-		return refusedBeforeSend(r, c, refusal), false
+	if refused != nil {
+		return refusedBeforeSend(r, c, refused), false
 	}
 	result.Trace.Target = s.Place.Target
 	a, err := o.sendChat(ctx, s, run, attempt, out)
@@ -119,12 +120,12 @@
 }
 
 // refusedBeforeSend answers a call that was not sent. If the slot was lost, another owner answers.
-func refusedBeforeSend(r *slots.Run, c peer.Call, refusal *peer.Refusal) peer.Result {
+func refusedBeforeSend(r *slots.Run, c peer.Call, refused *peer.Refusal) peer.Result {
 	if r.Lost() {
 		return peer.Result{Redirect: &peer.Redirect{Epoch: r.Epoch}}
 	}
-	refusal.RequestKey = c.RequestKey
-	return peer.Result{Refusal: refusal}
+	refused.RequestKey = c.RequestKey
+	return peer.Result{Refusal: refused}
 }
 
 // endPlacement tells the dispatcher and the quarantine how a model call ended.
@@ -152,23 +153,23 @@
 	case program.ActionReplay:
 		var stored peer.ChatResult
 		if err := json.Unmarshal(d.State.Response, &stored); err != nil {
-			return refused(c, peer.CodeAnswerTooLarge, peer.Ran, "the call ran and its answer is not stored"), true
+			return refusal.Of(c, peer.CodeAnswerTooLarge, peer.Ran, "the call ran and its answer is not stored"), true
 		}
 		return peer.Result{Chat: &stored, Trace: peer.Trace{Replayed: true}}, true
 	case program.ActionKeyReused:
-		return refused(c, peer.CodeKeyReused, peer.NotRun, "the key belongs to a request with another content"), true
+		return refusal.Of(c, peer.CodeKeyReused, peer.NotRun, "the key belongs to a request with another content"), true
 	case program.ActionNotOwner:
 		return peer.Result{Redirect: &peer.Redirect{Epoch: r.Epoch}}, true
 	default:
-		return refused(c, peer.CodeUndecided, peer.Unknown, "an earlier request with this key may have run"), true
+		return refusal.Of(c, peer.CodeUndecided, peer.Unknown, "an earlier request with this key may have run"), true
 	}
 }
 
 // prepareChat collects the history and the limits of a call.
-func (o *Owner) prepareChat(r *slots.Run, c peer.Call) (run *chatRun, refusal *peer.Refusal) {
-	run, refusal = o.routeChat(c)
-	if refusal != nil {
-		return nil, refusal
+func (o *Owner) prepareChat(r *slots.Run, c peer.Call) (run *chatRun, refused *peer.Refusal) {
+	run, refused = o.routeChat(c)
+	if refused != nil {
+		return nil, refused
 	}
 	var state program.ProgramState
 	r.View(func(s *program.Slot) { state, _ = s.Program(c.Workspace, c.Program) })
@@ -185,7 +186,7 @@
 	return run, nil
 }
 
-func (o *Owner) routeChat(c peer.Call) (run *chatRun, refusal *peer.Refusal) {
+func (o *Owner) routeChat(c peer.Call) (run *chatRun, refused *peer.Refusal) {
 	view := o.Targets.Catalog.Current()
 	route, ok := view.Model(c.Workspace, c.Chat.Model)
 	if !ok {
@@ -237,19 +238,19 @@
 				t.ReserveDone(verdict, err)
 			})
 			if verdict != nil || err != nil {
-				return t, notAppended(r, c, peer.NotRun, verdict, err), false
+				return t, refusal.NotAppended(r, c, peer.NotRun, verdict, err), false
 			}
 		}
 		switch {
 		case t.Step() == program.StepCheck:
 			return t, result, true
 		case errors.Is(t.Answer().Reason, turn.ErrBudget):
-			return t, refused(c, peer.CodeBudget, peer.NotRun, fmt.Sprintf("the program's budget of %d tokens does not cover the call", run.limits.Budget)), false
+			return t, refusal.Of(c, peer.CodeBudget, peer.NotRun, fmt.Sprintf("the program's budget of %d tokens does not cover the call", run.limits.Budget)), false
 		}
 		select {
 		case <-time.After(holdPause):
 		case <-ctx.Done():
-			return t, ended(r, ctx, c, peer.NotRun), false
+			return t, refusal.Ended(r, ctx, c, peer.NotRun), false
 		}
 	}
 }
@@ -277,13 +278,13 @@
 }
 
 // runUnowned sends a model call that belongs to no program to targets until one answers.
-func (o *Owner) runUnowned(ctx context.Context, run *chatRun, out *emitter) (a engine.Answer, target ids.TargetID, refusal *peer.Refusal) {
+func (o *Owner) runUnowned(ctx context.Context, run *chatRun, out *emitter) (a engine.Answer, target ids.TargetID, refused *peer.Refusal) {
 	item := run.item()
 	o.Targets.Request()
 	for attempt := 1; ; attempt++ {
 		s, r := o.Targets.Prepare(ctx, run.call, run.route.Model.Pool, item, nil)
 		if r != nil {
-			return a, target, truthful(r, run.mayHaveRun)
+			return a, target, refusal.Truthful(r, run.mayHaveRun)
 		}
 		target = s.Place.Target
 		a, err := o.sendChat(ctx, s, run, attempt, out)
@@ -291,8 +292,8 @@
 		if err == nil {
 			return a, target, nil
 		}
-		if refusal := o.chatFailed(ctx, run.call, err, attempt, out); refusal != nil {
-			return a, target, truthful(refusal, run.mayHaveRun)
+		if refused := o.chatFailed(ctx, run.call, err, attempt, out); refused != nil {
+			return a, target, refusal.Truthful(refused, run.mayHaveRun)
 		}
 		run.mayHaveRun = run.mayHaveRun || targets.MayHaveReached(err)
 		item.Excluded = append(item.Excluded, target)
@@ -351,19 +352,11 @@
 	case ctx.Err() != nil:
 		return &peer.Refusal{Code: peer.CodeDeadline, Run: run, Message: "the deadline passed while a target ran the call"}
 	case targets.BadStatus(err) >= 400 && targets.BadStatus(err) < 500:
-		return &peer.Refusal{Code: peer.CodeBadRequest, Run: peer.NotRun, Message: "the target refused the request: " + root(err)}
+		return &peer.Refusal{Code: peer.CodeBadRequest, Run: peer.NotRun, Message: "the target refused the request: " + refusal.Root(err)}
 	case out.started():
-		return &peer.Refusal{Code: peer.CodeTargetFailed, Run: run, Message: "the target failed in mid-answer: " + root(err)}
+		return &peer.Refusal{Code: peer.CodeTargetFailed, Run: run, Message: "the target failed in mid-answer: " + refusal.Root(err)}
 	case !o.Targets.MayRetry(ctx, c, err, attempt):
-		return &peer.Refusal{Code: peer.CodeTargetFailed, Run: run, Message: "targets failed: " + root(err), RetryAfterMillis: 1000}
+		return &peer.Refusal{Code: peer.CodeTargetFailed, Run: run, Message: "targets failed: " + refusal.Root(err), RetryAfterMillis: 1000}
 	}
 	return nil
 }
-
-// root returns the message of the innermost typed error, without the addresses of the layers above.
-func root(err error) string {
-	for u := errors.Unwrap(err); u != nil; u = errors.Unwrap(err) {
-		err = u
-	}
-	return err.Error()
-}
--- a/internal/owner/commit.go
+++ b/internal/owner/commit.go
@@ -9,6 +9,7 @@
 
 	"github.com/comfreylink/comfreylink/internal/engine"
 	"github.com/comfreylink/comfreylink/internal/peer"
+	"github.com/comfreylink/comfreylink/internal/refusal"
 	"github.com/comfreylink/comfreylink/internal/slots"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 	"github.com/comfreylink/comfreylink/pkg/record"
@@ -29,7 +30,7 @@
 	}
 	if err != nil {
 		r.Locked(func() { t.Failed(true, err) })
-		return refused(c, peer.CodeAnswerTooLarge, peer.Ran, "the target's answer cannot be kept: "+err.Error())
+		return refusal.Of(c, peer.CodeAnswerTooLarge, peer.Ran, "the target's answer cannot be kept: "+err.Error())
 	}
 	r.Locked(func() {
 		t.Answered(append(c.Chat.Messages[:len(c.Chat.Messages):len(c.Chat.Messages)], a.Message), a.Usage, response)
@@ -49,11 +50,11 @@
 	if r.Lost() || verdict != nil {
 		return peer.Result{Redirect: &peer.Redirect{Epoch: r.Epoch, MayHaveRun: true}}
 	}
-	result := refused(c, peer.CodeLogUnavailable, peer.Unknown, "the call ran, but the log did not confirm the turn; repeat the request with its key")
+	result := refusal.Of(c, peer.CodeLogUnavailable, peer.Unknown, "the call ran, but the log did not confirm the turn; repeat the request with its key")
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		result.Refusal.Message += fmt.Sprintf(" (%v)", err)
 	}
-	return retryLater(result, time.Second)
+	return refusal.Later(result, time.Second)
 }
 
 func contentText(m record.Message) string {
--- a/internal/owner/end.go
+++ b/internal/owner/end.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/comfreylink/comfreylink/internal/peer"
+	"github.com/comfreylink/comfreylink/internal/refusal"
 	"github.com/comfreylink/comfreylink/internal/slots"
 	"github.com/comfreylink/comfreylink/pkg/program"
 	"github.com/comfreylink/comfreylink/pkg/record"
@@ -13,17 +14,17 @@
 func (o *Owner) end(ctx context.Context, r *slots.Run, c peer.Call) peer.Result {
 	release, err := r.Lines.Acquire(ctx, lineOf(c))
 	if err != nil {
-		return ended(r, ctx, c, peer.NotRun)
+		return refusal.Ended(r, ctx, c, peer.NotRun)
 	}
 	defer release()
 	known := false
 	r.View(func(s *program.Slot) { _, known = s.Program(c.Workspace, c.Program) })
 	if !known {
-		return refused(c, peer.CodeUnknownRoute, peer.NotRun, "the program does not exist or has ended")
+		return refusal.Of(c, peer.CodeUnknownRoute, peer.NotRun, "the program does not exist or has ended")
 	}
 	verdict, err := r.Append(ctx, &record.End{Epoch: r.Epoch, Workspace: c.Workspace, Program: c.Program})
 	if err != nil || verdict != nil {
-		return notAppended(r, c, peer.Unknown, verdict, err)
+		return refusal.NotAppended(r, c, peer.Unknown, verdict, err)
 	}
 	r.Forget(slots.Program{Workspace: c.Workspace, ID: c.Program})
 	return peer.Result{}
@@ -40,30 +41,30 @@
 	if c.Kind != peer.KindService {
 		return false
 	}
-	route, refusal := o.routeService(c)
-	return refusal != nil || route.Repeatable(c.Service.Method)
+	route, refused := o.Services.Route(c)
+	return refused != nil || route.Repeatable(c.Service.Method)
 }
 
 // RunUnowned runs a repeatable call that belongs to no program. It needs no log.
 func (o *Owner) RunUnowned(ctx context.Context, c peer.Call, onDelta func(string)) peer.Result {
 	if c.Kind == peer.KindService {
-		route, refusal := o.routeService(c)
-		if refusal != nil {
-			return peer.Result{Refusal: refusal}
+		route, refused := o.Services.Route(c)
+		if refused != nil {
+			return peer.Result{Refusal: refused}
 		}
-		return o.runRepeatable(ctx, c, route)
+		return o.Services.RunRepeatable(ctx, c, route)
 	}
-	run, refusal := o.routeChat(c)
-	if refusal != nil {
-		return peer.Result{Refusal: refusal}
+	run, refused := o.routeChat(c)
+	if refused != nil {
+		return peer.Result{Refusal: refused}
 	}
 	if run.prompt+run.max > run.limits.Budget {
-		return refused(c, peer.CodeBudget, peer.NotRun, "the budget of a program does not cover the call")
+		return refusal.Of(c, peer.CodeBudget, peer.NotRun, "the budget of a program does not cover the call")
 	}
-	answer, target, refusal := o.runUnowned(ctx, run, &emitter{forward: onDelta})
-	if refusal != nil {
-		refusal.RequestKey = c.RequestKey
-		return peer.Result{Refusal: refusal, Trace: peer.Trace{Target: target}}
+	answer, target, refused := o.runUnowned(ctx, run, &emitter{forward: onDelta})
+	if refused != nil {
+		refused.RequestKey = c.RequestKey
+		return peer.Result{Refusal: refused, Trace: peer.Trace{Target: target}}
 	}
 	result := &peer.ChatResult{Content: contentText(answer.Message), Finish: answer.FinishReason, Usage: answer.Usage, Message: answer.Message}
 	return peer.Result{Chat: result, Trace: peer.Trace{Target: target}}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -4,12 +4,13 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/comfreylink/comfreylink/internal/peer"
+	"github.com/comfreylink/comfreylink/internal/refusal"
+	"github.com/comfreylink/comfreylink/internal/services"
 	"github.com/comfreylink/comfreylink/internal/slots"
 	"github.com/comfreylink/comfreylink/internal/targets"
 	"github.com/comfreylink/comfreylink/pkg/ids"
@@ -20,8 +21,8 @@
 	Self     ids.WriterID
 	Instance ids.InstanceID
 	Slots    *slots.Slots
-	Lease    slots.Lease
 	Targets  targets.Access
+	Services *services.Services
 }
 
 // Owner runs calls.
@@ -63,17 +64,17 @@
 	select {
 	case <-r.Ready():
 	case <-ctx.Done():
-		return ended(r, ctx, c, peer.NotRun)
+		return refusal.Ended(r, ctx, c, peer.NotRun)
 	}
 	switch c.Kind {
 	case peer.KindChat:
 		return o.chat(ctx, r, c, out)
 	case peer.KindService:
-		return o.service(ctx, r, c)
+		return o.Services.Run(ctx, r, c)
 	case peer.KindEnd:
 		return o.end(ctx, r, c)
 	default:
-		return refused(c, peer.CodeBadRequest, peer.NotRun, "unknown kind of call")
+		return refusal.Of(c, peer.CodeBadRequest, peer.NotRun, "unknown kind of call")
 	}
 }
 
@@ -105,34 +106,3 @@
 	defer e.mu.Unlock()
 	return e.emitted
 }
-
-func refused(c peer.Call, code peer.Code, run peer.RunState, message string) peer.Result {
-	return peer.Result{Refusal: &peer.Refusal{Code: code, Run: run, Message: message, RequestKey: c.RequestKey}}
-}
-
-func retryLater(r peer.Result, after time.Duration) peer.Result {
-	r.Refusal.RetryAfterMillis = ids.Millis(after)
-	return r
-}
-
-// ended explains why ctx ended: the slot was lost, so that another owner answers, or the deadline passed.
-func ended(r *slots.Run, ctx context.Context, c peer.Call, run peer.RunState) peer.Result {
-	if r.Lost() {
-		return peer.Result{Redirect: &peer.Redirect{Epoch: r.Epoch}}
-	}
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) || ctx.Err() == nil {
-		return refused(c, peer.CodeDeadline, run, "the deadline passed")
-	}
-	return refused(c, peer.CodeStopping, run, "the instance is stopping")
-}
-
-// notAppended explains why a record could not be appended.
-func notAppended(r *slots.Run, c peer.Call, run peer.RunState, verdict, err error) peer.Result {
-	if r.Lost() || verdict != nil && run == peer.NotRun {
-		return peer.Result{Redirect: &peer.Redirect{Epoch: r.Epoch}}
-	}
-	if verdict != nil {
-		return refused(c, peer.CodeOwnerUnavailable, run, "the slot has another owner: "+verdict.Error())
-	}
-	return retryLater(refused(c, peer.CodeLogUnavailable, run, "the log did not take a record in time: "+err.Error()), time.Second)
-}
--- a/internal/owner/service.go
+++ b/internal/services/services.go
@@ -1,12 +1,16 @@
-package owner
+// Package services runs requests of plain services and tool services: a non-idempotent one at most once, by its intent in
+// the log, a repeatable one until a target answers.
+package services
 
 import (
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/comfreylink/comfreylink/internal/peer"
+	"github.com/comfreylink/comfreylink/internal/refusal"
 	"github.com/comfreylink/comfreylink/internal/service"
 	"github.com/comfreylink/comfreylink/internal/slots"
 	"github.com/comfreylink/comfreylink/internal/targethttp"
@@ -18,33 +22,44 @@
 	"github.com/comfreylink/comfreylink/pkg/record"
 )
 
+// Services runs requests of services.
+type Services struct {
+	lease    slots.Lease
+	targets  targets.Access
+	attempts atomic.Int64
+}
+
+// New returns the services that are reached through targets, for slots whose ownership a lease bounds.
+func New(l slots.Lease, t targets.Access) *Services { return &Services{lease: l, targets: t} }
+
 // errLeaseEnded keeps a request from being sent by an owner that may have been replaced.
 var errLeaseEnded = errors.New("the owner's lease has ended")
 
-// service runs a service request: a non-idempotent one at most once, by its intent in the log; a repeatable one, which
+// Run runs a service request as the owner of its slot: a non-idempotent one at most once, by its intent in the log; a repeatable one, which
 // is here because it belongs to a program, in its program's order.
-func (o *Owner) service(ctx context.Context, r *slots.Run, c peer.Call) peer.Result {
-	route, refusal := o.routeService(c)
-	if refusal != nil {
-		return peer.Result{Refusal: refusal}
+func (svc *Services) Run(ctx context.Context, r *slots.Run, c peer.Call) peer.Result {
+	route, refused := svc.Route(c)
+	if refused != nil {
+		return peer.Result{Refusal: refused}
 	}
 	name := "key\x00" + string(c.Workspace) + "\x00" + string(c.RequestKey)
 	if c.Program != "" {
-		name = lineOf(c)
+		name = slots.Program{Workspace: c.Workspace, ID: c.Program}.Line()
 	}
 	release, err := r.Lines.Acquire(ctx, name)
 	if err != nil {
-		return ended(r, ctx, c, peer.NotRun)
+		return refusal.Ended(r, ctx, c, peer.NotRun)
 	}
 	defer release()
 	if route.Repeatable(c.Service.Method) {
-		return o.runRepeatable(ctx, c, route)
+		return svc.RunRepeatable(ctx, c, route)
 	}
-	return o.runOnce(ctx, r, c, route)
+	return svc.runOnce(ctx, r, c, route)
 }
 
-func (o *Owner) routeService(c peer.Call) (s config.Service, refusal *peer.Refusal) {
-	view := o.Targets.Catalog.Current()
+// Route returns the service that a call is for.
+func (svc *Services) Route(c peer.Call) (s config.Service, refused *peer.Refusal) {
+	view := svc.targets.Catalog.Current()
 	if route, ok := view.Service(c.Workspace, c.Service.Name); ok {
 		return route.Service, nil
 	}
@@ -54,8 +69,8 @@
 	return s, &peer.Refusal{Code: peer.CodeUnknownRoute, Run: peer.NotRun, Message: "the workspace has no service " + c.Service.Name, RequestKey: c.RequestKey}
 }
 
-func (o *Owner) serviceItem(c peer.Call, repeatable bool) dispatch.Item {
-	limits, _ := o.Targets.Catalog.Current().Limits(c.Workspace)
+func (svc *Services) serviceItem(c peer.Call, repeatable bool) dispatch.Item {
+	limits, _ := svc.targets.Catalog.Current().Limits(c.Workspace)
 	return dispatch.Item{
 		Workspace:   c.Workspace,
 		Weight:      float64(limits.Weight),
@@ -83,70 +98,62 @@
 	}
 }
 
-// runRepeatable sends a repeatable request to targets until one answers.
-func (o *Owner) runRepeatable(ctx context.Context, c peer.Call, route config.Service) peer.Result {
-	item := o.serviceItem(c, true)
-	o.Targets.Request()
+// RunRepeatable sends a repeatable request to targets until one answers.
+func (svc *Services) RunRepeatable(ctx context.Context, c peer.Call, route config.Service) peer.Result {
+	item := svc.serviceItem(c, true)
+	svc.targets.Request()
 	mayHaveRun := false
 	for attempt := 1; ; attempt++ {
-		s, refusal := o.Targets.Prepare(ctx, c, route.Pool, item, nil)
-		if refusal != nil {
-			refusal.RequestKey = c.RequestKey
-			return peer.Result{Refusal: truthful(refusal, mayHaveRun)}
+		s, refused := svc.targets.Prepare(ctx, c, route.Pool, item, nil)
+		if refused != nil {
+			refused.RequestKey = c.RequestKey
+			return peer.Result{Refusal: refusal.Truthful(refused, mayHaveRun)}
 		}
 		target := s.Place.Target
-		a, err := o.Targets.Service(ctx, s.Place.Address, request(c))
+		a, err := svc.targets.Service(ctx, s.Place.Address, request(c))
 		s.Grant.Used()
 		if err == nil && !a.Leaving {
-			o.Targets.Done(s.Place, dispatch.Completed, record.Usage{})
+			svc.targets.Done(s.Place, dispatch.Completed, record.Usage{})
 			return peer.Result{Service: answerOf(a), Trace: peer.Trace{Target: target}}
 		}
 		ending := dispatch.Left
 		if err != nil {
 			ending = targets.OutcomeOf(err, time.Since(s.Ready))
 		}
-		o.Targets.Done(s.Place, ending, record.Usage{})
+		svc.targets.Done(s.Place, ending, record.Usage{})
 		if err != nil && targets.BrokeOff(err) {
-			o.Targets.Died(c.Workspace, c.Fingerprint, target)
+			svc.targets.Died(c.Workspace, c.Fingerprint, target)
 		}
 		if ctx.Err() != nil {
-			return refused(c, peer.CodeDeadline, peer.Unknown, "the deadline passed while a target ran the request")
+			return refusal.Of(c, peer.CodeDeadline, peer.Unknown, "the deadline passed while a target ran the request")
 		}
-		if !o.Targets.MayRetry(ctx, c, err, attempt) {
-			return retryLater(refused(c, peer.CodeTargetFailed, peer.Unknown, "targets failed"), time.Second)
+		if !svc.targets.MayRetry(ctx, c, err, attempt) {
+			return refusal.Later(refusal.Of(c, peer.CodeTargetFailed, peer.Unknown, "targets failed"), time.Second)
 		}
 		mayHaveRun = mayHaveRun || err != nil && targets.MayHaveReached(err)
 		item.Excluded = append(item.Excluded, target)
 	}
 }
 
-// truthful changes a refusal that says notRun if an earlier attempt of the request may have run. r may be nil.
-func truthful(r *peer.Refusal, mayHaveRun bool) *peer.Refusal {
-	if r != nil && mayHaveRun && r.Run == peer.NotRun {
-		r.Run = peer.Unknown
-	}
-	return r
-}
-
 func answerOf(a service.Answer) *peer.ServiceResult {
 	return &peer.ServiceResult{Status: a.Status, ContentType: a.ContentType, Body: a.Body}
 }
 
 // runOnce drives the execution of a non-idempotent request.
-func (o *Owner) runOnce(ctx context.Context, r *slots.Run, c peer.Call, route config.Service) peer.Result {
+func (svc *Services) runOnce(ctx context.Context, r *slots.Run, c peer.Call, route config.Service) peer.Result {
 	for {
 		d := admitOnce(r, c)
 		switch d.Action {
 		case program.ActionRun:
-			return o.execute(ctx, r, c, route)
+			return svc.execute(ctx, r, c, route)
 		case program.ActionWait:
 			if !waitRunning(ctx, r) {
-				return ended(r, ctx, c, peer.Unknown)
+				return refusal.Ended(r, ctx, c, peer.Unknown)
 			}
 		case program.ActionReplay:
 			return replayed(c, d.State)
 		case program.ActionKeyReused:
-			return refused(c, peer.CodeKeyReused, peer.NotRun, "the key belongs to a request with another content")
+			return refusal.Of(c, peer.CodeKeyReused, peer.NotRun, "the key belongs to a request with another content")
 		case program.ActionNotOwner:
 			return peer.Result{Redirect: &peer.Redirect{Epoch: r.Epoch}}
 		default:
@@ -186,7 +193,7 @@
 }
 
 func undecided(c peer.Call) peer.Result {
-	return refused(c, peer.CodeUndecided, peer.Unknown, "the request was sent or may have been sent, and its answer is not known")
+	return refusal.Of(c, peer.CodeUndecided, peer.Unknown, "the request was sent or may have been sent, and its answer is not known")
 }
 
 func replayed(c peer.Call, s program.KeyState) peer.Result {
@@ -199,12 +206,12 @@
 
 // execute appends the intent, sends the request once and appends the outcome. The rate token is taken after the intent,
 // since it must be used at once; a request that then gets none was not sent, and its intent is cancelled.
-func (o *Owner) execute(ctx context.Context, r *slots.Run, c peer.Call, route config.Service) peer.Result {
+func (svc *Services) execute(ctx context.Context, r *slots.Run, c peer.Call, route config.Service) peer.Result {
 	var e *program.Execution
-	o.Targets.Request()
+	svc.targets.Request()
 	r.Begin(keyOf(c), c.Fingerprint)
 	defer func() { endExecution(r, c, e) }()
-	s, refusal := o.Targets.Prepare(ctx, c, route.Pool, o.serviceItem(c, false), func(p targets.Placement) *peer.Refusal {
+	s, refused := svc.targets.Prepare(ctx, c, route.Pool, svc.serviceItem(c, false), func(p targets.Placement) *peer.Refusal {
 		e = program.NewExecution(record.Intent{
 			Epoch:       r.Epoch,
 			Workspace:   c.Workspace,
@@ -213,17 +220,17 @@
 			Fingerprint: c.Fingerprint,
 			Target:      p.Target,
 			UnixMilli:   time.Now().UnixMilli(),
-		}, o.attempts.Add(1))
+		}, svc.attempts.Add(1))
 		e.IntentDone(r.Append(ctx, e.Intent()))
-		o.awaitLease(ctx, r)
+		svc.awaitLease(ctx, r)
 		return nil
 	})
-	if refusal != nil {
-		return o.notSent(r, c, e, refusal)
+	if refused != nil {
+		return svc.notSent(r, c, e, refused)
 	}
 	if e.Step() == program.StepCheck {
 		var reason error
-		if now := time.Now(); !o.Lease.LeaseValid(now) || r.Lost() {
+		if now := time.Now(); !svc.lease.LeaseValid(now) || r.Lost() {
 			reason = errLeaseEnded
 		} else if !s.Grant.Usable(now) {
 			reason = errors.New("the rate token is too old")
@@ -232,14 +239,14 @@
 	}
 	if e.Step() != program.StepSend {
 		s.Grant.Unused()
-		o.Targets.Done(s.Place, dispatch.Unsent, record.Usage{})
-		return o.finish(r, c, e, s.Place.Target)
+		svc.targets.Done(s.Place, dispatch.Unsent, record.Usage{})
+		return svc.finish(r, c, e, s.Place.Target)
 	}
-	o.sendOnce(ctx, r, c, route, s, e)
+	svc.sendOnce(ctx, r, c, route, s, e)
 	if e.Step() == program.StepOutcome {
 		e.OutcomeDone(r.Append(ctx, e.Outcome()))
 	}
-	return o.finish(r, c, e, s.Place.Target)
+	return svc.finish(r, c, e, s.Place.Target)
 }
 
 // leasePoll is how often a waiting request looks whether the lease is valid again.
@@ -247,8 +254,8 @@
 
 // awaitLease waits until the owner's lease is valid, so that a short gap in the reads of the log delays a request and
 // does not refuse it.
-func (o *Owner) awaitLease(ctx context.Context, r *slots.Run) {
-	for !o.Lease.LeaseValid(time.Now()) && !r.Lost() {
+func (svc *Services) awaitLease(ctx context.Context, r *slots.Run) {
+	for !svc.lease.LeaseValid(time.Now()) && !r.Lost() {
 		select {
 		case <-time.After(leasePoll):
 		case <-ctx.Done():
@@ -257,40 +264,40 @@
 	}
 }
 
-func (o *Owner) sendOnce(ctx context.Context, r *slots.Run, c peer.Call, route config.Service, s targets.Sending, e *program.Execution) {
+func (svc *Services) sendOnce(ctx context.Context, r *slots.Run, c peer.Call, route config.Service, s targets.Sending, e *program.Execution) {
 	q := request(c)
 	if route.ChecksFencing {
 		q.Fence, q.FenceScope = r.Epoch, fmt.Sprintf("slot-%03d", r.Slot)
 	}
-	a, err := o.Targets.Service(ctx, s.Place.Address, q)
+	a, err := svc.targets.Service(ctx, s.Place.Address, q)
 	s.Grant.Used()
 	if err == nil {
 		ending := dispatch.Completed
 		if a.Leaving {
 			ending = dispatch.Left
 		}
-		o.Targets.Done(s.Place, ending, record.Usage{})
+		svc.targets.Done(s.Place, ending, record.Usage{})
 		// The answer of a leaving target is no proof that the request did not run, so it is not sent to another.
 		e.Answered(a.Status, a.ContentType, a.Body)
 		return
 	}
-	o.Targets.Done(s.Place, targets.OutcomeOf(err, time.Since(s.Ready)), record.Usage{})
+	svc.targets.Done(s.Place, targets.OutcomeOf(err, time.Since(s.Ready)), record.Usage{})
 	if targets.BrokeOff(err) {
-		o.Targets.Died(c.Workspace, c.Fingerprint, s.Place.Target)
+		svc.targets.Died(c.Workspace, c.Fingerprint, s.Place.Target)
 	}
 	e.Failed(targets.MayHaveReached(err), err)
 }
 
 // notSent answers a request that was refused before it was sent.
-func (o *Owner) notSent(r *slots.Run, c peer.Call, e *program.Execution, refusal *peer.Refusal) peer.Result {
+func (svc *Services) notSent(r *slots.Run, c peer.Call, e *program.Execution, refused *peer.Refusal) peer.Result {
 	if e != nil {
-		e.Checked(refusal)
+		e.Checked(refused)
 	}
 	if r.Lost() {
 		return peer.Result{Redirect: &peer.Redirect{Epoch: r.Epoch}}
 	}
-	refusal.RequestKey = c.RequestKey
-	return peer.Result{Refusal: refusal}
+	refused.RequestKey = c.RequestKey
+	return peer.Result{Refusal: refused}
 }
 
 // endExecution withdraws the intent of a request that was not sent. Until the log shows the withdrawal, a request with the
@@ -310,7 +317,7 @@
 	}()
 }
 
-func (o *Owner) finish(r *slots.Run, c peer.Call, e *program.Execution, target ids.TargetID) peer.Result {
+func (svc *Services) finish(r *slots.Run, c peer.Call, e *program.Execution, target ids.TargetID) peer.Result {
 	answer := e.Answer()
 	trace := peer.Trace{Target: target}
 	var failed *targethttp.Error
@@ -325,10 +332,10 @@
 	case answer.Retry || r.Lost():
 		return peer.Result{Redirect: &peer.Redirect{Epoch: r.Epoch}}
 	case errors.Is(answer.Reason, errLeaseEnded):
-		return retryLater(refused(c, peer.CodeLogUnavailable, peer.NotRun, "the owner cannot confirm its lease while the log is unavailable"), time.Second)
+		return refusal.Later(refusal.Of(c, peer.CodeLogUnavailable, peer.NotRun, "the owner cannot confirm its lease while the log is unavailable"), time.Second)
 	case errors.As(answer.Reason, &failed):
-		return retryLater(refused(c, peer.CodeTargetFailed, peer.NotRun, "the target cannot be reached: "+root(failed)), time.Second)
+		return refusal.Later(refusal.Of(c, peer.CodeTargetFailed, peer.NotRun, "the target cannot be reached: "+refusal.Root(failed)), time.Second)
 	default:
-		return retryLater(refused(c, peer.CodeLogUnavailable, peer.NotRun, "the request was not sent: "+answer.Reason.Error()), time.Second)
+		return refusal.Later(refusal.Of(c, peer.CodeLogUnavailable, peer.NotRun, "the request was not sent: "+answer.Reason.Error()), time.Second)
 	}
 }
