--- a/internal/daemon/adapters.go
+++ b/internal/daemon/adapters.go
@@ -95,7 +95,7 @@
 	return p, r
 }
 
-func (t access) Request() { t.d.retries.request() }
+func (t access) Request() { t.d.retries.Request() }
 
 func (t access) Done(p targets.Placement, o dispatch.Outcome, u record.Usage) {
 	t.d.dispatcher.Done(p, o, u)
@@ -132,7 +132,7 @@
 }
 
 func (t access) RetryAt(now time.Time, f retry.Failure) (at time.Time, why retry.Reason) {
-	at, why = t.d.retries.decide(now, f)
+	at, why = t.d.retries.Decide(now, f)
 	if why == retry.BudgetSpent {
 		events.Log(t.d.logger, events.RetryBudgetUsedUp, zap.Float64("retryBudget", t.d.settings.Dispatch.RetryBudget))
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/comfreylink/comfreylink/internal/admin"
 	"github.com/comfreylink/comfreylink/internal/catchup"
 	"github.com/comfreylink/comfreylink/internal/chat"
+	"github.com/comfreylink/comfreylink/internal/configlog"
 	"github.com/comfreylink/comfreylink/internal/dispatcher"
 	"github.com/comfreylink/comfreylink/internal/engine"
 	"github.com/comfreylink/comfreylink/internal/events"
@@ -24,6 +25,7 @@
 	"github.com/comfreylink/comfreylink/internal/instancelist"
 	"github.com/comfreylink/comfreylink/internal/journal"
 	"github.com/comfreylink/comfreylink/internal/limiter"
+	"github.com/comfreylink/comfreylink/internal/lives"
 	"github.com/comfreylink/comfreylink/internal/logservice"
 	"github.com/comfreylink/comfreylink/internal/members"
 	"github.com/comfreylink/comfreylink/internal/owner"
@@ -34,6 +36,7 @@
 	"github.com/comfreylink/comfreylink/internal/slots"
 	"github.com/comfreylink/comfreylink/internal/targets"
 	"github.com/comfreylink/comfreylink/pkg/config"
+	"github.com/comfreylink/comfreylink/pkg/dispatch"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 	"github.com/comfreylink/comfreylink/pkg/member"
 	"github.com/comfreylink/comfreylink/pkg/pace"
@@ -69,7 +72,7 @@
 	chat       *chat.Server
 	engines    *engine.Client
 	services   *service.Client
-	retries    *retryBudget
+	retries    *targets.Retries
 	admin      *admin.Server
 	metrics    *admin.Metrics
 
@@ -92,7 +95,7 @@
 		catalog:  config.New(),
 		table:    slot.New(s.Ownership.Slots),
 		pace:     pace.New(time.Now(), s.Log.AppendsPerSecond),
-		retries:  newRetryBudget(s.Dispatch.RetryBudget),
+		retries:  targets.NewRetries(s.Dispatch.RetryBudget),
 		drain:    make(chan struct{}, 1),
 	}
 	opened := d // a return of an error sets d to nil
@@ -124,7 +127,7 @@
 		return err
 	}
 	d.onClose(cleanup)
-	if d.config, cleanup, err = d.journal(ids.ConfigStream, watched{d.catalog, d.logger}); err != nil {
+	if d.config, cleanup, err = d.journal(ids.ConfigStream, configlog.Fold{Catalog: d.catalog, Logger: d.logger}); err != nil {
 		return err
 	}
 	d.onClose(cleanup)
@@ -214,17 +217,6 @@
 }
 
 func (d *Daemon) openFleet() (err error) {
-	d.dispatcher = dispatcher.New(dispatcher.Config{
-		Self:       d.settings.Instance.ID,
-		Zone:       d.settings.Instance.Zone,
-		Members:    d.members,
-		Peers:      prober{d.peers, d},
-		Engines:    d.engines,
-		Programs:   programs{d},
-		ModelPools: d.modelPools,
-		Options:    d.poolOptions,
-		Logger:     d.logger,
-	})
 	var cleanup func()
 	d.slots, cleanup = slots.New(slots.Config{
 		Self:         d.self,
@@ -234,6 +226,25 @@
 		Logger:       d.logger,
 	})
 	d.onClose(cleanup)
+	d.dispatcher = dispatcher.New(dispatcher.Config{
+		Self:    d.settings.Instance.ID,
+		Zone:    d.settings.Instance.Zone,
+		Members: d.members,
+		Peers:   prober{d.peers, d},
+		Engines: d.engines,
+		Programs: lives.Programs{
+			Self:   d.self,
+			Slots:  d.settings.Ownership.Slots,
+			Owners: owners{d},
+			Own:    d.slots,
+			Peers:  prober{d.peers, d},
+		},
+		ModelPools: func() []ids.PoolID { return dispatcher.ModelPoolsOf(d.catalog.Current()) },
+		Options: func(pool ids.PoolID) (dispatch.Options, bool) {
+			return dispatcher.OptionsOf(d.catalog.Current(), d.queueOptions(), pool)
+		},
+		Logger: d.logger,
+	})
 	way := targets.Access{Targets: access{d}, Catalog: d.catalog}
 	d.owner = owner.New(owner.Config{
 		Self:     d.self,
@@ -264,6 +275,13 @@
 	return nil
 }
 
+func (d *Daemon) queueOptions() dispatch.Options {
+	o := dispatch.DefaultOptions()
+	o.Policy = string(d.settings.Dispatch.Policy)
+	o.MaxInFlight = d.settings.Dispatch.MaxInFlight
+	return o
+}
+
 func (d *Daemon) openCallers() (err error) {
 	l := d.settings.Limits
 	limits := chat.Limits{
--- a/internal/daemon/tasks.go
+++ b/internal/daemon/tasks.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/comfreylink/comfreylink/internal/events"
 	"github.com/comfreylink/comfreylink/pkg/config"
-	"github.com/comfreylink/comfreylink/pkg/dispatch"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 	"github.com/comfreylink/comfreylink/pkg/member"
 )
@@ -102,37 +100,6 @@
 	}
 }
 
-// poolOptions returns the options of a pool's queue from the settings and the templates.
-func (d *Daemon) poolOptions(pool ids.PoolID) (o dispatch.Options, reports bool) {
-	o = dispatch.DefaultOptions()
-	o.Policy = string(d.settings.Dispatch.Policy)
-	o.MaxInFlight = d.settings.Dispatch.MaxInFlight
-	for _, t := range d.catalog.Current().Templates() {
-		for _, m := range t.Models {
-			if m.Pool != pool {
-				continue
-			}
-			reports = true
-			if m.MaxInFlight > 0 {
-				o.MaxInFlight = m.MaxInFlight
-			}
-		}
-	}
-	return o, reports
-}
-
-// modelPools returns the pools of engines that the templates name.
-func (d *Daemon) modelPools() (pools []ids.PoolID) {
-	for _, t := range d.catalog.Current().Templates() {
-		for _, m := range t.Models {
-			if !slices.Contains(pools, m.Pool) {
-				pools = append(pools, m.Pool)
-			}
-		}
-	}
-	return pools
-}
-
 func hashOf(key string) string { return config.HashKey(key).String() }
 
 // fresh implements the admission rule of the design page, section 4.8.
--- /dev/null
+++ b/internal/dispatcher/templates.go
@@ -0,0 +1,38 @@
+package dispatcher
+
+import (
+	"slices"
+
+	"github.com/comfreylink/comfreylink/pkg/config"
+	"github.com/comfreylink/comfreylink/pkg/dispatch"
+	"github.com/comfreylink/comfreylink/pkg/ids"
+)
+
+// OptionsOf returns the options of a pool's queue, from those of pools whose templates do not say otherwise, and whether
+// the pool has engines, which report their load.
+func OptionsOf(v *config.View, o dispatch.Options, pool ids.PoolID) (options dispatch.Options, reports bool) {
+	for _, t := range v.Templates() {
+		for _, m := range t.Models {
+			if m.Pool != pool {
+				continue
+			}
+			reports = true
+			if m.MaxInFlight > 0 {
+				o.MaxInFlight = m.MaxInFlight
+			}
+		}
+	}
+	return o, reports
+}
+
+// ModelPoolsOf returns the pools of engines that the templates name.
+func ModelPoolsOf(v *config.View) (pools []ids.PoolID) {
+	for _, t := range v.Templates() {
+		for _, m := range t.Models {
+			if !slices.Contains(pools, m.Pool) {
+				pools = append(pools, m.Pool)
+			}
+		}
+	}
+	return pools
+}
--- a/internal/daemon/programs.go
+++ b/internal/lives/lives.go
@@ -1,4 +1,5 @@
-package daemon
+// Package lives asks the owners of slots which programs exist.
+package lives
 
 import (
 	"context"
@@ -10,18 +11,40 @@
 	"github.com/comfreylink/comfreylink/pkg/prefix"
 )
 
-// programs implements dispatcher.Programs.
-type programs struct{ d *Daemon }
+// Owners tells who owns a slot.
+type Owners interface {
+	Owner(s ids.Slot) (w ids.WriterID, e ids.Epoch, changed <-chan struct{})
+	Address(w ids.WriterID) (a peer.Address, ok bool)
+}
+
+// Caller sends requests to peers.
+type Caller interface {
+	Call(ctx context.Context, to peer.Address, m peer.Method, params, result any) error
+}
+
+// Own answers for the slots of this instance.
+type Own interface {
+	Lives(ask peer.Lives) peer.Lived
+}
+
+// Programs implements dispatcher.Programs.
+type Programs struct {
+	Self   ids.WriterID
+	Slots  int
+	Owners Owners
+	Own    Own
+	Peers  Caller
+}
 
 // livesTimeout bounds the question to one owner; without an answer nothing is released.
 const livesTimeout = time.Second
 
 // Lives asks the owner of each slot about the slot's programs.
-func (p programs) Lives(ctx context.Context, all []dispatcher.ProgramID) []prefix.Life {
+func (p Programs) Lives(ctx context.Context, all []dispatcher.ProgramID) []prefix.Life {
 	lives := make([]prefix.Life, len(all))
 	bySlot := map[ids.Slot][]int{}
 	for i, id := range all {
-		s := ids.SlotOf(id.Workspace, id.Program, p.d.settings.Ownership.Slots)
+		s := ids.SlotOf(id.Workspace, id.Program, p.Slots)
 		bySlot[s] = append(bySlot[s], i)
 	}
 	for s, indexes := range bySlot {
@@ -43,18 +66,18 @@
 	return lives
 }
 
-func (p programs) ask(ctx context.Context, ask peer.Lives) (a peer.Lived) {
-	w, _, _ := p.d.fleet.Owner(ask.Slot)
-	if w == p.d.self {
-		return p.d.slots.Lives(ask)
+func (p Programs) ask(ctx context.Context, ask peer.Lives) (a peer.Lived) {
+	w, _, _ := p.Owners.Owner(ask.Slot)
+	if w == p.Self {
+		return p.Own.Lives(ask)
 	}
-	address, ok := p.d.members.Address(w)
+	address, ok := p.Owners.Address(w)
 	if w == "" || !ok {
 		return peer.Lived{NotOwner: true}
 	}
 	ctx, cancel := context.WithTimeout(ctx, livesTimeout)
 	defer cancel()
-	if err := (prober{p.d.peers, p.d}).Call(ctx, address, peer.MethodLives, ask, &a); err != nil {
+	if err := p.Peers.Call(ctx, address, peer.MethodLives, ask, &a); err != nil {
 		return peer.Lived{NotOwner: true}
 	}
 	return a
