--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -14,7 +14,7 @@
 )
 
 // atOnce is how many scenarios run at a time; each has about ten processes.
-const atOnce = 4
+const atOnce = 6
 
 // bin holds the binaries, which are built once for all scenarios.
 var bin string
