--- a/scenario/cmd/load/main.go
+++ b/scenario/cmd/load/main.go
@@ -18,7 +18,7 @@
 	root := &cli.Command{
 		Name:     "load",
 		Usage:    "measure daemons under load",
-		Commands: []*cli.Command{runCommand(), compareCommand(), addedCommand()},
+		Commands: []*cli.Command{runCommand(), compareCommand(), addedCommand(), kneeCommand()},
 	}
 	if err := root.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "load:", err)
