Tell callers of an interrupted stream when to repeat the request

The caller did not repeat it, so its program's history had a turn that it did not know of. Change: the refusal carries retryAfterMs 1; a repetition gets the stored turn.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -216,6 +216,8 @@
 		Code:    peer.CodeTargetFailed,
 		Run:     peer.Ran,
 		Message: "the stream was interrupted and the model answered anew; repeat the request with its key for the whole answer",
+		// The turn is in the history, so a caller that does not repeat the request would not know of it.
+		RetryAfterMillis: 1,
 	}
 	return r
 }
