Use one encoding of messages

Cause: internal/engine encoded and parsed messages of the chat completions protocol again beside record.Message. Change: EncodeMessage and DecodeMessage call record.Message, which now also takes an extra field that is JSON null; the check for a role stays in the adapter. Result: go test -race of engine and record, and the scenarios history-sub-agents, history-two-at-once, answer-stream-cut and input-requests pass. The whole set was not run again.

--- a/internal/engine/message.go
+++ b/internal/engine/message.go
@@ -11,42 +11,17 @@
 )
 
 // EncodeMessage returns a message as in the chat completions protocol, with the fields of Extra beside role and content.
-func EncodeMessage(m record.Message) (data []byte, err error) {
-	fields := make(map[string]json.RawMessage)
-	if len(m.Extra) > 0 {
-		if err := json.Unmarshal(m.Extra, &fields); err != nil {
-			return nil, fmt.Errorf("extra fields: %w", err)
-		}
-	}
-	if fields == nil { // the JSON value null
-		fields = make(map[string]json.RawMessage)
-	}
-	if fields["role"], err = json.Marshal(m.Role); err != nil {
-		return nil, err
-	}
-	delete(fields, "content")
-	if len(m.Content) > 0 {
-		fields["content"] = m.Content
-	}
-	return json.Marshal(fields)
-}
+func EncodeMessage(m record.Message) (data []byte, err error) { return json.Marshal(m) }
 
 // DecodeMessage parses a message of the chat completions protocol.
 func DecodeMessage(data []byte) (m record.Message, err error) {
-	var fields map[string]json.RawMessage
-	if err := json.Unmarshal(data, &fields); err != nil {
+	if err := json.Unmarshal(data, &m); err != nil {
 		return record.Message{}, fmt.Errorf("parse message: %w", err)
 	}
-	if err := json.Unmarshal(fields["role"], &m.Role); err != nil || m.Role == "" {
+	if m.Role == "" {
 		return record.Message{}, errors.New("message without role")
 	}
-	m.Content = fields["content"]
-	delete(fields, "role")
-	delete(fields, "content")
-	if len(fields) > 0 {
-		m.Extra, err = json.Marshal(fields)
-	}
-	return m, err
+	return m, nil
 }
 
 // builder joins the deltas of a stream to a message.
--- a/pkg/record/message.go
+++ b/pkg/record/message.go
@@ -26,6 +26,10 @@
 			return nil, fmt.Errorf("extra fields of a message: %w", err)
 		}
 	}
+	if fields == nil { // the JSON value null
+		fields = map[string]json.RawMessage{}
+	}
+	delete(fields, fieldContent)
 	role, err := json.Marshal(m.Role)
 	if err != nil {
 		return nil, err
