--- /dev/null
+++ b/cmd/comfreylink/gateway.go
@@ -0,0 +1,150 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"errors"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/comfreylink/comfreylink/internal/boottime"
+	"github.com/comfreylink/comfreylink/internal/events"
+	"github.com/comfreylink/comfreylink/internal/gateway"
+	"github.com/comfreylink/comfreylink/internal/httpwire"
+	"github.com/comfreylink/comfreylink/internal/logring"
+	"github.com/comfreylink/comfreylink/internal/settings"
+	"github.com/comfreylink/comfreylink/internal/telemetry"
+	"github.com/comfreylink/comfreylink/platform"
+)
+
+const (
+	// memoryShare is the part of the memory that the runtime may use; connections have buffers beside it.
+	memoryShare = 0.6
+	// collectPercent makes the garbage collector run earlier than by default, since memory is scarcer than time here.
+	collectPercent = 50
+	// settingsInterval is how often the settings file is looked at: it may change without a signal.
+	settingsInterval = 2 * time.Second
+	connectTimeout   = 300 * time.Millisecond
+	silenceTimeout   = time.Second
+)
+
+// serveGateway wires a gateway to the platform and runs it.
+func serveGateway(ctx context.Context, path string, s settings.Gateway) (err error) {
+	debug.SetGCPercent(collectPercent)
+	if s.Instance.Memory > 0 {
+		debug.SetMemoryLimit(int64(float64(s.Instance.Memory) * memoryShare))
+	}
+	ring, flush := logring.New(os.Stdout)
+	defer flush()
+	level := zap.NewAtomicLevelAt(s.Observe.LogLevel)
+	logger := events.NewLogger(ring, level).With(zap.String("instance", string(s.Instance.ID)), zap.String("zone", string(s.Instance.Zone)))
+	clock := boottime.New()
+	metrics, endMetrics, err := telemetry.New()
+	if err != nil {
+		return err
+	}
+	defer endMetrics()
+	client, closeClient := httpwire.NewClient(httpwire.ClientOptions{ConnectTimeout: connectTimeout, SilenceTimeout: silenceTimeout})
+	defer closeClient()
+	store := platform.NewStore(s.Store.Address, client, clock.Now, metrics)
+	runID := rand.Text()
+	g := gateway.New(gateway.Config{
+		Settings: s, Codec: platform.Codec{}, ReadyPath: platform.ReadyPath, Client: client, Clock: clock, Logger: logger,
+		Metrics: metrics, RunID: runID, Source: gateway.Source{
+			Log: store, Config: platform.ConfigPartition, Targets: platform.TargetsPartition, ConfigKey: platform.ConfigKey,
+			DecodeKeyed: platform.DecodeKeyed, DecodeConfig: platform.DecodeConfig, DecodeTarget: platform.DecodeTarget,
+		},
+	})
+	if err := metrics.Observe(g.Observed(ring.Dropped)); err != nil {
+		return err
+	}
+	events.Log(logger, events.Started, zap.String("writer", runID))
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	go watchSettings(ctx, path, level, logger)
+	go countDropped(ctx, ring, logger)
+	if s.Instance.Metrics != "" {
+		endServer := serveMetrics(s.Instance.Metrics, metrics.Handler(g.Dump), logger)
+		defer endServer()
+	}
+	began := time.Now()
+	err = g.Run(ctx)
+	events.Log(logger, events.Stopped, zap.Duration("duration", time.Since(began)), zap.Error(err))
+	return err
+}
+
+// serveMetrics serves the metrics address. The gateway goes on without it, since callers do not need it.
+func serveMetrics(address string, h http.Handler, logger *zap.Logger) (end func()) {
+	server := &http.Server{Addr: address, Handler: h, ReadHeaderTimeout: connectTimeout}
+	go func() {
+		if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+			events.Log(logger, events.InternalError, zap.String("task", "metrics"), zap.Error(err))
+		}
+	}()
+	return func() { _ = server.Close() }
+}
+
+// watchSettings takes up changes of the settings file, with SIGHUP or without.
+func watchSettings(ctx context.Context, path string, level zap.AtomicLevel, logger *zap.Logger) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	ticker := time.NewTicker(settingsInterval)
+	defer ticker.Stop()
+	last, _ := os.ReadFile(path)
+	for {
+		asked := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+			asked = true
+		case <-ticker.C:
+		}
+		data, err := os.ReadFile(path)
+		if err == nil && bytes.Equal(data, last) && !asked {
+			continue
+		}
+		if err == nil {
+			last = data
+		}
+		reload(path, level, logger)
+	}
+}
+
+func reload(path string, level zap.AtomicLevel, logger *zap.Logger) {
+	s, _, err := settings.LoadGateway(path)
+	if err != nil {
+		events.Log(logger, events.SettingsChanged, zap.String("file", path), zap.String("reason", err.Error()))
+		return
+	}
+	level.SetLevel(s.Observe.LogLevel)
+	events.Log(logger, events.SettingsChanged, zap.String("file", path), zap.String("reason", "valid"))
+}
+
+// droppedInterval is the time between two lines that count the log lines left out.
+const droppedInterval = 5 * time.Second
+
+func countDropped(ctx context.Context, ring *logring.Ring, logger *zap.Logger) {
+	ticker := time.NewTicker(droppedInterval)
+	defer ticker.Stop()
+	var last int64
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if n := ring.Dropped(); n > last {
+			events.Log(logger, events.LinesDropped, zap.Int64("count", n-last))
+			last = n
+		}
+	}
+}
--- a/cmd/comfreylink/main.go
+++ b/cmd/comfreylink/main.go
@@ -11,12 +11,16 @@
 	"github.com/comfreylink/comfreylink/internal/daemon"
 	"github.com/comfreylink/comfreylink/internal/logservice"
 	"github.com/comfreylink/comfreylink/internal/publisher"
+	"github.com/comfreylink/comfreylink/platform"
 )
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	os.Exit(cli.New(cli.Programs{Serve: daemon.Serve, Connect: connect}).Run(ctx, os.Args, os.Stdout, os.Stderr))
+	programs := cli.Programs{
+		Serve: daemon.Serve, Gateway: serveGateway, GatewaySettings: platform.SettingsFile(), Connect: connect,
+	}
+	os.Exit(cli.New(programs).Run(ctx, os.Args, os.Stdout, os.Stderr))
 }
 
 func connect(address string) (l publisher.Log, cleanup func(), err error) {
--- /dev/null
+++ b/internal/call/table.go
@@ -0,0 +1,94 @@
+package call
+
+import (
+	"crypto/sha256"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Table answers which route, workspace and service a request belongs to. It is immutable.
+type Table struct {
+	Config     Config
+	byHost     map[string][]*Route // longest prefix first
+	byKey      map[[sha256.Size]byte]*Workspace
+	workspaces map[string]*Workspace
+	services   map[ServiceName]*Service
+}
+
+// NewTable returns the lookup tables of a configuration.
+func NewTable(c Config) *Table {
+	t := &Table{
+		Config: c, byHost: make(map[string][]*Route), byKey: make(map[[sha256.Size]byte]*Workspace),
+		workspaces: make(map[string]*Workspace), services: make(map[ServiceName]*Service),
+	}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		host := strings.ToLower(r.Host)
+		t.byHost[host] = append(t.byHost[host], r)
+	}
+	for _, routes := range t.byHost {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	for i := range c.Workspaces {
+		w := &c.Workspaces[i]
+		t.workspaces[string(w.ID)] = w
+		for _, k := range w.Keys {
+			t.byKey[sha256.Sum256([]byte(k))] = w
+		}
+	}
+	for i := range c.Services {
+		t.services[c.Services[i].Name] = &c.Services[i]
+	}
+	return t
+}
+
+// Route returns the route with the longest prefix of the path, or nil.
+func (t *Table) Route(host, path string) *Route {
+	host, _, _ = strings.Cut(strings.ToLower(host), ":")
+	for _, r := range t.byHost[host] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Workspace returns the workspace that holds a key, or nil. The lookup is by hash, so its time tells nothing about keys.
+func (t *Table) Workspace(key string) *Workspace {
+	if key == "" {
+		return nil
+	}
+	return t.byKey[sha256.Sum256([]byte(key))]
+}
+
+// WorkspaceByID returns the workspace of a name, or nil.
+func (t *Table) WorkspaceByID(id string) *Workspace { return t.workspaces[id] }
+
+// Service returns the service of a name, or nil.
+func (t *Table) Service(name ServiceName) *Service { return t.services[name] }
+
+// Backend returns the service that runs a request of a route. Requests with the same key go to the same service.
+func (r *Route) Backend(key string) ServiceName {
+	total := 0
+	for _, b := range r.Backends {
+		total += b.Weight
+	}
+	if total <= 0 {
+		return ""
+	}
+	at := int(xxhash.Sum64String(key) % uint64(total))
+	for _, b := range r.Backends {
+		if at < b.Weight {
+			return b.Service
+		}
+		at -= b.Weight
+	}
+	return ""
+}
+
+// Repeatable reports whether a request of the route may run more than once.
+func (r *Route) Repeatable() bool {
+	return r.Kind == Safe || r.Kind == Stream && r.Resumable
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -16,6 +16,10 @@
 type Programs struct {
 	// Serve runs a daemon until the context ends and its requests in progress are finished.
 	Serve func(ctx context.Context, s settings.Settings) error
+	// Gateway runs a gateway with the settings of a file, in the same way.
+	Gateway func(ctx context.Context, path string, s settings.Gateway) error
+	// GatewaySettings is the gateway's settings file where none is named.
+	GatewaySettings string
 	// Connect returns a client of the log service at an address HOST:PORT.
 	Connect func(address string) (l publisher.Log, cleanup func(), err error)
 }
@@ -46,7 +50,7 @@
 
 // commands are all subcommands in the order of the help text.
 var commands = []command{
-	serveCommand, checkCommand, certsCommand, publishCommand, removeCommand, getCommand, keyCommand, statusCommand, dumpCommand, drainCommand,
+	serveCommand, gatewayCommand, checkCommand, certsCommand, publishCommand, removeCommand, getCommand, keyCommand, statusCommand, dumpCommand, drainCommand,
 }
 
 // run is one run of a command.
--- /dev/null
+++ b/internal/cli/gateway.go
@@ -0,0 +1,44 @@
+package cli
+
+import (
+	"context"
+
+	ucli "github.com/urfave/cli/v3"
+	"go.uber.org/zap"
+
+	"github.com/comfreylink/comfreylink/internal/events"
+	"github.com/comfreylink/comfreylink/internal/settings"
+)
+
+var gatewayCommand = command{
+	name:        "gateway",
+	description: "run a gateway on the users' platform until SIGTERM or SIGINT",
+	flags: func() []ucli.Flag {
+		return []ucli.Flag{
+			&ucli.StringFlag{Name: "settings", Usage: "settings `FILE`; the platform's own by default"},
+			&ucli.BoolFlag{Name: "check", Usage: "check the settings and end"},
+		}
+	},
+	action: func(ctx context.Context, r *run) error {
+		if r.programs.Gateway == nil {
+			return errNoProgram
+		}
+		path := r.String("settings")
+		if path == "" {
+			path = r.programs.GatewaySettings
+		}
+		if path == "" {
+			return &UsageError{Reason: "no settings file is given"}
+		}
+		s, _, err := settings.LoadGateway(path)
+		if err != nil {
+			log := events.NewLogger(r.out.stderr, zap.InfoLevel)
+			events.Log(log, events.SettingsInvalid, zap.String("file", path), zap.Error(err))
+			return err
+		}
+		if r.Bool("check") {
+			return nil
+		}
+		return r.programs.Gateway(ctx, path, s)
+	},
+}
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -25,6 +25,16 @@
 		"The daemon has ended its tasks and released its slots.",
 		"If cutOff is not 0, raise drainTimeout of [instance].",
 		"duration", "cutOff", "error")
+	SettingsChanged = define(105, "settingsChanged", info,
+		"The settings file changed. Valid changes of the log level are in force; others need a restart.", nothing,
+		"file", "reason")
+	ReadinessChanged = define(106, "readinessChanged", info,
+		"The answer to the readiness probe changed.", nothing,
+		"ready", "reason", "configAge", "configVersion")
+	LinesDropped = define(107, "linesDropped", warn,
+		"Log lines were left out because they came faster than they could be written.",
+		"Raise the log level if it happens often.",
+		"count")
 	SettingsInvalid = define(104, "settingsInvalid", fault,
 		"The settings file has errors; the daemon does not start.",
 		"Correct the places that the error names; test with `comfreylink check`.",
@@ -135,6 +145,33 @@
 		"Requests that could be retried end with an error because too many retries were made.",
 		"Look for failing targets.",
 		"retryBudget")
+	RequestAnswered = define(610, "requestAnswered", info,
+		"The gateway answered a request. Reason says why it was refused or failed; run is notRun, ran or unknown.",
+		"Follow the request by its id through the other events; see docs/OPERATIONS.md.",
+		"requestId", "programId", "sessionId", "workspace", "route", "configVersion", "status", "reason", "run", "target",
+		"attempts", "duration", "waited", "firstByte", "events", "cached", "retryAfter")
+	RequestSent = define(611, "requestSent", debug,
+		"The gateway sent a request to a target.", nothing,
+		"requestId", "target", "attempt", "waited", "cached", "left", "reused", "targetAge")
+	AttemptFailed = define(612, "attemptFailed", info,
+		"A target did not answer a request as it should. Run says whether it may have run there.",
+		"If one target stands out, look at it.",
+		"requestId", "target", "attempt", "reason", "run", "error", "duration", "events")
+	LedgerFailed = define(613, "ledgerFailed", warn,
+		"Reservations of tokens could not be written; their turns are refused or broken off.",
+		"Check the log service.",
+		"stream", "part", "records", "error")
+	ChainBroken = define(614, "chainBroken", fault,
+		"A remembered turn names a turn before it that the log does not hold.",
+		"Report it with the fields of the event.",
+		"requestId")
+	QuotaShared = define(615, "quotaShared", debug,
+		"The rates of workspaces were divided anew among the instances.", nothing,
+		"instances")
+	ReportFailed = define(616, "reportFailed", warn,
+		"The report of used rates could not be written or read; this instance goes on with its last share.",
+		"Check the log service.",
+		"operation", "error")
 	ProgramEndedIdle = define(604, "programEndedIdle", info,
 		"Programs were not used for the idle time of the templates and have ended.", nothing,
 		"programs", "idle")
@@ -152,6 +189,15 @@
 	TargetBack = define(702, "targetBack", info,
 		"A target that was dead or leaving gets work again.", nothing,
 		"target", "pool")
+	TargetChanged = define(703, "targetChanged", info,
+		"A target registered itself or changed its entry.", nothing,
+		"target", "service", "address", "draining", "seq")
+	TargetRemoved = define(704, "targetRemoved", info,
+		"A target's entry was removed; it gets no new work.", nothing,
+		"target")
+	TargetMoved = define(705, "targetMoved", info,
+		"Another target answered at a target's address; the address is not used until the target registers again.", nothing,
+		"target", "address")
 )
 
 // InternalError is the event of a fault in the daemon.
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -60,7 +60,7 @@
 }
 
 // NewLogger returns a logger that writes one JSON object a line, with the event's name in the field name.
-func NewLogger(w io.Writer, level zapcore.Level) *zap.Logger {
+func NewLogger(w io.Writer, level zapcore.LevelEnabler) *zap.Logger {
 	encoder := zapcore.NewJSONEncoder(zapcore.EncoderConfig{
 		TimeKey: "time", LevelKey: "level", MessageKey: "name",
 		EncodeTime: zapcore.RFC3339NanoTimeEncoder, EncodeLevel: zapcore.LowercaseLevelEncoder,
--- /dev/null
+++ b/internal/gateway/dump.go
@@ -0,0 +1,57 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/comfreylink/comfreylink/internal/call"
+	"github.com/comfreylink/comfreylink/internal/telemetry"
+)
+
+// Dump is the gateway's state for operators. It holds no keys and no bodies.
+type Dump struct {
+	Instance      string        `json:"instance"`
+	Run           string        `json:"run"`
+	Ready         bool          `json:"ready"`
+	Draining      bool          `json:"draining"`
+	ConfigVersion int64         `json:"configVersion"`
+	ConfigAgeMs   int64         `json:"configAgeMs"`
+	Targets       []call.Target `json:"targets"`
+	Waiting       int           `json:"waiting"`
+	InProgress    int           `json:"inProgress"`
+	Turns         int           `json:"turns"`
+	Instances     int           `json:"instances"`
+}
+
+// Dump returns the present state.
+func (g *Gateway) Dump() any {
+	now := g.now()
+	age, _ := g.beliefs.freshness(now)
+	d := Dump{
+		Instance: string(g.Settings.Instance.ID), Run: g.RunID, Ready: g.ready.Load(), Draining: g.draining.Load(),
+		ConfigVersion: g.configVersion(), ConfigAgeMs: age.Milliseconds(), Targets: g.beliefs.targets(now),
+		Waiting: g.lines.Len(), InProgress: g.server.Active(), Turns: g.turns.Len(),
+	}
+	g.mu.Lock()
+	d.Instances = g.quota.Instances()
+	g.mu.Unlock()
+	return d
+}
+
+func (g *Gateway) configVersion() int64 {
+	if t := g.beliefs.table.Load(); t != nil {
+		return t.Config.Version
+	}
+	return 0
+}
+
+// Observed returns the values that metrics read; dropped counts the log lines that were left out.
+func (g *Gateway) Observed(dropped func() int64) telemetry.Observed {
+	return telemetry.Observed{
+		ConfigVersion: g.configVersion,
+		ConfigAge: func() time.Duration {
+			age, _ := g.beliefs.freshness(g.now())
+			return age
+		},
+		Waiting: g.lines.Len, Turns: g.turns.Len, LinesDropped: dropped,
+	}
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,299 @@
+// Package gateway passes the requests of agent programs on to targets. It decides which requests run, in which order and
+// where, and keeps what must outlast it in the platform's log.
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/samber/oops"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/comfreylink/comfreylink/internal/boottime"
+	"github.com/comfreylink/comfreylink/internal/call"
+	"github.com/comfreylink/comfreylink/internal/events"
+	"github.com/comfreylink/comfreylink/internal/httpwire"
+	"github.com/comfreylink/comfreylink/internal/ledger"
+	"github.com/comfreylink/comfreylink/internal/line"
+	"github.com/comfreylink/comfreylink/internal/partlog"
+	"github.com/comfreylink/comfreylink/internal/settings"
+	"github.com/comfreylink/comfreylink/internal/turnstore"
+	"github.com/comfreylink/comfreylink/pkg/ids"
+	"github.com/comfreylink/comfreylink/pkg/quota"
+)
+
+// Codec spells requests and answers as the platform does.
+type Codec interface {
+	DecodeRequest(h *fasthttp.RequestHeader) call.Request
+	EncodeRequest(b []byte, h *fasthttp.RequestHeader, s call.Send) []byte
+	DecodeAnswer(h *fasthttp.ResponseHeader) call.Answer
+}
+
+// Config is what a gateway needs.
+type Config struct {
+	Settings settings.Gateway
+	Source   Source
+	Codec    Codec
+	// ReadyPath is the path of the readiness probe.
+	ReadyPath string
+	Client    *httpwire.Client
+	Clock     *boottime.Clock
+	Logger    *zap.Logger
+	Metrics   Metrics
+	// RunID is drawn anew at each start, to tell this run of the instance from earlier ones.
+	RunID string
+}
+
+// Metrics counts what the gateway does.
+type Metrics interface {
+	RequestDone(route, outcome string, status int, took time.Duration)
+	Refused(code string)
+	Waited(service string, took time.Duration)
+	FirstByte(route string, took time.Duration)
+	Attempt(service, outcome string)
+}
+
+const (
+	// topicsPerSpace spreads programs and turns over many partitions, so that two programs seldom share one.
+	topicsPerSpace = 32
+	// freshMargin is how much sooner than the bound a configuration counts as too old: requests still travel to targets.
+	freshMargin = 700 * time.Millisecond
+	// readyAge is the age of the configuration up to which the gateway asks for new callers.
+	readyAge = 2500 * time.Millisecond
+	// leaveDelay is how long after SIGTERM callers are still accepted: the balancer notices after two probes.
+	leaveDelay = 2500 * time.Millisecond
+	// exitMargin is how long before it would be killed the gateway ends.
+	exitMargin = 400 * time.Millisecond
+	// lineTick is how often lines are looked through for what only time allows.
+	lineTick = 10 * time.Millisecond
+	// dropInterval is how often old state is forgotten.
+	dropInterval = 5 * time.Second
+	// Limits before the first configuration.
+	firstHeaderBytes = 16 << 10
+	firstBodyBytes   = 4 << 20
+	firstTimeout     = 3 * time.Second
+	firstIdle        = 15 * time.Second
+)
+
+// Gateway is one instance. Make it with New and run it once.
+type Gateway struct {
+	Config
+	beliefs  *beliefs
+	lines    *line.Lines
+	ledger   *ledger.Ledger
+	turns    *turnstore.Store
+	server   *httpwire.Server
+	draining atomic.Bool
+	ready    atomic.Bool
+
+	mu       sync.Mutex // guards quota, suspects and the fields of reports
+	quota    *quota.Keeper
+	suspects suspects
+	shared   chan struct{} // closed when the quota was divided anew
+	urgent   chan struct{} // asks for a report before its time
+}
+
+// New returns a gateway.
+func New(c Config) *Gateway {
+	g := &Gateway{
+		Config:   c,
+		lines:    line.New(line.Options{Policy: string(c.Settings.Dispatch.Policy), Now: c.Clock.Now}),
+		quota:    quota.New(c.Settings.Instance.ID, instanceKeep),
+		suspects: newSuspects(),
+		shared:   make(chan struct{}),
+		urgent:   make(chan struct{}, 1),
+	}
+	parts := c.Settings.Store.Partitions
+	g.ledger = ledger.New(ledger.Config{
+		Log: c.Source.Log, Now: c.Clock.Now, Logger: c.Logger,
+		Space: partlog.Space{Name: "accounts", Topics: topicsPerSpace, Parts: parts},
+	})
+	g.turns = turnstore.New(turnstore.Config{
+		Log: c.Source.Log, Now: c.Clock.Now, Logger: c.Logger,
+		Space: partlog.Space{Name: "turns", Topics: topicsPerSpace, Parts: parts},
+	})
+	g.beliefs = newBeliefs(c.Source, c.Logger, c.Clock.Now)
+	g.beliefs.changed = g.beliefsChanged
+	g.server = httpwire.NewServer(g, g.limits)
+	return g
+}
+
+func (g *Gateway) now() time.Time { return g.Clock.Now() }
+
+func (g *Gateway) limits() httpwire.Limits {
+	t := g.beliefs.table.Load()
+	if t == nil {
+		return httpwire.Limits{HeaderBytes: firstHeaderBytes, BodyBytes: firstBodyBytes, HeaderTimeout: firstTimeout, IdleTimeout: firstIdle}
+	}
+	l := t.Config.Limits
+	return httpwire.Limits{
+		HeaderBytes: orDefault(l.HeaderBytes, firstHeaderBytes), BodyBytes: orDefault(l.BodyBytes, firstBodyBytes),
+		HeaderTimeout: orDefault(l.HeaderTimeout, firstTimeout), IdleTimeout: orDefault(l.IdleTimeout, firstIdle),
+	}
+}
+
+func orDefault[T int | time.Duration](v, d T) T {
+	if v <= 0 {
+		return d
+	}
+	return v
+}
+
+// beliefsChanged takes over a new configuration or new targets.
+func (g *Gateway) beliefsChanged(now time.Time) {
+	table := g.beliefs.table.Load()
+	if table == nil {
+		return
+	}
+	limits := make(map[ids.WorkspaceID]quota.Limit, len(table.Config.Workspaces))
+	for _, w := range table.Config.Workspaces {
+		limits[w.ID] = quota.Limit{Rate: w.Rate, Burst: w.Burst}
+	}
+	g.mu.Lock()
+	g.quota.Configure(now, limits)
+	g.mu.Unlock()
+	g.lines.Update(now, g.beliefs.targets(now), table.Service)
+}
+
+// Run serves until the context ends, then finishes what was taken.
+func (g *Gateway) Run(ctx context.Context) (err error) {
+	defer func() { err = oops.In("gateway").Wrapf(err, "run") }()
+	front, err := net.Listen("tcp", g.Settings.Instance.Listen)
+	if err != nil {
+		return err
+	}
+	probe, err := net.Listen("tcp", g.Settings.Instance.Ready)
+	if err != nil {
+		return errors.Join(err, front.Close())
+	}
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	tasks, work := errgroup.WithContext(work)
+	tasks.Go(func() error { return g.beliefs.followConfig(work) })
+	tasks.Go(func() error { return g.beliefs.followTargets(work) })
+	tasks.Go(func() error { return g.runReports(work) })
+	tasks.Go(func() error { return g.tick(work) })
+	tasks.Go(func() error { return g.server.Serve(front) })
+	probes := &fasthttp.Server{Handler: g.probe, NoDefaultServerHeader: true, NoDefaultDate: true}
+	tasks.Go(func() error { return probes.Serve(probe) })
+	select {
+	case <-ctx.Done():
+		g.drain()
+	case <-work.Done():
+	}
+	_ = front.Close()
+	_ = probe.Close()
+	stop()
+	return tasks.Wait()
+}
+
+// drain tells the balancer, waits until it has noticed and lets the requests in progress end.
+func (g *Gateway) drain() {
+	began := time.Now()
+	g.draining.Store(true)
+	g.updateReady(g.now())
+	events.Log(g.Logger, events.Draining, zap.Int("inProgress", g.server.Active()), zap.Duration("timeout", g.Settings.Instance.Grace))
+	g.server.StopKeeping()
+	last := began.Add(g.Settings.Instance.Grace - exitMargin)
+	for now := time.Now(); now.Before(last); now = time.Now() {
+		if now.Sub(began) > leaveDelay {
+			g.server.CloseIdle()
+			if g.server.Active() == 0 {
+				break
+			}
+		}
+		time.Sleep(min(20*time.Millisecond, last.Sub(now)))
+	}
+	g.flush(last)
+}
+
+// flush writes what waits to be written, within the time that is left.
+func (g *Gateway) flush(last time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), last.Add(exitMargin/2))
+	defer cancel()
+	g.ledger.Flush(ctx)
+	g.report(ctx)
+}
+
+func (g *Gateway) probe(c *fasthttp.RequestCtx) {
+	if string(c.Path()) != g.ReadyPath {
+		c.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
+	if !g.updateReady(g.now()) {
+		c.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	}
+}
+
+// updateReady decides whether new callers are welcome, and logs when that changes.
+func (g *Gateway) updateReady(now time.Time) bool {
+	age, known := g.beliefs.freshness(now)
+	reason := ""
+	switch {
+	case g.draining.Load():
+		reason = "draining"
+	case !known:
+		reason = "no configuration"
+	case !g.beliefs.targetsKnown():
+		reason = "no list of targets"
+	case age > readyAge:
+		reason = "stale configuration"
+	}
+	ready := reason == ""
+	if g.ready.Swap(ready) != ready {
+		events.Log(g.Logger, events.ReadinessChanged, zap.Bool("ready", ready), zap.String("reason", reason),
+			zap.Duration("configAge", age), zap.Int64("configVersion", g.configVersion()))
+	}
+	return ready
+}
+
+// tick drives what only time changes.
+func (g *Gateway) tick(ctx context.Context) error {
+	ticker := time.NewTicker(lineTick)
+	defer ticker.Stop()
+	dropped, listed := g.now(), g.now()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		now := g.now()
+		g.lines.Tick(now)
+		if now.Sub(listed) > targetsInterval {
+			listed = now
+			g.updateReady(now)
+			// A removed target may be used for some time after an outage of the log; that ends without an event.
+			if t := g.beliefs.table.Load(); t != nil {
+				g.lines.Update(now, g.beliefs.targets(now), t.Service)
+			}
+		}
+		if now.Sub(dropped) > dropInterval {
+			dropped = now
+			g.dropOld(now)
+		}
+	}
+}
+
+func (g *Gateway) dropOld(now time.Time) {
+	g.Client.CloseStale(now)
+	g.ledger.DropIdle(now)
+	retention := time.Duration(0)
+	if t := g.beliefs.table.Load(); t != nil {
+		for _, r := range t.Config.Routes {
+			if r.Remembered {
+				retention = max(retention, r.Retention)
+			}
+		}
+	}
+	g.turns.Retain(now, retention)
+	g.mu.Lock()
+	g.suspects.tracker.DropOld(now)
+	g.mu.Unlock()
+}
--- /dev/null
+++ b/internal/httpwire/client.go
@@ -0,0 +1,249 @@
+package httpwire
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// answerBuffer also limits the size of an answer's head.
+	answerBuffer = 8 << 10
+	// defaultKeep is how long an idle connection is kept where the server does not say.
+	defaultKeep = 10 * time.Second
+	// keepMargin is how long before the server's own idle limit a connection is no longer used.
+	keepMargin = time.Second
+	// maxIdlePerAddress bounds the idle connections to one address.
+	maxIdlePerAddress = 16
+)
+
+// ClientOptions are the settings of a client.
+type ClientOptions struct {
+	// ConnectTimeout bounds the time to open a connection.
+	ConnectTimeout time.Duration
+	// SilenceTimeout is how long sent bytes may stay unacknowledged: a connection can fall silent without a reset.
+	SilenceTimeout time.Duration
+}
+
+// Client opens connections to servers and keeps idle ones. It is safe for concurrent use.
+type Client struct {
+	opt    ClientOptions
+	dialer net.Dialer
+
+	mu   sync.Mutex
+	idle map[string][]*Conn
+}
+
+// NewClient returns a client; cleanup closes its idle connections.
+func NewClient(o ClientOptions) (c *Client, cleanup func()) {
+	c = &Client{opt: o, idle: make(map[string][]*Conn)}
+	c.dialer = net.Dialer{Timeout: o.ConnectTimeout, Control: c.setSilence, KeepAlive: -1}
+	return c, c.closeIdle
+}
+
+// setSilence makes the kernel give up a connection on which sent bytes are not acknowledged.
+func (c *Client) setSilence(_, _ string, raw syscall.RawConn) (err error) {
+	controlErr := raw.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(c.opt.SilenceTimeout.Milliseconds()))
+	})
+	return errors.Join(controlErr, err)
+}
+
+// Conn is a connection to a server that carries one exchange at a time.
+type Conn struct {
+	client  *Client
+	conn    net.Conn
+	br      *bufio.Reader
+	address string
+	// usableUntil is when an idle connection is no longer used.
+	usableUntil time.Time
+	idleSince   time.Time
+	// Reused tells that an earlier exchange was made on the connection.
+	Reused bool
+}
+
+// Get returns a connection. Idle ones are used only if they have been idle for no longer than maxIdle.
+func (c *Client) Get(ctx context.Context, address string, now time.Time, maxIdle time.Duration) (conn *Conn, err error) {
+	for {
+		conn = c.takeIdle(address)
+		if conn == nil {
+			break
+		}
+		if now.Before(conn.usableUntil) && now.Sub(conn.idleSince) <= maxIdle && conn.quiet() {
+			return conn, nil
+		}
+		conn.Close()
+	}
+	nc, err := c.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &Conn{client: c, conn: nc, br: bufio.NewReaderSize(nc, answerBuffer), address: address}, nil
+}
+
+func (c *Client) takeIdle(address string) *Conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l := c.idle[address]
+	if len(l) == 0 {
+		return nil
+	}
+	last := l[len(l)-1]
+	l[len(l)-1] = nil
+	c.idle[address] = l[:len(l)-1]
+	return last
+}
+
+// Forget closes the idle connections to an address.
+func (c *Client) Forget(address string) {
+	c.mu.Lock()
+	l := c.idle[address]
+	delete(c.idle, address)
+	c.mu.Unlock()
+	for _, conn := range l {
+		conn.Close()
+	}
+}
+
+func (c *Client) closeIdle() {
+	c.mu.Lock()
+	addresses := make([]string, 0, len(c.idle))
+	for a := range c.idle {
+		addresses = append(addresses, a)
+	}
+	c.mu.Unlock()
+	for _, a := range addresses {
+		c.Forget(a)
+	}
+}
+
+// CloseStale closes the idle connections whose time has passed.
+func (c *Client) CloseStale(now time.Time) {
+	var stale []*Conn
+	c.mu.Lock()
+	for a, l := range c.idle {
+		kept := l[:0]
+		for _, conn := range l {
+			if now.Before(conn.usableUntil) {
+				kept = append(kept, conn)
+			} else {
+				stale = append(stale, conn)
+			}
+		}
+		clear(l[len(kept):])
+		c.idle[a] = kept
+		if len(kept) == 0 {
+			delete(c.idle, a)
+		}
+	}
+	c.mu.Unlock()
+	for _, conn := range stale {
+		conn.Close()
+	}
+}
+
+// Close ends the connection. An exchange in progress fails.
+func (c *Conn) Close() { _ = c.conn.Close() }
+
+// SetDeadline bounds the whole exchange by the system's clock.
+func (c *Conn) SetDeadline(t time.Time) error { return c.conn.SetDeadline(t) }
+
+// quiet reports whether the connection is open and holds no unread bytes: those could be a late answer to an earlier
+// request.
+func (c *Conn) quiet() bool {
+	if c.br.Buffered() > 0 {
+		return false
+	}
+	sc, ok := c.conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		open = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && open
+}
+
+// Write sends a whole request. An error after the first byte means that the server may have got all of it.
+func (c *Conn) Write(b []byte) error {
+	_, err := c.conn.Write(b)
+	return err
+}
+
+// ReadHead reads the head of the answer and returns its body. The body ends with io.EOF only if it is complete.
+func (c *Conn) ReadHead(h *fasthttp.ResponseHeader) (body io.Reader, err error) {
+	raw, err := peekHead(c.br)
+	if err != nil {
+		return nil, err
+	}
+	f, err := parseFraming(raw)
+	if err != nil {
+		return nil, err
+	}
+	if err := h.Read(c.br); err != nil {
+		return nil, err
+	}
+	switch {
+	case h.StatusCode() == fasthttp.StatusNoContent || h.StatusCode() == fasthttp.StatusNotModified:
+		return &fixedBody{br: c.br}, nil
+	case f.chunked:
+		return newChunkedBody(c.br), nil
+	case f.length >= 0:
+		return &fixedBody{br: c.br, left: f.length}, nil
+	default:
+		h.SetConnectionClose()
+		return c.br, nil
+	}
+}
+
+// Release keeps the connection for another exchange, if the answer allows it. Call it after the whole body was read.
+func (c *Conn) Release(h *fasthttp.ResponseHeader, now time.Time) {
+	if h.ConnectionClose() || c.br.Buffered() > 0 || c.conn.SetDeadline(time.Time{}) != nil {
+		c.Close()
+		return
+	}
+	c.Reused, c.idleSince = true, now
+	c.usableUntil = now.Add(keepAlive(string(h.Peek("Keep-Alive"))))
+	c.client.mu.Lock()
+	l := c.client.idle[c.address]
+	keep := len(l) < maxIdlePerAddress
+	if keep {
+		c.client.idle[c.address] = append(l, c)
+	}
+	c.client.mu.Unlock()
+	if !keep {
+		c.Close()
+	}
+}
+
+// keepAlive returns how long a connection may be idle by the value of a Keep-Alive header.
+func keepAlive(value string) time.Duration {
+	for item := range strings.SplitSeq(value, ",") {
+		seconds, ok := strings.CutPrefix(strings.TrimSpace(item), "timeout=")
+		if !ok {
+			continue
+		}
+		if n, err := strconv.Atoi(seconds); err == nil {
+			return max(time.Duration(n)*time.Second-keepMargin, 0)
+		}
+	}
+	return defaultKeep
+}
--- /dev/null
+++ b/internal/httpwire/headers.go
@@ -0,0 +1,135 @@
+// Package httpwire carries HTTP/1.1 messages over connections that the caller owns, on the side of the server and on the
+// side of the client. fasthttp parses heads; framing, ends of connections and their reuse are decided here, because a
+// proxy must know whether a peer has gone and whether an answer is complete.
+package httpwire
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"iter"
+	"strings"
+)
+
+// ErrFraming is returned for a head whose body length is ambiguous or malformed.
+var ErrFraming = errors.New("ambiguous message framing")
+
+// hopByHop are the headers that concern one connection only, and those that this package sets itself.
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
+}
+
+// AppendHeader appends one header line.
+func AppendHeader(b []byte, name, value string) []byte {
+	b = append(b, name...)
+	b = append(b, ": "...)
+	b = append(b, value...)
+	return append(b, "\r\n"...)
+}
+
+// AppendHeaders appends the end-to-end headers among all but those to skip. Connection is the value of that header,
+// which may name more headers of the one connection.
+func AppendHeaders(b []byte, all iter.Seq2[[]byte, []byte], connection []byte, skip []string) []byte {
+	var named []string
+	if len(connection) > 0 {
+		named = strings.Split(string(connection), ",")
+	}
+	for name, value := range all {
+		if contains(hopByHop, name) || contains(skip, name) || contains(named, name) {
+			continue
+		}
+		b = append(b, name...)
+		b = append(b, ": "...)
+		b = append(b, value...)
+		b = append(b, "\r\n"...)
+	}
+	return b
+}
+
+func contains(names []string, name []byte) bool {
+	for _, n := range names {
+		if len(name) == len(strings.TrimSpace(n)) && strings.EqualFold(strings.TrimSpace(n), string(name)) {
+			return true
+		}
+	}
+	return false
+}
+
+// peekHead returns the header lines of the head that comes next, without consuming it.
+func peekHead(br *bufio.Reader) (lines []byte, err error) {
+	for need := 1; ; need = br.Buffered() + 1 {
+		if _, err := br.Peek(need); err != nil {
+			if errors.Is(err, io.EOF) && br.Buffered() > 0 {
+				return nil, io.ErrUnexpectedEOF
+			}
+			return nil, err
+		}
+		buffered, _ := br.Peek(br.Buffered())
+		end := bytes.Index(buffered, []byte("\r\n\r\n"))
+		if end < 0 {
+			continue
+		}
+		_, lines, _ = bytes.Cut(buffered[:end], []byte("\n"))
+		return lines, nil
+	}
+}
+
+// framing is how a body's end is found.
+type framing struct {
+	chunked bool
+	// length is -1 if there is none.
+	length int64
+}
+
+// parseFraming reads the framing from the raw header lines of a head. fasthttp resolves conflicting lines silently, but
+// two peers that resolve them in different ways see different messages.
+func parseFraming(raw []byte) (f framing, err error) {
+	f.length = -1
+	lengths, encodings := 0, 0
+	for line := range bytes.SplitSeq(raw, []byte("\n")) {
+		line = bytes.TrimSuffix(line, []byte("\r"))
+		if len(line) == 0 {
+			continue
+		}
+		name, value, ok := bytes.Cut(line, []byte(":"))
+		if !ok || len(name) == 0 || bytes.ContainsAny(name, " \t\r") {
+			return f, ErrFraming
+		}
+		value = bytes.TrimSpace(value)
+		switch {
+		case bytes.EqualFold(name, []byte("Content-Length")):
+			lengths++
+			if f.length, ok = parseLength(value); !ok {
+				return f, ErrFraming
+			}
+		case bytes.EqualFold(name, []byte("Transfer-Encoding")):
+			encodings++
+			if !bytes.EqualFold(value, []byte("chunked")) {
+				return f, ErrFraming
+			}
+			f.chunked = true
+		}
+	}
+	if lengths+encodings > 1 {
+		return f, ErrFraming
+	}
+	return f, nil
+}
+
+// maxLengthDigits keeps a length within 63 bits.
+const maxLengthDigits = 18
+
+func parseLength(value []byte) (n int64, ok bool) {
+	if len(value) == 0 || len(value) > maxLengthDigits {
+		return 0, false
+	}
+	for _, c := range value {
+		if c < '0' || c > '9' {
+			return 0, false
+		}
+		n = n*10 + int64(c-'0')
+	}
+	return n, true
+}
--- /dev/null
+++ b/internal/httpwire/server.go
@@ -0,0 +1,319 @@
+package httpwire
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Limits bound what a caller may send and how long it may take.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Handler answers requests. It returns when the exchange is answered or aborted.
+type Handler interface {
+	Serve(ctx context.Context, x *Exchange)
+}
+
+// bodyTimeout bounds the time in which a caller sends a request's body.
+const bodyTimeout = 10 * time.Second
+
+// Server accepts connections of callers and reads their requests.
+type Server struct {
+	handler Handler
+	limits  func() Limits
+
+	closing atomic.Bool
+	active  atomic.Int64 // exchanges in progress
+	mu      sync.Mutex
+	idle    map[net.Conn]struct{} // connections that wait for a request
+	tasks   sync.WaitGroup
+}
+
+// NewServer returns a server.
+func NewServer(h Handler, limits func() Limits) *Server {
+	return &Server{handler: h, limits: limits, idle: make(map[net.Conn]struct{})}
+}
+
+// Active returns the number of exchanges in progress.
+func (s *Server) Active() int { return int(s.active.Load()) }
+
+// Serve accepts connections until the listener is closed.
+func (s *Server) Serve(l net.Listener) error {
+	for {
+		conn, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			var ne net.Error
+			if errors.As(err, &ne) && ne.Timeout() {
+				continue
+			}
+			return err
+		}
+		s.tasks.Go(func() { s.serveConn(conn) })
+	}
+}
+
+// StopKeeping makes each connection end after the answer to its present request.
+func (s *Server) StopKeeping() { s.closing.Store(true) }
+
+// CloseIdle closes the connections on which no request has begun.
+func (s *Server) CloseIdle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for conn := range s.idle {
+		_ = conn.SetReadDeadline(past)
+	}
+}
+
+// Wait returns when all connections have ended.
+func (s *Server) Wait() { s.tasks.Wait() }
+
+// past is a deadline that ends a blocked read.
+var past = time.Unix(1, 0)
+
+func (s *Server) serveConn(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	br := bufio.NewReaderSize(conn, s.limits().HeaderBytes+1024)
+	x := &Exchange{conn: conn, br: br, server: s}
+	for x.readRequest() {
+		if !s.serveExchange(x) {
+			return
+		}
+	}
+}
+
+// serveExchange runs the handler and reports whether the connection can carry another request.
+func (s *Server) serveExchange(x *Exchange) bool {
+	s.active.Add(1)
+	defer s.active.Add(-1)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	watched := make(chan struct{})
+	go func() {
+		defer close(watched)
+		x.watch(cancel)
+	}()
+	s.handler.Serve(ctx, x)
+	_ = x.conn.SetReadDeadline(past)
+	<-watched
+	_ = x.conn.SetReadDeadline(time.Time{})
+	return x.complete && !x.closeAfter && !x.gone.Load()
+}
+
+// waitIdle waits for the first byte of a request.
+func (s *Server) waitIdle(x *Exchange, idle time.Duration) bool {
+	if x.br.Buffered() > 0 {
+		return true
+	}
+	s.mu.Lock()
+	s.idle[x.conn] = struct{}{}
+	_ = x.conn.SetReadDeadline(time.Now().Add(idle))
+	s.mu.Unlock()
+	_, err := x.br.Peek(1)
+	s.mu.Lock()
+	delete(s.idle, x.conn)
+	s.mu.Unlock()
+	return err == nil
+}
+
+// Exchange is one request with its answer.
+type Exchange struct {
+	conn   net.Conn
+	br     *bufio.Reader
+	server *Server
+
+	// Header and Body are the request. They are valid until the handler returns.
+	Header fasthttp.RequestHeader
+	Body   []byte
+
+	gone       atomic.Bool // the caller has closed the connection
+	started    bool        // a part of the answer was written
+	complete   bool        // the whole answer was written
+	closeAfter bool
+	out        []byte
+}
+
+// readRequest reads the next request; false ends the connection.
+func (x *Exchange) readRequest() bool {
+	l := x.server.limits()
+	if !x.server.waitIdle(x, l.IdleTimeout) {
+		return false
+	}
+	x.started, x.complete, x.closeAfter = false, false, false
+	x.Body = nil
+	x.Header.Reset()
+	_ = x.conn.SetReadDeadline(time.Now().Add(l.HeaderTimeout))
+	if err := x.Header.Read(x.br); err != nil {
+		x.rejectHead(err)
+		return false
+	}
+	f, err := parseFraming(x.Header.RawHeaders())
+	if err != nil {
+		x.reject(fasthttp.StatusBadRequest)
+		return false
+	}
+	x.closeAfter = x.Header.ConnectionClose() || x.server.closing.Load()
+	if len(x.Header.Peek("Expect")) > 0 {
+		if _, err := x.conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
+			return false
+		}
+	}
+	_ = x.conn.SetReadDeadline(time.Now().Add(bodyTimeout))
+	if err := x.readBody(f, l.BodyBytes); err != nil {
+		if errors.Is(err, ErrTooLarge) {
+			x.reject(fasthttp.StatusRequestEntityTooLarge)
+		}
+		return false
+	}
+	return x.conn.SetReadDeadline(time.Time{}) == nil
+}
+
+func (x *Exchange) readBody(f framing, limit int) (err error) {
+	switch {
+	case f.chunked:
+		x.Body, err = readAll(newChunkedBody(x.br), limit)
+	case f.length > int64(limit):
+		return ErrTooLarge
+	case f.length > 0:
+		x.Body, err = readAll(&fixedBody{br: x.br, left: f.length}, limit)
+	}
+	return err
+}
+
+func (x *Exchange) rejectHead(err error) {
+	var ne net.Error
+	var small *fasthttp.ErrSmallBuffer
+	switch {
+	case errors.As(err, &small):
+		x.reject(fasthttp.StatusRequestHeaderFieldsTooLarge)
+	case errors.As(err, &ne), errors.Is(err, net.ErrClosed), x.br.Buffered() == 0:
+	default:
+		x.reject(fasthttp.StatusBadRequest)
+	}
+}
+
+// reject answers a request that could not be read and lets the connection end.
+func (x *Exchange) reject(status int) {
+	x.closeAfter = true
+	x.Answer(status, nil, nil)
+}
+
+// watch waits until the caller sends more, closes the connection or the exchange has ended.
+func (x *Exchange) watch(cancel context.CancelFunc) {
+	_, err := x.br.Peek(1)
+	var ne net.Error
+	if err == nil || errors.As(err, &ne) && ne.Timeout() {
+		return
+	}
+	x.gone.Store(true)
+	cancel()
+}
+
+// Gone reports whether the caller has closed the connection.
+func (x *Exchange) Gone() bool { return x.gone.Load() }
+
+// Started reports whether a part of the answer was written.
+func (x *Exchange) Started() bool { return x.started }
+
+// writeTimeout bounds how long a caller may take to accept bytes of its answer.
+const writeTimeout = 10 * time.Second
+
+func (x *Exchange) write(b []byte) error {
+	_ = x.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_, err := x.conn.Write(b)
+	if err != nil {
+		x.gone.Store(true)
+	}
+	return err
+}
+
+func (x *Exchange) appendHead(status int, headers []byte) {
+	if x.server.closing.Load() {
+		x.closeAfter = true
+	}
+	b := append(x.out[:0], "HTTP/1.1 "...)
+	b = appendStatus(b, status)
+	b = append(b, "\r\n"...)
+	b = append(b, headers...)
+	if x.closeAfter {
+		b = append(b, "Connection: close\r\n"...)
+	}
+	x.out = b
+}
+
+func appendStatus(b []byte, status int) []byte {
+	b = append(b, byte('0'+status/100%10), byte('0'+status/10%10), byte('0'+status%10), ' ')
+	return append(b, fasthttp.StatusMessage(status)...)
+}
+
+// Answer writes a whole answer. Headers are complete header lines.
+func (x *Exchange) Answer(status int, headers, body []byte) {
+	x.appendHead(status, headers)
+	x.out = append(x.out, "Content-Length: "...)
+	x.out = fasthttp.AppendUint(x.out, len(body))
+	x.out = append(x.out, "\r\n\r\n"...)
+	x.out = append(x.out, body...)
+	x.started = true
+	x.complete = x.write(x.out) == nil
+}
+
+// Begin writes the head of an answer whose body follows in pieces.
+func (x *Exchange) Begin(status int, headers, first []byte) error {
+	x.appendHead(status, headers)
+	x.out = append(x.out, "Transfer-Encoding: chunked\r\n\r\n"...)
+	x.out = appendChunk(x.out, first)
+	x.started = true
+	return x.write(x.out)
+}
+
+// Piece writes a piece of the body.
+func (x *Exchange) Piece(b []byte) error {
+	x.out = appendChunk(x.out[:0], b)
+	return x.write(x.out)
+}
+
+// End writes the last piece, if there is one, and the end of the body.
+func (x *Exchange) End(last []byte) error {
+	x.out = appendChunk(x.out[:0], last)
+	x.out = append(x.out, "0\r\n\r\n"...)
+	err := x.write(x.out)
+	x.complete = err == nil
+	return err
+}
+
+func appendChunk(b, piece []byte) []byte {
+	if len(piece) == 0 {
+		return b
+	}
+	b = appendHex(b, len(piece))
+	b = append(b, "\r\n"...)
+	b = append(b, piece...)
+	return append(b, "\r\n"...)
+}
+
+func appendHex(b []byte, n int) []byte {
+	const digits = "0123456789abcdef"
+	var buf [16]byte
+	i := len(buf)
+	for {
+		i--
+		buf[i] = digits[n&15]
+		n >>= 4
+		if n == 0 {
+			return append(b, buf[i:]...)
+		}
+	}
+}
--- /dev/null
+++ b/internal/settings/gateway.go
@@ -0,0 +1,110 @@
+package settings
+
+import (
+	"os"
+	"time"
+
+	"github.com/samber/oops"
+
+	"github.com/comfreylink/comfreylink/internal/inifile"
+	"github.com/comfreylink/comfreylink/pkg/ids"
+)
+
+// Gateway are the settings of a gateway, with defaults for what the file leaves out.
+type Gateway struct {
+	Instance GatewayInstance
+	Store    Store
+	Bounds   Bounds
+	Dispatch GatewayDispatch
+	Observe  Observe
+}
+
+// GatewayInstance says who the gateway is, where it listens and what it may use.
+type GatewayInstance struct {
+	ID   ids.InstanceID
+	Zone ids.Zone
+	// Listen is the address for callers, Ready that of the readiness probe and Metrics that for monitoring and dumps.
+	Listen, Ready, Metrics string
+	// Memory is the limit of the process; 0 if there is none.
+	Memory int64
+	// Grace is the time from SIGTERM until the process is killed.
+	Grace time.Duration
+}
+
+// Store configures the access to the platform's log.
+type Store struct {
+	Address string
+	// Partitions is how many partitions a new topic has.
+	Partitions int
+}
+
+// Bounds are promises that depend on time.
+type Bounds struct {
+	// Revoke is how long a withdrawn key may still work.
+	Revoke time.Duration
+	// Removal is how long a target may get requests after it said that it leaves.
+	Removal time.Duration
+}
+
+// GatewayDispatch configures the lines before the targets.
+type GatewayDispatch struct {
+	Policy Policy
+}
+
+func (i *GatewayInstance) read(s *inifile.Section) {
+	i.ID = ids.InstanceID(name(s, "id"))
+	i.Zone = ids.Zone(name(s, "zone"))
+	i.Listen = address(s, "listen", true, true)
+	i.Ready = address(s, "ready", true, true)
+	i.Metrics = address(s, "metrics", false, true)
+	i.Memory = s.Size("memory", 0, 16<<20, 1<<40)
+	i.Grace = s.Duration("grace", 8*time.Second, 100*time.Millisecond, time.Hour)
+}
+
+func (l *Store) read(s *inifile.Section) {
+	l.Address = address(s, "address", true, false)
+	l.Partitions = int(s.Int("partitions", 12, 1, 1024))
+}
+
+func (b *Bounds) read(s *inifile.Section) {
+	b.Revoke = s.Duration("revoke", 5*time.Second, 500*time.Millisecond, time.Hour)
+	b.Removal = s.Duration("removal", 2*time.Second, 100*time.Millisecond, time.Hour)
+}
+
+func (d *GatewayDispatch) read(s *inifile.Section) {
+	d.Policy = Policy(s.OneOf("policy", string(Fair), string(Fair), string(RoundRobin), string(LeastInFlight), string(Sticky)))
+}
+
+// LoadGateway reads a gateway's settings file. The error names everything that is wrong with it.
+func LoadGateway(path string) (g Gateway, data []byte, err error) {
+	defer func() { err = oops.In("settings").With("file", path).Wrapf(err, "read the settings") }()
+	data, err = os.ReadFile(path)
+	if err != nil {
+		return Gateway{}, nil, err
+	}
+	g, err = ParseGateway(path, data)
+	return g, data, err
+}
+
+// ParseGateway reads the contents of a gateway's settings file. The name occurs in errors only.
+func ParseGateway(name string, data []byte) (g Gateway, err error) {
+	f, err := inifile.Parse(name, data)
+	if err != nil {
+		return Gateway{}, err
+	}
+	for _, part := range []part{
+		{"instance", g.Instance.read}, {"store", g.Store.read}, {"bounds", g.Bounds.read}, {"dispatch", g.Dispatch.read},
+		{"observe", g.Observe.read},
+	} {
+		section := f.Section(part.name)
+		part.read(section)
+		section.Close()
+	}
+	if g.Instance.Ready != "" && g.Instance.Ready == g.Instance.Listen {
+		f.Section("instance").Fail("ready", "%s is also the address of listen", g.Instance.Ready)
+	}
+	if err := f.Err(); err != nil {
+		return Gateway{}, err
+	}
+	return g, nil
+}
--- a/pkg/dispatch/fair.go
+++ b/pkg/dispatch/fair.go
@@ -80,7 +80,7 @@
 
 // cost estimates the seconds that an item takes at a target with room, and those with what other calls lose by it.
 func (q *Queue) cost(now time.Time, e *entry, t *target.Target) (own, all float64) {
-	uncached := float64(e.item.Prompt - q.targets.Cached(now, e.item.Prefix, e.item.PrefixTokens, t))
+	uncached := float64(e.item.Prompt - q.cached(now, e, t))
 	own, others := t.Seconds(now, max(uncached, 0), q.outputOf(e.item))
 	if t.Zone() != e.item.Zone {
 		own += otherZoneCost
--- a/pkg/dispatch/item.go
+++ b/pkg/dispatch/item.go
@@ -39,6 +39,8 @@
 	Died      = target.Died
 	Unsent    = target.Unsent
 	Left      = target.Left
+	Broken    = target.Broken
+	Full      = target.Full
 )
 
 // Kinds of cache events.
@@ -62,8 +64,10 @@
 	// Prefix is the history that the prompt starts with, of PrefixTokens tokens; empty if there is none.
 	Prefix       PrefixKey
 	PrefixTokens ids.Tokens
-	Deadline     time.Time
-	Zone         ids.Zone
+	// Parts are given instead of Prefix where a prompt is made of several parts that targets cache.
+	Parts    []target.Part
+	Deadline time.Time
+	Zone     ids.Zone
 	// Repeatable calls may run on a target that is being tried after a failure.
 	Repeatable  bool
 	Fingerprint ids.Fingerprint
--- a/pkg/dispatch/queue.go
+++ b/pkg/dispatch/queue.go
@@ -95,8 +95,11 @@
 		q.service = target.Mean(q.service, took.Seconds())
 		q.output = target.Mean(q.output, float64(u.Completion))
 		q.targets.Store(now, e.item.Prefix, e.target, u.Total())
+		for _, part := range e.item.Parts {
+			q.targets.Store(now, part.Key, e.target, part.Tokens)
+		}
 		served = float64(u.Total() - u.Cached)
-	case Failed:
+	case Failed, Broken:
 		served = e.Charged()
 	case Died:
 		served = e.Charged()
@@ -123,6 +126,19 @@
 // UpdateTargets takes over the instance list and the load reports. Targets that are not in the list get no new items.
 func (q *Queue) UpdateTargets(now time.Time, list []Target) { q.targets.Update(now, list) }
 
+// Load takes over what a target says of its load in the answer to a call.
+func (q *Queue) Load(now time.Time, id ids.TargetID, running, waiting int) {
+	q.targets.Load(now, id, running, waiting)
+}
+
+// cached returns how many tokens of an item's prompt a target is expected to hold.
+func (q *Queue) cached(now time.Time, e *entry, t *target.Target) ids.Tokens {
+	if len(e.item.Parts) > 0 {
+		return q.targets.CachedParts(now, e.item.Parts, t)
+	}
+	return q.targets.Cached(now, e.item.Prefix, e.item.PrefixTokens, t)
+}
+
 // CacheEvent takes over a target's report about its prefix cache. Events may be late or missing.
 func (q *Queue) CacheEvent(now time.Time, ev CacheEvent) { q.targets.Event(now, ev) }
 
@@ -203,7 +219,7 @@
 }
 
 func (q *Queue) place(now time.Time, e *entry, t *target.Target) Placement {
-	cached := q.targets.Cached(now, e.item.Prefix, e.item.PrefixTokens, t)
+	cached := q.cached(now, e, t)
 	q.unlink(e)
 	q.shares.Start(&e.Entry, max(e.Expected-float64(cached), 0))
 	e.target, e.placed = t, now
--- a/pkg/target/report.go
+++ b/pkg/target/report.go
@@ -30,6 +30,8 @@
 	ReportedAt time.Time
 	// CacheCapacity is the size of the engine's prefix cache; 0 if unknown.
 	CacheCapacity ids.Tokens
+	// Slots replaces MaxInFlight for this target; 0 if it is not known.
+	Slots int
 }
 
 // Outcome is how a call at a target ended.
@@ -47,6 +49,10 @@
 	Unsent
 	// Left: the target answered that it is leaving.
 	Left
+	// Broken: the target did not complete its answer, which may concern this call only.
+	Broken
+	// Full: the target refused the call because it has no room.
+	Full
 )
 
 // CacheChange is the kind of a cache event.
@@ -65,6 +71,12 @@
 // PrefixKey identifies a history whose KV cache a target may hold.
 type PrefixKey string
 
+// Part is the beginning of a prompt up to the end of one of its parts, Tokens long in all.
+type Part struct {
+	Key    PrefixKey
+	Tokens ids.Tokens
+}
+
 // CacheEvent is an engine's report about its prefix cache.
 type CacheEvent struct {
 	Target ids.TargetID
@@ -90,4 +102,7 @@
 	Probation time.Duration
 	// LeftFor is how long a target's own word that it is leaving stands against the list.
 	LeftFor time.Duration
+	// ForeignHalfLife is the time in which half of the calls of other dispatchers in a load report are taken to have
+	// ended; 0 keeps the count until the next report.
+	ForeignHalfLife time.Duration
 }
--- a/pkg/target/set.go
+++ b/pkg/target/set.go
@@ -65,6 +65,13 @@
 	slices.SortFunc(s.order, func(a, b *Target) int { return cmp.Compare(a.id, b.id) })
 }
 
+// Load takes over what a target says of its load in the answer to a call.
+func (s *Set) Load(now time.Time, id ids.TargetID, running, waiting int) {
+	if t := s.byID[id]; t != nil {
+		t.report(now, Report{Running: running, Waiting: waiting, ReportedAt: now})
+	}
+}
+
 // Release forgets a target that left the list, once its calls have ended.
 func (s *Set) Release(t *Target) {
 	if t.listed || t.own > 0 || s.byID[t.id] != t {
@@ -123,6 +130,17 @@
 	return 0
 }
 
+// CachedParts returns how many of a prompt's first tokens the target is expected to hold, where the prompt is given by
+// its parts and each key stands for the parts up to it.
+func (s *Set) CachedParts(now time.Time, parts []Part, t *Target) (tokens ids.Tokens) {
+	for i := len(parts) - 1; i >= 0; i-- {
+		if n := s.Cached(now, parts[i].Key, parts[i].Tokens, t); n > tokens {
+			tokens = n
+		}
+	}
+	return tokens
+}
+
 // Forget drops all that is known about a target's cache.
 func (s *Set) Forget(t *Target) {
 	for key := range s.hints {
--- a/pkg/target/target.go
+++ b/pkg/target/target.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -18,6 +19,8 @@
 	learnShare = 0.2
 	// slowMin and slowMax bound a target's learnt slowness, so that one odd completion does not exclude it.
 	slowMin, slowMax = 0.1, 20.0
+	// brokenInRow is how many broken answers in a row count as a death.
+	brokenInRow = 3
 	// contention is how much longer a call takes at a full target than at an empty one, as a share.
 	contention = 0.5
 	// prefillDelay is how many seconds the other calls at a target lose for each second of prefill: about a third for
@@ -40,6 +43,7 @@
 	listed   bool
 	state    State
 	capacity ids.Tokens
+	slots    int
 
 	own      int // calls that this dispatcher placed
 	foreign  int // calls of others, by the last report
@@ -48,6 +52,7 @@
 
 	left       time.Time // the target's own word that it is leaving; zero if none
 	failed     time.Time // last death; zero after a sign of life
+	broken     int       // broken answers since the last complete one
 	rampStart  time.Time // zero: no ramp
 	unreported bool      // the ramp is there because a new dispatcher does not know the target's load yet
 
@@ -67,9 +72,26 @@
 // Own returns the number of this dispatcher's calls at the target.
 func (t *Target) Own() int { return t.own }
 
-// InFlight returns the number of calls at the target, those of other dispatchers included.
+// InFlight returns the number of calls at the target, those of other dispatchers included, as last reported.
 func (t *Target) InFlight() int { return t.own + t.foreign }
 
+// expected returns the number of calls that are likely to be at the target now.
+func (t *Target) expected(now time.Time) float64 {
+	foreign := float64(t.foreign)
+	if t.opt.ForeignHalfLife > 0 {
+		foreign *= math.Exp2(-max(now.Sub(t.reported).Seconds(), 0) / t.opt.ForeignHalfLife.Seconds())
+	}
+	return float64(t.own) + foreign
+}
+
+// limit returns how many calls the target may get when nothing is wrong with it.
+func (t *Target) limit() int {
+	if t.slots > 0 {
+		return t.slots
+	}
+	return t.opt.MaxInFlight
+}
+
 // Slow returns the measured over the predicted duration of calls.
 func (t *Target) Slow() float64 { return t.slow }
 
@@ -104,18 +126,18 @@
 	case t.OnTrial():
 		return 1
 	case t.rampStart.IsZero():
-		return t.opt.MaxInFlight
+		return t.limit()
 	}
 	since := now.Sub(t.rampStart)
 	if since >= t.opt.Ramp {
 		t.rampStart = time.Time{}
-		return t.opt.MaxInFlight
+		return t.limit()
 	}
-	return 1 + int(float64(t.opt.MaxInFlight-1)*float64(since)/float64(t.opt.Ramp))
+	return 1 + int(float64(t.limit()-1)*float64(since)/float64(t.opt.Ramp))
 }
 
 // HasRoom reports whether the target may get one more call now.
-func (t *Target) HasRoom(now time.Time) bool { return t.InFlight() < t.Allowed(now) }
+func (t *Target) HasRoom(now time.Time) bool { return t.expected(now) <= float64(t.Allowed(now)-1) }
 
 // Start counts a call that is sent to the target with so many tokens to prefill.
 func (t *Target) Start(now time.Time, uncached float64) {
@@ -128,7 +150,7 @@
 
 // End counts a call's end and learns from it.
 func (t *Target) End(now time.Time, o Outcome, took time.Duration, u record.Usage) {
-	beside := t.beside()
+	beside := t.beside(now)
 	t.count(now, -1)
 	switch o {
 	case Completed:
@@ -139,6 +161,13 @@
 		t.revive(now)
 	case Died:
 		t.failed = now
+	case Broken:
+		t.broken++
+		if t.broken >= brokenInRow {
+			t.failed = now
+		}
+	case Full:
+		t.foreign, t.reported = max(t.foreign, t.limit()-t.own), now
 	case Left:
 		t.left = now
 	}
@@ -149,12 +178,12 @@
 func (t *Target) Seconds(now time.Time, uncached, output float64) (own, others float64) {
 	queue := max(t.prefilled.Sub(now).Seconds(), 0)
 	prefill := t.slow * uncached / t.opt.PrefillRate
-	return queue + prefill + t.slow*output/t.opt.DecodeRate*t.beside(), prefill * prefillDelay
+	return queue + prefill + t.slow*output/t.opt.DecodeRate*t.beside(now), prefill * prefillDelay
 }
 
 // beside returns the factor by which the calls in flight slow each other down.
-func (t *Target) beside() float64 {
-	return 1 + contention*min(float64(t.InFlight())/float64(t.opt.MaxInFlight), 1)
+func (t *Target) beside(now time.Time) float64 {
+	return 1 + contention*min(t.expected(now)/float64(t.limit()), 1)
 }
 
 // WaitSeconds estimates how long a full target takes to have room for one more call behind ahead others. Until the
@@ -164,10 +193,11 @@
 		mean = t.service
 	}
 	allowed := t.Allowed(now)
-	return mean * float64(t.InFlight()-allowed+ahead+1) / float64(max(allowed, 1))
+	return mean * (t.expected(now) - float64(allowed-ahead-1)) / float64(max(allowed, 1))
 }
 
 func (t *Target) revive(now time.Time) {
+	t.broken = 0
 	if t.OnTrial() {
 		t.failed, t.rampStart = time.Time{}, now
 	}
@@ -203,7 +233,7 @@
 	if r.State == Dead && t.state == Live {
 		t.failed = now
 	}
-	t.listed, t.state, t.zone, t.capacity = true, r.State, r.Zone, r.CacheCapacity
+	t.listed, t.state, t.zone, t.capacity, t.slots = true, r.State, r.Zone, r.CacheCapacity, r.Slots
 	if r.ReportedAt.After(t.reported) {
 		t.report(now, r)
 	}
