Reach the log through another instance while it turns this one away

Reports carry the instances' addresses and whether they reach the log. The frame codec of internal/peer is now internal/frame, used by both.

--- a/cmd/comfreylink/gateway.go
+++ b/cmd/comfreylink/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/comfreylink/comfreylink/internal/gateway"
 	"github.com/comfreylink/comfreylink/internal/httpwire"
 	"github.com/comfreylink/comfreylink/internal/logring"
+	"github.com/comfreylink/comfreylink/internal/relay"
 	"github.com/comfreylink/comfreylink/internal/settings"
 	"github.com/comfreylink/comfreylink/internal/telemetry"
 	"github.com/comfreylink/comfreylink/platform"
@@ -55,10 +56,15 @@
 	defer closeClient()
 	store := platform.NewStore(s.Store.Address, client, clock.Now, metrics)
 	runID := rand.Text()
-	g := gateway.New(gateway.Config{
+	var g *gateway.Gateway
+	log, closeLog := relay.New(relay.Config{
+		Direct: store, Peers: func() []relay.Peer { return g.Peers() }, Zone: s.Instance.Zone, Now: clock.Now, Logger: logger,
+	})
+	defer closeLog()
+	g = gateway.New(gateway.Config{
 		Settings: s, Codec: platform.Codec{}, ReadyPath: platform.ReadyPath, Client: client, Clock: clock, Logger: logger,
-		Metrics: metrics, RunID: runID, Source: gateway.Source{
-			Log: store, Config: platform.ConfigPartition, Targets: platform.TargetsPartition, ConfigKey: platform.ConfigKey,
+		Metrics: metrics, RunID: runID, Log: log, Source: gateway.Source{
+			Log: log, Config: platform.ConfigPartition, Targets: platform.TargetsPartition, ConfigKey: platform.ConfigKey,
 			DecodeKeyed: platform.DecodeKeyed, DecodeConfig: platform.DecodeConfig, DecodeTarget: platform.DecodeTarget,
 		},
 	})
--- a/internal/peer/codec.go
+++ b/internal/frame/frame.go
@@ -1,4 +1,5 @@
-package peer
+// Package frame frames the JSON-RPC messages between daemons.
+package frame
 
 import (
 	"bufio"
@@ -11,12 +12,12 @@
 // maxMessageBytes bounds one message between daemons; it leaves room for a caller's body in base64 and the envelope.
 const maxMessageBytes = 16 << 20
 
-// frameCodec frames JSON messages with a length of four bytes. The codecs that come with jsonrpc2 accept any length,
+// Codec frames JSON messages with a length of four bytes. The codecs that come with jsonrpc2 accept any length,
 // so that one message could exhaust the memory of a daemon.
-type frameCodec struct{}
+type Codec struct{}
 
 // WriteObject implements jsonrpc2.ObjectCodec.
-func (frameCodec) WriteObject(w io.Writer, obj any) error {
+func (Codec) WriteObject(w io.Writer, obj any) error {
 	data, err := json.Marshal(obj)
 	if err != nil {
 		return err
@@ -34,7 +35,7 @@
 }
 
 // ReadObject implements jsonrpc2.ObjectCodec.
-func (frameCodec) ReadObject(r *bufio.Reader, v any) error {
+func (Codec) ReadObject(r *bufio.Reader, v any) error {
 	var head [4]byte
 	if _, err := io.ReadFull(r, head[:]); err != nil {
 		return err
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/comfreylink/comfreylink/internal/ledger"
 	"github.com/comfreylink/comfreylink/internal/line"
 	"github.com/comfreylink/comfreylink/internal/partlog"
+	"github.com/comfreylink/comfreylink/internal/relay"
 	"github.com/comfreylink/comfreylink/internal/settings"
 	"github.com/comfreylink/comfreylink/internal/turnstore"
 	"github.com/comfreylink/comfreylink/pkg/ids"
@@ -39,7 +40,9 @@
 type Config struct {
 	Settings settings.Gateway
 	Source   Source
-	Codec    Codec
+	// Log is the log of Source, which other instances may use through this one.
+	Log   *relay.Log
+	Codec Codec
 	// ReadyPath is the path of the readiness probe.
 	ReadyPath string
 	Client    *httpwire.Client
@@ -95,6 +98,7 @@
 	mu       sync.Mutex // guards quota, suspects and the fields of reports
 	quota    *quota.Keeper
 	suspects suspects
+	peers    map[ids.InstanceID]peer
 	shared   chan struct{} // closed when the quota was divided anew
 	urgent   chan struct{} // asks for a report before its time
 }
@@ -106,6 +110,7 @@
 		lines:    line.New(line.Options{Policy: string(c.Settings.Dispatch.Policy), Now: c.Clock.Now}),
 		quota:    quota.New(c.Settings.Instance.ID, instanceKeep),
 		suspects: newSuspects(),
+		peers:    make(map[ids.InstanceID]peer),
 		shared:   make(chan struct{}),
 		urgent:   make(chan struct{}, 1),
 	}
@@ -172,6 +177,10 @@
 	if err != nil {
 		return errors.Join(err, front.Close())
 	}
+	between, err := net.Listen("tcp", g.Settings.Relay.Listen)
+	if err != nil {
+		return errors.Join(err, front.Close(), probe.Close())
+	}
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	tasks, work := errgroup.WithContext(work)
@@ -180,6 +189,7 @@
 	tasks.Go(func() error { return g.runReports(work) })
 	tasks.Go(func() error { return g.tick(work) })
 	tasks.Go(func() error { return g.server.Serve(front) })
+	tasks.Go(func() error { return relay.NewServer(g.Log).Serve(between) })
 	probes := &fasthttp.Server{Handler: g.probe, NoDefaultServerHeader: true, NoDefaultDate: true}
 	tasks.Go(func() error { return probes.Serve(probe) })
 	select {
@@ -189,6 +199,7 @@
 	}
 	_ = front.Close()
 	_ = probe.Close()
+	_ = between.Close()
 	stop()
 	return tasks.Wait()
 }
--- a/internal/gateway/reports.go
+++ b/internal/gateway/reports.go
@@ -10,6 +10,7 @@
 
 	"github.com/comfreylink/comfreylink/internal/events"
 	"github.com/comfreylink/comfreylink/internal/partlog"
+	"github.com/comfreylink/comfreylink/internal/relay"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 	"github.com/comfreylink/comfreylink/pkg/quota"
 	"github.com/comfreylink/comfreylink/pkg/suspect"
@@ -39,8 +40,12 @@
 	Instance ids.InstanceID `json:"instance"`
 	Run      string         `json:"run"`
 	AtMs     int64          `json:"atMs"`
-	Usage    []wireUsage    `json:"usage,omitempty"`
-	Deaths   []wireDeath    `json:"deaths,omitempty"`
+	Address  string         `json:"address"`
+	Zone     ids.Zone       `json:"zone"`
+	// ReachesLog is false if the instance reaches the log through others only.
+	ReachesLog bool        `json:"reachesLog"`
+	Usage      []wireUsage `json:"usage,omitempty"`
+	Deaths     []wireDeath `json:"deaths,omitempty"`
 }
 
 type wireUsage struct {
@@ -111,7 +116,10 @@
 	deaths := g.suspects.unsent
 	g.suspects.unsent = nil
 	g.mu.Unlock()
-	w := wireReport{Instance: g.Settings.Instance.ID, Run: g.RunID, AtMs: g.now().UnixMilli()}
+	w := wireReport{
+		Instance: g.Settings.Instance.ID, Run: g.RunID, AtMs: g.now().UnixMilli(),
+		Address: g.Settings.Relay.Advertise, Zone: g.Settings.Instance.Zone, ReachesLog: g.Log.Reachable(),
+	}
 	for _, u := range usage {
 		w.Usage = append(w.Usage, wireUsage(u))
 	}
@@ -192,11 +200,38 @@
 	if own {
 		return
 	}
+	g.peers[w.Instance] = peer{seen: at, Peer: relay.Peer{Instance: w.Instance, Address: w.Address, Zone: w.Zone, ReachesLog: w.ReachesLog}}
 	for _, d := range w.Deaths {
 		g.suspects.tracker.Died(now, suspect.Death(d))
 	}
 }
 
+// peer is another instance by its last report.
+type peer struct {
+	relay.Peer
+	seen time.Time
+}
+
+// peerKeep is how long an instance without reports may still be asked: reports stop while the log is away.
+const peerKeep = time.Minute
+
+// Peers returns the other instances.
+func (g *Gateway) Peers() (l []relay.Peer) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	for id, p := range g.peers {
+		if now.Sub(p.seen) > peerKeep {
+			delete(g.peers, id)
+			continue
+		}
+		if id != g.Settings.Instance.ID {
+			l = append(l, p.Peer)
+		}
+	}
+	return l
+}
+
 // takeQuota uses one request of a workspace's rate. It waits a little for the next division of the rates before it
 // refuses.
 func (g *Gateway) takeQuota(ctx context.Context, ws ids.WorkspaceID) (ok bool, retry time.Duration) {
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -15,6 +15,7 @@
 	"github.com/samber/oops"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"github.com/comfreylink/comfreylink/internal/frame"
 	"github.com/comfreylink/comfreylink/internal/traffic"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 )
@@ -104,7 +105,7 @@
 		close(c.ready)
 		return
 	}
-	stream := jsonrpc2.NewBufferedStream(deadlineConn{conn, writeTimeout}, frameCodec{})
+	stream := jsonrpc2.NewBufferedStream(deadlineConn{conn, writeTimeout}, frame.Codec{})
 	c.rpc = jsonrpc2.NewConn(context.Background(), stream, c, jsonrpc2.SetLogger(discardLogger{}))
 	close(c.ready)
 	<-c.rpc.DisconnectNotify()
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -15,6 +15,7 @@
 	"github.com/samber/oops"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"github.com/comfreylink/comfreylink/internal/frame"
 	"github.com/comfreylink/comfreylink/internal/traffic"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 )
@@ -101,7 +102,7 @@
 		return
 	}
 	h := &connHandler{server: s, from: from, slots: make(chan struct{}, maxCallsPerConn)}
-	stream := &watchedStream{ObjectStream: jsonrpc2.NewBufferedStream(deadlineConn{secure, writeTimeout}, frameCodec{})}
+	stream := &watchedStream{ObjectStream: jsonrpc2.NewBufferedStream(deadlineConn{secure, writeTimeout}, frame.Codec{})}
 	rpc := jsonrpc2.NewConn(ctx, stream, h, jsonrpc2.SetLogger(discardLogger{}))
 	<-rpc.DisconnectNotify()
 	if err := stream.failure(); err != nil && ctx.Err() == nil {
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,197 @@
+// Package relay reaches the platform's log through another instance while this one cannot: the log may turn away some
+// instances and serve the others. Instances call each other by JSON-RPC.
+package relay
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/comfreylink/comfreylink/internal/events"
+	"github.com/comfreylink/comfreylink/internal/partlog"
+	"github.com/comfreylink/comfreylink/pkg/breaker"
+	"github.com/comfreylink/comfreylink/pkg/ids"
+)
+
+const (
+	// peerTries is how many other instances are asked for one call.
+	peerTries = 2
+	// probeTimeout bounds a call to a log that counts as away.
+	probeTimeout = 150 * time.Millisecond
+	// peerTimeout bounds a call through another instance without the time for which it is asked to wait.
+	peerTimeout = 600 * time.Millisecond
+	// darkPause is how long no other instance is asked after one said that it does not reach the log either, or gave no
+	// answer.
+	darkPause = 150 * time.Millisecond
+)
+
+// Peer is another instance.
+type Peer struct {
+	Instance ids.InstanceID
+	Address  string
+	Zone     ids.Zone
+	// ReachesLog is what the instance last said of its own way to the log.
+	ReachesLog bool
+}
+
+// Config is what a log needs.
+type Config struct {
+	Direct partlog.Log
+	// Peers returns the other instances.
+	Peers  func() []Peer
+	Zone   ids.Zone
+	Now    func() time.Time
+	Logger *zap.Logger
+}
+
+// Log is the platform's log, directly or through another instance. It is safe for concurrent use.
+type Log struct {
+	Config
+	client *client
+
+	mu      sync.Mutex
+	direct  breaker.Breaker
+	lost    time.Time
+	darkEnd time.Time // until then no other instance is asked
+}
+
+// New returns a log; cleanup closes the connections to other instances.
+func New(c Config) (l *Log, cleanup func()) {
+	l = &Log{Config: c, client: newClient()}
+	return l, l.client.close
+}
+
+// Reachable reports whether this instance reaches the log itself.
+func (l *Log) Reachable() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.direct.Open()
+}
+
+// Append implements partlog.Log.
+func (l *Log) Append(ctx context.Context, p partlog.Partition, at ids.Offset, records ...[]byte) (first ids.Offset, err error) {
+	err = l.call(ctx, 0, false, func(ctx context.Context, log partlog.Log) (err error) {
+		first, err = log.Append(ctx, p, at, records...)
+		return err
+	})
+	return first, err
+}
+
+// Read implements partlog.Log.
+func (l *Log) Read(ctx context.Context, p partlog.Partition, from ids.Offset, wait time.Duration) (page partlog.Page, err error) {
+	err = l.call(ctx, wait, true, func(ctx context.Context, log partlog.Log) (err error) {
+		page, err = log.Read(ctx, p, from, wait)
+		return err
+	})
+	return page, err
+}
+
+// Newest implements partlog.Log.
+func (l *Log) Newest(ctx context.Context, p partlog.Partition) (entries []partlog.Entry, end ids.Offset, err error) {
+	err = l.call(ctx, 0, true, func(ctx context.Context, log partlog.Log) (err error) {
+		entries, end, err = log.Newest(ctx, p)
+		return err
+	})
+	return entries, end, err
+}
+
+// call makes a call directly or, where the log does not take it, through another instance. A call whose answer did not
+// arrive is made again only if it is a read: otherwise the caller finds out what became of it.
+func (l *Log) call(ctx context.Context, wait time.Duration, read bool, do func(context.Context, partlog.Log) error) (err error) {
+	allowed, open := l.allow()
+	err = errAway
+	if allowed {
+		err = l.callDirect(ctx, wait, open, do)
+		if !errors.Is(err, partlog.ErrNotDone) && !(read && errors.Is(err, partlog.ErrUnknown)) {
+			return err
+		}
+	}
+	for range peerTries {
+		peer, ok := l.pick()
+		if !ok || ctx.Err() != nil {
+			return err
+		}
+		peerCtx, cancel := context.WithTimeout(ctx, wait+peerTimeout)
+		peerErr := do(peerCtx, l.client.log(peer.Address))
+		cancel()
+		if !errors.Is(peerErr, partlog.ErrNotDone) {
+			return peerErr
+		}
+		l.dark()
+	}
+	return err
+}
+
+var errAway = errors.Join(partlog.ErrNotDone, errors.New("the log is away and no other instance reaches it"))
+
+func (l *Log) allow() (allowed, open bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.direct.Allow(l.Now()), l.direct.Open()
+}
+
+func (l *Log) callDirect(ctx context.Context, wait time.Duration, open bool, do func(context.Context, partlog.Log) error) error {
+	if open {
+		probe, cancel := context.WithTimeout(ctx, wait+probeTimeout)
+		defer cancel()
+		ctx = probe
+	}
+	err := do(ctx, l.Direct)
+	l.note(err)
+	return err
+}
+
+// note takes over the outcome of a direct call. Answers that refuse a call for what it asks are answers.
+func (l *Log) note(err error) {
+	failed := errors.Is(err, partlog.ErrNotDone) || errors.Is(err, partlog.ErrUnknown)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.Now()
+	switch {
+	case failed && l.direct.Failed(now):
+		l.lost = now
+		events.Log(l.Logger, events.LogContactLost, zap.String("operation", "direct"), zap.Error(err))
+	case !failed && l.direct.Succeeded():
+		events.Log(l.Logger, events.LogContactRegained, zap.Duration("duration", now.Sub(l.lost)))
+	}
+}
+
+func (l *Log) dark() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.darkEnd = l.Now().Add(darkPause)
+}
+
+// pick returns an instance to ask: one that reached the log when it last said so, of the own zone if there is one.
+func (l *Log) pick() (peer Peer, ok bool) {
+	l.mu.Lock()
+	asking := !l.Now().Before(l.darkEnd)
+	l.mu.Unlock()
+	if !asking {
+		return peer, false
+	}
+	best, ties := 0, 0
+	for _, p := range l.Peers() {
+		score := 1
+		if p.ReachesLog {
+			score += 2
+		}
+		if p.Zone == l.Zone {
+			score++
+		}
+		if score > best {
+			best, ties = score, 0
+		}
+		if score == best {
+			ties++
+			if rand.IntN(ties) == 0 {
+				peer = p
+			}
+		}
+	}
+	return peer, best > 0
+}
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -13,6 +13,7 @@
 // Gateway are the settings of a gateway, with defaults for what the file leaves out.
 type Gateway struct {
 	Instance GatewayInstance
+	Relay    Relay
 	Store    Store
 	Bounds   Bounds
 	Dispatch GatewayDispatch
@@ -31,6 +32,13 @@
 	Grace time.Duration
 }
 
+// Relay configures the calls between gateways.
+type Relay struct {
+	Listen string
+	// Advertise is the address that other gateways connect to.
+	Advertise string
+}
+
 // Store configures the access to the platform's log.
 type Store struct {
 	Address string
@@ -61,6 +69,11 @@
 	i.Grace = s.Duration("grace", 8*time.Second, 100*time.Millisecond, time.Hour)
 }
 
+func (r *Relay) read(s *inifile.Section) {
+	r.Listen = address(s, "listen", true, true)
+	r.Advertise = address(s, "advertise", true, false)
+}
+
 func (l *Store) read(s *inifile.Section) {
 	l.Address = address(s, "address", true, false)
 	l.Partitions = int(s.Int("partitions", 12, 1, 1024))
@@ -93,7 +106,7 @@
 		return Gateway{}, err
 	}
 	for _, part := range []part{
-		{"instance", g.Instance.read}, {"store", g.Store.read}, {"bounds", g.Bounds.read}, {"dispatch", g.Dispatch.read},
+		{"instance", g.Instance.read}, {"relay", g.Relay.read}, {"store", g.Store.read}, {"bounds", g.Bounds.read}, {"dispatch", g.Dispatch.read},
 		{"observe", g.Observe.read},
 	} {
 		section := f.Section(part.name)
