Grant each workspace's requests at one instance; begun programs go first

Change: pkg/quota keeps one bucket at the instance that rendezvous hashing names for a workspace; others ask it by JSON-RPC (internal/grants), next in line where it does not answer. Grants are reported in the log once a second, so that whoever takes over knows the bucket. A program's first request leaves a part of the burst to programs that have begun; a program of over 60 requests goes behind. JSON-RPC between instances is internal/rpc. Settlements wait 900 ms for the next reservation, targets are read each 700 ms, reads of the configuration wait 1.2 s. Events count calls to the log.

--- a/cmd/comfreylink/gateway.go
+++ b/cmd/comfreylink/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/comfreylink/comfreylink/internal/httpwire"
 	"github.com/comfreylink/comfreylink/internal/logring"
 	"github.com/comfreylink/comfreylink/internal/relay"
+	"github.com/comfreylink/comfreylink/internal/rpc"
 	"github.com/comfreylink/comfreylink/internal/settings"
 	"github.com/comfreylink/comfreylink/internal/telemetry"
 	"github.com/comfreylink/comfreylink/platform"
@@ -57,13 +58,14 @@
 	store := platform.NewStore(s.Store.Address, client, clock.Now, metrics)
 	runID := rand.Text()
 	var g *gateway.Gateway
-	log, closeLog := relay.New(relay.Config{
-		Direct: store, Peers: func() []relay.Peer { return g.Peers() }, Zone: s.Instance.Zone, Now: clock.Now, Logger: logger,
+	peers, closePeers := rpc.NewClient()
+	defer closePeers()
+	log := relay.New(relay.Config{
+		Direct: store, Client: peers, Peers: func() []relay.Peer { return g.Peers() }, Zone: s.Instance.Zone, Now: clock.Now, Logger: logger,
 	})
-	defer closeLog()
 	g = gateway.New(gateway.Config{
 		Settings: s, Codec: platform.Codec{}, ReadyPath: platform.ReadyPath, Client: client, Clock: clock, Logger: logger,
-		Metrics: metrics, RunID: runID, Log: log, Source: gateway.Source{
+		Metrics: metrics, RunID: runID, Log: log, RPC: peers, Source: gateway.Source{
 			Log: log, Config: platform.ConfigPartition, Targets: platform.TargetsPartition, ConfigKey: platform.ConfigKey,
 			DecodeKeyed: platform.DecodeKeyed, DecodeConfig: platform.DecodeConfig, DecodeTarget: platform.DecodeTarget,
 		},
@@ -75,7 +77,7 @@
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	go watchSettings(ctx, path, level, logger)
-	go countDropped(ctx, ring, logger)
+	go logUsage(ctx, ring, metrics, logger)
 	if s.Instance.Metrics != "" {
 		endServer := serveMetrics(s.Instance.Metrics, metrics.Handler(g.Dump), logger)
 		defer endServer()
@@ -135,11 +137,11 @@
 	events.Log(logger, events.SettingsChanged, zap.String("file", path), zap.String("reason", "valid"))
 }
 
-// droppedInterval is the time between two lines that count the log lines left out.
-const droppedInterval = 5 * time.Second
+// usageInterval is the time between two lines about calls to the log, and about log lines that were left out.
+const usageInterval = 10 * time.Second
 
-func countDropped(ctx context.Context, ring *logring.Ring, logger *zap.Logger) {
-	ticker := time.NewTicker(droppedInterval)
+func logUsage(ctx context.Context, ring *logring.Ring, metrics *telemetry.Metrics, logger *zap.Logger) {
+	ticker := time.NewTicker(usageInterval)
 	defer ticker.Stop()
 	var last int64
 	for {
@@ -148,6 +150,7 @@
 			return
 		case <-ticker.C:
 		}
+		events.Log(logger, events.StoreUsed, zap.Any("calls", metrics.StoreCalls()))
 		if n := ring.Dropped(); n > last {
 			events.Log(logger, events.LinesDropped, zap.Int64("count", n-last))
 			last = n
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -70,6 +70,10 @@
 	EntriesFromPeer = define(207, "entriesFromPeer", info,
 		"The log cannot be read here; entries of the configuration were taken from another daemon.", nothing,
 		"instance", "from", "entries", "configRevision")
+	StoreUsed = define(209, "storeUsed", info,
+		"Calls to the platform's log since the start, by path.",
+		"Compare with docs/CAPACITY.md if the log refuses calls as too many.",
+		"calls")
 	BatchRenumbered = define(208, "batchRenumbered", warn,
 		"A batch of this instance had no effect, because its number was used by another batch; it is appended with a new one.",
 		"If it happens often, report it with the fields of the event.",
@@ -165,9 +169,6 @@
 		"A remembered turn names a turn before it that the log does not hold.",
 		"Report it with the fields of the event.",
 		"requestId")
-	QuotaShared = define(615, "quotaShared", debug,
-		"The rates of workspaces were divided anew among the instances.", nothing,
-		"instances")
 	ReportFailed = define(616, "reportFailed", warn,
 		"The report of used rates could not be written or read; this instance goes on with its last share.",
 		"Check the log service.",
--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -19,9 +19,9 @@
 const (
 	// configWait is how long a read of the configuration waits for news; the configuration is that much older than the
 	// last read that ended.
-	configWait = 700 * time.Millisecond
+	configWait = 1200 * time.Millisecond
 	// targetsInterval is the time between reads of the targets' entries.
-	targetsInterval = 400 * time.Millisecond
+	targetsInterval = 700 * time.Millisecond
 	// failPause is the wait after a failed read.
 	failPause = 100 * time.Millisecond
 	// readTimeout bounds a read without the time for which it waits.
--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -5,6 +5,7 @@
 
 	"github.com/comfreylink/comfreylink/internal/call"
 	"github.com/comfreylink/comfreylink/internal/telemetry"
+	"github.com/comfreylink/comfreylink/pkg/quota"
 )
 
 // Dump is the gateway's state for operators. It holds no keys and no bodies.
@@ -31,9 +32,7 @@
 		ConfigVersion: g.configVersion(), ConfigAgeMs: age.Milliseconds(), Targets: g.beliefs.targets(now),
 		Waiting: g.lines.Len(), InProgress: g.server.Active(), Turns: g.turns.Len(),
 	}
-	g.mu.Lock()
-	d.Instances = g.quota.Instances()
-	g.mu.Unlock()
+	g.grants.View(func(_ *quota.Keeper, m *quota.Members) { d.Instances = m.Len() })
 	return d
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,13 +18,16 @@
 	"github.com/comfreylink/comfreylink/internal/boottime"
 	"github.com/comfreylink/comfreylink/internal/call"
 	"github.com/comfreylink/comfreylink/internal/events"
+	"github.com/comfreylink/comfreylink/internal/grants"
 	"github.com/comfreylink/comfreylink/internal/httpwire"
 	"github.com/comfreylink/comfreylink/internal/ledger"
 	"github.com/comfreylink/comfreylink/internal/line"
 	"github.com/comfreylink/comfreylink/internal/partlog"
 	"github.com/comfreylink/comfreylink/internal/relay"
+	"github.com/comfreylink/comfreylink/internal/rpc"
 	"github.com/comfreylink/comfreylink/internal/settings"
 	"github.com/comfreylink/comfreylink/internal/turnstore"
+	"github.com/comfreylink/comfreylink/pkg/account"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 	"github.com/comfreylink/comfreylink/pkg/quota"
 )
@@ -43,6 +46,8 @@
 	// Log is the log of Source, which other instances may use through this one.
 	Log   *relay.Log
 	Codec Codec
+	// Peers calls other instances.
+	RPC *rpc.Client
 	// ReadyPath is the path of the readiness probe.
 	ReadyPath string
 	Client    *httpwire.Client
@@ -95,12 +100,13 @@
 	draining atomic.Bool
 	ready    atomic.Bool
 
-	mu       sync.Mutex // guards quota, suspects and the fields of reports
-	quota    *quota.Keeper
+	grants *grants.Grantor
+
+	mu       sync.Mutex // guards the fields below
 	suspects suspects
 	peers    map[ids.InstanceID]peer
-	shared   chan struct{} // closed when the quota was divided anew
-	urgent   chan struct{} // asks for a report before its time
+	programs map[account.Key]programUse
+	runs     map[ids.InstanceID]string // the last run of each instance that reported
 }
 
 // New returns a gateway.
@@ -108,12 +114,12 @@
 	g := &Gateway{
 		Config:   c,
 		lines:    line.New(line.Options{Policy: string(c.Settings.Dispatch.Policy), Now: c.Clock.Now}),
-		quota:    quota.New(c.Settings.Instance.ID, instanceKeep),
 		suspects: newSuspects(),
 		peers:    make(map[ids.InstanceID]peer),
-		shared:   make(chan struct{}),
-		urgent:   make(chan struct{}, 1),
+		programs: make(map[account.Key]programUse),
+		runs:     make(map[ids.InstanceID]string),
 	}
+	g.grants = grants.New(grants.Config{Self: c.Settings.Instance.ID, Client: c.RPC, Now: c.Clock.Now, Address: g.addressOf})
 	parts := c.Settings.Store.Partitions
 	g.ledger = ledger.New(ledger.Config{
 		Log: c.Source.Log, Now: c.Clock.Now, Logger: c.Logger,
@@ -160,9 +166,7 @@
 	for _, w := range table.Config.Workspaces {
 		limits[w.ID] = quota.Limit{Rate: w.Rate, Burst: w.Burst}
 	}
-	g.mu.Lock()
-	g.quota.Configure(now, limits)
-	g.mu.Unlock()
+	g.grants.View(func(k *quota.Keeper, _ *quota.Members) { k.Configure(now, limits) })
 	g.lines.Update(now, g.beliefs.targets(now), table.Service)
 }
 
@@ -189,7 +193,7 @@
 	tasks.Go(func() error { return g.runReports(work) })
 	tasks.Go(func() error { return g.tick(work) })
 	tasks.Go(func() error { return g.server.Serve(front) })
-	tasks.Go(func() error { return relay.NewServer(g.Log).Serve(between) })
+	tasks.Go(func() error { return rpc.NewServer(g.Log.Methods(), g.grants.Methods()).Serve(between) })
 	probes := &fasthttp.Server{Handler: g.probe, NoDefaultServerHeader: true, NoDefaultDate: true}
 	tasks.Go(func() error { return probes.Serve(probe) })
 	select {
@@ -208,6 +212,7 @@
 func (g *Gateway) drain() {
 	began := time.Now()
 	g.draining.Store(true)
+	go g.announceLeave()
 	g.updateReady(g.now())
 	events.Log(g.Logger, events.Draining, zap.Int("inProgress", g.server.Active()), zap.Duration("timeout", g.Settings.Instance.Grace))
 	g.server.StopKeeping()
@@ -224,12 +229,23 @@
 	g.flush(last)
 }
 
+// announceLeave tells the other instances at once that this one no longer grants.
+func (g *Gateway) announceLeave() {
+	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+	defer cancel()
+	if err := g.report(ctx); err != nil {
+		events.Log(g.Logger, events.ReportFailed, zap.String("operation", "leave"), zap.Error(err))
+	}
+}
+
 // flush writes what waits to be written, within the time that is left.
 func (g *Gateway) flush(last time.Time) {
 	ctx, cancel := context.WithDeadline(context.Background(), last.Add(exitMargin/2))
 	defer cancel()
 	g.ledger.Flush(ctx)
-	g.report(ctx)
+	if err := g.report(ctx); err != nil {
+		events.Log(g.Logger, events.ReportFailed, zap.String("operation", "last"), zap.Error(err))
+	}
 }
 
 func (g *Gateway) probe(c *fasthttp.RequestCtx) {
@@ -306,5 +322,10 @@
 	g.turns.Retain(now, retention)
 	g.mu.Lock()
 	g.suspects.tracker.DropOld(now)
+	for k, use := range g.programs {
+		if now.Sub(use.last) > programKeep {
+			delete(g.programs, k)
+		}
+	}
 	g.mu.Unlock()
 }
--- a/internal/gateway/reports.go
+++ b/internal/gateway/reports.go
@@ -11,22 +11,19 @@
 	"github.com/comfreylink/comfreylink/internal/events"
 	"github.com/comfreylink/comfreylink/internal/partlog"
 	"github.com/comfreylink/comfreylink/internal/relay"
+	"github.com/comfreylink/comfreylink/pkg/account"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 	"github.com/comfreylink/comfreylink/pkg/quota"
 	"github.com/comfreylink/comfreylink/pkg/suspect"
 )
 
 const (
-	// reportInterval is the shortest time between two reports of an instance in a small fleet, reportPerInstance what each
-	// instance adds to it, so that the reports of all fit into one partition.
-	reportInterval    = 400 * time.Millisecond
+	// reportInterval is the time between two reports of an instance in a small fleet, reportPerInstance what each instance
+	// adds to it, so that the reports of all fit into one partition.
+	reportInterval    = time.Second
 	reportPerInstance = 8 * time.Millisecond
-	// idleReportInterval is the time between the reports of an instance that nobody asks.
-	idleReportInterval = time.Second
-	// urgentInterval is the shortest time before a report that a refused request asks for.
-	urgentInterval = 120 * time.Millisecond
-	// instanceKeep is how long an instance without reports is counted.
-	instanceKeep = 4 * time.Second
+	// deathInterval is the time between reports while a target's death is to be told.
+	deathInterval = 200 * time.Millisecond
 	// backlogAge is how old a report may be that a new run still reads.
 	backlogAge = 10 * time.Second
 	// reportTimeout bounds one call to the log.
@@ -42,6 +39,8 @@
 	AtMs     int64          `json:"atMs"`
 	Address  string         `json:"address"`
 	Zone     ids.Zone       `json:"zone"`
+	// Leaving is set from a planned stop on.
+	Leaving bool `json:"leaving,omitempty"`
 	// ReachesLog is false if the instance reaches the log through others only.
 	ReachesLog bool        `json:"reachesLog"`
 	Usage      []wireUsage `json:"usage,omitempty"`
@@ -50,8 +49,7 @@
 
 type wireUsage struct {
 	Workspace ids.WorkspaceID `json:"workspace"`
-	Used      int             `json:"used"`
-	Asked     int             `json:"asked"`
+	Granted   int             `json:"granted"`
 }
 
 type wireDeath struct {
@@ -84,41 +82,29 @@
 
 func (g *Gateway) pauseReports(ctx context.Context, began time.Time) {
 	g.mu.Lock()
-	interval := max(reportInterval, reportPerInstance*time.Duration(g.quota.Instances()))
-	g.mu.Unlock()
-	select {
-	case <-ctx.Done():
-		return
-	case <-g.urgent:
-		if early := urgentInterval - g.now().Sub(began); early > 0 {
-			time.Sleep(early)
-		}
-		return
-	case <-time.After(interval):
+	interval := max(reportInterval, reportPerInstance*time.Duration(len(g.peers)))
+	if len(g.suspects.unsent) > 0 {
+		interval = deathInterval
 	}
-	g.mu.Lock()
-	busy := g.quota.Busy() || len(g.suspects.unsent) > 0
 	g.mu.Unlock()
-	if busy {
-		return
-	}
 	select {
 	case <-ctx.Done():
-	case <-g.urgent:
-	case <-time.After(max(idleReportInterval-interval, 0)):
+	case <-time.After(interval - g.now().Sub(began)):
 	}
 }
 
 // report appends what was used since the last report.
 func (g *Gateway) report(ctx context.Context) error {
 	g.mu.Lock()
-	usage := g.quota.Report()
 	deaths := g.suspects.unsent
 	g.suspects.unsent = nil
 	g.mu.Unlock()
+	var usage []quota.Usage
+	g.grants.View(func(k *quota.Keeper, _ *quota.Members) { usage = k.Report() })
 	w := wireReport{
 		Instance: g.Settings.Instance.ID, Run: g.RunID, AtMs: g.now().UnixMilli(),
 		Address: g.Settings.Relay.Advertise, Zone: g.Settings.Instance.Zone, ReachesLog: g.Log.Reachable(),
+		Leaving: g.draining.Load(),
 	}
 	for _, u := range usage {
 		w.Usage = append(w.Usage, wireUsage(u))
@@ -135,8 +121,8 @@
 	if err != nil {
 		// A report whose answer was lost may be there and is written again: others then deduct it twice, which refuses
 		// rather than exceeds.
+		g.grants.View(func(k *quota.Keeper, _ *quota.Members) { k.Restore(usage) })
 		g.mu.Lock()
-		g.quota.Restore(usage)
 		g.suspects.unsent = append(deaths, g.suspects.unsent...)
 		g.mu.Unlock()
 	}
@@ -182,12 +168,7 @@
 		}
 		g.takeReport(now, at, w)
 	}
-	if page.Next() >= page.End {
-		g.quota.Share(now)
-		close(g.shared)
-		g.shared = make(chan struct{})
-		events.Log(g.Logger, events.QuotaShared, zap.Int("instances", g.quota.Instances()))
-	}
+	g.grants.View(func(_ *quota.Keeper, m *quota.Members) { m.DropOld(now) })
 }
 
 func (g *Gateway) takeReport(now, at time.Time, w wireReport) {
@@ -196,7 +177,14 @@
 	for i, u := range w.Usage {
 		usage[i] = quota.Usage(u)
 	}
-	g.quota.Read(now, at, w.Instance, own, usage)
+	newRun := g.runs[w.Instance] != w.Run
+	g.runs[w.Instance] = w.Run
+	g.grants.View(func(k *quota.Keeper, m *quota.Members) {
+		m.Report(at, w.Instance, newRun, w.Leaving)
+		if !own {
+			k.Read(now, at, usage)
+		}
+	})
 	if own {
 		return
 	}
@@ -212,6 +200,14 @@
 	seen time.Time
 }
 
+// addressOf returns where another instance is called.
+func (g *Gateway) addressOf(id ids.InstanceID) (address string, ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p, ok := g.peers[id]
+	return p.Address, ok
+}
+
 // peerKeep is how long an instance without reports may still be asked: reports stop while the log is away.
 const peerKeep = time.Minute
 
@@ -232,39 +228,74 @@
 	return l
 }
 
-// takeQuota uses one request of a workspace's rate. It waits a little for the next division of the rates before it
-// refuses.
-func (g *Gateway) takeQuota(ctx context.Context, ws ids.WorkspaceID) (ok bool, retry time.Duration) {
-	last := g.now().Add(quotaWait)
+// takeQuota uses one request of a workspace's rate. It waits a little before it refuses. Programs that have begun go before those that begin: a program that is refused midway has used its
+// workspace's rate in vain.
+func (g *Gateway) takeQuota(ctx context.Context, ws ids.WorkspaceID, asked int, priority int) (ok bool, retry time.Duration) {
+	spare, wait := 0.0, begunWait
+	switch {
+	case asked == 0:
+		spare, wait = min(spareToBegin+sparePerRank*float64(priority), mostSpare), beginWait
+	case asked > longProgram:
+		spare = spareOfLong
+	}
+	last := g.now().Add(wait)
 	for {
-		g.mu.Lock()
-		ok, retry = g.quota.Take(g.now(), ws)
-		shared := g.shared
-		g.mu.Unlock()
+		ok, retry = g.grants.Take(ctx, ws, spare)
 		left := last.Sub(g.now())
-		if ok || left <= 0 {
+		if ok || retry > left || ctx.Err() != nil {
 			return ok, retry
 		}
 		select {
-		case g.urgent <- struct{}{}:
-		default:
-		}
-		select {
-		case <-shared:
-		case <-time.After(min(left, max(retry, time.Millisecond))):
+		case <-time.After(retry):
 		case <-ctx.Done():
-			return false, retry
 		}
 	}
 }
 
-// quotaWait is how long a request waits for its workspace's rate before it is refused.
-const quotaWait = 60 * time.Millisecond
+const (
+	// beginWait and begunWait are how long the first request of a program and its later ones wait for their workspace's
+	// rate before they are refused.
+	beginWait = 50 * time.Millisecond
+	begunWait = 150 * time.Millisecond
+	// spareToBegin is the part of a burst that must be left for a program of the highest priority to begin, sparePerRank
+	// what each rank below adds.
+	spareToBegin = 0.1
+	sparePerRank = 0.1
+	mostSpare    = 0.5
+	// longProgram is the number of requests after which a program no longer goes before others: it may never end.
+	longProgram = 60
+	spareOfLong = 0.4
+)
 
-func (g *Gateway) returnQuota(ws ids.WorkspaceID) {
+// programKeep is how long a program without requests counts as begun.
+const programKeep = time.Minute
+
+// programUse is what the gateway has seen of a program.
+type programUse struct {
+	requests int
+	last     time.Time
+}
+
+// requestsOf returns how many requests of a program the gateway has let in.
+func (g *Gateway) requestsOf(ws ids.WorkspaceID, p ids.ProgramID) int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.quota.Return(ws)
+	return g.programs[account.Key{Workspace: ws, Program: p}].requests
+}
+
+// letIn counts a request of a program.
+func (g *Gateway) letIn(now time.Time, ws ids.WorkspaceID, p ids.ProgramID) {
+	if p == "" {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	k := account.Key{Workspace: ws, Program: p}
+	g.programs[k] = programUse{requests: g.programs[k].requests + 1, last: now}
+}
+
+func (g *Gateway) returnQuota(ws ids.WorkspaceID) {
+	g.grants.Return(ws)
 }
 
 // died notes that a target broke off while it ran a request.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -149,9 +149,14 @@
 	if e.workspace == nil {
 		return nil
 	}
-	if ok, retry := e.takeQuota(e.ctx, e.workspace.ID); !ok {
+	asked := e.requestsOf(e.workspace.ID, e.req.Program)
+	if e.req.Previous != "" {
+		asked = max(asked, 1)
+	}
+	if ok, retry := e.takeQuota(e.ctx, e.workspace.ID, asked, e.route.Priority); !ok {
 		return &refusal{status: fasthttp.StatusTooManyRequests, code: codeRate, retry: retry}
 	}
+	e.letIn(e.began, e.workspace.ID, e.req.Program)
 	return nil
 }
 
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -20,7 +20,7 @@
 
 const (
 	// settleDelay is how long a settlement waits for a reservation to be written along with.
-	settleDelay = 300 * time.Millisecond
+	settleDelay = 900 * time.Millisecond
 	// ampleTurns is how many turns more a program's budget must hold for its turn to be sent before the reservation is
 	// in the log.
 	ampleTurns = 4
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -13,6 +13,7 @@
 
 	"github.com/comfreylink/comfreylink/internal/events"
 	"github.com/comfreylink/comfreylink/internal/partlog"
+	"github.com/comfreylink/comfreylink/internal/rpc"
 	"github.com/comfreylink/comfreylink/pkg/breaker"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 )
@@ -41,6 +42,7 @@
 // Config is what a log needs.
 type Config struct {
 	Direct partlog.Log
+	Client *rpc.Client
 	// Peers returns the other instances.
 	Peers  func() []Peer
 	Zone   ids.Zone
@@ -51,19 +53,14 @@
 // Log is the platform's log, directly or through another instance. It is safe for concurrent use.
 type Log struct {
 	Config
-	client *client
-
 	mu      sync.Mutex
 	direct  breaker.Breaker
 	lost    time.Time
 	darkEnd time.Time // until then no other instance is asked
 }
 
-// New returns a log; cleanup closes the connections to other instances.
-func New(c Config) (l *Log, cleanup func()) {
-	l = &Log{Config: c, client: newClient()}
-	return l, l.client.close
-}
+// New returns a log.
+func New(c Config) *Log { return &Log{Config: c} }
 
 // Reachable reports whether this instance reaches the log itself.
 func (l *Log) Reachable() bool {
@@ -116,7 +113,7 @@
 			return err
 		}
 		peerCtx, cancel := context.WithTimeout(ctx, wait+peerTimeout)
-		peerErr := do(peerCtx, l.client.log(peer.Address))
+		peerErr := do(peerCtx, &peerLog{client: l.Client, address: peer.Address})
 		cancel()
 		if !errors.Is(peerErr, partlog.ErrNotDone) {
 			return peerErr
--- a/internal/relay/rpc.go
+++ b/internal/relay/rpc.go
@@ -4,14 +4,12 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"net"
-	"sync"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
 
-	"github.com/comfreylink/comfreylink/internal/frame"
 	"github.com/comfreylink/comfreylink/internal/partlog"
+	"github.com/comfreylink/comfreylink/internal/rpc"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 )
 
@@ -30,9 +28,6 @@
 	codeGone     = 4
 )
 
-// dialTimeout bounds the time to reach another instance.
-const dialTimeout = 150 * time.Millisecond
-
 type appendParams struct {
 	Partition partlog.Partition `json:"partition"`
 	At        ids.Offset        `json:"at"`
@@ -62,83 +57,25 @@
 	Offset ids.Offset `json:"offset"`
 }
 
-// client keeps a connection to each instance that was asked.
-type client struct {
-	mu    sync.Mutex
-	conns map[string]*jsonrpc2.Conn
-}
-
-func newClient() *client { return &client{conns: make(map[string]*jsonrpc2.Conn)} }
-
-func (c *client) close() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, conn := range c.conns {
-		_ = conn.Close()
-	}
-}
-
-func (c *client) log(address string) partlog.Log { return &peerLog{client: c, address: address} }
-
-func (c *client) conn(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
-	c.mu.Lock()
-	conn := c.conns[address]
-	c.mu.Unlock()
-	if conn != nil {
-		select {
-		case <-conn.DisconnectNotify():
-		default:
-			return conn, nil
-		}
-	}
-	d := net.Dialer{Timeout: dialTimeout}
-	nc, err := d.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	conn = jsonrpc2.NewConn(context.Background(), jsonrpc2.NewBufferedStream(nc, frame.Codec{}), refuseCalls{})
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.conns[address] = conn
-	return conn, nil
-}
-
-// drop closes a connection on which an answer is missing.
-func (c *client) drop(address string, conn *jsonrpc2.Conn) {
-	_ = conn.Close()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.conns[address] == conn {
-		delete(c.conns, address)
-	}
-}
-
-// refuseCalls answers nothing: only the side that opened a connection calls.
-type refuseCalls struct{}
-
-func (refuseCalls) Handle(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) {}
-
 // peerLog is the log as another instance reaches it.
 type peerLog struct {
-	client  *client
+	client  *rpc.Client
 	address string
 }
 
 func (p *peerLog) call(ctx context.Context, method string, params, result any) error {
-	conn, err := p.client.conn(ctx, p.address)
-	if err != nil {
+	err := p.client.Call(ctx, p.address, method, params, result)
+	var answered *jsonrpc2.Error
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &answered):
+		return decodeError(answered)
+	case errors.Is(err, rpc.ErrUnreachable):
 		return errors.Join(partlog.ErrNotDone, err)
-	}
-	err = conn.Call(ctx, method, params, result)
-	var rpc *jsonrpc2.Error
-	if errors.As(err, &rpc) {
-		return decodeError(rpc)
-	}
-	if err != nil {
-		p.client.drop(p.address, conn)
+	default:
 		return errors.Join(partlog.ErrUnknown, err)
 	}
-	return nil
 }
 
 func (p *peerLog) Append(ctx context.Context, part partlog.Partition, at ids.Offset, records ...[]byte) (ids.Offset, error) {
@@ -166,92 +103,35 @@
 	return err
 }
 
-// Server answers the calls of other instances with the log as this one reaches it.
-type Server struct {
-	log *Log
-
-	mu    sync.Mutex
-	conns map[*jsonrpc2.Conn]struct{}
-}
-
-// NewServer returns a server.
-func NewServer(l *Log) *Server { return &Server{log: l, conns: make(map[*jsonrpc2.Conn]struct{})} }
-
-// Serve accepts connections until the listener is closed.
-func (s *Server) Serve(l net.Listener) error {
-	defer s.closeAll()
-	for {
-		nc, err := l.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-		conn := jsonrpc2.NewConn(context.Background(), jsonrpc2.NewBufferedStream(nc, frame.Codec{}),
-			jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle)))
-		s.mu.Lock()
-		s.conns[conn] = struct{}{}
-		s.mu.Unlock()
-		go func() {
-			<-conn.DisconnectNotify()
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			delete(s.conns, conn)
-		}()
-	}
-}
-
-func (s *Server) closeAll() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for conn := range s.conns {
-		_ = conn.Close()
-	}
-}
-
-// handle makes a call directly. It is never passed on to a third instance.
-func (s *Server) handle(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (result any, err error) {
-	if r.Params == nil {
-		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "no parameters"}
-	}
-	if !s.log.Reachable() {
-		return nil, encodeError(errAway)
-	}
-	switch r.Method {
-	case methodAppend:
-		return answer(r, func(p appendParams) (any, error) {
-			first, err := s.log.Direct.Append(ctx, p.Partition, p.At, p.Records...)
-			s.log.note(err)
+// Methods are the calls of other instances, made directly: they are never passed on to a third instance.
+func (l *Log) Methods() map[string]rpc.Method {
+	return map[string]rpc.Method{
+		methodAppend: serve(l, func(ctx context.Context, p appendParams) (any, error) {
+			first, err := l.Direct.Append(ctx, p.Partition, p.At, p.Records...)
 			return appendResult{First: first}, err
-		})
-	case methodRead:
-		return answer(r, func(p readParams) (any, error) {
-			page, err := s.log.Direct.Read(ctx, p.Partition, p.From, time.Duration(p.WaitMs)*time.Millisecond)
-			s.log.note(err)
-			return page, err
-		})
-	case methodNewest:
-		return answer(r, func(p newestParams) (any, error) {
-			entries, end, err := s.log.Direct.Newest(ctx, p.Partition)
-			s.log.note(err)
+		}),
+		methodRead: serve(l, func(ctx context.Context, p readParams) (any, error) {
+			return l.Direct.Read(ctx, p.Partition, p.From, time.Duration(p.WaitMs)*time.Millisecond)
+		}),
+		methodNewest: serve(l, func(ctx context.Context, p newestParams) (any, error) {
+			entries, end, err := l.Direct.Newest(ctx, p.Partition)
 			return newestResult{Entries: entries, End: end}, err
-		})
-	default:
-		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: r.Method}
+		}),
 	}
 }
 
-func answer[P any](r *jsonrpc2.Request, do func(P) (any, error)) (any, error) {
-	var p P
-	if err := json.Unmarshal(*r.Params, &p); err != nil {
-		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
-	}
-	result, err := do(p)
-	if err != nil {
-		return nil, encodeError(err)
-	}
-	return result, nil
+func serve[P any](l *Log, do func(context.Context, P) (any, error)) rpc.Method {
+	return rpc.Typed(func(ctx context.Context, p P) (any, error) {
+		if !l.Reachable() {
+			return nil, encodeError(errAway)
+		}
+		result, err := do(ctx, p)
+		l.note(err)
+		if err != nil {
+			return nil, encodeError(err)
+		}
+		return result, nil
+	})
 }
 
 func encodeError(err error) *jsonrpc2.Error {
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -4,7 +4,9 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -49,6 +51,23 @@
 	request, waited, firstByte, store metric.Float64Histogram
 	refused, attempts, storeBytes     metric.Int64Counter
 	meter                             metric.Meter
+
+	mu    sync.Mutex
+	calls map[string]CallCount
+}
+
+// CallCount is how often a call to the platform's log was made, how often it failed and how many bytes it moved.
+type CallCount struct {
+	Made   int `json:"made"`
+	Failed int `json:"failed"`
+	Bytes  int `json:"bytes"`
+}
+
+// StoreCalls returns the counts of all calls since the start, by path.
+func (m *Metrics) StoreCalls() map[string]CallCount {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return maps.Clone(m.calls)
 }
 
 // New returns the instruments; cleanup ends their provider.
@@ -60,7 +79,7 @@
 		return nil, nil, err
 	}
 	provider := sdkmetric.NewMeterProvider(sdkmetric.WithReader(exporter))
-	m = &Metrics{registry: registry, meter: provider.Meter("github.com/comfreylink/comfreylink/gateway")}
+	m = &Metrics{registry: registry, calls: make(map[string]CallCount), meter: provider.Meter("github.com/comfreylink/comfreylink/gateway")}
 	var i instruments
 	m.request = i.seconds(m.meter, "http.server.request.duration", "Time from a request to the end of its answer.", requestBounds)
 	m.waited = i.seconds(m.meter, "comfreylink.line.wait", "Time that a request waits for a target.", waitBounds)
@@ -140,6 +159,15 @@
 
 // StoreCall records a call to the platform's log.
 func (m *Metrics) StoreCall(call string, took time.Duration, bytes int, err error) {
+	m.mu.Lock()
+	count := m.calls[call]
+	count.Made++
+	count.Bytes += bytes
+	if err != nil {
+		count.Failed++
+	}
+	m.calls[call] = count
+	m.mu.Unlock()
 	attributes := metric.WithAttributes(attrCall.String(call), attrFailed.Bool(err != nil))
 	m.store.Record(context.Background(), took.Seconds(), attributes)
 	m.storeBytes.Add(context.Background(), int64(bytes), attributes)
