--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -17,9 +17,9 @@
 )
 
 const (
-	// configWait is how long a read of the configuration waits for news; the configuration is that much older than the
-	// last read that ended.
-	configWait = 1200 * time.Millisecond
+	// readsPerRevoke is how many reads of the configuration fit into the time for which a withdrawn key may work. A read
+	// waits for news, and the configuration is that much older than the last read that ended.
+	readsPerRevoke = 5
 	// targetsInterval is the time between reads of the targets' entries.
 	targetsInterval = 700 * time.Millisecond
 	// failPause is the wait after a failed read.
@@ -46,6 +46,8 @@
 	source Source
 	logger *zap.Logger
 	now    func() time.Time
+	// configWait is how long a read of the configuration waits for news.
+	configWait time.Duration
 
 	table atomic.Pointer[call.Table]
 	// fresh is when the last read was sent that showed the configuration up to date, in Unix nanoseconds; 0 before.
@@ -58,8 +60,8 @@
 	changed  func(now time.Time) // called when the table or the targets changed, without the lock
 }
 
-func newBeliefs(s Source, logger *zap.Logger, now func() time.Time) *beliefs {
-	return &beliefs{source: s, logger: logger, now: now, registry: registry.New()}
+func newBeliefs(s Source, revoke time.Duration, logger *zap.Logger, now func() time.Time) *beliefs {
+	return &beliefs{source: s, logger: logger, now: now, configWait: revoke / readsPerRevoke, registry: registry.New()}
 }
 
 // freshness returns the age of the configuration; ok is false before it was read.
@@ -227,7 +229,7 @@
 ) (next ids.Offset, err error) {
 	wait := time.Duration(0)
 	if interval == 0 {
-		wait = configWait
+		wait = b.configWait
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+readTimeout)
 	defer cancel()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -129,7 +129,7 @@
 		Log: c.Source.Log, Now: c.Clock.Now, Logger: c.Logger,
 		Space: partlog.Space{Name: "turns", Topics: topicsPerSpace, Parts: parts},
 	})
-	g.beliefs = newBeliefs(c.Source, c.Logger, c.Clock.Now)
+	g.beliefs = newBeliefs(c.Source, c.Settings.Bounds.Revoke, c.Logger, c.Clock.Now)
 	g.beliefs.changed = g.beliefsChanged
 	g.server = httpwire.NewServer(g, g.limits)
 	return g
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -18,6 +18,7 @@
 	"github.com/comfreylink/comfreylink/internal/events"
 	"github.com/comfreylink/comfreylink/internal/httpwire"
 	"github.com/comfreylink/comfreylink/internal/ledger"
+	"github.com/comfreylink/comfreylink/internal/partlog"
 	"github.com/comfreylink/comfreylink/internal/turnstore"
 	"github.com/comfreylink/comfreylink/pkg/account"
 	"github.com/comfreylink/comfreylink/pkg/ids"
@@ -66,6 +67,18 @@
 // shortRetry is when a caller comes back for which another instance may be better off.
 const shortRetry = 250 * time.Millisecond
 
+// outageRetry is when a caller comes back while the platform's log is away for this instance and all others: sooner is
+// of no use, and later callers give up.
+const outageRetry = 900 * time.Millisecond
+
+// logRetry is when a caller comes back whose request needed the log.
+func logRetry(err error) time.Duration {
+	if errors.Is(err, partlog.ErrAway) {
+		return outageRetry
+	}
+	return shortRetry
+}
+
 // exchange is one request on its way through the gateway.
 type exchange struct {
 	*Gateway
@@ -132,7 +145,7 @@
 	}
 	if !e.route.Public {
 		if !e.freshEnough(e.began) {
-			return &refusal{status: fasthttp.StatusServiceUnavailable, code: codeStale, retry: shortRetry}
+			return &refusal{status: fasthttp.StatusServiceUnavailable, code: codeStale, retry: outageRetry}
 		}
 		if e.workspace = e.table.Workspace(e.req.Key); e.workspace == nil {
 			return e.unknown(fasthttp.StatusUnauthorized, codeUnknownKey)
@@ -225,7 +238,7 @@
 		return &refusal{status: fasthttp.StatusNotFound, code: codeNoTurn}
 	}
 	if err != nil {
-		return &refusal{status: fasthttp.StatusServiceUnavailable, code: codeTurnUnknown, retry: shortRetry, err: err}
+		return &refusal{status: fasthttp.StatusServiceUnavailable, code: codeTurnUnknown, retry: logRetry(err), err: err}
 	}
 	var b bytes.Buffer
 	for _, t := range turns {
@@ -251,7 +264,7 @@
 		e.reservation = nil
 		return &refusal{status: fasthttp.StatusPaymentRequired, code: codeBudget}
 	default:
-		return &refusal{status: fasthttp.StatusServiceUnavailable, code: codeLedger, retry: shortRetry, err: err}
+		return &refusal{status: fasthttp.StatusServiceUnavailable, code: codeLedger, retry: logRetry(err), err: err}
 	}
 }
 
--- a/internal/httpwire/server.go
+++ b/internal/httpwire/server.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -25,6 +26,12 @@
 	Serve(ctx context.Context, x *Exchange)
 }
 
+const (
+	// discardTimeout and discardBytes bound what is read of a request that was rejected before its end.
+	discardTimeout = 500 * time.Millisecond
+	discardBytes   = 8 << 20
+)
+
 // bodyTimeout bounds the time in which a caller sends a request's body.
 const bodyTimeout = 10 * time.Second
 
@@ -175,6 +182,7 @@
 	if err := x.readBody(f, l.BodyBytes); err != nil {
 		if errors.Is(err, ErrTooLarge) {
 			x.reject(fasthttp.StatusRequestEntityTooLarge)
+			x.discard()
 		}
 		return false
 	}
@@ -211,6 +219,16 @@
 	x.Answer(status, nil, nil)
 }
 
+// discard reads what a rejected caller still sends, for a short time: closing the connection at once would reset it, and
+// the caller would lose the answer.
+func (x *Exchange) discard() {
+	if half, ok := x.conn.(interface{ CloseWrite() error }); ok {
+		_ = half.CloseWrite()
+	}
+	_ = x.conn.SetReadDeadline(time.Now().Add(discardTimeout))
+	_, _ = io.CopyN(io.Discard, x.br, discardBytes)
+}
+
 // watch waits until the caller sends more, closes the connection or the exchange has ended.
 func (x *Exchange) watch(cancel context.CancelFunc) {
 	_, err := x.br.Peek(1)
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -352,6 +352,9 @@
 
 // pause waits before another try, or returns the cause if there is no time for one.
 func (p *partition) pause(ctx context.Context, cause error) error {
+	if errors.Is(cause, partlog.ErrAway) {
+		return cause
+	}
 	select {
 	case <-time.After(retryPause):
 		return nil
--- a/internal/partlog/partlog.go
+++ b/internal/partlog/partlog.go
@@ -41,6 +41,10 @@
 // ErrNotDone is wrapped by errors of calls that had no effect and will have none.
 var ErrNotDone = errors.New("the log did not take the call")
 
+// ErrAway is wrapped, beside ErrNotDone, by errors of calls that were not tried because the log counts as away: another
+// try at once is of no use.
+var ErrAway = errors.New("the log is away")
+
 // ErrUnknown is wrapped by errors of calls that may have had an effect, or may have one later.
 var ErrUnknown = errors.New("the log's answer did not arrive")
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -123,7 +123,7 @@
 	return err
 }
 
-var errAway = errors.Join(partlog.ErrNotDone, errors.New("the log is away and no other instance reaches it"))
+var errAway = errors.Join(partlog.ErrNotDone, partlog.ErrAway)
 
 func (l *Log) allow() (allowed, open bool) {
 	l.mu.Lock()
--- a/internal/turnstore/turnstore.go
+++ b/internal/turnstore/turnstore.go
@@ -157,6 +157,9 @@
 		if err == nil {
 			return nil, ErrNone
 		}
+		if errors.Is(err, partlog.ErrAway) {
+			return nil, oops.In("turnstore").With("turn", id).Wrapf(err, "read a turn")
+		}
 		select {
 		case <-time.After(retryPause):
 		case <-ctx.Done():
