Pause after a write that the log was away for

Change: the writer ends and is started again after 1.2 s or by the next reservation. jsonrpc2 prints nothing of its own.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -203,12 +203,15 @@
 		}
 		events.Log(p.ledger.Logger, events.LedgerFailed, zap.String("stream", p.id.Topic), zap.Int("part", p.id.Part),
 			zap.Int("records", len(asks)+len(settled)), zap.Error(err))
-		p.abandon(asks, settled, err)
+		if !p.abandon(asks, settled, err) {
+			return
+		}
 	}
 }
 
-// abandon fails what could not be written. Settlements are kept for the next write.
-func (p *partition) abandon(asks []*Reservation, settled []account.Record, err error) {
+// abandon fails what could not be written and reports whether the writer goes on. Settlements are kept; they alone are
+// written again after a pause.
+func (p *partition) abandon(asks []*Reservation, settled []account.Record, err error) (goOn bool) {
 	for _, r := range asks {
 		r.finish(err)
 	}
@@ -217,8 +220,7 @@
 	p.settled = append(settled, p.settled...)
 	p.running = len(p.waiting) > 0
 	if p.running {
-		go p.write()
-		return
+		return true
 	}
 	if !p.timed {
 		p.timed = true
@@ -229,6 +231,7 @@
 			p.start()
 		})
 	}
+	return false
 }
 
 func (r *Reservation) finish(err error) {
--- /dev/null
+++ b/internal/ledger/ledger_test.go
@@ -0,0 +1,118 @@
+package ledger_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+
+	"github.com/comfreylink/comfreylink/internal/ledger"
+	"github.com/comfreylink/comfreylink/internal/partlog"
+	"github.com/comfreylink/comfreylink/internal/partlog/partlogtest"
+	"github.com/comfreylink/comfreylink/pkg/account"
+	"github.com/comfreylink/comfreylink/pkg/ids"
+)
+
+var program = account.Key{Workspace: "w", Program: "p"}
+
+func newLedger(log partlog.Log) *ledger.Ledger {
+	return ledger.New(ledger.Config{
+		Log: log, Space: partlog.Space{Name: "accounts", Topics: 1, Parts: 1}, Now: time.Now, Logger: zap.NewNop(),
+	})
+}
+
+func reserve(l *ledger.Ledger, turn string, budget, tokens ids.Tokens) (*ledger.Reservation, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	r, err := l.Reserve(ctx, ledger.Ask{Key: program, Turn: turn, Budget: budget, Tokens: tokens})
+	if err != nil {
+		return nil, err
+	}
+	return r, r.Wait(ctx)
+}
+
+// Guards against a budget that is granted twice, by two daemons at the same time and by daemons that lose answers of the
+// log, whose appends take effect all the same or later.
+func TestBudgetIsNeverExceeded(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			c := qt.New(t)
+			random := rand.New(rand.NewPCG(seed, 1))
+			log := partlogtest.New()
+			log.SetFault(func(int) partlogtest.Fault {
+				switch random.IntN(6) {
+				case 0:
+					return partlogtest.Fault{Err: partlog.ErrUnknown, Done: true}
+				case 1:
+					return partlogtest.Fault{Err: partlog.ErrUnknown}
+				case 2:
+					return partlogtest.Fault{Err: partlog.ErrNotDone}
+				}
+				return partlogtest.Fault{}
+			})
+			const budget, tokens, daemons, turns = 1000, 90, 3, 10
+			var mu sync.Mutex
+			granted := ids.Tokens(0)
+			var tasks sync.WaitGroup
+			for d := range daemons {
+				l := newLedger(log)
+				tasks.Go(func() {
+					for i := range turns {
+						if _, err := reserve(l, fmt.Sprintf("%d-%d", d, i), budget, tokens); err == nil {
+							mu.Lock()
+							granted += tokens
+							mu.Unlock()
+						}
+					}
+				})
+			}
+			tasks.Wait()
+			c.Assert(granted <= budget, qt.IsTrue, qt.Commentf("%d granted of %d", granted, budget))
+			c.Assert(granted > 0, qt.IsTrue)
+		})
+	}
+}
+
+// Guards against a program that is told that its budget is spent although other turns have given tokens back.
+func TestSettlementFreesWhatWasNotSpent(t *testing.T) {
+	c := qt.New(t)
+	log := partlogtest.New()
+	first, second := newLedger(log), newLedger(log)
+	r, err := reserve(first, "a", 100, 80)
+	c.Assert(err, qt.IsNil)
+	_, err = reserve(second, "b", 100, 80)
+	c.Assert(errors.Is(err, ledger.ErrSpent), qt.IsTrue)
+	r.Settle(10)
+	first.Flush(context.Background())
+	_, err = reserve(second, "c", 100, 80)
+	c.Assert(err, qt.IsNil)
+}
+
+// Guards against a daemon that calls a log which is away again and again: bench day scale-2 was given up for its
+// processor time.
+func TestLogThatIsAwayIsLeftAlone(t *testing.T) {
+	c := qt.New(t)
+	log := partlogtest.New()
+	l := newLedger(log)
+	r, err := reserve(l, "a", 1000, 80)
+	c.Assert(err, qt.IsNil)
+	away := errors.Join(partlog.ErrNotDone, partlog.ErrAway)
+	log.SetFault(func(int) partlogtest.Fault { return partlogtest.Fault{Err: away} })
+	r.Settle(10)
+	l.Flush(context.Background())
+	_, err = reserve(l, "b", 100, 80)
+	c.Assert(errors.Is(err, partlog.ErrAway), qt.IsTrue)
+	time.Sleep(300 * time.Millisecond)
+	c.Assert(log.Calls() < 10, qt.IsTrue, qt.Commentf("%d calls", log.Calls()))
+	log.SetFault(nil)
+	c.Assert(len(log.Records()), qt.Equals, 1)
+	_, err = reserve(l, "c", 1000, 80)
+	c.Assert(err, qt.IsNil)
+	c.Assert(len(log.Records()), qt.Equals, 3, qt.Commentf("the settlement is written with the next reservation"))
+}
--- /dev/null
+++ b/internal/partlog/partlogtest/partlogtest.go
@@ -0,0 +1,98 @@
+// Package partlogtest holds a log in memory for tests, with the faults of a real one.
+package partlogtest
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/comfreylink/comfreylink/internal/partlog"
+	"github.com/comfreylink/comfreylink/pkg/ids"
+)
+
+// Log is a log in memory. It is safe for concurrent use.
+type Log struct {
+	mu         sync.Mutex
+	partitions map[partlog.Partition][][]byte
+	calls      int
+	fault      func(call int) Fault
+}
+
+// Fault is what goes wrong with one call.
+type Fault struct {
+	// Err is returned in place of an answer.
+	Err error
+	// Done tells that an append takes effect in spite of Err.
+	Done bool
+}
+
+// New returns an empty log.
+func New() *Log { return &Log{partitions: make(map[partlog.Partition][][]byte)} }
+
+// SetFault sets what goes wrong with each call, by its number from 0; nil ends all faults.
+func (l *Log) SetFault(f func(call int) Fault) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.calls, l.fault = 0, f
+}
+
+// Calls returns the number of calls since SetFault.
+func (l *Log) Calls() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.calls
+}
+
+// Records returns a copy of all records of all partitions.
+func (l *Log) Records() (all [][]byte) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, records := range l.partitions {
+		all = append(all, records...)
+	}
+	return all
+}
+
+// next returns the fault of the present call. The caller holds the lock.
+func (l *Log) next() (f Fault) {
+	if l.fault != nil {
+		f = l.fault(l.calls)
+	}
+	l.calls++
+	return f
+}
+
+// Append implements partlog.Log.
+func (l *Log) Append(_ context.Context, p partlog.Partition, at ids.Offset, records ...[]byte) (first ids.Offset, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	f := l.next()
+	if f.Err != nil && !f.Done {
+		return 0, f.Err
+	}
+	end := ids.Offset(len(l.partitions[p]))
+	if at != partlog.Anywhere && at != end {
+		return 0, &partlog.ConflictError{End: end}
+	}
+	for _, r := range records {
+		l.partitions[p] = append(l.partitions[p], slices.Clone(r))
+	}
+	return end, f.Err
+}
+
+// Read implements partlog.Log. It does not wait.
+func (l *Log) Read(_ context.Context, p partlog.Partition, from ids.Offset, _ time.Duration) (page partlog.Page, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if f := l.next(); f.Err != nil {
+		return page, f.Err
+	}
+	records := l.partitions[p]
+	return partlog.Page{Records: slices.Clone(records[min(int(from), len(records)):]), From: from, End: ids.Offset(len(records))}, nil
+}
+
+// Newest implements partlog.Log for tests that do not need it.
+func (l *Log) Newest(context.Context, partlog.Partition) ([]partlog.Entry, ids.Offset, error) {
+	return nil, 0, nil
+}
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -5,6 +5,8 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
+	"log"
 	"net"
 	"sync"
 	"time"
@@ -17,6 +19,9 @@
 // dialTimeout bounds the time to reach another instance.
 const dialTimeout = 150 * time.Millisecond
 
+// quiet drops what jsonrpc2 prints of its own: answers to calls that were given up and connections that end are expected.
+var quiet = jsonrpc2.SetLogger(log.New(io.Discard, "", 0))
+
 // ErrUnreachable is wrapped by errors of calls that did not reach the other instance.
 var ErrUnreachable = errors.New("the instance is not reachable")
 
@@ -56,7 +61,7 @@
 	if err != nil {
 		return nil, err
 	}
-	conn = jsonrpc2.NewConn(context.Background(), jsonrpc2.NewBufferedStream(nc, frame.Codec{}), refuseCalls{})
+	conn = jsonrpc2.NewConn(context.Background(), jsonrpc2.NewBufferedStream(nc, frame.Codec{}), refuseCalls{}, quiet)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.conns[address] = conn
@@ -139,7 +144,7 @@
 		}
 		// A caller that has gone does not wait for its answer, so that nothing is lost with what cannot be sent.
 		conn := jsonrpc2.NewConn(context.Background(), jsonrpc2.NewBufferedStream(nc, frame.Codec{}),
-			jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle).SuppressErrClosed()))
+			jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle).SuppressErrClosed()), quiet)
 		s.mu.Lock()
 		s.conns[conn] = struct{}{}
 		s.mu.Unlock()
