Leave out instances that did not help with the log

Change: an instance that did not help is left out for 2 s, and the one that helped last is asked first.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -20,14 +20,13 @@
 
 const (
 	// peerTries is how many other instances are asked for one call.
-	peerTries = 2
+	peerTries = 3
 	// probeTimeout bounds a call to a log that counts as away.
 	probeTimeout = 150 * time.Millisecond
 	// peerTimeout bounds a call through another instance without the time for which it is asked to wait.
 	peerTimeout = 600 * time.Millisecond
-	// darkPause is how long no other instance is asked after one said that it does not reach the log either, or gave no
-	// answer.
-	darkPause = 150 * time.Millisecond
+	// failedPause is how long an instance is not asked that did not reach the log either, or gave no answer.
+	failedPause = 2 * time.Second
 )
 
 // Peer is another instance.
@@ -53,14 +52,15 @@
 // Log is the platform's log, directly or through another instance. It is safe for concurrent use.
 type Log struct {
 	Config
-	mu      sync.Mutex
-	direct  breaker.Breaker
-	lost    time.Time
-	darkEnd time.Time // until then no other instance is asked
+	mu     sync.Mutex
+	direct breaker.Breaker
+	lost   time.Time
+	helper ids.InstanceID               // the instance that answered last
+	failed map[ids.InstanceID]time.Time // instances that did not help, and when
 }
 
 // New returns a log.
-func New(c Config) *Log { return &Log{Config: c} }
+func New(c Config) *Log { return &Log{Config: c, failed: make(map[ids.InstanceID]time.Time)} }
 
 // Reachable reports whether this instance reaches the log itself.
 func (l *Log) Reachable() bool {
@@ -115,10 +115,11 @@
 		peerCtx, cancel := context.WithTimeout(ctx, wait+peerTimeout)
 		peerErr := do(peerCtx, &peerLog{client: l.Client, address: peer.Address})
 		cancel()
-		if !errors.Is(peerErr, partlog.ErrNotDone) {
+		helped := !errors.Is(peerErr, partlog.ErrNotDone)
+		l.noteHelper(peer.Instance, helped)
+		if helped {
 			return peerErr
 		}
-		l.dark()
 	}
 	return err
 }
@@ -157,29 +158,30 @@
 	}
 }
 
-func (l *Log) dark() {
+func (l *Log) noteHelper(id ids.InstanceID, helped bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.darkEnd = l.Now().Add(darkPause)
+	if helped {
+		l.helper = id
+		delete(l.failed, id)
+		return
+	}
+	l.failed[id] = l.Now()
 }
 
-// pick returns an instance to ask: one that reached the log when it last said so, of the own zone if there is one.
+// pick returns an instance to ask: the one that helped last, or one that reached the log when it last said so, of the own
+// zone if there is one. Instances that failed lately are left out.
 func (l *Log) pick() (peer Peer, ok bool) {
+	peers := l.Peers()
 	l.mu.Lock()
-	asking := !l.Now().Before(l.darkEnd)
-	l.mu.Unlock()
-	if !asking {
-		return peer, false
-	}
+	defer l.mu.Unlock()
+	now := l.Now()
 	best, ties := 0, 0
-	for _, p := range l.Peers() {
-		score := 1
-		if p.ReachesLog {
-			score += 2
-		}
-		if p.Zone == l.Zone {
-			score++
+	for _, p := range peers {
+		if at, failed := l.failed[p.Instance]; failed && now.Sub(at) < failedPause {
+			continue
 		}
+		score := l.score(p)
 		if score > best {
 			best, ties = score, 0
 		}
@@ -192,3 +194,18 @@
 	}
 	return peer, best > 0
 }
+
+// score ranks an instance by how likely and how cheaply it helps.
+func (l *Log) score(p Peer) int {
+	score := 1
+	if p.Zone == l.Zone {
+		score++
+	}
+	if p.ReachesLog {
+		score += 2
+	}
+	if p.Instance == l.helper {
+		score += 4
+	}
+	return score
+}
