--- /dev/null
+++ b/internal/httpwire/server_test.go
@@ -0,0 +1,145 @@
+package httpwire_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/valyala/fasthttp"
+
+	"github.com/comfreylink/comfreylink/internal/httpwire"
+)
+
+// echo answers each request with its path and body.
+type echo struct{ seen chan string }
+
+func (e echo) Serve(_ context.Context, x *httpwire.Exchange) {
+	e.seen <- string(x.Header.RequestURI()) + " " + string(x.Body)
+	x.Answer(fasthttp.StatusOK, nil, x.Body)
+}
+
+func startServer(c *qt.C, h httpwire.Handler) (address string, s *httpwire.Server) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	s = httpwire.NewServer(h, func() httpwire.Limits {
+		return httpwire.Limits{HeaderBytes: 4096, BodyBytes: 1000, HeaderTimeout: time.Second, IdleTimeout: time.Second}
+	})
+	go func() { _ = s.Serve(l) }()
+	c.Cleanup(func() { _ = l.Close() })
+	return l.Addr().String(), s
+}
+
+// Guards against a second request that is smuggled inside the first one, and against heads that two peers read in
+// different ways.
+func TestFraming(t *testing.T) {
+	const head = "POST /a HTTP/1.1\r\nHost: h\r\n"
+	for _, test := range []struct {
+		name, request string
+		status        int
+		seen          []string
+	}{
+		{"length", head + "Content-Length: 3\r\n\r\nabc", 200, []string{"/a abc"}},
+		{"chunks", head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n", 200, []string{"/a abcde"}},
+		{"chunks with trailer", head + "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\nX: y\r\n\r\n", 200, []string{"/a a"}},
+		{"no body", "GET /b HTTP/1.1\r\nHost: h\r\n\r\n", 200, []string{"/b "}},
+		{"two lengths", head + "Content-Length: 3\r\nContent-Length: 40\r\n\r\nabc", 400, nil},
+		{"same length twice", head + "Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc", 400, nil},
+		{"length and chunks", head + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /s HTTP/1.1\r\nHost: h\r\n\r\n", 400, nil},
+		{"unknown encoding", head + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", 400, nil},
+		{"space before the colon", head + "Content-Length : 3\r\n\r\nabc", 400, nil},
+		{"folded line", head + "X: a\r\n Content-Length: 3\r\n\r\nabc", 400, nil},
+		{"sign in length", head + "Content-Length: +3\r\n\r\nabc", 400, nil},
+		{"long body", head + "Content-Length: 1001\r\n\r\n" + strings.Repeat("x", 1001), 413, nil},
+		{"long head", head + "X: " + strings.Repeat("x", 8000) + "\r\n\r\n", 431, nil},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			e := echo{seen: make(chan string, 4)}
+			address, _ := startServer(c, e)
+			conn, err := net.Dial("tcp", address)
+			c.Assert(err, qt.IsNil)
+			defer conn.Close()
+			_, err = io.WriteString(conn, test.request)
+			c.Assert(err, qt.IsNil)
+			r, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			c.Assert(err, qt.IsNil)
+			c.Assert(r.StatusCode, qt.Equals, test.status)
+			time.Sleep(20 * time.Millisecond)
+			var seen []string
+			for len(e.seen) > 0 {
+				seen = append(seen, <-e.seen)
+			}
+			c.Assert(seen, qt.DeepEquals, test.seen)
+		})
+	}
+}
+
+// Guards against a connection that is not kept, and against requests that are answered out of order.
+func TestRequestsOnOneConnection(t *testing.T) {
+	c := qt.New(t)
+	address, s := startServer(c, echo{seen: make(chan string, 4)})
+	conn, err := net.Dial("tcp", address)
+	c.Assert(err, qt.IsNil)
+	defer conn.Close()
+	br := bufio.NewReader(conn)
+	send := func(body string) {
+		_, err := io.WriteString(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\n"+body)
+		c.Assert(err, qt.IsNil)
+	}
+	receive := func() (string, bool) {
+		r, err := http.ReadResponse(br, nil)
+		c.Assert(err, qt.IsNil)
+		body, err := io.ReadAll(r.Body)
+		c.Assert(err, qt.IsNil)
+		return string(body), r.Close
+	}
+	send("a")
+	send("b") // before the first answer
+	for _, want := range []string{"a", "b"} {
+		got, closed := receive()
+		c.Assert(got, qt.Equals, want)
+		c.Assert(closed, qt.IsFalse)
+	}
+	s.StopKeeping()
+	send("c")
+	got, closed := receive()
+	c.Assert(got, qt.Equals, "c")
+	c.Assert(closed, qt.IsTrue)
+}
+
+// until waits for the caller to go.
+type until struct{ ended chan error }
+
+func (u until) Serve(ctx context.Context, x *httpwire.Exchange) {
+	_ = x.Begin(fasthttp.StatusOK, nil, []byte("piece"))
+	select {
+	case <-ctx.Done():
+		u.ended <- ctx.Err()
+	case <-time.After(2 * time.Second):
+		u.ended <- nil
+	}
+}
+
+// Guards against work for a caller that has gone, and against a broken answer that looks complete.
+func TestCallerGone(t *testing.T) {
+	c := qt.New(t)
+	u := until{ended: make(chan error, 2)}
+	address, _ := startServer(c, u)
+	conn, err := net.Dial("tcp", address)
+	c.Assert(err, qt.IsNil)
+	_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	c.Assert(err, qt.IsNil)
+	r, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	c.Assert(err, qt.IsNil)
+	c.Assert(conn.Close(), qt.IsNil)
+	c.Assert(errors.Is(<-u.ended, context.Canceled), qt.IsTrue)
+	_, err = io.ReadAll(r.Body)
+	c.Assert(err, qt.IsNotNil)
+}
--- /dev/null
+++ b/internal/registry/registry_test.go
@@ -0,0 +1,59 @@
+package registry_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/comfreylink/comfreylink/internal/call"
+	"github.com/comfreylink/comfreylink/internal/registry"
+)
+
+var start = time.Unix(1000, 0)
+
+func report(born, seq int64, draining bool) call.Target {
+	return call.Target{ID: "a", Service: "s", Address: "10.0.0.1:1", Born: born, Seq: seq, Draining: draining}
+}
+
+// Guards against an old report that brings back a target which has gone or is leaving.
+func TestOldReportsAreIgnored(t *testing.T) {
+	c := qt.New(t)
+	r := registry.New()
+	c.Assert(r.Put(report(1, 5, false)), qt.IsTrue)
+	c.Assert(r.Put(report(1, 6, false)), qt.IsFalse, qt.Commentf("only the count has changed"))
+	c.Assert(r.Put(report(1, 7, true)), qt.IsTrue)
+	c.Assert(r.Put(report(1, 6, false)), qt.IsFalse)
+	c.Assert(r.Targets(start)[0].Draining, qt.IsTrue)
+	c.Assert(r.Remove(start, "a"), qt.IsTrue)
+	c.Assert(r.Put(report(1, 7, false)), qt.IsFalse)
+	c.Assert(r.Targets(start), qt.HasLen, 0)
+	c.Assert(r.Put(report(2, 1, false)), qt.IsTrue, qt.Commentf("a new start counts anew"))
+	c.Assert(r.Targets(start), qt.HasLen, 1)
+}
+
+// Guards against targets that are dropped because their entries lapsed while the log was away, and against ones that
+// are kept for longer than that.
+func TestEntriesMayComeBackAfterAnOutage(t *testing.T) {
+	c := qt.New(t)
+	r := registry.New()
+	r.Put(report(1, 5, false))
+	r.LogReturned(start)
+	r.Replace(start.Add(100*time.Millisecond), nil)
+	c.Assert(r.Targets(start.Add(time.Second)), qt.HasLen, 1)
+	c.Assert(r.Targets(start.Add(registry.ReturnGrace)), qt.HasLen, 0)
+	r.Put(report(1, 6, false))
+	r.Remove(start.Add(time.Minute), "a")
+	c.Assert(r.Targets(start.Add(time.Minute)), qt.HasLen, 0, qt.Commentf("without an outage it has gone at once"))
+}
+
+// Guards against a target that is used at an address which belongs to another one now.
+func TestMovedTarget(t *testing.T) {
+	c := qt.New(t)
+	r := registry.New()
+	r.Put(report(1, 5, false))
+	r.Moved("a")
+	c.Assert(r.Targets(start), qt.HasLen, 0)
+	c.Assert(r.Put(report(1, 6, false)), qt.IsTrue)
+	c.Assert(r.Targets(start), qt.HasLen, 1)
+}
--- /dev/null
+++ b/internal/turnstore/turnstore_test.go
@@ -0,0 +1,85 @@
+package turnstore_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+
+	"github.com/comfreylink/comfreylink/internal/call"
+	"github.com/comfreylink/comfreylink/internal/partlog"
+	"github.com/comfreylink/comfreylink/internal/partlog/partlogtest"
+	"github.com/comfreylink/comfreylink/internal/turnstore"
+)
+
+func newStore(log partlog.Log) *turnstore.Store {
+	return turnstore.New(turnstore.Config{
+		Log: log, Space: partlog.Space{Name: "turns", Topics: 2, Parts: 2}, Now: time.Now, Logger: zap.NewNop(),
+	})
+}
+
+func second() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), time.Second)
+}
+
+// Guards against a turn that is lost or mixed up when answers of the log are lost, and against a chain that another
+// store cannot put together.
+func TestChain(t *testing.T) {
+	c := qt.New(t)
+	log := partlogtest.New()
+	log.SetFault(func(call int) partlogtest.Fault {
+		switch call % 3 {
+		case 0:
+			return partlogtest.Fault{Err: partlog.ErrUnknown, Done: true}
+		case 1:
+			return partlogtest.Fault{Err: partlog.ErrNotDone}
+		}
+		return partlogtest.Fault{}
+	})
+	first, again := newStore(log), newStore(log)
+	ctx, cancel := second()
+	defer cancel()
+	var chain []call.ID
+	for i := range 5 {
+		id := call.ID(fmt.Sprintf("t%d", i))
+		turn := turnstore.Turn{ID: id, Workspace: "w", Chain: append([]call.ID(nil), chain...), Input: []byte{'a' + byte(i)}, Output: []byte("\n")}
+		c.Assert(first.Put(ctx, turn), qt.IsNil)
+		chain = append(chain, id)
+	}
+	for _, s := range []*turnstore.Store{first, again} {
+		turns, err := s.Chain(ctx, time.Now(), "w", "t4")
+		c.Assert(err, qt.IsNil)
+		text := ""
+		for _, turn := range turns {
+			text += string(turn.Input) + string(turn.Output)
+		}
+		c.Assert(text, qt.Equals, "a\nb\nc\nd\ne\n")
+	}
+}
+
+// Guards against a turn that is said not to exist though the log was not read since the question, and against another
+// workspace's turn.
+func TestNoSuchTurn(t *testing.T) {
+	c := qt.New(t)
+	log := partlogtest.New()
+	s, other := newStore(log), newStore(log)
+	ctx, cancel := second()
+	defer cancel()
+	_, err := s.Chain(ctx, time.Now(), "w", "t")
+	c.Assert(errors.Is(err, turnstore.ErrNone), qt.IsTrue)
+	c.Assert(other.Put(ctx, turnstore.Turn{ID: "t", Workspace: "w"}), qt.IsNil)
+	_, err = s.Chain(ctx, time.Now(), "w", "t")
+	c.Assert(err, qt.IsNil, qt.Commentf("the turn was kept before it was asked for"))
+	_, err = s.Chain(ctx, time.Now(), "v", "t")
+	c.Assert(errors.Is(err, turnstore.ErrNone), qt.IsTrue)
+	log.SetFault(func(int) partlogtest.Fault {
+		return partlogtest.Fault{Err: errors.Join(partlog.ErrNotDone, partlog.ErrAway)}
+	})
+	_, err = s.Chain(ctx, time.Now(), "w", "unknown")
+	c.Assert(err, qt.IsNotNil)
+	c.Assert(errors.Is(err, turnstore.ErrNone), qt.IsFalse)
+}
--- /dev/null
+++ b/pkg/suspect/suspect_test.go
@@ -0,0 +1,30 @@
+package suspect_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/comfreylink/comfreylink/pkg/ids"
+	"github.com/comfreylink/comfreylink/pkg/suspect"
+)
+
+// Guards against a request that crashes one target after the other, and against one that only ran beside it.
+func TestTracker(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	tr := suspect.New()
+	for i, id := range []ids.TargetID{"a", "b", "b", "c"} {
+		c.Assert(tr.Refuse("bad"), qt.IsFalse, qt.Commentf("after %d deaths", i))
+		tr.Died(now, suspect.Death{Fingerprint: "bad", Target: id})
+		tr.Died(now, suspect.Death{Fingerprint: "beside", Target: id})
+		if id == "b" {
+			tr.Survived("beside")
+		}
+	}
+	c.Assert(tr.Refuse("bad"), qt.IsTrue)
+	c.Assert(tr.Refuse("beside"), qt.IsFalse)
+	tr.DropOld(now.Add(time.Hour))
+	c.Assert(tr.Refuse("bad"), qt.IsFalse)
+}
