--- a/internal/line/line.go
+++ b/internal/line/line.go
@@ -98,6 +98,7 @@
 	options.Ramp, options.Probation = 300*time.Millisecond, time.Second
 	options.ForeignHalfLife = 300 * time.Millisecond
 	options.HintHalfLife = time.Minute
+	options.ConnectSeconds, options.ConnectionKeep = connectSeconds, connectionKeep
 	if s != nil && s.Engine != nil {
 		options.PrefillRate, options.DecodeRate = enginePrefillRate, engineDecodeRate
 	} else {
@@ -112,6 +113,14 @@
 	}
 }
 
+const (
+	// connectSeconds is what a new connection to a target counts as: it may hold a slot there, and targets accept a limited
+	// number from all instances.
+	connectSeconds = 0.04
+	// connectionKeep is how long an idle connection is used again.
+	connectionKeep = 4 * time.Second
+)
+
 // What a target is assumed to do until completions show its speed.
 const (
 	// enginePrefillRate and engineDecodeRate are in tokens a second for one request.
--- a/pkg/target/report.go
+++ b/pkg/target/report.go
@@ -105,4 +105,8 @@
 	// ForeignHalfLife is the time in which half of the calls of other dispatchers in a load report are taken to have
 	// ended; 0 keeps the count until the next report.
 	ForeignHalfLife time.Duration
+	// ConnectSeconds is what a new connection to a target costs, in seconds of a call; ConnectionKeep is how long an idle
+	// one is kept.
+	ConnectSeconds float64
+	ConnectionKeep time.Duration
 }
--- a/pkg/target/target.go
+++ b/pkg/target/target.go
@@ -49,6 +49,9 @@
 	foreign  int // calls of others, by the last report
 	reported time.Time
 	changes  []change
+	// connected is the most calls that were there at once since connectedAt: as many connections are open.
+	connected   int
+	connectedAt time.Time
 
 	left       time.Time // the target's own word that it is leaving; zero if none
 	failed     time.Time // last death; zero after a sign of life
@@ -178,7 +181,15 @@
 func (t *Target) Seconds(now time.Time, uncached, output float64) (own, others float64) {
 	queue := max(t.prefilled.Sub(now).Seconds(), 0)
 	prefill := t.slow * uncached / t.opt.PrefillRate
-	return queue + prefill + t.slow*output/t.opt.DecodeRate*t.beside(now), prefill * prefillDelay
+	return queue + prefill + t.slow*output/t.opt.DecodeRate*t.beside(now) + t.connectSeconds(now), prefill * prefillDelay
+}
+
+// connectSeconds returns the cost of the connection for one more call.
+func (t *Target) connectSeconds(now time.Time) float64 {
+	if t.own < t.connected && now.Sub(t.connectedAt) <= t.opt.ConnectionKeep {
+		return 0
+	}
+	return t.opt.ConnectSeconds
 }
 
 // beside returns the factor by which the calls in flight slow each other down.
@@ -205,6 +216,9 @@
 
 func (t *Target) count(now time.Time, delta int) {
 	t.own += delta
+	if t.own >= t.connected || now.Sub(t.connectedAt) > t.opt.ConnectionKeep {
+		t.connected, t.connectedAt = t.own, now
+	}
 	if len(t.changes) == changesKept {
 		t.changes = slices.Delete(t.changes, 0, 1)
 	}
