--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -30,7 +30,7 @@
 	d := Dump{
 		Instance: string(g.Settings.Instance.ID), Run: g.RunID, Ready: g.ready.Load(), Draining: g.draining.Load(),
 		ConfigVersion: g.configVersion(), ConfigAgeMs: age.Milliseconds(), Targets: g.beliefs.targets(now),
-		Waiting: g.lines.Len(), InProgress: g.server.Active(), Turns: g.turns.Len(),
+		Waiting: g.lines.Len(), InProgress: g.server.Active(), Turns: g.programs.Turns(),
 	}
 	g.grants.View(func(_ *quota.Keeper, m *quota.Members) { d.Instances = m.Len() })
 	return d
@@ -51,6 +51,6 @@
 			age, _ := g.beliefs.freshness(g.now())
 			return age
 		},
-		Waiting: g.lines.Len, Turns: g.turns.Len, LinesDropped: dropped,
+		Waiting: g.lines.Len, Turns: g.programs.Turns, LinesDropped: dropped,
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,13 +20,12 @@
 	"github.com/comfreylink/comfreylink/internal/events"
 	"github.com/comfreylink/comfreylink/internal/grants"
 	"github.com/comfreylink/comfreylink/internal/httpwire"
-	"github.com/comfreylink/comfreylink/internal/ledger"
 	"github.com/comfreylink/comfreylink/internal/line"
 	"github.com/comfreylink/comfreylink/internal/partlog"
+	"github.com/comfreylink/comfreylink/internal/programs"
 	"github.com/comfreylink/comfreylink/internal/relay"
 	"github.com/comfreylink/comfreylink/internal/rpc"
 	"github.com/comfreylink/comfreylink/internal/settings"
-	"github.com/comfreylink/comfreylink/internal/turnstore"
 	"github.com/comfreylink/comfreylink/pkg/account"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 	"github.com/comfreylink/comfreylink/pkg/quota"
@@ -94,8 +93,7 @@
 	Config
 	beliefs  *beliefs
 	lines    *line.Lines
-	ledger   *ledger.Ledger
-	turns    *turnstore.Store
+	programs *programs.Store
 	server   *httpwire.Server
 	draining atomic.Bool
 	ready    atomic.Bool
@@ -105,8 +103,8 @@
 	mu       sync.Mutex // guards the fields below
 	suspects suspects
 	peers    map[ids.InstanceID]peer
-	programs map[account.Key]programUse
-	runs     map[ids.InstanceID]string // the last run of each instance that reported
+	uses     map[account.Key]programUse // programs that were let in lately
+	runs     map[ids.InstanceID]string  // the last run of each instance that reported
 }
 
 // New returns a gateway.
@@ -116,18 +114,15 @@
 		lines:    line.New(line.Options{Policy: string(c.Settings.Dispatch.Policy), Now: c.Clock.Now}),
 		suspects: newSuspects(),
 		peers:    make(map[ids.InstanceID]peer),
-		programs: make(map[account.Key]programUse),
+		uses:     make(map[account.Key]programUse),
 		runs:     make(map[ids.InstanceID]string),
 	}
 	g.grants = grants.New(grants.Config{Self: c.Settings.Instance.ID, Client: c.RPC, Now: c.Clock.Now, Address: g.addressOf})
 	parts := c.Settings.Store.Partitions
-	g.ledger = ledger.New(ledger.Config{
+	g.programs = programs.New(programs.Config{
 		Log: c.Source.Log, Now: c.Clock.Now, Logger: c.Logger,
-		Space: partlog.Space{Name: "accounts", Topics: topicsPerSpace, Parts: parts},
-	})
-	g.turns = turnstore.New(turnstore.Config{
-		Log: c.Source.Log, Now: c.Clock.Now, Logger: c.Logger,
-		Space: partlog.Space{Name: "turns", Topics: topicsPerSpace, Parts: parts},
+		Programs: partlog.Space{Name: "programs", Topics: topicsPerSpace, Parts: parts},
+		Index:    partlog.Space{Name: "turns", Topics: topicsPerSpace, Parts: parts},
 	})
 	g.beliefs = newBeliefs(c.Source, c.Settings.Bounds.Revoke, c.Logger, c.Clock.Now)
 	g.beliefs.changed = g.beliefsChanged
@@ -242,7 +237,7 @@
 func (g *Gateway) flush(last time.Time) {
 	ctx, cancel := context.WithDeadline(context.Background(), last.Add(exitMargin/2))
 	defer cancel()
-	g.ledger.Flush(ctx)
+	g.programs.Flush(ctx)
 	if err := g.report(ctx); err != nil {
 		events.Log(g.Logger, events.ReportFailed, zap.String("operation", "last"), zap.Error(err))
 	}
@@ -310,7 +305,6 @@
 
 func (g *Gateway) dropOld(now time.Time) {
 	g.Client.CloseStale(now)
-	g.ledger.DropIdle(now)
 	retention := time.Duration(0)
 	if t := g.beliefs.table.Load(); t != nil {
 		for _, r := range t.Config.Routes {
@@ -319,12 +313,12 @@
 			}
 		}
 	}
-	g.turns.Retain(now, retention)
+	g.programs.DropOld(now, retention)
 	g.mu.Lock()
 	g.suspects.tracker.DropOld(now)
-	for k, use := range g.programs {
+	for k, use := range g.uses {
 		if now.Sub(use.last) > programKeep {
-			delete(g.programs, k)
+			delete(g.uses, k)
 		}
 	}
 	g.mu.Unlock()
--- a/internal/gateway/reports.go
+++ b/internal/gateway/reports.go
@@ -280,7 +280,7 @@
 func (g *Gateway) requestsOf(ws ids.WorkspaceID, p ids.ProgramID) int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.programs[account.Key{Workspace: ws, Program: p}].requests
+	return g.uses[account.Key{Workspace: ws, Program: p}].requests
 }
 
 // letIn counts a request of a program.
@@ -291,7 +291,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	k := account.Key{Workspace: ws, Program: p}
-	g.programs[k] = programUse{requests: g.programs[k].requests + 1, last: now}
+	g.uses[k] = programUse{requests: g.uses[k].requests + 1, last: now}
 }
 
 func (g *Gateway) returnQuota(ws ids.WorkspaceID) {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -17,9 +17,8 @@
 	"github.com/comfreylink/comfreylink/internal/call"
 	"github.com/comfreylink/comfreylink/internal/events"
 	"github.com/comfreylink/comfreylink/internal/httpwire"
-	"github.com/comfreylink/comfreylink/internal/ledger"
 	"github.com/comfreylink/comfreylink/internal/partlog"
-	"github.com/comfreylink/comfreylink/internal/turnstore"
+	"github.com/comfreylink/comfreylink/internal/programs"
 	"github.com/comfreylink/comfreylink/pkg/account"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 )
@@ -94,7 +93,7 @@
 	fingerprint ids.Fingerprint
 	chain       []call.ID
 	body        []byte
-	reservation *ledger.Reservation
+	reservation *programs.Reservation
 
 	// What the answer's log line tells.
 	target    ids.TargetID
@@ -204,6 +203,11 @@
 	return e.workspace.ID
 }
 
+// program is the program of the request.
+func (e *exchange) program() account.Key {
+	return account.Key{Workspace: e.workspaceID(), Program: e.req.Program}
+}
+
 // prepare puts the turn's chain together and reserves its tokens.
 func (e *exchange) prepare() *refusal {
 	ctx, cancel := context.WithTimeout(e.ctx, e.patience())
@@ -227,14 +231,14 @@
 }
 
 func (e *exchange) loadChain(ctx context.Context) *refusal {
-	if len(e.x.Body) > turnstore.MaxInput {
+	if len(e.x.Body) > programs.MaxInput {
 		return &refusal{status: fasthttp.StatusRequestEntityTooLarge, code: codeTooLarge}
 	}
 	if e.req.Previous == "" {
 		return nil
 	}
-	turns, err := e.turns.Chain(ctx, e.began, e.workspaceID(), e.req.Previous)
-	if errors.Is(err, turnstore.ErrNone) {
+	turns, err := e.programs.Chain(ctx, e.began, e.program(), e.req.Previous)
+	if errors.Is(err, programs.ErrNone) {
 		return &refusal{status: fasthttp.StatusNotFound, code: codeNoTurn}
 	}
 	if err != nil {
@@ -252,16 +256,14 @@
 }
 
 func (e *exchange) reserve(ctx context.Context) *refusal {
-	r, err := e.ledger.Reserve(ctx, ledger.Ask{
-		Key:  account.Key{Workspace: e.workspace.ID, Program: e.req.Program},
-		Turn: string(e.req.ID), Budget: e.req.Budget, Tokens: e.req.MaxOutput,
+	r, err := e.programs.Reserve(ctx, programs.Ask{
+		Key: e.program(), Turn: string(e.req.ID), Budget: e.req.Budget, Tokens: e.req.MaxOutput,
 	})
 	e.reservation = r
 	switch {
 	case err == nil:
 		return nil
-	case errors.Is(err, ledger.ErrSpent):
-		e.reservation = nil
+	case errors.Is(err, programs.ErrSpent):
 		return &refusal{status: fasthttp.StatusPaymentRequired, code: codeBudget}
 	default:
 		return &refusal{status: fasthttp.StatusServiceUnavailable, code: codeLedger, retry: logRetry(err), err: err}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -8,7 +8,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/comfreylink/comfreylink/internal/turnstore"
+	"github.com/comfreylink/comfreylink/internal/programs"
 	"github.com/comfreylink/comfreylink/pkg/dispatch"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 	"github.com/comfreylink/comfreylink/pkg/record"
@@ -137,8 +137,8 @@
 	if e.route.Remembered {
 		ctx, cancel := context.WithTimeout(e.ctx, e.deadline.Sub(e.now()))
 		defer cancel()
-		err := e.turns.Put(ctx, turnstore.Turn{
-			ID: e.req.ID, Workspace: e.workspaceID(), Chain: e.chain, Input: bytes.Clone(e.x.Body), Output: e.output,
+		err := e.programs.Put(ctx, programs.Turn{
+			ID: e.req.ID, Program: e.program(), Chain: e.chain, Input: bytes.Clone(e.x.Body), Output: e.output,
 		})
 		if err != nil {
 			return verdict{
--- a/internal/ledger/ledger_test.go
+++ b/internal/programs/account_test.go
@@ -1,4 +1,4 @@
-package ledger_test
+package programs_test
 
 import (
 	"context"
@@ -12,25 +12,26 @@
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/zap"
 
-	"github.com/comfreylink/comfreylink/internal/ledger"
 	"github.com/comfreylink/comfreylink/internal/partlog"
 	"github.com/comfreylink/comfreylink/internal/partlog/partlogtest"
+	"github.com/comfreylink/comfreylink/internal/programs"
 	"github.com/comfreylink/comfreylink/pkg/account"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 )
 
 var program = account.Key{Workspace: "w", Program: "p"}
 
-func newLedger(log partlog.Log) *ledger.Ledger {
-	return ledger.New(ledger.Config{
-		Log: log, Space: partlog.Space{Name: "accounts", Topics: 1, Parts: 1}, Now: time.Now, Logger: zap.NewNop(),
+func newStore(log partlog.Log) *programs.Store {
+	return programs.New(programs.Config{
+		Log: log, Programs: partlog.Space{Name: "programs", Topics: 1, Parts: 1},
+		Index: partlog.Space{Name: "turns", Topics: 1, Parts: 1}, Now: time.Now, Logger: zap.NewNop(),
 	})
 }
 
-func reserve(l *ledger.Ledger, turn string, budget, tokens ids.Tokens) (*ledger.Reservation, error) {
+func reserve(l *programs.Store, turn string, budget, tokens ids.Tokens) (*programs.Reservation, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	r, err := l.Reserve(ctx, ledger.Ask{Key: program, Turn: turn, Budget: budget, Tokens: tokens})
+	r, err := l.Reserve(ctx, programs.Ask{Key: program, Turn: turn, Budget: budget, Tokens: tokens})
 	if err != nil {
 		return nil, err
 	}
@@ -61,7 +62,7 @@
 			granted := ids.Tokens(0)
 			var tasks sync.WaitGroup
 			for d := range daemons {
-				l := newLedger(log)
+				l := newStore(log)
 				tasks.Go(func() {
 					for i := range turns {
 						if _, err := reserve(l, fmt.Sprintf("%d-%d", d, i), budget, tokens); err == nil {
@@ -83,11 +84,11 @@
 func TestSettlementFreesWhatWasNotSpent(t *testing.T) {
 	c := qt.New(t)
 	log := partlogtest.New()
-	first, second := newLedger(log), newLedger(log)
+	first, second := newStore(log), newStore(log)
 	r, err := reserve(first, "a", 100, 80)
 	c.Assert(err, qt.IsNil)
 	_, err = reserve(second, "b", 100, 80)
-	c.Assert(errors.Is(err, ledger.ErrSpent), qt.IsTrue)
+	c.Assert(errors.Is(err, programs.ErrSpent), qt.IsTrue)
 	r.Settle(10)
 	first.Flush(context.Background())
 	_, err = reserve(second, "c", 100, 80)
@@ -99,7 +100,7 @@
 func TestLogThatIsAwayIsLeftAlone(t *testing.T) {
 	c := qt.New(t)
 	log := partlogtest.New()
-	l := newLedger(log)
+	l := newStore(log)
 	r, err := reserve(l, "a", 1000, 80)
 	c.Assert(err, qt.IsNil)
 	away := errors.Join(partlog.ErrNotDone, partlog.ErrAway)
--- /dev/null
+++ b/internal/programs/record.go
@@ -0,0 +1,112 @@
+package programs
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/comfreylink/comfreylink/internal/call"
+	"github.com/comfreylink/comfreylink/pkg/account"
+	"github.com/comfreylink/comfreylink/pkg/ids"
+)
+
+// wireAccount is a reservation or a settlement as it stands in the log.
+type wireAccount struct {
+	Workspace ids.WorkspaceID `json:"workspace"`
+	Program   ids.ProgramID   `json:"program"`
+	Turn      string          `json:"turn"`
+	Tokens    ids.Tokens      `json:"tokens"`
+	Settled   bool            `json:"settled,omitempty"`
+	AtMs      int64           `json:"atMs"`
+}
+
+// wireTurn is the first line of a turn's record; the input and the output follow it as they are.
+type wireTurn struct {
+	ID         call.ID         `json:"id"`
+	Workspace  ids.WorkspaceID `json:"workspace"`
+	Program    ids.ProgramID   `json:"program"`
+	Chain      []call.ID       `json:"chain,omitempty"`
+	InputBytes int             `json:"inputBytes"`
+	AtMs       int64           `json:"atMs"`
+}
+
+// wireIndex tells which program a turn belongs to.
+type wireIndex struct {
+	ID        call.ID         `json:"id"`
+	Workspace ids.WorkspaceID `json:"workspace"`
+	Program   ids.ProgramID   `json:"program"`
+}
+
+// marshal encodes one of the types above, which hold nothing that cannot be encoded.
+func marshal(v any) []byte {
+	data, _ := json.Marshal(v)
+	return data
+}
+
+func encodeAccount(r account.Record) []byte {
+	return marshal(wireAccount{
+		Workspace: r.Key.Workspace, Program: r.Key.Program, Turn: r.Turn, Tokens: r.Tokens, Settled: r.Settled,
+		AtMs: r.At.UnixMilli(),
+	})
+}
+
+func decodeAccount(data []byte) (r account.Record, err error) {
+	var w wireAccount
+	if err := json.Unmarshal(data, &w); err != nil {
+		return r, err
+	}
+	if w.Turn == "" || w.Program == "" || w.Tokens < 0 {
+		return r, errors.New("a record of an account lacks its turn, its program or its tokens")
+	}
+	return account.Record{
+		Key: account.Key{Workspace: w.Workspace, Program: w.Program}, Turn: w.Turn, Tokens: w.Tokens, Settled: w.Settled,
+		At: time.UnixMilli(w.AtMs),
+	}, nil
+}
+
+// isTurn tells a turn's record from one of an account, which has no second line.
+func isTurn(data []byte) bool { return bytes.IndexByte(data, '\n') >= 0 }
+
+func encodeTurn(t Turn) []byte {
+	head := marshal(wireTurn{
+		ID: t.ID, Workspace: t.Program.Workspace, Program: t.Program.Program, Chain: t.Chain, InputBytes: len(t.Input),
+		AtMs: t.At.UnixMilli(),
+	})
+	b := make([]byte, 0, len(head)+1+len(t.Input)+len(t.Output))
+	b = append(b, head...)
+	b = append(b, '\n')
+	b = append(b, t.Input...)
+	return append(b, t.Output...)
+}
+
+func decodeTurn(data []byte) (t *Turn, err error) {
+	head, rest, _ := bytes.Cut(data, []byte("\n"))
+	var w wireTurn
+	if err := json.Unmarshal(head, &w); err != nil {
+		return nil, err
+	}
+	if w.ID == "" || w.InputBytes < 0 || w.InputBytes > len(rest) {
+		return nil, errors.New("a turn's record lacks its id or its input")
+	}
+	rest = bytes.Clone(rest)
+	return &Turn{
+		ID: w.ID, Program: account.Key{Workspace: w.Workspace, Program: w.Program}, Chain: w.Chain,
+		Input: rest[:w.InputBytes:w.InputBytes], Output: rest[w.InputBytes:], At: time.UnixMilli(w.AtMs),
+	}, nil
+}
+
+func encodeIndex(t Turn) []byte {
+	return marshal(wireIndex{ID: t.ID, Workspace: t.Program.Workspace, Program: t.Program.Program})
+}
+
+func decodeIndex(data []byte) (id call.ID, k account.Key, err error) {
+	var w wireIndex
+	if err := json.Unmarshal(data, &w); err != nil {
+		return "", k, err
+	}
+	if w.ID == "" {
+		return "", k, errors.New("a record of the index lacks its turn")
+	}
+	return w.ID, account.Key{Workspace: w.Workspace, Program: w.Program}, nil
+}
--- a/internal/turnstore/turnstore_test.go
+++ b/internal/programs/turns_test.go
@@ -1,4 +1,4 @@
-package turnstore_test
+package programs_test
 
 import (
 	"context"
@@ -8,20 +8,14 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
-	"go.uber.org/zap"
 
 	"github.com/comfreylink/comfreylink/internal/call"
 	"github.com/comfreylink/comfreylink/internal/partlog"
 	"github.com/comfreylink/comfreylink/internal/partlog/partlogtest"
-	"github.com/comfreylink/comfreylink/internal/turnstore"
+	"github.com/comfreylink/comfreylink/internal/programs"
+	"github.com/comfreylink/comfreylink/pkg/account"
 )
 
-func newStore(log partlog.Log) *turnstore.Store {
-	return turnstore.New(turnstore.Config{
-		Log: log, Space: partlog.Space{Name: "turns", Topics: 2, Parts: 2}, Now: time.Now, Logger: zap.NewNop(),
-	})
-}
-
 func second() (context.Context, context.CancelFunc) {
 	return context.WithTimeout(context.Background(), time.Second)
 }
@@ -46,12 +40,12 @@
 	var chain []call.ID
 	for i := range 5 {
 		id := call.ID(fmt.Sprintf("t%d", i))
-		turn := turnstore.Turn{ID: id, Workspace: "w", Chain: append([]call.ID(nil), chain...), Input: []byte{'a' + byte(i)}, Output: []byte("\n")}
+		turn := programs.Turn{ID: id, Program: program, Chain: append([]call.ID(nil), chain...), Input: []byte{'a' + byte(i)}, Output: []byte("\n")}
 		c.Assert(first.Put(ctx, turn), qt.IsNil)
 		chain = append(chain, id)
 	}
-	for _, s := range []*turnstore.Store{first, again} {
-		turns, err := s.Chain(ctx, time.Now(), "w", "t4")
+	for _, s := range []*programs.Store{first, again} {
+		turns, err := s.Chain(ctx, time.Now(), program, "t4")
 		c.Assert(err, qt.IsNil)
 		text := ""
 		for _, turn := range turns {
@@ -69,17 +63,17 @@
 	s, other := newStore(log), newStore(log)
 	ctx, cancel := second()
 	defer cancel()
-	_, err := s.Chain(ctx, time.Now(), "w", "t")
-	c.Assert(errors.Is(err, turnstore.ErrNone), qt.IsTrue)
-	c.Assert(other.Put(ctx, turnstore.Turn{ID: "t", Workspace: "w"}), qt.IsNil)
-	_, err = s.Chain(ctx, time.Now(), "w", "t")
+	_, err := s.Chain(ctx, time.Now(), program, "t")
+	c.Assert(errors.Is(err, programs.ErrNone), qt.IsTrue)
+	c.Assert(other.Put(ctx, programs.Turn{ID: "t", Program: program}), qt.IsNil)
+	_, err = s.Chain(ctx, time.Now(), program, "t")
 	c.Assert(err, qt.IsNil, qt.Commentf("the turn was kept before it was asked for"))
-	_, err = s.Chain(ctx, time.Now(), "v", "t")
-	c.Assert(errors.Is(err, turnstore.ErrNone), qt.IsTrue)
+	_, err = s.Chain(ctx, time.Now(), account.Key{Workspace: "v", Program: "p"}, "t")
+	c.Assert(errors.Is(err, programs.ErrNone), qt.IsTrue)
 	log.SetFault(func(int) partlogtest.Fault {
 		return partlogtest.Fault{Err: errors.Join(partlog.ErrNotDone, partlog.ErrAway)}
 	})
-	_, err = s.Chain(ctx, time.Now(), "w", "unknown")
+	_, err = s.Chain(ctx, time.Now(), program, "unknown")
 	c.Assert(err, qt.IsNotNil)
-	c.Assert(errors.Is(err, turnstore.ErrNone), qt.IsFalse)
+	c.Assert(errors.Is(err, programs.ErrNone), qt.IsFalse)
 }
