--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -50,7 +50,7 @@
 
 // commands are all subcommands in the order of the help text.
 var commands = []command{
-	serveCommand, gatewayCommand, checkCommand, certsCommand, publishCommand, removeCommand, getCommand, keyCommand, statusCommand, dumpCommand, drainCommand,
+	serveCommand, gatewayCommand, explainCommand, checkCommand, certsCommand, publishCommand, removeCommand, getCommand, keyCommand, statusCommand, dumpCommand, drainCommand,
 }
 
 // run is one run of a command.
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -25,6 +25,10 @@
 		"The daemon has ended its tasks and released its slots.",
 		"If cutOff is not 0, raise drainTimeout of [instance].",
 		"duration", "cutOff", "error")
+	SettingsInvalid = define(104, "settingsInvalid", fault,
+		"The settings file has errors; the daemon does not start.",
+		"Correct the places that the error names; test with `comfreylink check`.",
+		"file", "error")
 	SettingsChanged = define(105, "settingsChanged", info,
 		"The settings file changed. Valid changes of the log level are in force; others need a restart.", nothing,
 		"file", "reason")
@@ -35,10 +39,6 @@
 		"Log lines were left out because they came faster than they could be written.",
 		"Raise the log level if it happens often.",
 		"count")
-	SettingsInvalid = define(104, "settingsInvalid", fault,
-		"The settings file has errors; the daemon does not start.",
-		"Correct the places that the error names; test with `comfreylink check`.",
-		"file", "error")
 )
 
 // Events of the log service and its streams.
@@ -70,14 +70,14 @@
 	EntriesFromPeer = define(207, "entriesFromPeer", info,
 		"The log cannot be read here; entries of the configuration were taken from another daemon.", nothing,
 		"instance", "from", "entries", "configRevision")
-	StoreUsed = define(209, "storeUsed", info,
-		"Calls to the platform's log since the start, by path.",
-		"Compare with docs/CAPACITY.md if the log refuses calls as too many.",
-		"calls")
 	BatchRenumbered = define(208, "batchRenumbered", warn,
 		"A batch of this instance had no effect, because its number was used by another batch; it is appended with a new one.",
 		"If it happens often, report it with the fields of the event.",
 		"stream", "seq", "lastSeq", "kind", "writer", "offset")
+	StoreUsed = define(209, "storeUsed", info,
+		"Calls to the platform's log since the start, by path.",
+		"Compare with docs/CAPACITY.md if the log refuses calls as too many.",
+		"calls")
 )
 
 // Events of slot ownership.
@@ -149,6 +149,9 @@
 		"Requests that could be retried end with an error because too many retries were made.",
 		"Look for failing targets.",
 		"retryBudget")
+	ProgramEndedIdle = define(604, "programEndedIdle", info,
+		"Programs were not used for the idle time of the templates and have ended.", nothing,
+		"programs", "idle")
 	RequestAnswered = define(610, "requestAnswered", info,
 		"The gateway answered a request. Reason says why it was refused or failed; run is notRun, ran or unknown.",
 		"Follow the request by its id through the other events; see docs/OPERATIONS.md.",
@@ -173,9 +176,6 @@
 		"The report of used rates could not be written or read; this instance goes on with its last share.",
 		"Check the log service.",
 		"operation", "error")
-	ProgramEndedIdle = define(604, "programEndedIdle", info,
-		"Programs were not used for the idle time of the templates and have ended.", nothing,
-		"programs", "idle")
 )
 
 // Events of targets.
