Believe a refusal only if it names the request; tell instances apart by the time of reading

A late second answer with 'not run' on a kept connection was taken for the present request's, which would then have been sent again while it ran. Instances were counted by their own clocks, which may differ by seconds; the index of turns in memory was never dropped. Change: an answer with another id is a broken one whatever it says; without an id it is believed only on a new connection. A report of the present counts from when it is read.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -260,6 +260,9 @@
 // takeAnswer passes a target's answer on, or says what is to be done instead.
 func (e *exchange) takeAnswer(p line.Place, conn *httpwire.Conn, h *fasthttp.ResponseHeader, a call.Answer, body io.Reader) (v verdict) {
 	switch {
+	case a.ID != e.req.ID && (a.ID != "" || conn.Reused):
+		// A late second answer to an earlier request says nothing about this one, not even that it has not run.
+		return e.broken(errors.New("the answer belongs to another request"))
 	case a.WrongTarget:
 		e.ranNowhere()
 		e.beliefs.moved(p.Target.ID)
@@ -269,8 +272,7 @@
 		e.ranNowhere()
 		return verdict{again: true, refusal: e.unsent(fasthttp.StatusServiceUnavailable, codeTargetFull), reason: "targetFull", outcome: dispatch.Full}
 	case a.ID != e.req.ID || a.Status < fasthttp.StatusOK || a.Status < fasthttp.StatusMultipleChoices && !a.Signed:
-		v = e.broken(errors.New("the answer belongs to another request or is not signed"))
-		return v
+		return e.broken(errors.New("the answer names no request or is not signed"))
 	}
 	if e.route.Kind == call.Stream && a.Status == fasthttp.StatusOK {
 		v = e.relayStream(h, body)
--- a/internal/gateway/reports.go
+++ b/internal/gateway/reports.go
@@ -180,7 +180,7 @@
 	newRun := g.runs[w.Instance] != w.Run
 	g.runs[w.Instance] = w.Run
 	g.grants.View(func(k *quota.Keeper, m *quota.Members) {
-		m.Report(at, w.Instance, newRun, w.Leaving)
+		m.Report(now, at, w.Instance, newRun, w.Leaving)
 		if !own {
 			k.Read(now, at, usage)
 		}
@@ -219,6 +219,7 @@
 	for id, p := range g.peers {
 		if now.Sub(p.seen) > peerKeep {
 			delete(g.peers, id)
+			delete(g.runs, id)
 			continue
 		}
 		if id != g.Settings.Instance.ID {
--- a/internal/programs/programs.go
+++ b/internal/programs/programs.go
@@ -44,6 +44,8 @@
 	indexes    map[partlog.Partition]*index
 	turns      map[call.ID]*Turn
 	retention  time.Duration
+	// indexedSince is when the index was last read from its beginning.
+	indexedSince time.Time
 }
 
 // New returns a store.
--- a/internal/programs/turns.go
+++ b/internal/programs/turns.go
@@ -239,6 +239,10 @@
 			delete(s.turns, id)
 		}
 	}
+	if now.Sub(s.indexedSince) > keepFactor*s.retention {
+		clear(s.indexes)
+		s.indexedSince = now
+	}
 }
 
 // Turns returns the number of turns in memory.
--- a/pkg/quota/members.go
+++ b/pkg/quota/members.go
@@ -33,11 +33,19 @@
 // NewMembers returns an empty set.
 func NewMembers() *Members { return &Members{members: make(map[ids.InstanceID]Member)} }
 
-// Report takes over a report of an instance that began with the given run.
-func (m *Members) Report(at time.Time, id ids.InstanceID, newRun, leaving bool) {
+// Report takes over a report that was written at the time at by its instance's clock and read now. Clocks differ, so that
+// a report that may be of the present counts as such; the first one counts by its writer's clock, as it does for all
+// other readers.
+func (m *Members) Report(now, at time.Time, id ids.InstanceID, newRun, leaving bool) {
 	e, known := m.members[id]
 	if !known || newRun {
 		e = Member{First: at}
+		if at.After(now) {
+			e.First = now
+		}
+	}
+	if age := now.Sub(at); age < keepMember {
+		at = now
 	}
 	if at.After(e.Last) {
 		e.Last = at
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -117,23 +117,23 @@
 	c := qt.New(t)
 	m := quota.NewMembers()
 	for i := range 5 {
-		m.Report(start, ids.InstanceID(fmt.Sprint(i)), true, false)
+		m.Report(start, start, ids.InstanceID(fmt.Sprint(i)), true, false)
 	}
 	now := start.Add(3 * time.Second)
 	for i := range 5 {
-		m.Report(now, ids.InstanceID(fmt.Sprint(i)), false, false)
+		m.Report(now, now, ids.InstanceID(fmt.Sprint(i)), false, false)
 	}
 	first := m.Granters(now, "w", 2)
 	c.Assert(first, qt.HasLen, 2)
 	for i := range 50 {
-		m.Report(now, ids.InstanceID(fmt.Sprint("new", i)), true, false)
+		m.Report(now, now, ids.InstanceID(fmt.Sprint("new", i)), true, false)
 	}
 	c.Assert(m.Granters(now, "w", 2), qt.DeepEquals, first)
-	m.Report(now, first[0], false, true)
+	m.Report(now, now, first[0], false, true)
 	c.Assert(m.Granters(now, "w", 2), qt.DeepEquals, first)
 	after := m.Granters(now.Add(2*time.Second), "w", 1)
 	c.Assert(after[0], qt.Equals, first[1])
 	alone := quota.NewMembers()
-	alone.Report(now, "a", true, false)
+	alone.Report(now, now, "a", true, false)
 	c.Assert(alone.Granters(now, "w", 2), qt.DeepEquals, []ids.InstanceID{"a"})
 }
