Place requests at model targets through one instance for each group while requests wait there

Cause: with 114 instances before 36 targets each instance hears of a target's load every few seconds, so that all send to the same targets while others are idle. Change: internal/placing divides the targets of a model service into groups of about six; while requests wait at targets, the line of a group is kept by one instance, asked by JSON-RPC, which counts places exactly. Otherwise, and where the keeper does not answer, each instance places by itself.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/comfreylink/comfreylink/internal/httpwire"
 	"github.com/comfreylink/comfreylink/internal/line"
 	"github.com/comfreylink/comfreylink/internal/partlog"
+	"github.com/comfreylink/comfreylink/internal/placing"
 	"github.com/comfreylink/comfreylink/internal/programs"
 	"github.com/comfreylink/comfreylink/internal/relay"
 	"github.com/comfreylink/comfreylink/internal/rpc"
@@ -98,7 +99,8 @@
 	draining atomic.Bool
 	ready    atomic.Bool
 
-	grants *grants.Grantor
+	grants  *grants.Grantor
+	placing *placing.Placer
 
 	mu       sync.Mutex // guards the fields below
 	suspects suspects
@@ -118,6 +120,7 @@
 		runs:     make(map[ids.InstanceID]string),
 	}
 	g.grants = grants.New(grants.Config{Self: c.Settings.Instance.ID, Client: c.RPC, Now: c.Clock.Now, Address: g.addressOf})
+	g.placing = placing.New(placing.Config{Self: c.Settings.Instance.ID, Lines: g.lines, Client: c.RPC, Now: c.Clock.Now, Keeper: g.keeper})
 	parts := c.Settings.Store.Partitions
 	g.programs = programs.New(programs.Config{
 		Log: c.Source.Log, Now: c.Clock.Now, Logger: c.Logger,
@@ -162,7 +165,7 @@
 		limits[w.ID] = quota.Limit{Rate: w.Rate, Burst: w.Burst}
 	}
 	g.grants.View(func(k *quota.Keeper, _ *quota.Members) { k.Configure(now, limits) })
-	g.lines.Update(now, g.beliefs.targets(now), table.Service)
+	g.placing.Update(now, g.beliefs.targets(now), table.Service)
 }
 
 // Run serves until the context ends, then finishes what was taken.
@@ -188,7 +191,9 @@
 	tasks.Go(func() error { return g.runReports(work) })
 	tasks.Go(func() error { return g.tick(work) })
 	tasks.Go(func() error { return g.server.Serve(front) })
-	tasks.Go(func() error { return rpc.NewServer(g.Log.Methods(), g.grants.Methods()).Serve(between) })
+	tasks.Go(func() error {
+		return rpc.NewServer(g.Log.Methods(), g.grants.Methods(), g.placing.Methods()).Serve(between)
+	})
 	probes := &fasthttp.Server{Handler: g.probe, NoDefaultServerHeader: true, NoDefaultDate: true}
 	tasks.Go(func() error { return probes.Serve(probe) })
 	select {
@@ -291,9 +296,10 @@
 		if now.Sub(listed) > targetsInterval {
 			listed = now
 			g.updateReady(now)
+			g.placing.DropOld(now)
 			// A removed target may be used for some time after an outage of the log; that ends without an event.
 			if t := g.beliefs.table.Load(); t != nil {
-				g.lines.Update(now, g.beliefs.targets(now), t.Service)
+				g.placing.Update(now, g.beliefs.targets(now), t.Service)
 			}
 		}
 		if now.Sub(dropped) > dropInterval {
--- a/internal/line/line.go
+++ b/internal/line/line.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"time"
 
@@ -29,13 +30,46 @@
 type Lines struct {
 	opt Options
 
-	mu       sync.Mutex
-	services map[call.ServiceName]*line
+	mu    sync.Mutex
+	lines map[Key]*line
+}
+
+// Key names a line: that of all targets of a service, or of one group of them.
+type Key struct {
+	Service call.ServiceName
+	// Group counts from 1; 0 means all targets.
+	Group int
 }
 
 // New returns lines without targets.
 func New(o Options) *Lines {
-	return &Lines{opt: o, services: make(map[call.ServiceName]*line)}
+	return &Lines{opt: o, lines: make(map[Key]*line)}
+}
+
+// groupTargets is about how many targets of a model service are in one group.
+const groupTargets = 6
+
+// Groups returns into how many groups a service's targets are divided; 0 if they are not.
+func (l *Lines) Groups(service call.ServiceName) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	all := l.lines[Key{Service: service}]
+	if all == nil {
+		return 0
+	}
+	return all.groups
+}
+
+// GroupOf returns the group that a target is in. A target stays in its group when others come or go, as long as the
+// number of groups stays.
+func GroupOf(id ids.TargetID, groups int) int {
+	best, group := uint64(0), 1
+	for g := 1; g <= groups; g++ {
+		if score := ids.Rendezvous(strconv.Itoa(g), string(id)); score > best {
+			best, group = score, g
+		}
+	}
+	return group
 }
 
 // Place is a target that a request may be sent to. Exactly one of its calls to Done follows.
@@ -65,11 +99,14 @@
 }
 
 type line struct {
-	opt Options
+	opt    Options
+	groups int // guarded by the lock of all lines
 
-	mu        sync.Mutex
-	queue     *dispatch.Queue
-	targets   map[ids.TargetID]call.Target
+	mu      sync.Mutex
+	queue   *dispatch.Queue
+	targets map[ids.TargetID]call.Target
+	// busyUntil is until when the targets count as busy: requests waited there lately.
+	busyUntil time.Time
 	next      dispatch.Ticket
 	waiting   map[dispatch.Ticket]chan outcome
 	forgotten time.Time
@@ -77,20 +114,38 @@
 
 // Update takes over the registered targets and the services in force.
 func (l *Lines) Update(now time.Time, targets []call.Target, service func(call.ServiceName) *call.Service) {
-	byService := make(map[call.ServiceName][]call.Target)
+	byKey := make(map[Key][]call.Target)
 	for _, t := range targets {
-		byService[t.Service] = append(byService[t.Service], t)
+		byKey[Key{Service: t.Service}] = append(byKey[Key{Service: t.Service}], t)
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for name := range byService {
-		if l.services[name] == nil {
-			l.services[name] = newLine(l.opt, service(name))
+	for key, all := range byKey {
+		s := service(key.Service)
+		line := l.line(key, s)
+		if s == nil || s.Engine == nil {
+			continue
 		}
+		line.groups = (len(all) + groupTargets - 1) / groupTargets
+		for _, t := range all {
+			group := Key{Service: key.Service, Group: GroupOf(t.ID, line.groups)}
+			l.line(group, s)
+			byKey[group] = append(byKey[group], t)
+		}
+	}
+	for key, line := range l.lines {
+		line.update(now, byKey[key], service(key.Service))
 	}
-	for name, line := range l.services {
-		line.update(now, byService[name], service(name))
+}
+
+// line returns the line of a key. The caller holds the lock.
+func (l *Lines) line(key Key, s *call.Service) *line {
+	line := l.lines[key]
+	if line == nil {
+		line = newLine(l.opt, s)
+		l.lines[key] = line
 	}
+	return line
 }
 
 func newLine(o Options, s *call.Service) *line {
@@ -98,6 +153,8 @@
 	options.Ramp, options.Probation = 300*time.Millisecond, time.Second
 	options.ForeignHalfLife = 300 * time.Millisecond
 	options.HintHalfLife = time.Minute
+	// A program that has got much service is near its end, so that it does not go behind others.
+	options.Share.AttainedMax = 1
 	options.ConnectSeconds, options.ConnectionKeep = connectSeconds, connectionKeep
 	if s != nil && s.Engine != nil {
 		options.PrefillRate, options.DecodeRate = enginePrefillRate, engineDecodeRate
@@ -151,9 +208,9 @@
 }
 
 // Wait puts a request in line until it gets a target, is refused, its deadline passes or the context ends.
-func (l *Lines) Wait(ctx context.Context, service call.ServiceName, it dispatch.Item) (p Place, r *Refusal) {
+func (l *Lines) Wait(ctx context.Context, key Key, it dispatch.Item) (p Place, r *Refusal) {
 	l.mu.Lock()
-	line := l.services[service]
+	line := l.lines[key]
 	l.mu.Unlock()
 	if line == nil {
 		return p, &Refusal{Reason: ReasonNoTarget, RetryAfter: time.Second}
@@ -247,7 +304,7 @@
 func (l *Lines) all() (list []*line) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, line := range l.services {
+	for _, line := range l.lines {
 		list = append(list, line)
 	}
 	return list
@@ -264,13 +321,48 @@
 }
 
 // Load takes over what a target says of its load.
-func (p Place) Load(now time.Time, load call.Load) {
-	if !load.Known || p.line == nil {
+func (l *Lines) Load(now time.Time, t call.Target, load call.Load) {
+	if !load.Known {
 		return
 	}
-	p.line.mu.Lock()
-	defer p.line.mu.Unlock()
-	p.line.queue.Load(now, p.Target.ID, load.Running, load.Waiting)
+	l.mu.Lock()
+	line := l.lines[Key{Service: t.Service}]
+	l.mu.Unlock()
+	if line != nil {
+		line.load(now, t.ID, load)
+	}
+}
+
+func (l *line) load(now time.Time, id ids.TargetID, load call.Load) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.queue.Load(now, id, load.Running, load.Waiting)
+	if load.Waiting > 0 {
+		l.busyUntil = now.Add(busyFor)
+	}
+}
+
+// Load takes over what the target says of its load.
+func (p Place) Load(now time.Time, load call.Load) {
+	if load.Known {
+		p.line.load(now, p.Target.ID, load)
+	}
+}
+
+// busyFor is how long targets count as busy after a request was seen to wait at one.
+const busyFor = 2 * time.Second
+
+// Busy reports whether requests waited at targets of a service lately.
+func (l *Lines) Busy(now time.Time, service call.ServiceName) bool {
+	l.mu.Lock()
+	line := l.lines[Key{Service: service}]
+	l.mu.Unlock()
+	if line == nil {
+		return false
+	}
+	line.mu.Lock()
+	defer line.mu.Unlock()
+	return now.Before(line.busyUntil)
 }
 
 // Done ends a request at its target.
