Begin with the last reports, not with all of them

Change: a new run begins 300 records before its own first report. The targets are read three times in the time for which a target that leaves may get requests.

--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -13,6 +13,7 @@
 	"github.com/comfreylink/comfreylink/internal/events"
 	"github.com/comfreylink/comfreylink/internal/partlog"
 	"github.com/comfreylink/comfreylink/internal/registry"
+	"github.com/comfreylink/comfreylink/internal/settings"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 )
 
@@ -20,8 +21,9 @@
 	// readsPerRevoke is how many reads of the configuration fit into the time for which a withdrawn key may work. A read
 	// waits for news, and the configuration is that much older than the last read that ended.
 	readsPerRevoke = 5
-	// targetsInterval is the time between reads of the targets' entries.
-	targetsInterval = 700 * time.Millisecond
+	// readsPerRemoval is how many reads of the targets' entries fit into the time for which a target that leaves may still
+	// get requests.
+	readsPerRemoval = 3
 	// failPause is the wait after a failed read.
 	failPause = 100 * time.Millisecond
 	// readTimeout bounds a read without the time for which it waits.
@@ -48,6 +50,8 @@
 	now    func() time.Time
 	// configWait is how long a read of the configuration waits for news.
 	configWait time.Duration
+	// targetsInterval is the time between reads of the targets' entries.
+	targetsInterval time.Duration
 
 	table atomic.Pointer[call.Table]
 	// fresh is when the last read was sent that showed the configuration up to date, in Unix nanoseconds; 0 before.
@@ -60,8 +64,11 @@
 	changed  func(now time.Time) // called when the table or the targets changed, without the lock
 }
 
-func newBeliefs(s Source, revoke time.Duration, logger *zap.Logger, now func() time.Time) *beliefs {
-	return &beliefs{source: s, logger: logger, now: now, configWait: revoke / readsPerRevoke, registry: registry.New()}
+func newBeliefs(s Source, bounds settings.Bounds, logger *zap.Logger, now func() time.Time) *beliefs {
+	return &beliefs{
+		source: s, logger: logger, now: now, configWait: bounds.Revoke / readsPerRevoke,
+		targetsInterval: bounds.Removal / readsPerRemoval, registry: registry.New(),
+	}
 }
 
 // freshness returns the age of the configuration; ok is false before it was read.
@@ -141,7 +148,7 @@
 
 // followTargets keeps the targets up to date until the context ends.
 func (b *beliefs) followTargets(ctx context.Context) error {
-	return b.follow(ctx, b.source.Targets, targetsInterval, func(_ time.Time, upToDate bool, entries []partlog.Entry, whole bool) {
+	return b.follow(ctx, b.source.Targets, b.targetsInterval, func(_ time.Time, upToDate bool, entries []partlog.Entry, whole bool) {
 		if b.takeTargets(entries, whole, upToDate) {
 			b.changed(b.now())
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -80,6 +80,8 @@
 	exitMargin = 400 * time.Millisecond
 	// lineTick is how often lines are looked through for what only time allows.
 	lineTick = 10 * time.Millisecond
+	// updateInterval is how often the lines take over what only time changes of the targets.
+	updateInterval = 500 * time.Millisecond
 	// dropInterval is how often old state is forgotten.
 	dropInterval = 5 * time.Second
 	// Limits before the first configuration.
@@ -127,7 +129,7 @@
 		Programs: partlog.Space{Name: "programs", Topics: topicsPerSpace, Parts: parts},
 		Index:    partlog.Space{Name: "turns", Topics: topicsPerSpace, Parts: parts},
 	})
-	g.beliefs = newBeliefs(c.Source, c.Settings.Bounds.Revoke, c.Logger, c.Clock.Now)
+	g.beliefs = newBeliefs(c.Source, c.Settings.Bounds, c.Logger, c.Clock.Now)
 	g.beliefs.changed = g.beliefsChanged
 	g.server = httpwire.NewServer(g, g.limits)
 	return g
@@ -233,7 +235,7 @@
 func (g *Gateway) announceLeave() {
 	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 	defer cancel()
-	if err := g.report(ctx); err != nil {
+	if _, err := g.report(ctx); err != nil {
 		events.Log(g.Logger, events.ReportFailed, zap.String("operation", "leave"), zap.Error(err))
 	}
 }
@@ -243,7 +245,7 @@
 	ctx, cancel := context.WithDeadline(context.Background(), last.Add(exitMargin/2))
 	defer cancel()
 	g.programs.Flush(ctx)
-	if err := g.report(ctx); err != nil {
+	if _, err := g.report(ctx); err != nil {
 		events.Log(g.Logger, events.ReportFailed, zap.String("operation", "last"), zap.Error(err))
 	}
 }
@@ -293,7 +295,7 @@
 		}
 		now := g.now()
 		g.lines.Tick(now)
-		if now.Sub(listed) > targetsInterval {
+		if now.Sub(listed) > updateInterval {
 			listed = now
 			g.updateReady(now)
 			g.placing.DropOld(now)
--- a/internal/gateway/reports.go
+++ b/internal/gateway/reports.go
@@ -24,6 +24,9 @@
 	reportPerInstance = 8 * time.Millisecond
 	// deathInterval is the time between reports while a target's death is to be told.
 	deathInterval = 200 * time.Millisecond
+	// backlogRecords is how many reports before its own first one a new run reads: those of some seconds. All instances may
+	// start at once, and together they must not read the whole history.
+	backlogRecords = 300
 	// backlogAge is how old a report may be that a new run still reads.
 	backlogAge = 10 * time.Second
 	// reportTimeout bounds one call to the log.
@@ -67,12 +70,18 @@
 
 // runReports writes and reads reports until the context ends.
 func (g *Gateway) runReports(ctx context.Context) error {
-	next := ids.Offset(0)
+	next := ids.Offset(-1)
 	for ctx.Err() == nil {
 		began := g.now()
-		wrote := g.report(ctx)
+		own, wrote := g.report(ctx)
+		if wrote == nil && next < 0 {
+			next = max(own-backlogRecords, 0)
+		}
 		var err error
-		if next, err = g.readReports(ctx, next); err != nil || wrote != nil {
+		if next >= 0 {
+			next, err = g.readReports(ctx, next)
+		}
+		if err != nil || wrote != nil {
 			events.Log(g.Logger, events.ReportFailed, zap.String("operation", "report"), zap.Error(errors.Join(wrote, err)))
 		}
 		g.pauseReports(ctx, began)
@@ -93,8 +102,8 @@
 	}
 }
 
-// report appends what was used since the last report.
-func (g *Gateway) report(ctx context.Context) error {
+// report appends what was granted since the last report, and returns where.
+func (g *Gateway) report(ctx context.Context) (at ids.Offset, err error) {
 	g.mu.Lock()
 	deaths := g.suspects.unsent
 	g.suspects.unsent = nil
@@ -116,7 +125,7 @@
 	if err == nil {
 		ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 		defer cancel()
-		_, err = g.Source.Log.Append(ctx, reportsPartition, partlog.Anywhere, data)
+		at, err = g.Source.Log.Append(ctx, reportsPartition, partlog.Anywhere, data)
 	}
 	if err != nil {
 		// A report whose answer was lost may be there and is written again: others then deduct it twice, which refuses
@@ -126,7 +135,7 @@
 		g.suspects.unsent = append(deaths, g.suspects.unsent...)
 		g.mu.Unlock()
 	}
-	return err
+	return at, err
 }
 
 // readReports reads the reports of all instances to the end and divides the rates anew.
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -106,7 +106,11 @@
 		return Gateway{}, err
 	}
 	for _, part := range []part{
-		{"instance", g.Instance.read}, {"relay", g.Relay.read}, {"store", g.Store.read}, {"bounds", g.Bounds.read}, {"dispatch", g.Dispatch.read},
+		{"instance", g.Instance.read},
+		{"relay", g.Relay.read},
+		{"store", g.Store.read},
+		{"bounds", g.Bounds.read},
+		{"dispatch", g.Dispatch.read},
 		{"observe", g.Observe.read},
 	} {
 		section := f.Section(part.name)
