--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -25,8 +25,12 @@
 const (
 	// maxPlacements bounds the targets that are tried for one request, those included that never got it.
 	maxPlacements = 5
-	// maxLineWait is how long a request waits for a target. Callers that must wait longer are told when to come back.
-	maxLineWait = 400 * time.Millisecond
+	// beginLineWait and begunLineWait are how long the first request of a program and its later ones wait for a target.
+	// Callers that must wait longer are told when to come back: a program that has begun has more to lose.
+	beginLineWait = 120 * time.Millisecond
+	begunLineWait = 700 * time.Millisecond
+	// beginRetry is when a program comes back that found no place to begin.
+	beginRetry = 700 * time.Millisecond
 	// workMargin is how much sooner than the caller's deadline a target stops: its answer still travels.
 	workMargin = 5 * time.Millisecond
 	// safeIdle and onceIdle bound how long a connection may have been idle that a repeatable request, or one that may run
@@ -107,7 +111,7 @@
 	item := dispatch.Item{
 		Workspace: e.workspaceID(), Program: e.req.Program, Prompt: e.req.Prompt, Output: max(e.req.MaxOutput, 1),
 		Zone: e.Settings.Instance.Zone, Repeatable: e.route.Repeatable(), Excluded: excluded, Parts: e.parts(),
-		Deadline: minTime(e.deadline, now.Add(maxLineWait)),
+		Deadline: minTime(e.deadline, now.Add(e.lineWait())),
 	}
 	p, refused := e.placing.Wait(e.ctx, service, e.splitKey(), item)
 	e.waited += e.now().Sub(now)
@@ -120,10 +124,24 @@
 	case refused.Reason == line.ReasonNoTarget:
 		return p, &refusal{status: fasthttp.StatusServiceUnavailable, code: codeNoTarget, retry: refused.RetryAfter}
 	default:
-		return p, &refusal{status: fasthttp.StatusServiceUnavailable, code: codeWait, retry: max(refused.RetryAfter, shortRetry)}
+		return p, &refusal{status: fasthttp.StatusServiceUnavailable, code: codeWait, retry: max(refused.RetryAfter, e.lineRetry())}
 	}
 }
 
+func (e *exchange) lineWait() time.Duration {
+	if e.begins {
+		return beginLineWait
+	}
+	return begunLineWait
+}
+
+func (e *exchange) lineRetry() time.Duration {
+	if e.begins {
+		return beginRetry
+	}
+	return shortRetry
+}
+
 func minTime(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -93,6 +93,7 @@
 	fingerprint ids.Fingerprint
 	chain       []call.ID
 	body        []byte
+	begins      bool // the first request of a program
 	reservation *programs.Reservation
 
 	// What the answer's log line tells.
@@ -168,6 +169,7 @@
 	if ok, retry := e.takeQuota(e.ctx, e.workspace.ID, asked, e.route.Priority); !ok {
 		return &refusal{status: fasthttp.StatusTooManyRequests, code: codeRate, retry: retry}
 	}
+	e.begins = asked == 0 && e.req.Program != ""
 	e.letIn(e.began, e.workspace.ID, e.req.Program)
 	return nil
 }
