Log what decided a refusal by rate

Cause: the story of a request that was refused by its workspace's rate did not tell which instance decided, nor what was left. Change: grants carry the granter and its level; event 615 rateRefused has them with the limit.

--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -172,6 +172,10 @@
 		"A remembered turn names a turn before it that the log does not hold.",
 		"Report it with the fields of the event.",
 		"requestId")
+	RateRefused = define(615, "rateRefused", info,
+		"The instance that grants a workspace's requests had too little left of its burst: less than one request, or less than the part (spare) that is left to programs that have begun.",
+		"Compare level with rate and burst; raise the workspace's rate, or look which programs use it up.",
+		"requestId", "workspace", "granter", "level", "rate", "burst", "spare", "programRequests")
 	ReportFailed = define(616, "reportFailed", warn,
 		"The report of used rates could not be written or read; this instance goes on with its last share.",
 		"Check the log service.",
--- a/internal/gateway/reports.go
+++ b/internal/gateway/reports.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/comfreylink/comfreylink/internal/events"
+	"github.com/comfreylink/comfreylink/internal/grants"
 	"github.com/comfreylink/comfreylink/internal/partlog"
 	"github.com/comfreylink/comfreylink/internal/relay"
 	"github.com/comfreylink/comfreylink/pkg/account"
@@ -254,8 +255,8 @@
 
 // takeQuota uses one request of a workspace's rate. It waits a little before it refuses. Programs that have begun go before those that begin: a program that is refused midway has used its
 // workspace's rate in vain.
-func (g *Gateway) takeQuota(ctx context.Context, ws ids.WorkspaceID, asked int, priority int) (ok bool, retry time.Duration) {
-	spare, wait := 0.0, begunWait
+func (g *Gateway) takeQuota(ctx context.Context, ws ids.WorkspaceID, asked int, priority int) (d grants.Decision, spare float64) {
+	wait := begunWait
 	switch {
 	case asked == 0:
 		spare, wait = min(spareToBegin+sparePerRank*float64(priority), mostSpare), beginWait
@@ -264,13 +265,12 @@
 	}
 	last := g.now().Add(wait)
 	for {
-		ok, retry = g.grants.Take(ctx, ws, spare)
-		left := last.Sub(g.now())
-		if ok || retry > left || ctx.Err() != nil {
-			return ok, retry
+		d = g.grants.Take(ctx, ws, spare)
+		if d.OK || d.Retry > last.Sub(g.now()) || ctx.Err() != nil {
+			return d, spare
 		}
 		select {
-		case <-time.After(retry):
+		case <-time.After(d.Retry):
 		case <-ctx.Done():
 		}
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -166,8 +166,11 @@
 	if e.req.Previous != "" {
 		asked = max(asked, 1)
 	}
-	if ok, retry := e.takeQuota(e.ctx, e.workspace.ID, asked, e.route.Priority); !ok {
-		return &refusal{status: fasthttp.StatusTooManyRequests, code: codeRate, retry: retry}
+	if d, spare := e.takeQuota(e.ctx, e.workspace.ID, asked, e.route.Priority); !d.OK {
+		events.Log(e.Logger, events.RateRefused, zap.String("requestId", string(e.req.ID)), zap.String("workspace", string(e.workspace.ID)),
+			zap.String("granter", string(d.Granter)), zap.Float64("level", d.Level), zap.Float64("rate", e.workspace.Rate),
+			zap.Float64("burst", e.workspace.Burst), zap.Float64("spare", spare), zap.Int("programRequests", asked))
+		return &refusal{status: fasthttp.StatusTooManyRequests, code: codeRate, retry: d.Retry}
 	}
 	e.begins = asked == 0 && e.req.Program != ""
 	e.letIn(e.began, e.workspace.ID, e.req.Program)
--- a/internal/grants/grants.go
+++ b/internal/grants/grants.go
@@ -34,6 +34,8 @@
 type grantResult struct {
 	Tokens  int   `json:"tokens"`
 	RetryMs int64 `json:"retryMs,omitempty"`
+	// Level is what was left of the workspace's burst.
+	Level float64 `json:"level,omitempty"`
 }
 
 // Config is what a grantor needs.
@@ -78,21 +80,31 @@
 	f(g.keeper, g.members)
 }
 
-// Take uses one request of a workspace, or says when to ask again. A part spare of the workspace's burst must be left.
-func (g *Grantor) Take(ctx context.Context, ws ids.WorkspaceID, spare float64) (ok bool, retry time.Duration) {
+// Decision answers a request of a workspace's rate.
+type Decision struct {
+	OK bool
+	// Retry is when to ask again.
+	Retry time.Duration
+	// Granter is the instance that decided, and Level what it had left of the workspace's burst.
+	Granter ids.InstanceID
+	Level   float64
+}
+
+// Take uses one request of a workspace. A part spare of the workspace's burst must be left besides.
+func (g *Grantor) Take(ctx context.Context, ws ids.WorkspaceID, spare float64) Decision {
 	if g.takeStashed(ws) {
-		return true, 0
+		return Decision{OK: true, Granter: g.Self}
 	}
-	grant := g.ask(ctx, ws, spare)
+	grant, by := g.ask(ctx, ws, spare)
 	if grant.Tokens == 0 {
-		return false, grant.Retry
+		return Decision{Retry: grant.Retry, Granter: by, Level: grant.Level}
 	}
 	if grant.Tokens > 1 {
 		g.mu.Lock()
 		g.stashes[ws] = stash{tokens: grant.Tokens - 1, until: g.Now().Add(aheadFor)}
 		g.mu.Unlock()
 	}
-	return true, 0
+	return Decision{OK: true, Granter: by, Level: grant.Level}
 }
 
 // takeStashed uses a request that needs no grant or was granted ahead.
@@ -128,16 +140,16 @@
 }
 
 // ask asks the granting instances in order; if none answers, this one grants.
-func (g *Grantor) ask(ctx context.Context, ws ids.WorkspaceID, spare float64) quota.Grant {
+func (g *Grantor) ask(ctx context.Context, ws ids.WorkspaceID, spare float64) (grant quota.Grant, by ids.InstanceID) {
 	for i, id := range g.granters(ws) {
 		if id == g.Self {
 			break
 		}
 		if grant, ok := g.call(ctx, id, grantParams{Workspace: ws, Spare: spare, Deputy: i > 0}); ok {
-			return grant
+			return grant, id
 		}
 	}
-	return g.grant(ws, spare)
+	return g.grant(ws, spare), g.Self
 }
 
 func (g *Grantor) granters(ws ids.WorkspaceID) []ids.InstanceID {
@@ -163,7 +175,7 @@
 	var r grantResult
 	err := g.Client.Call(ctx, address, methodGrant, p, &r)
 	g.note(id, err)
-	return quota.Grant{Tokens: r.Tokens, Retry: time.Duration(r.RetryMs) * time.Millisecond}, err == nil
+	return quota.Grant{Tokens: r.Tokens, Retry: time.Duration(r.RetryMs) * time.Millisecond, Level: r.Level}, err == nil
 }
 
 func (g *Grantor) allow(id ids.InstanceID) bool {
@@ -199,6 +211,6 @@
 		if !ok {
 			grant = g.grant(p.Workspace, p.Spare)
 		}
-		return grantResult{Tokens: grant.Tokens, RetryMs: grant.Retry.Milliseconds()}, nil
+		return grantResult{Tokens: grant.Tokens, RetryMs: grant.Retry.Milliseconds(), Level: grant.Level}, nil
 	})}
 }
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -40,6 +40,8 @@
 	Tokens int
 	// Retry is when to ask again if there are none.
 	Retry time.Duration
+	// Level is what was left of the burst before.
+	Level float64
 }
 
 // bucket is the state of one workspace.
@@ -99,15 +101,16 @@
 	}
 	b.refill(now)
 	if missing := 1 + spare*b.limit.Burst - b.level; missing > 0 {
-		return Grant{Retry: max(time.Duration(missing/b.limit.Rate*float64(time.Second)), minRetry)}
+		return Grant{Retry: max(time.Duration(missing/b.limit.Rate*float64(time.Second)), minRetry), Level: b.level}
 	}
 	n := 1
 	if room := b.level - 1 - aheadPart*b.limit.Burst; room > 0 {
 		n += int(min(math.Floor(room*aheadShare), aheadMost))
 	}
+	level := b.level
 	b.level -= float64(n)
 	b.granted += n
-	return Grant{Tokens: n}
+	return Grant{Tokens: n, Level: level}
 }
 
 // Return gives back tokens that this instance granted and that were not used.
