--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -50,6 +50,8 @@
 	level   float64
 	at      time.Time
 	granted int // since the last report
+	// created is when this instance began to keep the bucket, taken as full then.
+	created time.Time
 }
 
 // Keeper holds the buckets of one instance. It is not safe for concurrent use.
@@ -68,7 +70,7 @@
 		case l.Rate <= 0:
 			delete(k.buckets, ws)
 		case b == nil:
-			k.buckets[ws] = &bucket{limit: l, level: l.Burst, at: now}
+			k.buckets[ws] = &bucket{limit: l, level: l.Burst, at: now, created: now}
 		default:
 			b.refill(now)
 			b.limit = l
@@ -143,8 +145,8 @@
 	}
 }
 
-// Read takes over another instance's report, written at the time at. What the rate has given since then has refilled the
-// bucket, which was full when this instance began to read.
+// Read takes over another instance's report, written at the time at. Of a report from before this instance kept the
+// bucket, only what the rate has not given back since then is missing.
 func (k *Keeper) Read(now, at time.Time, l []Usage) {
 	for _, u := range l {
 		b := k.buckets[u.Workspace]
@@ -153,12 +155,9 @@
 		}
 		b.refill(now)
 		refilled := 0.0
-		if age := now.Sub(at); age > newReport {
-			refilled = b.limit.Rate * age.Seconds()
+		if at.Before(b.created) {
+			refilled = b.limit.Rate * now.Sub(at).Seconds()
 		}
 		b.level -= max(float64(u.Granted)-refilled, 0)
 	}
 }
-
-// newReport is the age up to which a report is of the present: an older one is read after a start.
-const newReport = 2500 * time.Millisecond
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -67,6 +67,21 @@
 	c.Assert(late.Grant(start.Add(time.Minute), "w", 0).Tokens, qt.Not(qt.Equals), 0)
 }
 
+// Guards against a workspace that is refused after all instances have started anew, because what it used before is
+// deducted from a bucket that has been refilled since: 149 refusals in Lahtinen's recorded incident.
+func TestNewStartCountsWhatWasRefilled(t *testing.T) {
+	c := qt.New(t)
+	k := quota.New()
+	now := start.Add(2 * time.Second)
+	k.Configure(now, map[ids.WorkspaceID]quota.Limit{"w": {Rate: 10, Burst: 10}})
+	for ago := range 2 {
+		k.Read(now, now.Add(-time.Duration(ago+1)*time.Second), []quota.Usage{{Workspace: "w", Granted: 10}})
+	}
+	c.Assert(k.Grant(now, "w", 0.5).Tokens, qt.Not(qt.Equals), 0)
+	k.Read(now, now.Add(-100*time.Millisecond), []quota.Usage{{Workspace: "w", Granted: 20}})
+	c.Assert(k.Grant(now, "w", 0).Tokens, qt.Equals, 0, qt.Commentf("what was used just now is missing"))
+}
+
 // Replays one workspace at five times its rate, with programs of ten requests each: programs that have begun must finish
 // before others begin, or most of the rate is used in vain.
 func TestBegunProgramsFinishFirst(t *testing.T) {
