Remove the keepers of lines

Cause: placing through one instance for each group of targets was to count places exactly at the worst load. Change: internal/placing and the groups of internal/line are removed. Conclusion: each instance places by itself; loads in answers tell enough at this size.

--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -159,7 +159,7 @@
 		"attempts", "duration", "waited", "firstByte", "events", "cached", "retryAfter")
 	RequestSent = define(611, "requestSent", debug,
 		"The gateway sent a request to a target.", nothing,
-		"requestId", "target", "attempt", "waited", "cached", "left", "reused", "keeper")
+		"requestId", "target", "attempt", "waited", "cached", "left", "reused")
 	AttemptFailed = define(612, "attemptFailed", info,
 		"A target did not answer a request as it should. Run says whether it may have run there.",
 		"If one target stands out, look at it.",
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -15,7 +15,6 @@
 	"github.com/comfreylink/comfreylink/internal/events"
 	"github.com/comfreylink/comfreylink/internal/httpwire"
 	"github.com/comfreylink/comfreylink/internal/line"
-	"github.com/comfreylink/comfreylink/internal/placing"
 	"github.com/comfreylink/comfreylink/pkg/dispatch"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 	"github.com/comfreylink/comfreylink/pkg/record"
@@ -87,7 +86,7 @@
 	return last
 }
 
-func (e *exchange) logAttempt(p *placing.Place, v verdict) {
+func (e *exchange) logAttempt(p line.Place, v verdict) {
 	e.Metrics.Attempt(string(p.Target.Service), v.reason)
 	if v.outcome == dispatch.Completed {
 		return
@@ -106,14 +105,14 @@
 }
 
 // wait puts the request in line.
-func (e *exchange) wait(service call.ServiceName, excluded []ids.TargetID) (p *placing.Place, r *refusal) {
+func (e *exchange) wait(service call.ServiceName, excluded []ids.TargetID) (p line.Place, r *refusal) {
 	now := e.now()
 	item := dispatch.Item{
 		Workspace: e.workspaceID(), Program: e.req.Program, Prompt: e.req.Prompt, Output: max(e.req.MaxOutput, 1),
 		Zone: e.Settings.Instance.Zone, Repeatable: e.route.Repeatable(), Excluded: excluded, Parts: e.parts(),
 		Deadline: minTime(e.deadline, now.Add(e.lineWait())),
 	}
-	p, refused := e.placing.Wait(e.ctx, service, e.splitKey(), item)
+	p, refused := e.lines.Wait(e.ctx, service, item)
 	e.waited += e.now().Sub(now)
 	e.Metrics.Waited(string(service), e.now().Sub(now))
 	switch {
@@ -161,7 +160,7 @@
 }
 
 // attempt sends the request to one target.
-func (e *exchange) attempt(p *placing.Place) verdict {
+func (e *exchange) attempt(p line.Place) verdict {
 	e.target, e.cached = p.Target.ID, p.Cached
 	now := e.now()
 	if r := e.stillAllowed(now); r != nil {
@@ -191,7 +190,7 @@
 	})
 	events.Log(e.Logger, events.RequestSent, zap.String("requestId", string(e.req.ID)), zap.String("target", string(p.Target.ID)),
 		zap.Int("attempt", e.attempts), zap.Duration("waited", p.Waited), zap.Int64("cached", int64(p.Cached)),
-		zap.Duration("left", left), zap.Bool("reused", conn.Reused), zap.String("keeper", string(p.Keeper)))
+		zap.Duration("left", left), zap.Bool("reused", conn.Reused))
 	var h fasthttp.ResponseHeader
 	h.SetNoDefaultContentType(true)
 	writeErr := conn.Write(out)
@@ -277,7 +276,7 @@
 }
 
 // takeAnswer passes a target's answer on, or says what is to be done instead.
-func (e *exchange) takeAnswer(p *placing.Place, conn *httpwire.Conn, h *fasthttp.ResponseHeader, a call.Answer, body io.Reader) (v verdict) {
+func (e *exchange) takeAnswer(p line.Place, conn *httpwire.Conn, h *fasthttp.ResponseHeader, a call.Answer, body io.Reader) (v verdict) {
 	switch {
 	case a.ID != e.req.ID && (a.ID != "" || conn.Reused):
 		// A late second answer to an earlier request says nothing about this one, not even that it has not run.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,7 +22,6 @@
 	"github.com/comfreylink/comfreylink/internal/httpwire"
 	"github.com/comfreylink/comfreylink/internal/line"
 	"github.com/comfreylink/comfreylink/internal/partlog"
-	"github.com/comfreylink/comfreylink/internal/placing"
 	"github.com/comfreylink/comfreylink/internal/programs"
 	"github.com/comfreylink/comfreylink/internal/relay"
 	"github.com/comfreylink/comfreylink/internal/rpc"
@@ -101,8 +100,7 @@
 	draining atomic.Bool
 	ready    atomic.Bool
 
-	grants  *grants.Grantor
-	placing *placing.Placer
+	grants *grants.Grantor
 
 	mu       sync.Mutex // guards the fields below
 	suspects suspects
@@ -122,7 +120,6 @@
 		runs:     make(map[ids.InstanceID]string),
 	}
 	g.grants = grants.New(grants.Config{Self: c.Settings.Instance.ID, Client: c.RPC, Now: c.Clock.Now, Address: g.addressOf})
-	g.placing = placing.New(placing.Config{Self: c.Settings.Instance.ID, Lines: g.lines, Client: c.RPC, Now: c.Clock.Now, Keeper: g.keeper})
 	parts := c.Settings.Store.Partitions
 	g.programs = programs.New(programs.Config{
 		Log: c.Source.Log, Now: c.Clock.Now, Logger: c.Logger,
@@ -167,7 +164,7 @@
 		limits[w.ID] = quota.Limit{Rate: w.Rate, Burst: w.Burst}
 	}
 	g.grants.View(func(k *quota.Keeper, _ *quota.Members) { k.Configure(now, limits) })
-	g.placing.Update(now, g.beliefs.targets(now), table.Service)
+	g.lines.Update(now, g.beliefs.targets(now), table.Service)
 }
 
 // Run serves until the context ends, then finishes what was taken.
@@ -194,7 +191,7 @@
 	tasks.Go(func() error { return g.tick(work) })
 	tasks.Go(func() error { return g.server.Serve(front) })
 	tasks.Go(func() error {
-		return rpc.NewServer(g.Log.Methods(), g.grants.Methods(), g.placing.Methods()).Serve(between)
+		return rpc.NewServer(g.Log.Methods(), g.grants.Methods()).Serve(between)
 	})
 	probes := &fasthttp.Server{Handler: g.probe, NoDefaultServerHeader: true, NoDefaultDate: true}
 	tasks.Go(func() error { return probes.Serve(probe) })
@@ -298,10 +295,9 @@
 		if now.Sub(listed) > updateInterval {
 			listed = now
 			g.updateReady(now)
-			g.placing.DropOld(now)
 			// A removed target may be used for some time after an outage of the log; that ends without an event.
 			if t := g.beliefs.table.Load(); t != nil {
-				g.placing.Update(now, g.beliefs.targets(now), t.Service)
+				g.lines.Update(now, g.beliefs.targets(now), t.Service)
 			}
 		}
 		if now.Sub(dropped) > dropInterval {
--- a/internal/gateway/reports.go
+++ b/internal/gateway/reports.go
@@ -218,20 +218,6 @@
 	return p.Address, ok
 }
 
-// keeper returns the instance that keeps a line, and where it is called.
-func (g *Gateway) keeper(name string) (id ids.InstanceID, address string, ok bool) {
-	g.grants.View(func(_ *quota.Keeper, m *quota.Members) {
-		if l := m.Granters(g.now(), ids.WorkspaceID(name), 1); len(l) > 0 {
-			id = l[0]
-		}
-	})
-	if id == "" || id == g.Settings.Instance.ID {
-		return id, "", id != ""
-	}
-	address, ok = g.addressOf(id)
-	return id, address, ok
-}
-
 // peerKeep is how long an instance without reports may still be asked: reports stop while the log is away.
 const peerKeep = time.Minute
 
--- a/internal/line/line.go
+++ b/internal/line/line.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"strconv"
 	"sync"
 	"time"
 
@@ -31,45 +30,12 @@
 	opt Options
 
 	mu    sync.Mutex
-	lines map[Key]*line
-}
-
-// Key names a line: that of all targets of a service, or of one group of them.
-type Key struct {
-	Service call.ServiceName
-	// Group counts from 1; 0 means all targets.
-	Group int
+	lines map[call.ServiceName]*line
 }
 
 // New returns lines without targets.
 func New(o Options) *Lines {
-	return &Lines{opt: o, lines: make(map[Key]*line)}
-}
-
-// groupTargets is about how many targets of a model service are in one group.
-const groupTargets = 6
-
-// Groups returns into how many groups a service's targets are divided; 0 if they are not.
-func (l *Lines) Groups(service call.ServiceName) int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	all := l.lines[Key{Service: service}]
-	if all == nil {
-		return 0
-	}
-	return all.groups
-}
-
-// GroupOf returns the group that a target is in. A target stays in its group when others come or go, as long as the
-// number of groups stays.
-func GroupOf(id ids.TargetID, groups int) int {
-	best, group := uint64(0), 1
-	for g := 1; g <= groups; g++ {
-		if score := ids.Rendezvous(strconv.Itoa(g), string(id)); score > best {
-			best, group = score, g
-		}
-	}
-	return group
+	return &Lines{opt: o, lines: make(map[call.ServiceName]*line)}
 }
 
 // Place is a target that a request may be sent to. Exactly one of its calls to Done follows.
@@ -99,14 +65,11 @@
 }
 
 type line struct {
-	opt    Options
-	groups int // guarded by the lock of all lines
+	opt Options
 
-	mu      sync.Mutex
-	queue   *dispatch.Queue
-	targets map[ids.TargetID]call.Target
-	// busyUntil is until when the targets count as busy: requests waited there lately.
-	busyUntil time.Time
+	mu        sync.Mutex
+	queue     *dispatch.Queue
+	targets   map[ids.TargetID]call.Target
 	next      dispatch.Ticket
 	waiting   map[dispatch.Ticket]chan outcome
 	forgotten time.Time
@@ -114,38 +77,20 @@
 
 // Update takes over the registered targets and the services in force.
 func (l *Lines) Update(now time.Time, targets []call.Target, service func(call.ServiceName) *call.Service) {
-	byKey := make(map[Key][]call.Target)
+	byService := make(map[call.ServiceName][]call.Target)
 	for _, t := range targets {
-		byKey[Key{Service: t.Service}] = append(byKey[Key{Service: t.Service}], t)
+		byService[t.Service] = append(byService[t.Service], t)
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for key, all := range byKey {
-		s := service(key.Service)
-		line := l.line(key, s)
-		if s == nil || s.Engine == nil {
-			continue
-		}
-		line.groups = (len(all) + groupTargets - 1) / groupTargets
-		for _, t := range all {
-			group := Key{Service: key.Service, Group: GroupOf(t.ID, line.groups)}
-			l.line(group, s)
-			byKey[group] = append(byKey[group], t)
+	for name := range byService {
+		if l.lines[name] == nil {
+			l.lines[name] = newLine(l.opt, service(name))
 		}
 	}
-	for key, line := range l.lines {
-		line.update(now, byKey[key], service(key.Service))
-	}
-}
-
-// line returns the line of a key. The caller holds the lock.
-func (l *Lines) line(key Key, s *call.Service) *line {
-	line := l.lines[key]
-	if line == nil {
-		line = newLine(l.opt, s)
-		l.lines[key] = line
+	for name, line := range l.lines {
+		line.update(now, byService[name], service(name))
 	}
-	return line
 }
 
 func newLine(o Options, s *call.Service) *line {
@@ -208,9 +153,9 @@
 }
 
 // Wait puts a request in line until it gets a target, is refused, its deadline passes or the context ends.
-func (l *Lines) Wait(ctx context.Context, key Key, it dispatch.Item) (p Place, r *Refusal) {
+func (l *Lines) Wait(ctx context.Context, service call.ServiceName, it dispatch.Item) (p Place, r *Refusal) {
 	l.mu.Lock()
-	line := l.lines[key]
+	line := l.lines[service]
 	l.mu.Unlock()
 	if line == nil {
 		return p, &Refusal{Reason: ReasonNoTarget, RetryAfter: time.Second}
@@ -320,49 +265,14 @@
 	return n
 }
 
-// Load takes over what a target says of its load.
-func (l *Lines) Load(now time.Time, t call.Target, load call.Load) {
-	if !load.Known {
-		return
-	}
-	l.mu.Lock()
-	line := l.lines[Key{Service: t.Service}]
-	l.mu.Unlock()
-	if line != nil {
-		line.load(now, t.ID, load)
-	}
-}
-
-func (l *line) load(now time.Time, id ids.TargetID, load call.Load) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.queue.Load(now, id, load.Running, load.Waiting)
-	if load.Waiting > 0 {
-		l.busyUntil = now.Add(busyFor)
-	}
-}
-
 // Load takes over what the target says of its load.
 func (p Place) Load(now time.Time, load call.Load) {
-	if load.Known {
-		p.line.load(now, p.Target.ID, load)
-	}
-}
-
-// busyFor is how long targets count as busy after a request was seen to wait at one.
-const busyFor = 2 * time.Second
-
-// Busy reports whether requests waited at targets of a service lately.
-func (l *Lines) Busy(now time.Time, service call.ServiceName) bool {
-	l.mu.Lock()
-	line := l.lines[Key{Service: service}]
-	l.mu.Unlock()
-	if line == nil {
-		return false
+	if !load.Known {
+		return
 	}
-	line.mu.Lock()
-	defer line.mu.Unlock()
-	return now.Before(line.busyUntil)
+	p.line.mu.Lock()
+	defer p.line.mu.Unlock()
+	p.line.queue.Load(now, p.Target.ID, load.Running, load.Waiting)
 }
 
 // Done ends a request at its target.
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -93,17 +93,6 @@
 	return err
 }
 
-// Notify tells an instance something that needs no answer, over the connection that is open. It fails if there is none.
-func (c *Client) Notify(address, method string, params any) error {
-	c.mu.Lock()
-	conn := c.conns[address]
-	c.mu.Unlock()
-	if conn == nil {
-		return ErrUnreachable
-	}
-	return conn.Notify(context.Background(), method, params)
-}
-
 // refuseCalls answers nothing.
 type refuseCalls struct{}
 
