Do not take the log for away when it refuses calls as too many; pools while three turns are left

Change: refusals as too many are told apart; eight in a row mean that the log turns this instance away.

--- a/internal/partlog/partlog.go
+++ b/internal/partlog/partlog.go
@@ -41,6 +41,9 @@
 // ErrNotDone is wrapped by errors of calls that had no effect and will have none.
 var ErrNotDone = errors.New("the log did not take the call")
 
+// ErrBusy is wrapped, beside ErrNotDone, by errors of calls that were refused as too many.
+var ErrBusy = errors.New("the log refuses calls as too many")
+
 // ErrAway is wrapped, beside ErrNotDone, by errors of calls that were not tried because the log counts as away: another
 // try at once is of no use.
 var ErrAway = errors.New("the log is away")
--- a/internal/programs/pool.go
+++ b/internal/programs/pool.go
@@ -12,7 +12,7 @@
 const (
 	// ampleTurns is how many turns more a program's budget must hold for its turn to be sent before the reservation is in
 	// the log, and for more than one turn to be reserved at once.
-	ampleTurns = 5
+	ampleTurns = 3
 	// poolTurns is how many turns at their longest are reserved at once. Most turns are far shorter, so that a pool lasts
 	// for several.
 	poolTurns = 2
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -25,6 +25,9 @@
 	probeTimeout = 150 * time.Millisecond
 	// peerTimeout bounds a call through another instance without the time for which it is asked to wait.
 	peerTimeout = 600 * time.Millisecond
+	// busyInRow is how many calls in a row must be refused as too many for the log to count as away: it may turn away this
+	// instance alone in that way, while all instances together only reach its rate now and then.
+	busyInRow = 8
 	// failedPause is how long an instance is not asked that did not reach the log either, or gave no answer.
 	failedPause = 2 * time.Second
 )
@@ -54,6 +57,7 @@
 	Config
 	mu     sync.Mutex
 	direct breaker.Breaker
+	busy   int // calls in a row that were refused as too many
 	lost   time.Time
 	helper ids.InstanceID               // the instance that answered last
 	failed map[ids.InstanceID]time.Time // instances that did not help, and when
@@ -106,6 +110,10 @@
 		if !errors.Is(err, partlog.ErrNotDone) && !(read && errors.Is(err, partlog.ErrUnknown)) {
 			return err
 		}
+		// Another instance would only add to the calls that are too many.
+		if errors.Is(err, partlog.ErrBusy) && l.Reachable() {
+			return err
+		}
 	}
 	for range peerTries {
 		peer, ok := l.pick()
@@ -149,6 +157,15 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.Now()
+	if errors.Is(err, partlog.ErrBusy) {
+		l.busy++
+		failed = l.busy >= busyInRow
+		if !failed {
+			return
+		}
+	} else {
+		l.busy = 0
+	}
 	switch {
 	case failed && l.direct.Failed(now):
 		l.lost = now
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -106,3 +106,33 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(me.log.Reachable(), qt.IsTrue)
 }
+
+// Guards against an instance that takes the log for away because all instances together have reached its rate: on a grown
+// day 3,924 such refusals ended turns. One that is refused every call goes through another instance.
+func TestBusyLog(t *testing.T) {
+	c := qt.New(t)
+	shared := partlogtest.New()
+	helper := newInstance(c, shared, noPeers)
+	direct := partlogtest.New()
+	busy := partlogtest.Fault{Err: errors.Join(partlog.ErrNotDone, partlog.ErrBusy)}
+	me := newInstance(c, direct, func() []relay.Peer {
+		return []relay.Peer{{Instance: "helper", Address: helper.address, ReachesLog: true}}
+	})
+	direct.SetFault(func(call int) partlogtest.Fault {
+		if call%4 != 0 {
+			return busy
+		}
+		return partlogtest.Fault{}
+	})
+	for range 40 {
+		_, _ = me.log.Append(context.Background(), part, partlog.Anywhere, []byte("x"))
+	}
+	c.Assert(me.log.Reachable(), qt.IsTrue)
+	c.Assert(shared.Records(), qt.HasLen, 0)
+	direct.SetFault(func(int) partlogtest.Fault { return busy })
+	for range 20 {
+		_, _ = me.log.Append(context.Background(), part, partlog.Anywhere, []byte("x"))
+	}
+	c.Assert(me.log.Reachable(), qt.IsFalse)
+	c.Assert(len(shared.Records()) > 0, qt.IsTrue)
+}
