--- a/internal/programs/partition.go
+++ b/internal/programs/partition.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -240,13 +241,22 @@
 		return cause
 	}
 	select {
-	case <-time.After(retryPause):
+	case <-time.After(pauseAfter(cause)):
 		return nil
 	case <-ctx.Done():
 		return cause
 	}
 }
 
+// pauseAfter returns the wait before another try. Where the log refuses calls as too many, tries that follow soon would
+// be refused as well and keep others out; they are spread.
+func pauseAfter(cause error) time.Duration {
+	if errors.Is(cause, partlog.ErrBusy) {
+		return busyPause + rand.N(busyPause)
+	}
+	return retryPause
+}
+
 // unwritten finishes the pools that the partition holds and returns the others.
 func (p *partition) unwritten(pools []*pool) (left []*pool) {
 	p.mu.Lock()
--- a/internal/programs/programs.go
+++ b/internal/programs/programs.go
@@ -20,6 +20,8 @@
 	tryTimeout = 600 * time.Millisecond
 	// retryPause is the wait before a call that the log did not take is made again.
 	retryPause = 40 * time.Millisecond
+	// busyPause is the shortest wait after a call that the log refused as too many, and half of the longest.
+	busyPause = 100 * time.Millisecond
 	// giveUpAfter bounds the time for a write. Callers are told to come back rather than kept waiting.
 	giveUpAfter = 1200 * time.Millisecond
 	// dropAfter is how long the account of a program without records is remembered.
--- a/internal/programs/turns.go
+++ b/internal/programs/turns.go
@@ -84,7 +84,7 @@
 		}
 		// An outage may be shorter than the time that the caller waits, so that the log is tried again even if it is away.
 		select {
-		case <-time.After(retryPause):
+		case <-time.After(pauseAfter(err)):
 		case <-ctx.Done():
 			return 0, err
 		}
