--- a/cmd/comfreylink/gateway.go
+++ b/cmd/comfreylink/gateway.go
@@ -16,6 +16,7 @@
 
 	"github.com/comfreylink/comfreylink/internal/boottime"
 	"github.com/comfreylink/comfreylink/internal/events"
+	"github.com/comfreylink/comfreylink/internal/follower"
 	"github.com/comfreylink/comfreylink/internal/gateway"
 	"github.com/comfreylink/comfreylink/internal/httpwire"
 	"github.com/comfreylink/comfreylink/internal/logring"
@@ -65,7 +66,7 @@
 	})
 	g = gateway.New(gateway.Config{
 		Settings: s, Codec: platform.Codec{}, ReadyPath: platform.ReadyPath, Client: client, Clock: clock, Logger: logger,
-		Metrics: metrics, RunID: runID, Log: log, RPC: peers, Source: gateway.Source{
+		Metrics: metrics, RunID: runID, Log: log, RPC: peers, Source: follower.Source{
 			Log: log, Config: platform.ConfigPartition, Targets: platform.TargetsPartition, ConfigKey: platform.ConfigKey,
 			DecodeKeyed: platform.DecodeKeyed, DecodeConfig: platform.DecodeConfig, DecodeTarget: platform.DecodeTarget,
 		},
--- a/internal/gateway/beliefs.go
+++ b/internal/follower/follower.go
@@ -1,4 +1,6 @@
-package gateway
+// Package follower keeps what an instance knows of the configuration and of the targets up to date from the platform's
+// log, and tells how fresh that is.
+package follower
 
 import (
 	"context"
@@ -43,8 +45,8 @@
 	DecodeTarget func(id string, data []byte) (call.Target, error)
 }
 
-// beliefs are what the gateway knows of the configuration and the targets, and how fresh that is.
-type beliefs struct {
+// Follower is what an instance knows of the configuration and the targets. It is safe for concurrent use.
+type Follower struct {
 	source Source
 	logger *zap.Logger
 	now    func() time.Time
@@ -64,128 +66,133 @@
 	changed  func(now time.Time) // called when the table or the targets changed, without the lock
 }
 
-func newBeliefs(s Source, bounds settings.Bounds, logger *zap.Logger, now func() time.Time) *beliefs {
-	return &beliefs{
+// New returns a follower that has read nothing. It calls changed when the configuration or the targets have changed.
+func New(s Source, bounds settings.Bounds, logger *zap.Logger, now func() time.Time, changed func(now time.Time)) *Follower {
+	return &Follower{
 		source: s, logger: logger, now: now, configWait: bounds.Revoke / readsPerRevoke,
-		targetsInterval: bounds.Removal / readsPerRemoval, registry: registry.New(),
+		targetsInterval: bounds.Removal / readsPerRemoval, registry: registry.New(), changed: changed,
 	}
 }
 
-// freshness returns the age of the configuration; ok is false before it was read.
-func (b *beliefs) freshness(now time.Time) (age time.Duration, ok bool) {
-	at := b.fresh.Load()
+// Freshness returns the age of the configuration; ok is false before it was read.
+func (f *Follower) Freshness(now time.Time) (age time.Duration, ok bool) {
+	at := f.fresh.Load()
 	if at == 0 {
 		return 0, false
 	}
 	return now.Sub(time.Unix(0, at)), true
 }
 
-// targets returns the registered targets.
-func (b *beliefs) targets(now time.Time) []call.Target {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.registry.Targets(now)
+// Table returns the configuration in force, or nil before the first one.
+func (f *Follower) Table() *call.Table { return f.table.Load() }
+
+// Targets returns the registered targets.
+func (f *Follower) Targets(now time.Time) []call.Target {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.registry.Targets(now)
 }
 
-func (b *beliefs) targetsKnown() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.listed
+// TargetsKnown reports whether the targets were read once.
+func (f *Follower) TargetsKnown() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.listed
 }
 
-// moved notes that a target's address belongs to another one now.
-func (b *beliefs) moved(id ids.TargetID) {
-	b.mu.Lock()
-	b.registry.Moved(id)
-	b.mu.Unlock()
-	b.changed(b.now())
+// Moved notes that a target's address belongs to another one now.
+func (f *Follower) Moved(id ids.TargetID) {
+	f.mu.Lock()
+	f.registry.Moved(id)
+	f.mu.Unlock()
+	f.changed(f.now())
 }
 
 // reached notes the outcome of a call to the log.
-func (b *beliefs) reached(operation string, err error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	now := b.now()
+func (f *Follower) reached(operation string, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.now()
 	switch {
-	case err != nil && b.logLost.IsZero():
-		b.logLost = now
-		events.Log(b.logger, events.LogContactLost, zap.String("operation", operation), zap.Error(err))
-	case err == nil && !b.logLost.IsZero():
-		events.Log(b.logger, events.LogContactRegained, zap.Duration("duration", now.Sub(b.logLost)))
-		b.logLost = time.Time{}
-		b.registry.LogReturned(now)
+	case err != nil && f.logLost.IsZero():
+		f.logLost = now
+		events.Log(f.logger, events.LogContactLost, zap.String("operation", operation), zap.Error(err))
+	case err == nil && !f.logLost.IsZero():
+		events.Log(f.logger, events.LogContactRegained, zap.Duration("duration", now.Sub(f.logLost)))
+		f.logLost = time.Time{}
+		f.registry.LogReturned(now)
 	}
 }
 
-// followConfig keeps the configuration up to date until the context ends.
-func (b *beliefs) followConfig(ctx context.Context) error {
-	return b.follow(ctx, b.source.Config, 0, func(asked time.Time, upToDate bool, entries []partlog.Entry, _ bool) {
+// FollowConfig keeps the configuration up to date until the context ends.
+func (f *Follower) FollowConfig(ctx context.Context) error {
+	return f.follow(ctx, f.source.Config, 0, func(asked time.Time, upToDate bool, entries []partlog.Entry, _ bool) {
 		for _, e := range entries {
-			if e.Key == b.source.ConfigKey && len(e.Value) > 0 {
-				b.takeConfig(e.Value)
+			if e.Key == f.source.ConfigKey && len(e.Value) > 0 {
+				f.takeConfig(e.Value)
 			}
 		}
-		if upToDate && b.table.Load() != nil {
-			b.fresh.Store(asked.UnixNano())
+		if upToDate && f.table.Load() != nil {
+			f.fresh.Store(asked.UnixNano())
 		}
 	})
 }
 
-func (b *beliefs) takeConfig(data []byte) {
-	c, err := b.source.DecodeConfig(data)
+func (f *Follower) takeConfig(data []byte) {
+	c, err := f.source.DecodeConfig(data)
 	if err != nil {
-		events.Log(b.logger, events.ConfigIgnored, zap.String("reason", err.Error()))
+		events.Log(f.logger, events.ConfigIgnored, zap.String("reason", err.Error()))
 		return
 	}
-	old := b.table.Load()
+	old := f.table.Load()
 	if old != nil && c.Version <= old.Config.Version {
 		return
 	}
-	b.table.Store(call.NewTable(c))
-	events.Log(b.logger, events.ConfigAccepted, zap.Int64("revision", c.Version))
-	b.changed(b.now())
+	f.table.Store(call.NewTable(c))
+	events.Log(f.logger, events.ConfigAccepted, zap.Int64("revision", c.Version))
+	f.changed(f.now())
 }
 
-// followTargets keeps the targets up to date until the context ends.
-func (b *beliefs) followTargets(ctx context.Context) error {
-	return b.follow(ctx, b.source.Targets, b.targetsInterval, func(_ time.Time, upToDate bool, entries []partlog.Entry, whole bool) {
-		if b.takeTargets(entries, whole, upToDate) {
-			b.changed(b.now())
+// FollowTargets keeps the targets up to date until the context ends.
+func (f *Follower) FollowTargets(ctx context.Context) error {
+	return f.follow(ctx, f.source.Targets, f.targetsInterval, func(_ time.Time, upToDate bool, entries []partlog.Entry, whole bool) {
+		if f.takeTargets(entries, whole, upToDate) {
+			f.changed(f.now())
 		}
 	})
 }
 
-func (b *beliefs) takeTargets(entries []partlog.Entry, whole, upToDate bool) (changed bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	now := b.now()
+func (f *Follower) takeTargets(entries []partlog.Entry, whole, upToDate bool) (changed bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.now()
 	var list []call.Target
 	for _, e := range entries {
 		if len(e.Value) == 0 {
-			if b.registry.Remove(now, ids.TargetID(e.Key)) {
-				events.Log(b.logger, events.TargetRemoved, zap.String("target", e.Key))
+			if f.registry.Remove(now, ids.TargetID(e.Key)) {
+				events.Log(f.logger, events.TargetRemoved, zap.String("target", e.Key))
 				changed = true
 			}
 			continue
 		}
-		t, err := b.source.DecodeTarget(e.Key, e.Value)
+		t, err := f.source.DecodeTarget(e.Key, e.Value)
 		if err != nil {
-			events.Log(b.logger, events.EntrySkipped, zap.String("stream", b.source.Targets.Topic),
+			events.Log(f.logger, events.EntrySkipped, zap.String("stream", f.source.Targets.Topic),
 				zap.Int64("offset", int64(e.Offset)), zap.String("reason", err.Error()))
 			continue
 		}
 		list = append(list, t)
-		if !whole && b.registry.Put(t) {
-			events.Log(b.logger, events.TargetChanged, zap.String("target", string(t.ID)), zap.String("service", string(t.Service)),
+		if !whole && f.registry.Put(t) {
+			events.Log(f.logger, events.TargetChanged, zap.String("target", string(t.ID)), zap.String("service", string(t.Service)),
 				zap.String("address", t.Address), zap.Bool("draining", t.Draining), zap.Int64("seq", t.Seq))
 			changed = true
 		}
 	}
 	if whole {
-		changed = b.registry.Replace(now, list) || changed
+		changed = f.registry.Replace(now, list) || changed
 	}
-	if upToDate && !b.listed {
-		b.listed, changed = true, true
+	if upToDate && !f.listed {
+		f.listed, changed = true, true
 	}
 	return changed
 }
@@ -193,19 +200,19 @@
 // follow reads a keyed partition for ever: its newest records first, then what is appended. With an interval it asks
 // again after that time; otherwise its reads wait for news. When records that it has not read were deleted, it begins
 // with the newest records again.
-func (b *beliefs) follow(ctx context.Context, p partlog.Partition, interval time.Duration,
+func (f *Follower) follow(ctx context.Context, p partlog.Partition, interval time.Duration,
 	take func(asked time.Time, upToDate bool, entries []partlog.Entry, whole bool),
 ) error {
 	next := ids.Offset(-1)
 	for ctx.Err() == nil {
-		asked := b.now()
+		asked := f.now()
 		var err error
 		if next < 0 {
-			next, err = b.readNewest(ctx, p, asked, take)
+			next, err = f.readNewest(ctx, p, asked, take)
 		} else {
-			next, err = b.readOn(ctx, p, next, interval, asked, take)
+			next, err = f.readOn(ctx, p, next, interval, asked, take)
 		}
-		b.reached(p.Topic, err)
+		f.reached(p.Topic, err)
 		pause := interval
 		if err != nil {
 			pause = failPause
@@ -218,12 +225,12 @@
 	return nil
 }
 
-func (b *beliefs) readNewest(ctx context.Context, p partlog.Partition, asked time.Time,
+func (f *Follower) readNewest(ctx context.Context, p partlog.Partition, asked time.Time,
 	take func(time.Time, bool, []partlog.Entry, bool),
 ) (next ids.Offset, err error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	entries, end, err := b.source.Log.Newest(ctx, p)
+	entries, end, err := f.source.Log.Newest(ctx, p)
 	if err != nil {
 		return -1, err
 	}
@@ -231,16 +238,16 @@
 	return end, nil
 }
 
-func (b *beliefs) readOn(ctx context.Context, p partlog.Partition, from ids.Offset, interval time.Duration, asked time.Time,
+func (f *Follower) readOn(ctx context.Context, p partlog.Partition, from ids.Offset, interval time.Duration, asked time.Time,
 	take func(time.Time, bool, []partlog.Entry, bool),
 ) (next ids.Offset, err error) {
 	wait := time.Duration(0)
 	if interval == 0 {
-		wait = b.configWait
+		wait = f.configWait
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+readTimeout)
 	defer cancel()
-	page, err := b.source.Log.Read(ctx, p, from, wait)
+	page, err := f.source.Log.Read(ctx, p, from, wait)
 	var gone *partlog.GoneError
 	if errors.As(err, &gone) {
 		return -1, nil
@@ -250,7 +257,7 @@
 	}
 	var entries []partlog.Entry
 	for i, record := range page.Records {
-		key, value, ok := b.source.DecodeKeyed(record)
+		key, value, ok := f.source.DecodeKeyed(record)
 		if !ok {
 			continue
 		}
--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -26,10 +26,10 @@
 // Dump returns the present state.
 func (g *Gateway) Dump() any {
 	now := g.now()
-	age, _ := g.beliefs.freshness(now)
+	age, _ := g.follower.Freshness(now)
 	d := Dump{
 		Instance: string(g.Settings.Instance.ID), Run: g.RunID, Ready: g.ready.Load(), Draining: g.draining.Load(),
-		ConfigVersion: g.configVersion(), ConfigAgeMs: age.Milliseconds(), Targets: g.beliefs.targets(now),
+		ConfigVersion: g.configVersion(), ConfigAgeMs: age.Milliseconds(), Targets: g.follower.Targets(now),
 		Waiting: g.lines.Len(), InProgress: g.server.Active(), Turns: g.programs.Turns(),
 	}
 	g.grants.View(func(_ *quota.Keeper, m *quota.Members) { d.Instances = m.Len() })
@@ -37,7 +37,7 @@
 }
 
 func (g *Gateway) configVersion() int64 {
-	if t := g.beliefs.table.Load(); t != nil {
+	if t := g.follower.Table(); t != nil {
 		return t.Config.Version
 	}
 	return 0
@@ -48,7 +48,7 @@
 	return telemetry.Observed{
 		ConfigVersion: g.configVersion,
 		ConfigAge: func() time.Duration {
-			age, _ := g.beliefs.freshness(g.now())
+			age, _ := g.follower.Freshness(g.now())
 			return age
 		},
 		Waiting: g.lines.Len, Turns: g.programs.Turns, LinesDropped: dropped,
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -221,7 +221,7 @@
 	if !e.freshEnough(now) {
 		return e.unsent(fasthttp.StatusServiceUnavailable, codeStale)
 	}
-	if w := e.beliefs.table.Load().Workspace(e.req.Key); w == nil || w.ID != e.workspace.ID {
+	if w := e.follower.Table().Workspace(e.req.Key); w == nil || w.ID != e.workspace.ID {
 		return e.unsent(fasthttp.StatusUnauthorized, codeUnknownKey)
 	}
 	return nil
@@ -283,7 +283,7 @@
 		return e.broken(errors.New("the answer belongs to another request"))
 	case a.WrongTarget:
 		e.ranNowhere()
-		e.beliefs.moved(p.Target.ID)
+		e.follower.Moved(p.Target.ID)
 		events.Log(e.Logger, events.TargetMoved, zap.String("target", string(p.Target.ID)), zap.String("address", p.Target.Address))
 		return verdict{again: true, refusal: e.unsent(fasthttp.StatusServiceUnavailable, codeNoTarget), reason: "wrongTarget", outcome: dispatch.Left}
 	case a.NotRun:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/comfreylink/comfreylink/internal/boottime"
 	"github.com/comfreylink/comfreylink/internal/call"
 	"github.com/comfreylink/comfreylink/internal/events"
+	"github.com/comfreylink/comfreylink/internal/follower"
 	"github.com/comfreylink/comfreylink/internal/grants"
 	"github.com/comfreylink/comfreylink/internal/httpwire"
 	"github.com/comfreylink/comfreylink/internal/line"
@@ -41,7 +42,7 @@
 // Config is what a gateway needs.
 type Config struct {
 	Settings settings.Gateway
-	Source   Source
+	Source   follower.Source
 	// Log is the log of Source, which other instances may use through this one.
 	Log   *relay.Log
 	Codec Codec
@@ -93,7 +94,7 @@
 // Gateway is one instance. Make it with New and run it once.
 type Gateway struct {
 	Config
-	beliefs  *beliefs
+	follower *follower.Follower
 	lines    *line.Lines
 	programs *programs.Store
 	server   *httpwire.Server
@@ -126,8 +127,7 @@
 		Programs: partlog.Space{Name: "programs", Topics: topicsPerSpace, Parts: parts},
 		Index:    partlog.Space{Name: "turns", Topics: topicsPerSpace, Parts: parts},
 	})
-	g.beliefs = newBeliefs(c.Source, c.Settings.Bounds, c.Logger, c.Clock.Now)
-	g.beliefs.changed = g.beliefsChanged
+	g.follower = follower.New(c.Source, c.Settings.Bounds, c.Logger, c.Clock.Now, g.followerChanged)
 	g.server = httpwire.NewServer(g, g.limits)
 	return g
 }
@@ -135,7 +135,7 @@
 func (g *Gateway) now() time.Time { return g.Clock.Now() }
 
 func (g *Gateway) limits() httpwire.Limits {
-	t := g.beliefs.table.Load()
+	t := g.follower.Table()
 	if t == nil {
 		return httpwire.Limits{HeaderBytes: firstHeaderBytes, BodyBytes: firstBodyBytes, HeaderTimeout: firstTimeout, IdleTimeout: firstIdle}
 	}
@@ -153,9 +153,9 @@
 	return v
 }
 
-// beliefsChanged takes over a new configuration or new targets.
-func (g *Gateway) beliefsChanged(now time.Time) {
-	table := g.beliefs.table.Load()
+// followerChanged takes over a new configuration or new targets.
+func (g *Gateway) followerChanged(now time.Time) {
+	table := g.follower.Table()
 	if table == nil {
 		return
 	}
@@ -164,7 +164,7 @@
 		limits[w.ID] = quota.Limit{Rate: w.Rate, Burst: w.Burst}
 	}
 	g.grants.View(func(k *quota.Keeper, _ *quota.Members) { k.Configure(now, limits) })
-	g.lines.Update(now, g.beliefs.targets(now), table.Service)
+	g.lines.Update(now, g.follower.Targets(now), table.Service)
 }
 
 // Run serves until the context ends, then finishes what was taken.
@@ -185,8 +185,8 @@
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	tasks, work := errgroup.WithContext(work)
-	tasks.Go(func() error { return g.beliefs.followConfig(work) })
-	tasks.Go(func() error { return g.beliefs.followTargets(work) })
+	tasks.Go(func() error { return g.follower.FollowConfig(work) })
+	tasks.Go(func() error { return g.follower.FollowTargets(work) })
 	tasks.Go(func() error { return g.runReports(work) })
 	tasks.Go(func() error { return g.tick(work) })
 	tasks.Go(func() error { return g.server.Serve(front) })
@@ -259,14 +259,14 @@
 
 // updateReady decides whether new callers are welcome, and logs when that changes.
 func (g *Gateway) updateReady(now time.Time) bool {
-	age, known := g.beliefs.freshness(now)
+	age, known := g.follower.Freshness(now)
 	reason := ""
 	switch {
 	case g.draining.Load():
 		reason = "draining"
 	case !known:
 		reason = "no configuration"
-	case !g.beliefs.targetsKnown():
+	case !g.follower.TargetsKnown():
 		reason = "no list of targets"
 	case age > readyAge:
 		reason = "stale configuration"
@@ -296,8 +296,8 @@
 			listed = now
 			g.updateReady(now)
 			// A removed target may be used for some time after an outage of the log; that ends without an event.
-			if t := g.beliefs.table.Load(); t != nil {
-				g.lines.Update(now, g.beliefs.targets(now), t.Service)
+			if t := g.follower.Table(); t != nil {
+				g.lines.Update(now, g.follower.Targets(now), t.Service)
 			}
 		}
 		if now.Sub(dropped) > dropInterval {
@@ -310,7 +310,7 @@
 func (g *Gateway) dropOld(now time.Time) {
 	g.Client.CloseStale(now)
 	retention := time.Duration(0)
-	if t := g.beliefs.table.Load(); t != nil {
+	if t := g.follower.Table(); t != nil {
 		for _, r := range t.Config.Routes {
 			if r.Remembered {
 				retention = max(retention, r.Retention)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -137,7 +137,7 @@
 
 // admit decides whether the request may run at all.
 func (e *exchange) admit() *refusal {
-	if e.table = e.beliefs.table.Load(); e.table == nil {
+	if e.table = e.follower.Table(); e.table == nil {
 		return &refusal{status: fasthttp.StatusServiceUnavailable, code: codeNoConfig, retry: shortRetry}
 	}
 	if e.route = e.table.Route(e.req.Host, e.req.Path); e.route == nil {
@@ -187,7 +187,7 @@
 
 // freshEnough reports whether the configuration is recent enough to trust its keys.
 func (g *Gateway) freshEnough(now time.Time) bool {
-	age, ok := g.beliefs.freshness(now)
+	age, ok := g.follower.Freshness(now)
 	return ok && age <= g.Settings.Bounds.Revoke-freshMargin
 }
 
--- a/internal/httpwire/client.go
+++ b/internal/httpwire/client.go
@@ -164,7 +164,12 @@
 	if c.br.Buffered() > 0 {
 		return false
 	}
-	sc, ok := c.conn.(syscall.Conn)
+	return Quiet(c.conn)
+}
+
+// Quiet reports whether a connection is open and holds no unread bytes.
+func Quiet(conn net.Conn) bool {
+	sc, ok := conn.(syscall.Conn)
 	if !ok {
 		return true
 	}
--- a/internal/targethttp/conn.go
+++ b/internal/targethttp/conn.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"net"
-	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/comfreylink/comfreylink/internal/httpwire"
 )
 
 // lease is a connection taken from a pool; exactly one of giveBack and drop is called.
@@ -33,7 +33,7 @@
 		if err != nil {
 			return lease{}, err
 		}
-		if err := cc.Conn().SetDeadline(deadline); err == nil && quiet(cc.Conn()) {
+		if err := cc.Conn().SetDeadline(deadline); err == nil && httpwire.Quiet(cc.Conn()) {
 			return lease{
 				conn:     cc.Conn(),
 				giveBack: func() { pool.ReleaseConn(cc) },
@@ -43,23 +43,3 @@
 		pool.CloseConn(cc)
 	}
 }
-
-// quiet reports whether the connection is open and holds no unread bytes.
-func quiet(conn net.Conn) bool {
-	sc, ok := conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	open := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = errors.Is(err, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && open
-}
