--- /dev/null
+++ b/internal/settings/gateway_test.go
@@ -0,0 +1,79 @@
+package settings_test
+
+import (
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/comfreylink/comfreylink/internal/settings"
+)
+
+const minimalGateway = `[instance]
+id = front-osu-1
+zone = osu
+listen = 10.1.0.11:8368
+ready = 10.1.0.11:8369
+[relay]
+listen = 10.1.0.11:7781
+advertise = 10.1.0.11:7781
+[store]
+address = 10.200.1.7:8362
+[bounds]
+[dispatch]
+[observe]
+`
+
+// Guards against a page or a template that names other keys or defaults than the code.
+func TestGatewayPage(t *testing.T) {
+	page, err := os.ReadFile("../../docs/GATEWAY-SETTINGS.md")
+	qt.Assert(t, err, qt.IsNil)
+	template, err := os.ReadFile("../../deploy/daemon.ini")
+	qt.Assert(t, err, qt.IsNil)
+	row := regexp.MustCompile("(?m)^## (\\[.*\\])$|^\\| `(.*?)` \\| (.*?) ?\\|")
+	text, keys, section := minimalGateway, 0, ""
+	for _, cells := range row.FindAllStringSubmatch(string(page), -1) {
+		if cells[1] != "" {
+			section = cells[1] + "\n"
+			continue
+		}
+		keys++
+		qt.Check(t, string(template), qt.Contains, "\n"+cells[2]+" = ")
+		if cells[3] != "" && cells[3] != "none" {
+			text = strings.Replace(text, section, section+cells[2]+" = "+cells[3]+"\n", 1)
+		}
+	}
+	qt.Assert(t, keys, qt.Equals, strings.Count(string(template), " = "))
+	documented, err := settings.ParseGateway("page", []byte(text))
+	qt.Assert(t, err, qt.IsNil)
+	defaults, err := settings.ParseGateway("minimal", []byte(minimalGateway))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, documented, qt.DeepEquals, defaults)
+	qt.Assert(t, defaults.Bounds.Revoke, qt.Equals, 5*time.Second)
+}
+
+// Guards against a gateway that starts with settings that cannot work, and against errors that do not say where.
+func TestGatewayErrors(t *testing.T) {
+	for _, test := range []struct{ old, new, want string }{
+		{"id = front-osu-1", "", "[instance] id"},
+		{"listen = 10.1.0.11:8368", "listen = nowhere", "[instance] listen"},
+		{"ready = 10.1.0.11:8369", "ready = 10.1.0.11:8368", "[instance] ready"},
+		{"ready = 10.1.0.11:8369", "ready = 10.1.0.11:8369\nmemory = 154", "[instance] memory"},
+		{"advertise = 10.1.0.11:7781", "advertise = 0.0.0.0:7781", "[relay] advertise"},
+		{"[bounds]", "[bounds]\nrevoke = 5", "[bounds] revoke"},
+		{"[bounds]", "[bounds]\nrevok = 5s", "revok"},
+		{"[dispatch]", "[dispatch]\npolicy = best", "[dispatch] policy"},
+		{"[store]", "[store]\npartitions = 0", "[store] partitions"},
+		{"[observe]", "[observe]\n[more]", "[more]"},
+	} {
+		_, err := settings.ParseGateway("file.ini", []byte(strings.Replace(minimalGateway, test.old, test.new, 1)))
+		qt.Check(t, err, qt.IsNotNil, qt.Commentf("%q", test.new))
+		if err != nil {
+			qt.Check(t, err.Error(), qt.Contains, test.want)
+			qt.Check(t, err.Error(), qt.Contains, "file.ini")
+		}
+	}
+}
