--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -197,7 +197,7 @@
 	tasks.Go(func() error { return probes.Serve(probe) })
 	select {
 	case <-ctx.Done():
-		g.drain()
+		g.drain(front)
 	case <-work.Done():
 	}
 	_ = front.Close()
@@ -207,8 +207,8 @@
 	return tasks.Wait()
 }
 
-// drain tells the balancer, waits until it has noticed and lets the requests in progress end.
-func (g *Gateway) drain() {
+// drain tells the balancer, takes callers until it has noticed and lets the requests in progress end.
+func (g *Gateway) drain(front net.Listener) {
 	began := time.Now()
 	g.draining.Store(true)
 	go g.announceLeave()
@@ -218,6 +218,8 @@
 	last := began.Add(g.Settings.Instance.Grace - exitMargin)
 	for now := time.Now(); now.Before(last); now = time.Now() {
 		if now.Sub(began) > leaveDelay {
+			// A request that came later could outlast the process.
+			_ = front.Close()
 			g.server.CloseIdle()
 			if g.server.Active() == 0 {
 				break
