Remove a lookup, a count and a wrapper that nobody calls

Cause: the last read of the change: Table.WorkspaceByID with its map, Book.Len and exchange.lastEvent have no caller. Change: they are gone; behaviour is the same. Measured: vet, gofumpt, staticcheck of the touched packages, and the tests of account and of the platform's door, streams, codec and names pass.

--- a/internal/call/table.go
+++ b/internal/call/table.go
@@ -10,18 +10,17 @@
 
 // Table answers which route, workspace and service a request belongs to. It is immutable.
 type Table struct {
-	Config     Config
-	byHost     map[string][]*Route // longest prefix first
-	byKey      map[[sha256.Size]byte]*Workspace
-	workspaces map[string]*Workspace
-	services   map[ServiceName]*Service
+	Config   Config
+	byHost   map[string][]*Route // longest prefix first
+	byKey    map[[sha256.Size]byte]*Workspace
+	services map[ServiceName]*Service
 }
 
 // NewTable returns the lookup tables of a configuration.
 func NewTable(c Config) *Table {
 	t := &Table{
 		Config: c, byHost: make(map[string][]*Route), byKey: make(map[[sha256.Size]byte]*Workspace),
-		workspaces: make(map[string]*Workspace), services: make(map[ServiceName]*Service),
+		services: make(map[ServiceName]*Service),
 	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
@@ -33,7 +32,6 @@
 	}
 	for i := range c.Workspaces {
 		w := &c.Workspaces[i]
-		t.workspaces[string(w.ID)] = w
 		for _, k := range w.Keys {
 			t.byKey[sha256.Sum256([]byte(k))] = w
 		}
@@ -63,9 +61,6 @@
 	return t.byKey[sha256.Sum256([]byte(key))]
 }
 
-// WorkspaceByID returns the workspace of a name, or nil.
-func (t *Table) WorkspaceByID(id string) *Workspace { return t.workspaces[id] }
-
 // Service returns the service of a name, or nil.
 func (t *Table) Service(name ServiceName) *Service { return t.services[name] }
 
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -186,7 +186,7 @@
 	e.mayHave = true
 	left = e.deadline.Sub(e.now())
 	out := e.Codec.EncodeRequest(nil, &e.x.Header, call.Send{
-		Target: p.Target.ID, Workspace: e.workspaceID(), Left: max(left-workMargin, time.Millisecond), LastEvent: e.lastEvent(), Body: e.body,
+		Target: p.Target.ID, Workspace: e.workspaceID(), Left: max(left-workMargin, time.Millisecond), LastEvent: e.req.LastEvent, Body: e.body,
 	})
 	events.Log(e.Logger, events.RequestSent, zap.String("requestId", string(e.req.ID)), zap.String("target", string(p.Target.ID)),
 		zap.Int("attempt", e.attempts), zap.Duration("waited", p.Waited), zap.Int64("cached", int64(p.Cached)),
@@ -246,8 +246,6 @@
 	return &refusal{status: fasthttp.StatusServiceUnavailable, code: codeDeadline, retry: shortRetry}
 }
 
-func (e *exchange) lastEvent() string { return e.req.LastEvent }
-
 // unreachable is an attempt for which no connection could be made: the target got nothing.
 func (e *exchange) unreachable(err error) verdict {
 	if e.ctx.Err() != nil {
--- a/pkg/account/account.go
+++ b/pkg/account/account.go
@@ -101,6 +101,3 @@
 		}
 	}
 }
-
-// Len returns the number of programs.
-func (b *Book) Len() int { return len(b.programs) }
