Keep suspects apart, so that a bystander is not quarantined

Cause: a request that ran beside a crashing one is suspected after the first death.

The endings travel on another way than the repetitions, so an item says itself that it is suspected. A target that could not be reached is an outcome of its own, Gone, which suspects nobody.

--- a/internal/daemon/adapters.go
+++ b/internal/daemon/adapters.go
@@ -21,6 +21,7 @@
 	"github.com/comfreylink/comfreylink/pkg/member"
 	"github.com/comfreylink/comfreylink/pkg/record"
 	"github.com/comfreylink/comfreylink/pkg/retry"
+	"github.com/comfreylink/comfreylink/pkg/suspect"
 )
 
 // prober calls peers without chunks.
@@ -114,15 +115,21 @@
 
 func (t access) Died(ws ids.WorkspaceID, f ids.Fingerprint, target ids.TargetID) {
 	events.Log(t.d.logger, events.RequestSuspected, zap.String("workspace", string(ws)), zap.String("fingerprint", string(f)), zap.String("target", string(target)))
+	t.d.suspects.Died(time.Now(), suspect.Death{Fingerprint: f, Target: target})
 	_ = t.d.fleetLog.Submit(&record.SuspectRequest{Workspace: ws, Fingerprint: f, Target: target})
 }
 
 func (t access) Survived(ws ids.WorkspaceID, f ids.Fingerprint) {
+	t.d.suspects.Survived(f)
 	if t.d.fleet.Suspected(ws, f) {
 		_ = t.d.fleetLog.Submit(&record.ClearRequest{Workspace: ws, Fingerprint: f})
 	}
 }
 
+func (t access) Suspected(ws ids.WorkspaceID, f ids.Fingerprint) bool {
+	return t.d.suspects.Has(f) || t.d.fleet.Suspected(ws, f)
+}
+
 func (t access) Quarantined(ws ids.WorkspaceID, f ids.Fingerprint) bool {
 	quarantined := t.d.fleet.Quarantined(ws, f)
 	if quarantined {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -73,6 +73,7 @@
 	engines    *engine.Client
 	services   *service.Client
 	retries    *targets.Retries
+	suspects   *targets.Suspects
 	admin      *admin.Server
 	metrics    *admin.Metrics
 
@@ -96,6 +97,7 @@
 		table:    slot.New(s.Ownership.Slots),
 		pace:     pace.New(time.Now(), s.Log.AppendsPerSecond),
 		retries:  targets.NewRetries(s.Dispatch.RetryBudget),
+		suspects: targets.NewSuspects(),
 		drain:    make(chan struct{}, 1),
 	}
 	opened := d // a return of an error sets d to nil
--- a/internal/dispatcher/pool.go
+++ b/internal/dispatcher/pool.go
@@ -246,7 +246,7 @@
 	_, failing := p.failing[target]
 	fields := []zap.Field{zap.String("target", string(target)), zap.String("pool", string(p.id))}
 	switch {
-	case o == dispatch.Died && !failing:
+	case (o == dispatch.Died || o == dispatch.Gone) && !failing:
 		events.Log(p.logger, events.TargetDead, fields...)
 	case o == dispatch.Left && !failing:
 		events.Log(p.logger, events.TargetLeaving, fields...)
--- a/internal/targets/access.go
+++ b/internal/targets/access.go
@@ -43,6 +43,7 @@
 	if a.Quarantined(c.Workspace, c.Fingerprint) {
 		return s, &peer.Refusal{Code: peer.CodeQuarantined, Run: peer.NotRun, Message: "targets died while they ran this request"}
 	}
+	it.Suspected = a.Suspected(c.Workspace, c.Fingerprint)
 	if s.Place, r = a.Place(ctx, pool, it); r != nil {
 		return s, r
 	}
@@ -102,7 +103,9 @@
 	switch t.Kind {
 	case targethttp.Leaving:
 		return dispatch.Left
-	case targethttp.Refused, targethttp.Cut:
+	case targethttp.Refused:
+		return dispatch.Gone
+	case targethttp.Cut:
 		return dispatch.Died
 	case targethttp.Timeout:
 		if !t.Sent() {
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -27,6 +27,8 @@
 	Died(ws ids.WorkspaceID, f ids.Fingerprint, t ids.TargetID)
 	// Survived tells that a target answered a request.
 	Survived(ws ids.WorkspaceID, f ids.Fingerprint)
+	// Suspected reports whether a target died while it ran a request.
+	Suspected(ws ids.WorkspaceID, f ids.Fingerprint) bool
 	// Quarantined reports whether a request is refused because targets died while they ran it.
 	Quarantined(ws ids.WorkspaceID, f ids.Fingerprint) bool
 	// Request counts a first attempt towards the retry budget.
--- a/pkg/dispatch/fair.go
+++ b/pkg/dispatch/fair.go
@@ -39,7 +39,9 @@
 			return e, t
 		}
 		e.Skip = f.round
-		f.deferrals++
+		if !q.suspects.has(now, e.item.Fingerprint) {
+			f.deferrals++
+		}
 	}
 	return nil, nil
 }
@@ -50,7 +52,7 @@
 	var free, full *target.Target
 	var freeCost, freeOwn, fullCost float64
 	for _, t := range q.targets.All() {
-		if !t.Usable(now) || !e.mayRun(now, t) {
+		if !t.Usable(now) || !q.mayRun(now, e, t) {
 			continue
 		}
 		own, cost := q.cost(now, e, t)
--- a/pkg/dispatch/item.go
+++ b/pkg/dispatch/item.go
@@ -41,6 +41,7 @@
 	Left      = target.Left
 	Broken    = target.Broken
 	Full      = target.Full
+	Gone      = target.Gone
 )
 
 // Kinds of cache events.
@@ -71,6 +72,8 @@
 	// Repeatable calls may run on a target that is being tried after a failure.
 	Repeatable  bool
 	Fingerprint ids.Fingerprint
+	// Suspected: a target died while it ran the call.
+	Suspected bool
 	// Excluded are targets on which the call already failed.
 	Excluded []ids.TargetID
 }
@@ -119,15 +122,15 @@
 	placed        time.Time
 }
 
-// mayRun reports whether the item may go to the target when it has room.
-func (e *entry) mayRun(now time.Time, t *target.Target) bool {
+// mayRun reports whether an item may go to a target when it has room.
+func (q *Queue) mayRun(now time.Time, e *entry, t *target.Target) bool {
 	if t.RepeatableOnly(now) && !e.item.Repeatable {
 		return false
 	}
-	return !slices.Contains(e.item.Excluded, t.ID())
+	return !slices.Contains(e.item.Excluded, t.ID()) && !q.keptApart(now, e, t)
 }
 
-// fits reports whether the item may go to the target now.
-func (e *entry) fits(now time.Time, t *target.Target) bool {
-	return t.HasRoom(now) && e.mayRun(now, t)
+// fits reports whether an item may go to a target now.
+func (q *Queue) fits(now time.Time, e *entry, t *target.Target) bool {
+	return t.HasRoom(now) && q.mayRun(now, e, t)
 }
--- a/pkg/dispatch/policy.go
+++ b/pkg/dispatch/policy.go
@@ -38,7 +38,7 @@
 	return firstFit(q, func(e *entry) *target.Target {
 		for i := range all {
 			n := (r.last + 1 + i) % len(all)
-			if e.fits(now, all[n]) {
+			if q.fits(now, e, all[n]) {
 				r.last = n
 				return all[n]
 			}
@@ -56,7 +56,7 @@
 func (leastInFlight) pick(now time.Time, q *Queue) (*entry, *target.Target) {
 	return firstFit(q, func(e *entry) (best *target.Target) {
 		for _, t := range q.targets.All() {
-			if e.fits(now, t) && (best == nil || t.InFlight() < best.InFlight()) {
+			if q.fits(now, e, t) && (best == nil || t.InFlight() < best.InFlight()) {
 				best = t
 			}
 		}
@@ -84,7 +84,7 @@
 	key := string(e.Workspace) + "\x00" + string(e.Root)
 	var best uint64
 	for _, t := range q.targets.All() {
-		if !t.Usable(now) || !e.mayRun(now, t) {
+		if !t.Usable(now) || !q.mayRun(now, e, t) {
 			continue
 		}
 		if score := ids.Rendezvous(string(t.ID()), key); home == nil || score > best {
--- a/pkg/dispatch/property_test.go
+++ b/pkg/dispatch/property_test.go
@@ -39,9 +39,10 @@
 		Program: rapid.SampledFrom([]ids.ProgramID{"p", "p/sub", "q", "r"}).Draw(t, "program"),
 		Weight:  rapid.Float64Range(0, 3).Draw(t, "weight"),
 		Prompt:  ids.Tokens(rapid.IntRange(1, 50_000).Draw(t, "prompt")), PrefixTokens: 1000,
-		Prefix:     rapid.SampledFrom([]dispatch.PrefixKey{"", "k", "l"}).Draw(t, "prefix"),
-		Deadline:   m.now.Add(time.Duration(rapid.IntRange(0, 60_000).Draw(t, "deadline")) * time.Millisecond),
-		Repeatable: rapid.Bool().Draw(t, "repeatable"),
+		Prefix:      rapid.SampledFrom([]dispatch.PrefixKey{"", "k", "l"}).Draw(t, "prefix"),
+		Deadline:    m.now.Add(time.Duration(rapid.IntRange(0, 60_000).Draw(t, "deadline")) * time.Millisecond),
+		Repeatable:  rapid.Bool().Draw(t, "repeatable"),
+		Fingerprint: rapid.SampledFrom([]ids.Fingerprint{"", "f", "g", "h"}).Draw(t, "fingerprint"),
 	}
 	m.waiting[it.Ticket] = it
 	m.refuse(t, m.q.Enqueue(m.now, it))
@@ -79,7 +80,7 @@
 func (m *machine) done(t *rapid.T) {
 	for ticket := range m.placed {
 		outcome := rapid.SampledFrom([]dispatch.Outcome{
-			dispatch.Completed, dispatch.Completed, dispatch.Failed, dispatch.Died, dispatch.Unsent, dispatch.Left,
+			dispatch.Completed, dispatch.Completed, dispatch.Failed, dispatch.Died, dispatch.Unsent, dispatch.Left, dispatch.Gone,
 		}).Draw(t, "outcome")
 		m.q.Done(m.now, ticket, outcome, record.Usage{Prompt: 100, Completion: 50})
 		delete(m.placed, ticket)
--- a/pkg/dispatch/queue.go
+++ b/pkg/dispatch/queue.go
@@ -14,10 +14,11 @@
 
 // Queue holds the calls before one model pool.
 type Queue struct {
-	opt     Options
-	policy  Policy
-	shares  *share.Queue
-	targets *target.Set
+	opt      Options
+	policy   Policy
+	shares   *share.Queue
+	targets  *target.Set
+	suspects suspects
 
 	entries        map[Ticket]*entry
 	oldest, newest *entry
@@ -39,7 +40,7 @@
 	}
 	return &Queue{
 		opt: o, policy: policy, entries: make(map[Ticket]*entry),
-		shares: share.New(o.Share), targets: target.NewSet(o.Options),
+		shares: share.New(o.Share), targets: target.NewSet(o.Options), suspects: newSuspects(),
 	}, nil
 }
 
@@ -59,6 +60,9 @@
 		Ticket: uint64(it.Ticket), Workspace: it.Workspace, Weight: it.Weight, Root: it.Program.Root(), Arrived: now,
 		Expected: float64(it.Prompt) + q.outputOf(it),
 	}}
+	if it.Suspected && it.Fingerprint != "" {
+		q.suspects.until[it.Fingerprint] = now.Add(suspicionKept)
+	}
 	q.push(now, e)
 	return q.shed(now, e)
 }
@@ -89,9 +93,11 @@
 	delete(q.entries, ticket)
 	took := now.Sub(e.placed)
 	e.target.End(now, outcome, took, u)
+	q.suspects.ended(e)
 	served := 0.0
 	switch outcome {
 	case Completed:
+		delete(q.suspects.until, e.item.Fingerprint)
 		q.service = target.Mean(q.service, took.Seconds())
 		q.output = target.Mean(q.output, float64(u.Completion))
 		q.targets.Store(now, e.item.Prefix, e.target, u.Total())
@@ -104,6 +110,9 @@
 	case Died:
 		served = e.Charged()
 		q.targets.Forget(e.target)
+		q.suspect(now, e.target, e)
+	case Gone:
+		q.targets.Forget(e.target)
 	}
 	q.shares.End(now, &e.Entry, served)
 	q.targets.Release(e.target)
@@ -170,6 +179,7 @@
 func (q *Queue) DropOld(now time.Time) {
 	q.shares.DropIdle(now)
 	q.targets.DropOld(now)
+	q.suspects.dropOld(now)
 }
 
 // Len returns the number of waiting items.
@@ -223,6 +233,7 @@
 	q.unlink(e)
 	q.shares.Start(&e.Entry, max(e.Expected-float64(cached), 0))
 	e.target, e.placed = t, now
+	q.suspects.placed(now, e)
 	t.Start(now, float64(e.item.Prompt-cached))
 	return Placement{Ticket: e.item.Ticket, Target: t.ID(), Cached: cached}
 }
--- a/pkg/suspect/suspect.go
+++ b/pkg/suspect/suspect.go
@@ -49,8 +49,15 @@
 	return len(r.deaths)
 }
 
-// Survived clears a request that a target has completed.
-func (t *Tracker) Survived(f ids.Fingerprint) { delete(t.records, f) }
+// Survived clears a request that a target has completed. It reports whether the request was suspected.
+func (t *Tracker) Survived(f ids.Fingerprint) (suspected bool) {
+	suspected = t.Suspected(f)
+	delete(t.records, f)
+	return suspected
+}
+
+// Suspected reports whether a target died under a request.
+func (t *Tracker) Suspected(f ids.Fingerprint) bool { return t.records[f] != nil }
 
 // Refuse reports whether a request must not run again.
 func (t *Tracker) Refuse(f ids.Fingerprint) bool {
--- a/pkg/target/report.go
+++ b/pkg/target/report.go
@@ -53,6 +53,8 @@
 	Broken
 	// Full: the target refused the call because it has no room.
 	Full
+	// Gone: the target could not be reached, and the call was not sent.
+	Gone
 )
 
 // CacheChange is the kind of a cache event.
--- a/pkg/target/target.go
+++ b/pkg/target/target.go
@@ -162,7 +162,7 @@
 		t.revive(now)
 	case Failed:
 		t.revive(now)
-	case Died:
+	case Died, Gone:
 		t.failed = now
 	case Broken:
 		t.broken++
