Tell the truth after two refusals, age unreadable configurations, count early crashes

Cause: after two targets had refused a request as not run, the gateway answered 502 unknown: only a refusal at the first attempt was believed. Change: a refusal restores what was so before the attempt. Cause: a configuration that can't be read was ignored while the one before it counted as fresh, so a withdrawn key would work on. Change: it ages until one can be read. Cause: a target that broke off before the head of its answer was not counted against the request: a request with that effect reached all of five targets. Change: counted, and the third death also ends the present request's attempts.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -126,31 +126,35 @@
 
 // FollowConfig keeps the configuration up to date until the context ends.
 func (f *Follower) FollowConfig(ctx context.Context) error {
+	readable := true
 	return f.follow(ctx, f.source.Config, 0, func(asked time.Time, upToDate bool, entries []partlog.Entry, _ bool) {
 		for _, e := range entries {
 			if e.Key == f.source.ConfigKey && len(e.Value) > 0 {
-				f.takeConfig(e.Value)
+				readable = f.takeConfig(e.Value)
 			}
 		}
-		if upToDate && f.table.Load() != nil {
+		// An unreadable configuration may withdraw keys, so the one before it grows old.
+		if upToDate && readable && f.table.Load() != nil {
 			f.fresh.Store(asked.UnixNano())
 		}
 	})
 }
 
-func (f *Follower) takeConfig(data []byte) {
+// takeConfig puts a configuration in force if it is a newer one. It reports whether it could be read.
+func (f *Follower) takeConfig(data []byte) (readable bool) {
 	c, err := f.source.DecodeConfig(data)
 	if err != nil {
 		events.Log(f.logger, events.ConfigIgnored, zap.String("reason", err.Error()))
-		return
+		return false
 	}
 	old := f.table.Load()
 	if old != nil && c.Version <= old.Config.Version {
-		return
+		return true
 	}
 	f.table.Store(call.NewTable(c))
 	events.Log(f.logger, events.ConfigAccepted, zap.Int64("revision", c.Version))
 	f.changed(f.now())
+	return true
 }
 
 // FollowTargets keeps the targets up to date until the context ends.
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -183,7 +183,7 @@
 	stop := context.AfterFunc(ctx, conn.Close)
 	defer stop()
 	e.attempts++
-	e.mayHave = true
+	e.hadRun, e.mayHave = e.mayHave, true
 	left = e.deadline.Sub(e.now())
 	out := e.Codec.EncodeRequest(nil, &e.x.Header, call.Send{
 		Target: p.Target.ID, Workspace: e.workspaceID(), Left: max(left-workMargin, time.Millisecond), LastEvent: e.req.LastEvent, Body: e.body,
@@ -197,7 +197,7 @@
 	body, err := conn.ReadHead(&h)
 	if err != nil {
 		conn.Close()
-		return e.broken(errors.Join(writeErr, err))
+		return e.noteDeath(e.broken(errors.Join(writeErr, err)), p.Target.ID)
 	}
 	a := e.Codec.DecodeAnswer(&h)
 	p.Load(e.now(), a.Load)
@@ -251,7 +251,7 @@
 	if e.ctx.Err() != nil {
 		return verdict{done: true, refusal: &refusal{status: fasthttp.StatusServiceUnavailable, code: codeCallerGone}, reason: string(codeCallerGone), outcome: dispatch.Unsent}
 	}
-	return verdict{again: true, refusal: e.unsent(fasthttp.StatusServiceUnavailable, codeNoTarget), reason: "unreachable", outcome: dispatch.Died, err: err}
+	return verdict{again: true, refusal: e.unsent(fasthttp.StatusServiceUnavailable, codeNoTarget), reason: "unreachable", outcome: dispatch.Gone, err: err}
 }
 
 // broken is an attempt without a whole answer.
@@ -280,12 +280,12 @@
 		// A late second answer to an earlier request says nothing about this one, not even that it has not run.
 		return e.broken(errors.New("the answer belongs to another request"))
 	case a.WrongTarget:
-		e.ranNowhere()
+		e.mayHave = e.hadRun
 		e.follower.Moved(p.Target.ID)
 		events.Log(e.Logger, events.TargetMoved, zap.String("target", string(p.Target.ID)), zap.String("address", p.Target.Address))
 		return verdict{again: true, refusal: e.unsent(fasthttp.StatusServiceUnavailable, codeNoTarget), reason: "wrongTarget", outcome: dispatch.Left}
 	case a.NotRun:
-		e.ranNowhere()
+		e.mayHave = e.hadRun
 		return verdict{again: true, refusal: e.unsent(fasthttp.StatusServiceUnavailable, codeTargetFull), reason: "targetFull", outcome: dispatch.Full}
 	case a.ID != e.req.ID || a.Status < fasthttp.StatusOK || a.Status < fasthttp.StatusMultipleChoices && !a.Signed:
 		return e.broken(errors.New("the answer names no request or is not signed"))
@@ -297,17 +297,18 @@
 	}
 	if v.outcome == dispatch.Completed {
 		e.survived(e.fingerprint)
-	} else if v.broke && e.events == 0 {
-		e.died(e.fingerprint, p.Target.ID)
 	}
-	return v
+	return e.noteDeath(v, p.Target.ID)
 }
 
-// ranNowhere takes back that the present attempt may have run.
-func (e *exchange) ranNowhere() {
-	if e.attempts <= 1 {
-		e.mayHave = false
+// noteDeath suspects the request if the target broke off before it gave the caller anything. One that has crashed too many
+// targets is not tried at another.
+func (e *exchange) noteDeath(v verdict, t ids.TargetID) verdict {
+	if v.broke && e.events == 0 {
+		e.died(e.fingerprint, t)
+		v.again = v.again && !e.suspected(e.fingerprint)
 	}
+	return v
 }
 
 // relayWhole passes an answer on that is not a stream.
--- a/internal/gateway/reports.go
+++ b/internal/gateway/reports.go
@@ -49,6 +49,8 @@
 	ReachesLog bool        `json:"reachesLog"`
 	Usage      []wireUsage `json:"usage,omitempty"`
 	Deaths     []wireDeath `json:"deaths,omitempty"`
+	// Survived are requests that were suspected and have been completed.
+	Survived []ids.Fingerprint `json:"survived,omitempty"`
 }
 
 type wireUsage struct {
@@ -61,10 +63,11 @@
 	Target      ids.TargetID    `json:"target"`
 }
 
-// suspects are the requests under which targets died, and the deaths that were not reported yet.
+// suspects are the requests under which targets died, and what was not reported of them yet.
 type suspects struct {
-	tracker *suspect.Tracker
-	unsent  []suspect.Death
+	tracker  *suspect.Tracker
+	deaths   []suspect.Death
+	survived []ids.Fingerprint
 }
 
 func newSuspects() suspects { return suspects{tracker: suspect.New()} }
@@ -93,7 +96,7 @@
 func (g *Gateway) pauseReports(ctx context.Context, began time.Time) {
 	g.mu.Lock()
 	interval := max(reportInterval, reportPerInstance*time.Duration(len(g.peers)))
-	if len(g.suspects.unsent) > 0 {
+	if len(g.suspects.deaths) > 0 {
 		interval = deathInterval
 	}
 	g.mu.Unlock()
@@ -106,15 +109,15 @@
 // report appends what was granted since the last report, and returns where.
 func (g *Gateway) report(ctx context.Context) (at ids.Offset, err error) {
 	g.mu.Lock()
-	deaths := g.suspects.unsent
-	g.suspects.unsent = nil
+	deaths, survived := g.suspects.deaths, g.suspects.survived
+	g.suspects.deaths, g.suspects.survived = nil, nil
 	g.mu.Unlock()
 	var usage []quota.Usage
 	g.grants.View(func(k *quota.Keeper, _ *quota.Members) { usage = k.Report() })
 	w := wireReport{
 		Instance: g.Settings.Instance.ID, Run: g.RunID, AtMs: g.now().UnixMilli(),
 		Address: g.Settings.Relay.Advertise, Zone: g.Settings.Instance.Zone, ReachesLog: g.Log.Reachable(),
-		Leaving: g.draining.Load(),
+		Leaving: g.draining.Load(), Survived: survived,
 	}
 	for _, u := range usage {
 		w.Usage = append(w.Usage, wireUsage(u))
@@ -133,7 +136,8 @@
 		// rather than exceeds.
 		g.grants.View(func(k *quota.Keeper, _ *quota.Members) { k.Restore(usage) })
 		g.mu.Lock()
-		g.suspects.unsent = append(deaths, g.suspects.unsent...)
+		g.suspects.deaths = append(deaths, g.suspects.deaths...)
+		g.suspects.survived = append(survived, g.suspects.survived...)
 		g.mu.Unlock()
 	}
 	return at, err
@@ -202,6 +206,9 @@
 	for _, d := range w.Deaths {
 		g.suspects.tracker.Died(now, suspect.Death(d))
 	}
+	for _, f := range w.Survived {
+		g.suspects.tracker.Survived(f)
+	}
 }
 
 // peer is another instance by its last report.
@@ -314,14 +321,16 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.suspects.tracker.Died(g.now(), d) > 0 {
-		g.suspects.unsent = append(g.suspects.unsent, d)
+		g.suspects.deaths = append(g.suspects.deaths, d)
 	}
 }
 
 func (g *Gateway) survived(f ids.Fingerprint) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.suspects.tracker.Survived(f)
+	if g.suspects.tracker.Survived(f) {
+		g.suspects.survived = append(g.suspects.survived, f)
+	}
 }
 
 func (g *Gateway) suspected(f ids.Fingerprint) bool {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -104,6 +104,7 @@
 	events    int // events passed on
 	cached    ids.Tokens
 	mayHave   bool   // a target may have run the request
+	hadRun    bool   // mayHave before the present attempt
 	output    []byte // what a remembered turn has generated
 }
 
