Tell other instances how many calls a target has

Ruled out: the log (no append failed), the rate (429s as on calm seconds), the line (waits of 0 to 4 ms).

Change: the calls between instances for quota carry what each has seen or placed in the last 100 ms (24 targets at most). Loads halve in 1 s instead of 0.3 s, and a target that refuses counts as filled twice, because told loads alone made instances run to the one target whose load had faded first.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -120,7 +120,7 @@
 		uses:     make(map[account.Key]programUse),
 		runs:     make(map[ids.InstanceID]string),
 	}
-	g.grants = grants.New(grants.Config{Self: c.Settings.Instance.ID, Client: c.RPC, Now: c.Clock.Now, Address: g.addressOf})
+	g.grants = grants.New(grants.Config{Self: c.Settings.Instance.ID, Client: c.RPC, Now: c.Clock.Now, Address: g.addressOf, Loads: g.lines})
 	parts := c.Settings.Store.Partitions
 	g.programs = programs.New(programs.Config{
 		Log: c.Source.Log, Now: c.Clock.Now, Logger: c.Logger,
--- a/internal/grants/grants.go
+++ b/internal/grants/grants.go
@@ -28,7 +28,8 @@
 	Workspace ids.WorkspaceID `json:"workspace"`
 	Spare     float64         `json:"spare"`
 	// Deputy is set if the first granter did not answer.
-	Deputy bool `json:"deputy,omitempty"`
+	Deputy bool  `json:"deputy,omitempty"`
+	Loads  loads `json:"loads,omitempty"`
 }
 
 type grantResult struct {
@@ -36,6 +37,7 @@
 	RetryMs int64 `json:"retryMs,omitempty"`
 	// Level is what was left of the workspace's burst.
 	Level float64 `json:"level,omitempty"`
+	Loads loads   `json:"loads,omitempty"`
 }
 
 // Config is what a grantor needs.
@@ -45,6 +47,8 @@
 	Now    func() time.Time
 	// Address returns where an instance is called; ok is false if that is not known.
 	Address func(id ids.InstanceID) (address string, ok bool)
+	// Loads are told to the instances that are asked, and those that they know taken over.
+	Loads Loads
 }
 
 // stash are requests that were granted ahead of need.
@@ -62,7 +66,7 @@
 	keeper   *quota.Keeper
 	members  *quota.Members
 	stashes  map[ids.WorkspaceID]stash
-	breakers map[ids.InstanceID]*breaker.Breaker
+	breakers map[ids.InstanceID]*breaker.Breaker // of instances that did not answer last
 }
 
 // New returns a grantor without limits.
@@ -172,9 +176,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	p.Loads = g.tell()
 	var r grantResult
 	err := g.Client.Call(ctx, address, methodGrant, p, &r)
 	g.note(id, err)
+	g.hear(r.Loads)
 	return quota.Grant{Tokens: r.Tokens, Retry: time.Duration(r.RetryMs) * time.Millisecond, Level: r.Level}, err == nil
 }
 
@@ -188,21 +194,20 @@
 func (g *Grantor) note(id ids.InstanceID, err error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	b := g.breakers[id]
-	if b == nil {
-		b = new(breaker.Breaker)
-		g.breakers[id] = b
-	}
 	if err == nil {
-		b.Succeeded()
+		delete(g.breakers, id)
 		return
 	}
-	b.Failed(g.Now())
+	if g.breakers[id] == nil {
+		g.breakers[id] = new(breaker.Breaker)
+	}
+	g.breakers[id].Failed(g.Now())
 }
 
 // Methods are the calls of other instances.
 func (g *Grantor) Methods() map[string]rpc.Method {
 	return map[string]rpc.Method{methodGrant: rpc.Typed(func(ctx context.Context, p grantParams) (any, error) {
+		g.hear(p.Loads)
 		grant, ok := quota.Grant{}, false
 		// The first granter may be out of the caller's reach only.
 		if first := g.granters(p.Workspace); p.Deputy && len(first) > 0 && first[0] != g.Self {
@@ -211,6 +216,6 @@
 		if !ok {
 			grant = g.grant(p.Workspace, p.Spare)
 		}
-		return grantResult{Tokens: grant.Tokens, RetryMs: grant.Retry.Milliseconds(), Level: grant.Level}, nil
+		return grantResult{Tokens: grant.Tokens, RetryMs: grant.Retry.Milliseconds(), Level: grant.Level, Loads: g.tell()}, nil
 	})}
 }
--- /dev/null
+++ b/internal/line/fleet_test.go
@@ -0,0 +1,307 @@
+package line
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/comfreylink/comfreylink/internal/call"
+	"github.com/comfreylink/comfreylink/pkg/dispatch"
+	"github.com/comfreylink/comfreylink/pkg/ids"
+	"github.com/comfreylink/comfreylink/pkg/record"
+)
+
+// A model of programs before one service of engines, through many instances with a line each. Engines run few calls at
+// once, queue some more and refuse the rest.
+const (
+	modelInstances  = 114
+	modelClients    = 67
+	modelTargets    = 36
+	modelSlots      = 6
+	modelQueue      = 18
+	modelWorkspaces = 80
+	// modelTurns are the turns of a program, and modelPause what it does between them.
+	modelTurns = 5
+	modelPause = 150 * time.Millisecond
+	modelWay   = 27 * time.Millisecond
+	// toldShare is the part of the calls for which another instance is asked, which tells what it knows.
+	toldShare = 0.8
+)
+
+type event struct {
+	at time.Time
+	do func(now time.Time)
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int           { return len(h) }
+func (h eventHeap) Less(i, j int) bool { return h[i].at.Before(h[j].at) }
+func (h eventHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)        { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return e
+}
+
+type modelTarget struct {
+	running int
+	queue   []func(now time.Time)
+}
+
+type modelInstance struct {
+	queue   *dispatch.Queue
+	seen    sightings
+	waiting map[dispatch.Ticket]*modelTurn
+	next    dispatch.Ticket
+	ticking bool
+}
+
+type modelProgram struct {
+	instance  *modelInstance
+	workspace int
+	id        ids.ProgramID
+	began     time.Time
+	turn      int
+	took      []time.Duration
+}
+
+type modelTurn struct {
+	program *modelProgram
+	asked   time.Time
+	tries   int
+	refused []ids.TargetID
+}
+
+// fleetModel counts what became of the programs.
+type fleetModel struct {
+	random    *rand.Rand
+	events    eventHeap
+	targets   map[ids.TargetID]*modelTarget
+	instances []*modelInstance
+	told      bool
+
+	waits                           []float64
+	inAim, late, turnedAway, failed int
+	refusedByTargets                int
+}
+
+func (m *fleetModel) at(t time.Time, do func(time.Time)) { heap.Push(&m.events, event{t, do}) }
+
+func (m *fleetModel) service() time.Duration {
+	events := min(math.Exp(m.random.NormFloat64()*0.7)*3.3, 16)
+	return 25*time.Millisecond + time.Duration(events*42)*time.Millisecond
+}
+
+func (m *fleetModel) begin(now time.Time, i *modelInstance, n int) {
+	p := &modelProgram{
+		instance: i, id: ids.ProgramID(fmt.Sprint("p", n)), began: now,
+		workspace: int(modelWorkspaces * math.Pow(m.random.Float64(), 3)),
+	}
+	for range modelTurns {
+		p.took = append(p.took, m.service())
+	}
+	m.ask(now, &modelTurn{program: p, asked: now})
+}
+
+// ask sends a turn to its instance.
+func (m *fleetModel) ask(now time.Time, t *modelTurn) {
+	p := t.program
+	i := p.instance
+	if m.told && m.random.Float64() < toldShare {
+		m.exchange(now, i, m.instances[(p.workspace*37+11)%modelInstances])
+	}
+	i.next++
+	i.waiting[i.next] = t
+	wait := 700 * time.Millisecond
+	if p.turn == 0 {
+		wait = 120 * time.Millisecond
+	}
+	m.refuse(now, i, i.queue.Enqueue(now, dispatch.Item{
+		Ticket: i.next, Workspace: ids.WorkspaceID(fmt.Sprint(p.workspace)), Program: p.id, Prompt: 1000, Output: 160,
+		Deadline: now.Add(wait), Repeatable: true, Zone: "z", Excluded: t.refused,
+	}))
+	m.advance(now, i)
+}
+
+// refuse lets callers come back: once for the first turn of a program, twice for others.
+func (m *fleetModel) refuse(now time.Time, i *modelInstance, refused []dispatch.Refusal) {
+	for _, r := range refused {
+		t := i.waiting[r.Ticket]
+		delete(i.waiting, r.Ticket)
+		t.tries++
+		switch {
+		case t.program.turn == 0 && t.tries > 1:
+			m.turnedAway++
+		case t.tries > 2:
+			m.failed++
+		default:
+			t.refused = nil
+			m.at(now.Add(700*time.Millisecond), func(now time.Time) { m.ask(now, t) })
+		}
+	}
+}
+
+// exchange is a call between two instances, with which each tells what it saw.
+func (m *fleetModel) exchange(now time.Time, a, b *modelInstance) {
+	if a == b {
+		return
+	}
+	tell := func(from, to *modelInstance) {
+		for _, x := range from.seen.fresh(now) {
+			if to.seen.add(x) {
+				to.queue.LoadAt(x.Target, x.Calls, x.At)
+			}
+		}
+	}
+	tell(a, b)
+	tell(b, a)
+}
+
+func (m *fleetModel) advance(now time.Time, i *modelInstance) {
+	m.refuse(now, i, i.queue.Expire(now))
+	for _, p := range i.queue.Next(now) {
+		i.seen.add(Sighting{Target: p.Target, Calls: i.queue.Expected(now, p.Target), At: now})
+		m.send(now, i, p)
+	}
+	if i.queue.Len() > 0 && !i.ticking {
+		i.ticking = true
+		m.at(now.Add(5*time.Millisecond), func(now time.Time) {
+			i.ticking = false
+			m.advance(now, i)
+		})
+	}
+}
+
+func (m *fleetModel) send(now time.Time, i *modelInstance, p dispatch.Placement) {
+	turn := i.waiting[p.Ticket]
+	delete(i.waiting, p.Ticket)
+	t := m.targets[p.Target]
+	m.at(now.Add(time.Millisecond), func(now time.Time) {
+		switch {
+		case t.running < modelSlots:
+			m.run(now, i, p, turn)
+		case len(t.queue) < modelQueue:
+			t.queue = append(t.queue, func(now time.Time) { m.run(now, i, p, turn) })
+		default:
+			m.refusedByTargets++
+			i.queue.Done(now, p.Ticket, dispatch.Full, record.Usage{})
+			i.seen.add(Sighting{Target: p.Target, Calls: i.queue.Expected(now, p.Target), At: now})
+			turn.refused = append(turn.refused, p.Target)
+			m.ask(now, turn)
+		}
+	})
+}
+
+func (m *fleetModel) run(now time.Time, i *modelInstance, p dispatch.Placement, turn *modelTurn) {
+	t, program := m.targets[p.Target], turn.program
+	t.running++
+	m.waits = append(m.waits, now.Sub(turn.asked).Seconds())
+	took := program.took[program.turn]
+	m.at(now.Add(min(50*time.Millisecond, took/2)), func(now time.Time) {
+		i.queue.Load(now, p.Target, t.running, len(t.queue))
+		i.seen.add(Sighting{Target: p.Target, Calls: t.running + len(t.queue), At: now})
+	})
+	m.at(now.Add(took), func(now time.Time) {
+		t.running--
+		if len(t.queue) > 0 {
+			next := t.queue[0]
+			t.queue = t.queue[1:]
+			next(now)
+		}
+		i.queue.Done(now, p.Ticket, dispatch.Completed, record.Usage{Prompt: 1000, Completion: 40})
+		m.ended(now, program)
+		m.advance(now, i)
+	})
+}
+
+// ended goes on with the program's next turn, or compares its time with its aim.
+func (m *fleetModel) ended(now time.Time, p *modelProgram) {
+	if p.turn++; p.turn < modelTurns {
+		m.at(now.Add(modelPause+modelWay), func(now time.Time) { m.ask(now, &modelTurn{program: p, asked: now}) })
+		return
+	}
+	idle := time.Duration(0)
+	for _, d := range p.took {
+		idle += d + modelWay + modelPause
+	}
+	if now.Sub(p.began) <= idle*13/10+250*time.Millisecond {
+		m.inAim++
+		return
+	}
+	m.late++
+}
+
+// runFleet plays some seconds at one rate of new programs a second, and then waits for the programs to end.
+func runFleet(seed uint64, rate float64, told bool, options dispatch.Options) *fleetModel {
+	m := &fleetModel{random: rand.New(rand.NewPCG(seed, 1)), targets: map[ids.TargetID]*modelTarget{}, told: told}
+	start := time.Unix(1000, 0)
+	var list []dispatch.Target
+	for n := range modelTargets {
+		id := ids.TargetID(fmt.Sprintf("t%02d", n))
+		m.targets[id] = &modelTarget{}
+		list = append(list, dispatch.Target{ID: id, Zone: "z", State: dispatch.Live, Slots: modelSlots + overcommit, CacheCapacity: 70_000})
+	}
+	for range modelInstances {
+		q, err := dispatch.New(options)
+		if err != nil {
+			panic(err)
+		}
+		q.UpdateTargets(start.Add(-time.Second), list)
+		m.instances = append(m.instances, &modelInstance{queue: q, seen: sightings{}, waiting: map[dispatch.Ticket]*modelTurn{}})
+	}
+	clients := make([]*modelInstance, modelClients)
+	for n := range clients {
+		clients[n] = m.instances[m.random.IntN(modelInstances)]
+	}
+	end := start.Add(6 * time.Second)
+	count := 0
+	var begin func(now time.Time)
+	begin = func(now time.Time) {
+		count++
+		m.begin(now, clients[m.random.IntN(modelClients)], count)
+		if next := now.Add(time.Duration(m.random.ExpFloat64() / rate * float64(time.Second))); next.Before(end) {
+			m.at(next, begin)
+		}
+	}
+	m.at(start, begin)
+	for len(m.events) > 0 {
+		e := heap.Pop(&m.events).(event)
+		e.do(e.at)
+	}
+	return m
+}
+
+func (m *fleetModel) String() string {
+	sum := 0.0
+	for _, v := range m.waits {
+		sum += v
+	}
+	return fmt.Sprintf("waits of %.0f ms, %d in aim, %d late, %d turned away, %d failed, %d refusals by engines",
+		1e3*sum/float64(len(m.waits)), m.inAim, m.late, m.turnedAway, m.failed, m.refusedByTargets)
+}
+
+// modelOptions returns the options of a line of engines.
+func modelOptions() dispatch.Options {
+	return lineOptions("fair", &call.Service{Engine: &call.Engine{}})
+}
+
+// Guards against instances that pile calls up at some engines while others have room, because each sees only its own calls:
+// at the worst load of a grown day, turns waited 0.4 s at engines and none of that in line.
+func TestToldLoadsShortenTheWait(t *testing.T) {
+	c := qt.New(t)
+	for _, rate := range []float64{180, 260} {
+		alone, told := runFleet(1, rate, false, modelOptions()), runFleet(1, rate, true, modelOptions())
+		t.Logf("%.0f programs a second alone: %s", rate, alone)
+		t.Logf("%.0f programs a second told: %s", rate, told)
+		c.Check(told.late < alone.late, qt.IsTrue, qt.Commentf("%.0f programs a second", rate))
+		c.Check(told.inAim > alone.inAim, qt.IsTrue, qt.Commentf("%.0f programs a second", rate))
+	}
+}
--- a/internal/line/line.go
+++ b/internal/line/line.go
@@ -31,11 +31,14 @@
 
 	mu    sync.Mutex
 	lines map[call.ServiceName]*line
+
+	seenMu sync.Mutex
+	seen   sightings
 }
 
 // New returns lines without targets.
 func New(o Options) *Lines {
-	return &Lines{opt: o, lines: make(map[call.ServiceName]*line)}
+	return &Lines{opt: o, lines: make(map[call.ServiceName]*line), seen: make(sightings)}
 }
 
 // Place is a target that a request may be sent to. Exactly one of its calls to Done follows.
@@ -66,6 +69,7 @@
 
 type line struct {
 	opt Options
+	saw func(Sighting)
 
 	mu        sync.Mutex
 	queue     *dispatch.Queue
@@ -85,7 +89,7 @@
 	defer l.mu.Unlock()
 	for name := range byService {
 		if l.lines[name] == nil {
-			l.lines[name] = newLine(l.opt, service(name))
+			l.lines[name] = newLine(l.opt, service(name), l.saw)
 		}
 	}
 	for name, line := range l.lines {
@@ -93,10 +97,21 @@
 	}
 }
 
-func newLine(o Options, s *call.Service) *line {
-	options := dispatch.Options{Policy: o.Policy}
+func newLine(o Options, s *call.Service, saw func(Sighting)) *line {
+	queue, err := dispatch.New(lineOptions(o.Policy, s))
+	if err != nil {
+		panic(err) // the options are constants
+	}
+	return &line{
+		opt: o, saw: saw, queue: queue, targets: make(map[ids.TargetID]call.Target), waiting: make(map[dispatch.Ticket]chan outcome),
+	}
+}
+
+// lineOptions returns the options of a service's line.
+func lineOptions(policy string, s *call.Service) dispatch.Options {
+	options := dispatch.Options{Policy: policy}
 	options.Ramp, options.Probation = 300*time.Millisecond, time.Second
-	options.ForeignHalfLife = 300 * time.Millisecond
+	options.ForeignHalfLife = time.Second
 	options.HintHalfLife = time.Minute
 	// A program that has got much service is near its end, so that it does not go behind others.
 	options.Share.AttainedMax = 1
@@ -106,13 +121,7 @@
 	} else {
 		options.PrefillRate, options.DecodeRate = enginePrefillRate, plainRate
 	}
-	queue, err := dispatch.New(options)
-	if err != nil {
-		panic(err) // the options are constants
-	}
-	return &line{
-		opt: o, queue: queue, targets: make(map[ids.TargetID]call.Target), waiting: make(map[dispatch.Ticket]chan outcome),
-	}
+	return options
 }
 
 const (
@@ -231,6 +240,7 @@
 	for _, p := range l.queue.Next(now) {
 		answer := l.waiting[p.Ticket]
 		delete(l.waiting, p.Ticket)
+		l.saw(Sighting{Target: p.Target, Calls: l.queue.Expected(now, p.Target), At: now})
 		answer <- outcome{place: Place{Target: l.targets[p.Target], Cached: p.Cached, line: l, ticket: p.Ticket}}
 	}
 }
@@ -273,6 +283,7 @@
 	p.line.mu.Lock()
 	defer p.line.mu.Unlock()
 	p.line.queue.Load(now, p.Target.ID, load.Running, load.Waiting)
+	p.line.saw(Sighting{Target: p.Target.ID, Calls: load.Running + load.Waiting, At: now})
 }
 
 // Done ends a request at its target.
--- /dev/null
+++ b/internal/line/sightings.go
@@ -0,0 +1,76 @@
+package line
+
+import (
+	"slices"
+	"time"
+
+	"github.com/comfreylink/comfreylink/pkg/ids"
+)
+
+const (
+	// sightingAge is how long a sighting is passed on: at full load a target gets several calls in that time.
+	sightingAge = 100 * time.Millisecond
+	// mostSightings bounds the sightings in one message.
+	mostSightings = 24
+)
+
+// Sighting is how many calls an instance believes to be at a target. Instances tell each other, because each alone sees
+// only a small part of the calls at a target.
+type Sighting struct {
+	Target ids.TargetID
+	Calls  int
+	At     time.Time
+}
+
+// sightings are the newest ones by target.
+type sightings map[ids.TargetID]Sighting
+
+// add keeps a sighting if it is newer than what is known, and reports whether it is.
+func (s sightings) add(new Sighting) bool {
+	if old, ok := s[new.Target]; ok && !new.At.After(old.At) {
+		return false
+	}
+	s[new.Target] = new
+	return true
+}
+
+// fresh returns the sightings that are worth passing on, newest first, and forgets the others.
+func (s sightings) fresh(now time.Time) (l []Sighting) {
+	for id, x := range s {
+		if now.Sub(x.At) > sightingAge {
+			delete(s, id)
+			continue
+		}
+		l = append(l, x)
+	}
+	slices.SortFunc(l, func(a, b Sighting) int { return b.At.Compare(a.At) })
+	return l[:min(len(l), mostSightings)]
+}
+
+// Sightings returns what this instance has learnt lately of the targets' loads.
+func (l *Lines) Sightings(now time.Time) []Sighting {
+	l.seenMu.Lock()
+	defer l.seenMu.Unlock()
+	return l.seen.fresh(now)
+}
+
+// TakeSightings takes over what another instance has learnt.
+func (l *Lines) TakeSightings(now time.Time, list []Sighting) {
+	l.seenMu.Lock()
+	list = slices.DeleteFunc(list, func(x Sighting) bool { return now.Sub(x.At) > sightingAge || !l.seen.add(x) })
+	l.seenMu.Unlock()
+	for _, line := range l.all() {
+		line.mu.Lock()
+		for _, x := range list {
+			line.queue.LoadAt(x.Target, x.Calls, x.At)
+		}
+		line.mu.Unlock()
+	}
+}
+
+// saw notes a target's load.
+func (l *Lines) saw(x Sighting) {
+	l.seenMu.Lock()
+	defer l.seenMu.Unlock()
+	l.seen.add(x)
+}
--- a/pkg/dispatch/queue.go
+++ b/pkg/dispatch/queue.go
@@ -140,6 +140,12 @@
 	q.targets.Load(now, id, running, waiting)
 }
 
+// LoadAt takes over how many calls another dispatcher saw at a target.
+func (q *Queue) LoadAt(id ids.TargetID, calls int, at time.Time) { q.targets.LoadAt(id, calls, at) }
+
+// Expected returns how many calls are likely to be at a target.
+func (q *Queue) Expected(now time.Time, id ids.TargetID) int { return q.targets.Expected(now, id) }
+
 // cached returns how many tokens of an item's prompt a target is expected to hold.
 func (q *Queue) cached(now time.Time, e *entry, t *target.Target) ids.Tokens {
 	if len(e.item.Parts) > 0 {
--- a/pkg/target/set.go
+++ b/pkg/target/set.go
@@ -72,6 +72,21 @@
 	}
 }
 
+// LoadAt takes over how many calls another dispatcher saw at a target.
+func (s *Set) LoadAt(id ids.TargetID, calls int, at time.Time) {
+	if t := s.byID[id]; t != nil && at.After(t.reported) {
+		t.report(at, Report{Running: calls, ReportedAt: at})
+	}
+}
+
+// Expected returns how many calls are likely to be at a target.
+func (s *Set) Expected(now time.Time, id ids.TargetID) int {
+	if t := s.byID[id]; t != nil {
+		return int(math.Round(t.expected(now)))
+	}
+	return 0
+}
+
 // Release forgets a target that left the list, once its calls have ended.
 func (s *Set) Release(t *Target) {
 	if t.listed || t.own > 0 || s.byID[t.id] != t {
--- a/pkg/target/target.go
+++ b/pkg/target/target.go
@@ -27,6 +27,8 @@
 	// each of 9 calls. In the model of the dispatch tests, 0.5, 1, 2, 3 and 6 gave a P95 program latency of 300, 299, 300,
 	// 298 and 298 s at 80% load, and 409, 381, 360, 350 and 347 s with one workspace flooding.
 	prefillDelay = 3.0
+	// fullFactor is how many times its limit a target holds that refuses calls.
+	fullFactor = 2
 )
 
 // change is the own number of calls at a target after a placement or an end.
@@ -170,7 +172,8 @@
 			t.failed = now
 		}
 	case Full:
-		t.foreign, t.reported = max(t.foreign, t.limit()-t.own), now
+		// A target that refuses calls has filled a queue of its own besides.
+		t.foreign, t.reported = max(t.foreign, fullFactor*t.limit()-t.own), now
 	case Left:
 		t.left = now
 	}
