Split reports and event streams off the gateway

Change: internal/reports (report, peers, suspects) and internal/eventstream with tests of their own; the quota of a request in quota.go. No decision changes.

--- /dev/null
+++ b/internal/eventstream/eventstream_test.go
@@ -0,0 +1,35 @@
+package eventstream_test
+
+import (
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/comfreylink/comfreylink/internal/eventstream"
+)
+
+// Guards against an event that is passed on in parts, and against a stream that ends within an event and looks complete.
+func TestReader(t *testing.T) {
+	c := qt.New(t)
+	const whole = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+	for _, test := range []struct {
+		stream string
+		last   error
+	}{{whole, io.EOF}, {whole + "\n", io.EOF}, {whole + "id: 3\nda", nil}} {
+		r := eventstream.New(iotest.OneByteReader(strings.NewReader(test.stream)))
+		for _, want := range []string{"a", "b"} {
+			event, err := r.Next()
+			c.Assert(err, qt.IsNil)
+			data, ok := eventstream.Field(event, "data")
+			c.Assert(ok, qt.IsTrue)
+			c.Assert(string(data), qt.Equals, want)
+		}
+		_, err := r.Next()
+		c.Assert(err, qt.IsNotNil)
+		c.Assert(errors.Is(err, io.EOF), qt.Equals, test.last != nil)
+	}
+}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -296,7 +296,7 @@
 		v = e.relayWhole(h, a, body)
 	}
 	if v.outcome == dispatch.Completed {
-		e.survived(e.fingerprint)
+		e.reports.Survived(e.fingerprint)
 	}
 	return e.noteDeath(v, p.Target.ID)
 }
@@ -305,8 +305,8 @@
 // targets is not tried at another.
 func (e *exchange) noteDeath(v verdict, t ids.TargetID) verdict {
 	if v.broke && e.events == 0 {
-		e.died(e.fingerprint, t)
-		v.again = v.again && !e.suspected(e.fingerprint)
+		e.reports.Died(e.fingerprint, t)
+		v.again = v.again && !e.reports.Suspected(e.fingerprint)
 	}
 	return v
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/comfreylink/comfreylink/internal/partlog"
 	"github.com/comfreylink/comfreylink/internal/programs"
 	"github.com/comfreylink/comfreylink/internal/relay"
+	"github.com/comfreylink/comfreylink/internal/reports"
 	"github.com/comfreylink/comfreylink/internal/rpc"
 	"github.com/comfreylink/comfreylink/internal/settings"
 	"github.com/comfreylink/comfreylink/pkg/account"
@@ -78,6 +79,8 @@
 	leaveDelay = 2500 * time.Millisecond
 	// exitMargin is how long before it would be killed the gateway ends.
 	exitMargin = 400 * time.Millisecond
+	// announceTimeout bounds the last word to the other instances.
+	announceTimeout = 500 * time.Millisecond
 	// lineTick is how often lines are looked through for what only time allows.
 	lineTick = 10 * time.Millisecond
 	// updateInterval is how often the lines take over what only time changes of the targets.
@@ -101,26 +104,29 @@
 	draining atomic.Bool
 	ready    atomic.Bool
 
-	grants *grants.Grantor
+	grants  *grants.Grantor
+	reports *reports.Reports
 
-	mu       sync.Mutex // guards the fields below
-	suspects suspects
-	peers    map[ids.InstanceID]peer
-	uses     map[account.Key]programUse // programs that were let in lately
-	runs     map[ids.InstanceID]string  // the last run of each instance that reported
+	mu   sync.Mutex
+	uses map[account.Key]programUse // programs that were let in lately
 }
 
 // New returns a gateway.
 func New(c Config) *Gateway {
 	g := &Gateway{
-		Config:   c,
-		lines:    line.New(line.Options{Policy: string(c.Settings.Dispatch.Policy), Now: c.Clock.Now}),
-		suspects: newSuspects(),
-		peers:    make(map[ids.InstanceID]peer),
-		uses:     make(map[account.Key]programUse),
-		runs:     make(map[ids.InstanceID]string),
+		Config: c,
+		lines:  line.New(line.Options{Policy: string(c.Settings.Dispatch.Policy), Now: c.Clock.Now}),
+		uses:   make(map[account.Key]programUse),
 	}
-	g.grants = grants.New(grants.Config{Self: c.Settings.Instance.ID, Client: c.RPC, Now: c.Clock.Now, Address: g.addressOf, Loads: g.lines})
+	g.grants = grants.New(grants.Config{
+		Self: c.Settings.Instance.ID, Client: c.RPC, Now: c.Clock.Now, Loads: g.lines,
+		Address: func(id ids.InstanceID) (string, bool) { return g.reports.AddressOf(id) },
+	})
+	g.reports = reports.New(reports.Config{
+		Self:  relay.Peer{Instance: c.Settings.Instance.ID, Address: c.Settings.Relay.Advertise, Zone: c.Settings.Instance.Zone},
+		RunID: c.RunID, Log: c.Source.Log, Grants: g.grants, Reachable: c.Log.Reachable, Leaving: g.draining.Load,
+		Now: c.Clock.Now, Logger: c.Logger,
+	})
 	parts := c.Settings.Store.Partitions
 	g.programs = programs.New(programs.Config{
 		Log: c.Source.Log, Now: c.Clock.Now, Logger: c.Logger,
@@ -132,6 +138,9 @@
 	return g
 }
 
+// Peers returns the other instances.
+func (g *Gateway) Peers() []relay.Peer { return g.reports.Peers() }
+
 func (g *Gateway) now() time.Time { return g.Clock.Now() }
 
 func (g *Gateway) limits() httpwire.Limits {
@@ -187,7 +196,7 @@
 	tasks, work := errgroup.WithContext(work)
 	tasks.Go(func() error { return g.follower.FollowConfig(work) })
 	tasks.Go(func() error { return g.follower.FollowTargets(work) })
-	tasks.Go(func() error { return g.runReports(work) })
+	tasks.Go(func() error { return g.reports.Run(work) })
 	tasks.Go(func() error { return g.tick(work) })
 	tasks.Go(func() error { return g.server.Serve(front) })
 	tasks.Go(func() error {
@@ -232,9 +241,9 @@
 
 // announceLeave tells the other instances at once that this one no longer grants.
 func (g *Gateway) announceLeave() {
-	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
 	defer cancel()
-	if _, err := g.report(ctx); err != nil {
+	if _, err := g.reports.Write(ctx); err != nil {
 		events.Log(g.Logger, events.ReportFailed, zap.String("operation", "leave"), zap.Error(err))
 	}
 }
@@ -244,7 +253,7 @@
 	ctx, cancel := context.WithDeadline(context.Background(), last.Add(exitMargin/2))
 	defer cancel()
 	g.programs.Flush(ctx)
-	if _, err := g.report(ctx); err != nil {
+	if _, err := g.reports.Write(ctx); err != nil {
 		events.Log(g.Logger, events.ReportFailed, zap.String("operation", "last"), zap.Error(err))
 	}
 }
@@ -320,12 +329,6 @@
 		}
 	}
 	g.programs.DropOld(now, retention)
-	g.mu.Lock()
-	g.suspects.tracker.DropOld(now)
-	for k, use := range g.uses {
-		if now.Sub(use.last) > programKeep {
-			delete(g.uses, k)
-		}
-	}
-	g.mu.Unlock()
+	g.reports.DropOld(now)
+	g.dropUses(now)
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -157,7 +157,7 @@
 	}
 	e.deadline = e.began.Add(min(orDefault(e.req.Wait, defaultWait), orDefault(e.route.Timeout, defaultWait)))
 	e.fingerprint = e.makeFingerprint()
-	if e.suspected(e.fingerprint) {
+	if e.reports.Suspected(e.fingerprint) {
 		return &refusal{status: fasthttp.StatusServiceUnavailable, code: codeQuarantined, retry: e.deadline.Sub(e.began)}
 	}
 	if e.workspace == nil {
--- /dev/null
+++ b/internal/reports/reports_test.go
@@ -0,0 +1,61 @@
+package reports_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+
+	"github.com/comfreylink/comfreylink/internal/grants"
+	"github.com/comfreylink/comfreylink/internal/partlog/partlogtest"
+	"github.com/comfreylink/comfreylink/internal/relay"
+	"github.com/comfreylink/comfreylink/internal/reports"
+	"github.com/comfreylink/comfreylink/pkg/ids"
+)
+
+// start runs the reports of an instance until the test ends.
+func start(c *qt.C, log *partlogtest.Log, id ids.InstanceID) *reports.Reports {
+	r := reports.New(reports.Config{
+		Self: relay.Peer{Instance: id, Address: "address of " + string(id)}, RunID: "run of " + string(id), Log: log,
+		Grants:    grants.New(grants.Config{Self: id, Now: time.Now}),
+		Reachable: func() bool { return true }, Leaving: func() bool { return false }, Now: time.Now, Logger: zap.NewNop(),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- r.Run(ctx) }()
+	c.Cleanup(func() {
+		cancel()
+		c.Check(<-ended, qt.IsNil)
+	})
+	return r
+}
+
+func eventually(c *qt.C, ok func() bool) {
+	c.Helper()
+	for last := time.Now().Add(5 * time.Second); time.Now().Before(last); time.Sleep(10 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	c.Fatal("not within 5 s")
+}
+
+// Guards against a crashing request that goes on at other instances, and against one that stays refused there after a
+// target has completed it.
+func TestSuspicionsAreTold(t *testing.T) {
+	c := qt.New(t)
+	log := partlogtest.New()
+	a, b := start(c, log, "a"), start(c, log, "b")
+	eventually(c, func() bool { return len(a.Peers()) == 1 && len(b.Peers()) == 1 })
+	address, ok := a.AddressOf("b")
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(address, qt.Equals, "address of b")
+	for _, target := range []ids.TargetID{"t1", "t2", "t3"} {
+		a.Died("f", target)
+	}
+	eventually(c, func() bool { return b.Suspected("f") })
+	b.Survived("f")
+	eventually(c, func() bool { return !a.Suspected("f") })
+}
--- /dev/null
+++ b/internal/reports/suspects.go
@@ -0,0 +1,50 @@
+package reports
+
+import (
+	"time"
+
+	"github.com/comfreylink/comfreylink/pkg/ids"
+	"github.com/comfreylink/comfreylink/pkg/suspect"
+)
+
+// suspects are the requests under which targets died, and what was not reported of them yet.
+type suspects struct {
+	tracker  *suspect.Tracker
+	deaths   []suspect.Death
+	survived []ids.Fingerprint
+}
+
+func newSuspects() suspects { return suspects{tracker: suspect.New()} }
+
+// Died notes that a target broke off while it ran a request.
+func (r *Reports) Died(f ids.Fingerprint, t ids.TargetID) {
+	d := suspect.Death{Fingerprint: f, Target: t}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.suspects.tracker.Died(r.Now(), d) > 0 {
+		r.suspects.deaths = append(r.suspects.deaths, d)
+	}
+}
+
+// Survived notes that a target has completed a request.
+func (r *Reports) Survived(f ids.Fingerprint) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.suspects.tracker.Survived(f) {
+		r.suspects.survived = append(r.suspects.survived, f)
+	}
+}
+
+// Suspected reports whether a request has crashed so many targets that it is refused.
+func (r *Reports) Suspected(f ids.Fingerprint) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.suspects.tracker.Refuse(f)
+}
+
+// DropOld forgets old deaths.
+func (r *Reports) DropOld(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.suspects.tracker.DropOld(now)
+}
