--- a/internal/line/sightings.go
+++ b/internal/line/sightings.go
@@ -26,11 +26,11 @@
 type sightings map[ids.TargetID]Sighting
 
 // add keeps a sighting if it is newer than what is known, and reports whether it is.
-func (s sightings) add(new Sighting) bool {
-	if old, ok := s[new.Target]; ok && !new.At.After(old.At) {
+func (s sightings) add(x Sighting) bool {
+	if known, ok := s[x.Target]; ok && !x.At.After(known.At) {
 		return false
 	}
-	s[new.Target] = new
+	s[x.Target] = x
 	return true
 }
 
