Let the tracker of suspects guard itself

Cause: internal/targets wrapped pkg/suspect in a lock of its own, and internal/reports guarded the same tracker with another one: two copies of the same guard around one type.

--- a/internal/daemon/adapters.go
+++ b/internal/daemon/adapters.go
@@ -115,7 +115,9 @@
 
 func (t access) Died(ws ids.WorkspaceID, f ids.Fingerprint, target ids.TargetID) {
 	events.Log(t.d.logger, events.RequestSuspected, zap.String("workspace", string(ws)), zap.String("fingerprint", string(f)), zap.String("target", string(target)))
-	t.d.suspects.Died(time.Now(), suspect.Death{Fingerprint: f, Target: target})
+	now := time.Now()
+	t.d.suspects.DropOld(now)
+	t.d.suspects.Died(now, suspect.Death{Fingerprint: f, Target: target})
 	_ = t.d.fleetLog.Submit(&record.SuspectRequest{Workspace: ws, Fingerprint: f, Target: target})
 }
 
@@ -127,7 +129,7 @@
 }
 
 func (t access) Suspected(ws ids.WorkspaceID, f ids.Fingerprint) bool {
-	return t.d.suspects.Has(f) || t.d.fleet.Suspected(ws, f)
+	return t.d.suspects.Suspected(f) || t.d.fleet.Suspected(ws, f)
 }
 
 func (t access) Quarantined(ws ids.WorkspaceID, f ids.Fingerprint) bool {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -42,6 +42,7 @@
 	"github.com/comfreylink/comfreylink/pkg/pace"
 	"github.com/comfreylink/comfreylink/pkg/replay"
 	"github.com/comfreylink/comfreylink/pkg/slot"
+	"github.com/comfreylink/comfreylink/pkg/suspect"
 )
 
 // recentConfigBytes bounds the entries of the config stream that are kept for peers that cannot read the log. It is
@@ -73,7 +74,7 @@
 	engines    *engine.Client
 	services   *service.Client
 	retries    *targets.Retries
-	suspects   *targets.Suspects
+	suspects   *suspect.Tracker // the calls under which targets died, until all instances know of them
 	admin      *admin.Server
 	metrics    *admin.Metrics
 
@@ -97,7 +98,7 @@
 		table:    slot.New(s.Ownership.Slots),
 		pace:     pace.New(time.Now(), s.Log.AppendsPerSecond),
 		retries:  targets.NewRetries(s.Dispatch.RetryBudget),
-		suspects: targets.NewSuspects(),
+		suspects: suspect.New(),
 		drain:    make(chan struct{}, 1),
 	}
 	opened := d // a return of an error sets d to nil
--- a/internal/reports/suspects.go
+++ b/internal/reports/suspects.go
@@ -37,14 +37,10 @@
 
 // Suspected reports whether a request has crashed so many targets that it is refused.
 func (r *Reports) Suspected(f ids.Fingerprint) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	return r.suspects.tracker.Refuse(f)
 }
 
 // DropOld forgets old deaths.
 func (r *Reports) DropOld(now time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	r.suspects.tracker.DropOld(now)
 }
--- a/pkg/suspect/suspect.go
+++ b/pkg/suspect/suspect.go
@@ -3,6 +3,7 @@
 package suspect
 
 import (
+	"sync"
 	"time"
 
 	"github.com/comfreylink/comfreylink/pkg/ids"
@@ -27,8 +28,9 @@
 	deaths map[ids.TargetID]time.Time
 }
 
-// Tracker counts the deaths under each request. It is not safe for concurrent use.
+// Tracker counts the deaths under each request. It is safe for concurrent use.
 type Tracker struct {
+	mu      sync.Mutex
 	records map[ids.Fingerprint]*record
 }
 
@@ -37,6 +39,8 @@
 
 // Died counts a death and returns under how many targets' deaths the request stands now.
 func (t *Tracker) Died(now time.Time, d Death) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	r := t.records[d.Fingerprint]
 	if r == nil {
 		if len(t.records) >= most {
@@ -51,22 +55,32 @@
 
 // Survived clears a request that a target has completed. It reports whether the request was suspected.
 func (t *Tracker) Survived(f ids.Fingerprint) (suspected bool) {
-	suspected = t.Suspected(f)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	suspected = t.records[f] != nil
 	delete(t.records, f)
 	return suspected
 }
 
 // Suspected reports whether a target died under a request.
-func (t *Tracker) Suspected(f ids.Fingerprint) bool { return t.records[f] != nil }
+func (t *Tracker) Suspected(f ids.Fingerprint) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.records[f] != nil
+}
 
 // Refuse reports whether a request must not run again.
 func (t *Tracker) Refuse(f ids.Fingerprint) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	r := t.records[f]
 	return r != nil && len(r.deaths) >= deathsToRefuse
 }
 
 // DropOld forgets old deaths.
 func (t *Tracker) DropOld(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	for f, r := range t.records {
 		for id, at := range r.deaths {
 			if now.Sub(at) > keep {
