Read past deleted records in one place

Cause: three readers of the log (programs, their index, reports) each repeated the try with its own time and the step to the oldest record that is kept; programs also had the loop of repeated reads twice.

Change: partlog.ReadOn serves all three, and partition.readUntilDone takes the time of asking, so that Store.readPartition goes. The keyed reader of internal/follower stays: it begins with the newest records instead.

Measured: race tests of internal/programs, internal/reports and platform pass.

Conclusion: behaviour is the same; a read that fails right after deleted records were met begins once more at the old offset.

--- a/internal/partlog/partlog.go
+++ b/internal/partlog/partlog.go
@@ -73,6 +73,21 @@
 	Newest(ctx context.Context, p Partition) (l []Entry, end ids.Offset, err error)
 }
 
+// ReadOn reads from an offset on without waiting for records, or from the oldest record that is kept if those before were
+// deleted. The timeout bounds each try.
+func ReadOn(ctx context.Context, l Log, p Partition, from ids.Offset, timeout time.Duration) (page Page, err error) {
+	for {
+		try, cancel := context.WithTimeout(ctx, timeout)
+		page, err = l.Read(try, p, from, 0)
+		cancel()
+		var gone *GoneError
+		if !errors.As(err, &gone) {
+			return page, err
+		}
+		from = gone.First
+	}
+}
+
 // Anywhere is the condition of an append that has none.
 const Anywhere ids.Offset = -1
 
--- a/internal/programs/partition.go
+++ b/internal/programs/partition.go
@@ -110,7 +110,7 @@
 	fresh := false
 	for {
 		if len(pools) > 0 && (!p.isLoaded() || !fresh && p.anySpent(pools)) {
-			if err := p.readUntilDone(ctx); err != nil {
+			if err := p.readUntilDone(ctx, p.store.Now()); err != nil {
 				return err
 			}
 			fresh = true
@@ -220,12 +220,13 @@
 			return err
 		}
 	}
-	return p.readUntilDone(ctx)
+	return p.readUntilDone(ctx, p.store.Now())
 }
 
-func (p *partition) readUntilDone(ctx context.Context) error {
+// readUntilDone reads the partition to its end, unless that was done since asked, and tries again after errors.
+func (p *partition) readUntilDone(ctx context.Context, asked time.Time) error {
 	for {
-		err := p.read(ctx, p.store.Now())
+		err := p.read(ctx, asked)
 		if err == nil {
 			return nil
 		}
@@ -283,16 +284,7 @@
 			return nil
 		}
 		began := p.store.Now()
-		try, cancel := context.WithTimeout(ctx, tryTimeout)
-		page, err := p.store.Log.Read(try, p.id, from, 0)
-		cancel()
-		var gone *partlog.GoneError
-		if errors.As(err, &gone) {
-			p.mu.Lock()
-			p.next = max(p.next, gone.First)
-			p.mu.Unlock()
-			continue
-		}
+		page, err := partlog.ReadOn(ctx, p.store.Log, p.id, from, tryTimeout)
 		if err != nil {
 			return err
 		}
--- a/internal/programs/turns.go
+++ b/internal/programs/turns.go
@@ -138,7 +138,7 @@
 			err = oops.In("programs").With("turn", id).Wrapf(err, "read a turn")
 		}
 	}()
-	if err := s.readPartition(ctx, asked, program); err != nil {
+	if err := s.partition(program).readUntilDone(ctx, asked); err != nil {
 		return nil, err
 	}
 	if t := s.lookup(id); t != nil {
@@ -151,7 +151,7 @@
 	if !ok {
 		return nil, ErrNone
 	}
-	if err := s.readPartition(ctx, asked, own); err != nil {
+	if err := s.partition(own).readUntilDone(ctx, asked); err != nil {
 		return nil, err
 	}
 	if t := s.lookup(id); t != nil {
@@ -161,19 +161,6 @@
 	return nil, ErrNone
 }
 
-func (s *Store) readPartition(ctx context.Context, asked time.Time, k account.Key) error {
-	p := s.partition(k)
-	for {
-		err := p.read(ctx, asked)
-		if err == nil {
-			return nil
-		}
-		if err := pause(ctx, err); err != nil {
-			return err
-		}
-	}
-}
-
 // programOf returns the program that a turn belongs to, by the index.
 func (s *Store) programOf(ctx context.Context, asked time.Time, id call.ID) (k account.Key, ok bool, err error) {
 	where := s.Index.Of(string(id))
@@ -200,14 +187,7 @@
 // readIndex reads one page of the index.
 func (s *Store) readIndex(ctx context.Context, where partlog.Partition, x *index) error {
 	began := s.Now()
-	try, cancel := context.WithTimeout(ctx, tryTimeout)
-	defer cancel()
-	page, err := s.Log.Read(try, where, x.next, 0)
-	var gone *partlog.GoneError
-	if errors.As(err, &gone) {
-		x.next = gone.First
-		return nil
-	}
+	page, err := partlog.ReadOn(ctx, s.Log, where, x.next, tryTimeout)
 	if err != nil {
 		return err
 	}
--- a/internal/reports/reports.go
+++ b/internal/reports/reports.go
@@ -171,14 +171,7 @@
 // read reads the reports of all instances to the end and divides the rates anew.
 func (r *Reports) read(ctx context.Context, from ids.Offset) (next ids.Offset, err error) {
 	for {
-		try, cancel := context.WithTimeout(ctx, timeout)
-		page, err := r.Log.Read(try, partition, from, 0)
-		cancel()
-		var gone *partlog.GoneError
-		if errors.As(err, &gone) {
-			from = gone.First
-			continue
-		}
+		page, err := partlog.ReadOn(ctx, r.Log, partition, from, timeout)
 		if err != nil {
 			return from, err
 		}
