Use the bounded read and the header line of httpwire once

Cause: the gateway repeated the bounded read of a body that httpwire has, and AppendHeaders the line that AppendHeader writes, because one took strings and the other bytes.

Change: httpwire.ReadAll is exported and called by the gateway; AppendHeader takes either type and AppendHeaders calls it.

Measured: race tests of internal/httpwire and platform pass.

Conclusion: behaviour is the same.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -313,10 +313,7 @@
 
 // relayWhole passes an answer on that is not a stream.
 func (e *exchange) relayWhole(h *fasthttp.ResponseHeader, a call.Answer, body io.Reader) verdict {
-	data, err := io.ReadAll(io.LimitReader(body, maxAnswer+1))
-	if err == nil && len(data) > maxAnswer {
-		err = httpwire.ErrTooLarge
-	}
+	data, err := httpwire.ReadAll(body, maxAnswer)
 	if err != nil {
 		return e.broken(err)
 	}
--- a/internal/httpwire/body.go
+++ b/internal/httpwire/body.go
@@ -77,8 +77,8 @@
 	return n, err
 }
 
-// readAll reads a body of at most limit bytes.
-func readAll(r io.Reader, limit int) (body []byte, err error) {
+// ReadAll reads a body of at most limit bytes.
+func ReadAll(r io.Reader, limit int) (body []byte, err error) {
 	body, err = io.ReadAll(io.LimitReader(r, int64(limit)+1))
 	if err != nil {
 		return nil, err
--- a/internal/httpwire/headers.go
+++ b/internal/httpwire/headers.go
@@ -22,7 +22,7 @@
 }
 
 // AppendHeader appends one header line.
-func AppendHeader(b []byte, name, value string) []byte {
+func AppendHeader[T string | []byte](b []byte, name, value T) []byte {
 	b = append(b, name...)
 	b = append(b, ": "...)
 	b = append(b, value...)
@@ -40,10 +40,7 @@
 		if contains(hopByHop, name) || contains(skip, name) || contains(named, name) {
 			continue
 		}
-		b = append(b, name...)
-		b = append(b, ": "...)
-		b = append(b, value...)
-		b = append(b, "\r\n"...)
+		b = AppendHeader(b, name, value)
 	}
 	return b
 }
--- a/internal/httpwire/server.go
+++ b/internal/httpwire/server.go
@@ -192,11 +192,11 @@
 func (x *Exchange) readBody(f framing, limit int) (err error) {
 	switch {
 	case f.chunked:
-		x.Body, err = readAll(newChunkedBody(x.br), limit)
+		x.Body, err = ReadAll(newChunkedBody(x.br), limit)
 	case f.length > int64(limit):
 		return ErrTooLarge
 	case f.length > 0:
-		x.Body, err = readAll(&fixedBody{br: x.br, left: f.length}, limit)
+		x.Body, err = ReadAll(&fixedBody{br: x.br, left: f.length}, limit)
 	}
 	return err
 }
