Make the metrics of both faces with one set of instruments

Cause: internal/telemetry repeated the registry, the provider and the makers of histograms, counters and gauges of internal/admin.

Change: internal/instruments holds them once; both packages keep their names, bounds and attributes. The two gauges of admin are read as floating point, which is what Prometheus shows either way.

Measured: race tests of internal/admin pass with their literal lines.

Conclusion: names, labels and values on both addresses are the same.

--- a/internal/admin/metrics.go
+++ b/internal/admin/metrics.go
@@ -2,19 +2,15 @@
 
 import (
 	"context"
-	"net/http"
 	"strings"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/samber/oops"
 	"go.opentelemetry.io/otel/attribute"
-	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
 	"go.opentelemetry.io/otel/metric"
-	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
 
+	"github.com/comfreylink/comfreylink/internal/instruments"
 	"github.com/comfreylink/comfreylink/internal/traffic"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 )
@@ -51,8 +47,7 @@
 
 // Metrics are the daemon's instruments. Its methods may be called concurrently.
 type Metrics struct {
-	provider *sdkmetric.MeterProvider
-	registry *prometheus.Registry
+	set *instruments.Set
 
 	request, append, queue, program, peer metric.Float64Histogram
 	refused, skipped                      metric.Int64Counter
@@ -61,66 +56,30 @@
 // NewMetrics returns the instruments; cleanup ends the provider.
 func NewMetrics(o Observed) (m *Metrics, cleanup func(), err error) {
 	defer func() { err = oops.In("admin").Wrapf(err, "make the metrics") }()
-	registry := prometheus.NewRegistry()
-	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	exporter, err := otelprom.New(otelprom.WithRegisterer(registry), otelprom.WithoutScopeInfo(), otelprom.WithoutTargetInfo())
+	set, cleanup, err := instruments.New("github.com/comfreylink/comfreylink")
 	if err != nil {
 		return nil, nil, err
 	}
-	m = &Metrics{provider: sdkmetric.NewMeterProvider(sdkmetric.WithReader(exporter)), registry: registry}
-	i := instruments{meter: m.provider.Meter("github.com/comfreylink/comfreylink")}
-	m.request = i.seconds("http.server.request.duration", "Time from a caller's request to the end of its answer.", callBounds)
-	m.append = i.seconds("comfreylink.log.append.duration", "Time of an append to the log service.", waitBounds)
-	m.queue = i.seconds("comfreylink.dispatch.queue.wait", "Time that a call waits at the dispatcher of its pool.", waitBounds)
-	m.program = i.seconds("comfreylink.program.duration", "Time from a program's first call to its end.", programBounds)
-	m.peer = i.seconds("rpc.client.call.duration", "Time of a call to another daemon.", callBounds)
-	m.refused = i.counter("comfreylink.request.refused", "{request}", "Requests that were refused.")
-	m.skipped = i.counter("comfreylink.log.entry.skipped", "{entry}", "Log entries that were not interpreted.")
-	i.gauge("comfreylink.config.revision", "{revision}", "Highest revision of the configuration in force.",
-		func() int64 { return int64(o.ConfigRevision()) })
-	i.gauge("comfreylink.slot.owned", "{slot}", "Slots that this instance serves.",
-		func() int64 { return int64(o.OwnedSlots()) })
-	i.links(o.Links)
-	return m, func() { _ = m.provider.Shutdown(context.Background()) }, i.err
-}
-
-// instruments makes instruments and keeps the first error.
-type instruments struct {
-	meter metric.Meter
-	err   error
-}
-
-func (i *instruments) keep(err error) {
-	if i.err == nil {
-		i.err = err
-	}
-}
-
-func (i *instruments) seconds(name, description string, bounds []float64) metric.Float64Histogram {
-	h, err := i.meter.Float64Histogram(name, metric.WithUnit("s"), metric.WithDescription(description),
-		metric.WithExplicitBucketBoundaries(bounds...))
-	i.keep(err)
-	return h
-}
-
-func (i *instruments) counter(name, unit, description string) metric.Int64Counter {
-	c, err := i.meter.Int64Counter(name, metric.WithUnit(unit), metric.WithDescription(description))
-	i.keep(err)
-	return c
-}
-
-func (i *instruments) gauge(name, unit, description string, value func() int64) {
-	_, err := i.meter.Int64ObservableGauge(name, metric.WithUnit(unit), metric.WithDescription(description),
-		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
-			o.Observe(value())
-			return nil
-		}))
-	i.keep(err)
-}
-
-// links reports the bytes that control sends and receives, for which the design page sets a limit.
-func (i *instruments) links(links func() map[string]*traffic.Counter) {
-	_, err := i.meter.Int64ObservableCounter("comfreylink.network.io", metric.WithUnit("By"),
+	set.Registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	m = &Metrics{set: set}
+	m.request = set.Seconds("http.server.request.duration", "Time from a caller's request to the end of its answer.", callBounds)
+	m.append = set.Seconds("comfreylink.log.append.duration", "Time of an append to the log service.", waitBounds)
+	m.queue = set.Seconds("comfreylink.dispatch.queue.wait", "Time that a call waits at the dispatcher of its pool.", waitBounds)
+	m.program = set.Seconds("comfreylink.program.duration", "Time from a program's first call to its end.", programBounds)
+	m.peer = set.Seconds("rpc.client.call.duration", "Time of a call to another daemon.", callBounds)
+	m.refused = set.Counter("comfreylink.request.refused", "{request}", "Requests that were refused.")
+	m.skipped = set.Counter("comfreylink.log.entry.skipped", "{entry}", "Log entries that were not interpreted.")
+	set.Gauge("comfreylink.config.revision", "{revision}", "Highest revision of the configuration in force.",
+		func() float64 { return float64(o.ConfigRevision()) })
+	set.Gauge("comfreylink.slot.owned", "{slot}", "Slots that this instance serves.",
+		func() float64 { return float64(o.OwnedSlots()) })
+	observeLinks(set, o.Links)
+	return m, cleanup, set.Err()
+}
+
+// observeLinks reports the bytes that control sends and receives, for which the design page sets a limit.
+func observeLinks(set *instruments.Set, links func() map[string]*traffic.Counter) {
+	_, err := set.Meter.Int64ObservableCounter("comfreylink.network.io", metric.WithUnit("By"),
 		metric.WithDescription("Bytes of connections, without those of TCP and below."),
 		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
 			for name, c := range links() {
@@ -129,52 +88,43 @@
 			}
 			return nil
 		}))
-	i.keep(err)
-}
-
-// handler serves the metrics in the Prometheus text format.
-func (m *Metrics) handler() http.Handler {
-	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
-}
-
-func record(h metric.Float64Histogram, d time.Duration, attrs ...attribute.KeyValue) {
-	h.Record(context.Background(), d.Seconds(), metric.WithAttributes(attrs...))
+	set.Keep(err)
 }
 
 // RequestDone records a caller's request. The route is a pattern, not a path, so that there are few of them; the zone
 // is that of the target, or empty if none was asked.
 func (m *Metrics) RequestDone(route string, status int, zone ids.Zone, d time.Duration) {
-	record(m.request, d, attrRoute.String(route), attrStatus.Int(status), attrZone.String(string(zone)))
+	instruments.Record(m.request, d, attrRoute.String(route), attrStatus.Int(status), attrZone.String(string(zone)))
 }
 
 // Refused counts a request that was refused with an error code.
 func (m *Metrics) Refused(code string) {
-	m.refused.Add(context.Background(), 1, metric.WithAttributes(attrCode.String(code)))
+	instruments.Add(m.refused, 1, attrCode.String(code))
 }
 
 // Appended records an append to the log service.
 func (m *Metrics) Appended(s ids.Stream, d time.Duration, err error) {
-	record(m.append, d, attrStream.String(streamKind(s)), attrFailed.Bool(err != nil))
+	instruments.Record(m.append, d, attrStream.String(streamKind(s)), attrFailed.Bool(err != nil))
 }
 
 // QueueWaited records the time that a call waited at the dispatcher of its pool.
 func (m *Metrics) QueueWaited(pool ids.PoolID, d time.Duration) {
-	record(m.queue, d, attrPool.String(string(pool)))
+	instruments.Record(m.queue, d, attrPool.String(string(pool)))
 }
 
 // ProgramEnded records the time from a program's first call to its end.
 func (m *Metrics) ProgramEnded(template string, d time.Duration) {
-	record(m.program, d, attrTemplate.String(template))
+	instruments.Record(m.program, d, attrTemplate.String(template))
 }
 
 // PeerCalled records a call to another daemon.
 func (m *Metrics) PeerCalled(method string, d time.Duration, err error) {
-	record(m.peer, d, attrMethod.String(method), attrFailed.Bool(err != nil))
+	instruments.Record(m.peer, d, attrMethod.String(method), attrFailed.Bool(err != nil))
 }
 
 // EntrySkipped counts a log entry that was not interpreted.
 func (m *Metrics) EntrySkipped(s ids.Stream) {
-	m.skipped.Add(context.Background(), 1, metric.WithAttributes(attrStream.String(streamKind(s))))
+	instruments.Add(m.skipped, 1, attrStream.String(streamKind(s)))
 }
 
 // streamKind keeps the number of attribute values independent of the number of slots.
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -60,7 +60,7 @@
 	if err != nil {
 		return nil, nil, oops.In("admin").Wrapf(err, "listen at the admin address")
 	}
-	s = &Server{config: c, listener: listener, metrics: fasthttpadaptor.NewFastHTTPHandler(c.Metrics.handler())}
+	s = &Server{config: c, listener: listener, metrics: fasthttpadaptor.NewFastHTTPHandler(c.Metrics.set.Handler())}
 	s.server = &fasthttp.Server{
 		Handler:               s.handle,
 		Name:                  "comfreylink",
--- /dev/null
+++ b/internal/instruments/instruments.go
@@ -0,0 +1,83 @@
+// Package instruments makes a process's metrics, which Prometheus reads.
+package instruments
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
+)
+
+// Set makes instruments and keeps the first error.
+type Set struct {
+	Registry *prometheus.Registry
+	Meter    metric.Meter
+	err      error
+}
+
+// New returns a set for a scope; cleanup ends its provider.
+func New(scope string) (s *Set, cleanup func(), err error) {
+	registry := prometheus.NewRegistry()
+	exporter, err := otelprom.New(otelprom.WithRegisterer(registry), otelprom.WithoutScopeInfo(), otelprom.WithoutTargetInfo())
+	if err != nil {
+		return nil, nil, err
+	}
+	provider := sdkmetric.NewMeterProvider(sdkmetric.WithReader(exporter))
+	return &Set{Registry: registry, Meter: provider.Meter(scope)}, func() { _ = provider.Shutdown(context.Background()) }, nil
+}
+
+// Err returns the first error.
+func (s *Set) Err() error { return s.err }
+
+// Keep takes over the error of an instrument that was made with the meter.
+func (s *Set) Keep(err error) {
+	if s.err == nil {
+		s.err = err
+	}
+}
+
+// Seconds returns a histogram of durations.
+func (s *Set) Seconds(name, description string, bounds []float64) metric.Float64Histogram {
+	h, err := s.Meter.Float64Histogram(name, metric.WithUnit("s"), metric.WithDescription(description),
+		metric.WithExplicitBucketBoundaries(bounds...))
+	s.Keep(err)
+	return h
+}
+
+// Counter returns a counter.
+func (s *Set) Counter(name, unit, description string) metric.Int64Counter {
+	c, err := s.Meter.Int64Counter(name, metric.WithUnit(unit), metric.WithDescription(description))
+	s.Keep(err)
+	return c
+}
+
+// Gauge adds a value that is read at each collection.
+func (s *Set) Gauge(name, unit, description string, value func() float64) {
+	_, err := s.Meter.Float64ObservableGauge(name, metric.WithUnit(unit), metric.WithDescription(description),
+		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
+			o.Observe(value())
+			return nil
+		}))
+	s.Keep(err)
+}
+
+// Handler serves the metrics in the Prometheus text format.
+func (s *Set) Handler() http.Handler {
+	return promhttp.HandlerFor(s.Registry, promhttp.HandlerOpts{})
+}
+
+// Record adds a duration to a histogram.
+func Record(h metric.Float64Histogram, d time.Duration, attrs ...attribute.KeyValue) {
+	h.Record(context.Background(), d.Seconds(), metric.WithAttributes(attrs...))
+}
+
+// Add counts up.
+func Add(c metric.Int64Counter, n int64, attrs ...attribute.KeyValue) {
+	c.Add(context.Background(), n, metric.WithAttributes(attrs...))
+}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -2,20 +2,17 @@
 package telemetry
 
 import (
-	"context"
 	"encoding/json"
 	"maps"
 	"net/http"
 	"sync"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/samber/oops"
 	"go.opentelemetry.io/otel/attribute"
-	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
 	"go.opentelemetry.io/otel/metric"
-	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
+
+	"github.com/comfreylink/comfreylink/internal/instruments"
 )
 
 // Bounds of histogram buckets, in seconds.
@@ -46,11 +43,10 @@
 
 // Metrics are the gateway's instruments. Its methods may be called concurrently.
 type Metrics struct {
-	registry *prometheus.Registry
+	set *instruments.Set
 
 	request, waited, firstByte, store metric.Float64Histogram
 	refused, attempts, storeBytes     metric.Int64Counter
-	meter                             metric.Meter
 
 	mu    sync.Mutex
 	calls map[string]CallCount
@@ -73,88 +69,54 @@
 // New returns the instruments; cleanup ends their provider.
 func New() (m *Metrics, cleanup func(), err error) {
 	defer func() { err = oops.In("telemetry").Wrapf(err, "make the metrics") }()
-	registry := prometheus.NewRegistry()
-	exporter, err := otelprom.New(otelprom.WithRegisterer(registry), otelprom.WithoutScopeInfo(), otelprom.WithoutTargetInfo())
+	set, cleanup, err := instruments.New("github.com/comfreylink/comfreylink/gateway")
 	if err != nil {
 		return nil, nil, err
 	}
-	provider := sdkmetric.NewMeterProvider(sdkmetric.WithReader(exporter))
-	m = &Metrics{registry: registry, calls: make(map[string]CallCount), meter: provider.Meter("github.com/comfreylink/comfreylink/gateway")}
-	var i instruments
-	m.request = i.seconds(m.meter, "http.server.request.duration", "Time from a request to the end of its answer.", requestBounds)
-	m.waited = i.seconds(m.meter, "comfreylink.line.wait", "Time that a request waits for a target.", waitBounds)
-	m.firstByte = i.seconds(m.meter, "comfreylink.stream.first_event", "Time from a request to the first event of its stream.", requestBounds)
-	m.store = i.seconds(m.meter, "comfreylink.store.call.duration", "Time of a call to the platform's log.", requestBounds)
-	m.refused = i.counter(m.meter, "comfreylink.request.refused", "{request}", "Requests that were refused.")
-	m.attempts = i.counter(m.meter, "comfreylink.attempt", "{attempt}", "Attempts at targets by how they ended.")
-	m.storeBytes = i.counter(m.meter, "comfreylink.store.io", "By", "Bytes written to and read from the platform's log.")
-	return m, func() { _ = provider.Shutdown(context.Background()) }, i.err
-}
-
-type instruments struct{ err error }
-
-func (i *instruments) keep(err error) {
-	if i.err == nil {
-		i.err = err
-	}
-}
-
-func (i *instruments) seconds(m metric.Meter, name, description string, bounds []float64) metric.Float64Histogram {
-	h, err := m.Float64Histogram(name, metric.WithUnit("s"), metric.WithDescription(description), metric.WithExplicitBucketBoundaries(bounds...))
-	i.keep(err)
-	return h
-}
-
-func (i *instruments) counter(m metric.Meter, name, unit, description string) metric.Int64Counter {
-	c, err := m.Int64Counter(name, metric.WithUnit(unit), metric.WithDescription(description))
-	i.keep(err)
-	return c
-}
-
-func (i *instruments) gauge(m metric.Meter, name, unit, description string, value func() float64) {
-	_, err := m.Float64ObservableGauge(name, metric.WithUnit(unit), metric.WithDescription(description),
-		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
-			o.Observe(value())
-			return nil
-		}))
-	i.keep(err)
+	m = &Metrics{set: set, calls: make(map[string]CallCount)}
+	m.request = set.Seconds("http.server.request.duration", "Time from a request to the end of its answer.", requestBounds)
+	m.waited = set.Seconds("comfreylink.line.wait", "Time that a request waits for a target.", waitBounds)
+	m.firstByte = set.Seconds("comfreylink.stream.first_event", "Time from a request to the first event of its stream.", requestBounds)
+	m.store = set.Seconds("comfreylink.store.call.duration", "Time of a call to the platform's log.", requestBounds)
+	m.refused = set.Counter("comfreylink.request.refused", "{request}", "Requests that were refused.")
+	m.attempts = set.Counter("comfreylink.attempt", "{attempt}", "Attempts at targets by how they ended.")
+	m.storeBytes = set.Counter("comfreylink.store.io", "By", "Bytes written to and read from the platform's log.")
+	return m, cleanup, set.Err()
 }
 
 // Observe registers the values that are read at each collection.
 func (m *Metrics) Observe(o Observed) error {
-	var i instruments
-	i.gauge(m.meter, "comfreylink.config.version", "{version}", "Version of the configuration in force.", func() float64 { return float64(o.ConfigVersion()) })
-	i.gauge(m.meter, "comfreylink.config.age", "s", "Time since the configuration was known to be up to date.", func() float64 { return o.ConfigAge().Seconds() })
-	i.gauge(m.meter, "comfreylink.line.length", "{request}", "Requests that wait for a target.", func() float64 { return float64(o.Waiting()) })
-	i.gauge(m.meter, "comfreylink.turns", "{turn}", "Remembered turns in memory.", func() float64 { return float64(o.Turns()) })
-	i.gauge(m.meter, "comfreylink.log.dropped", "{line}", "Log lines that were left out.", func() float64 { return float64(o.LinesDropped()) })
-	return i.err
+	m.set.Gauge("comfreylink.config.version", "{version}", "Version of the configuration in force.", func() float64 { return float64(o.ConfigVersion()) })
+	m.set.Gauge("comfreylink.config.age", "s", "Time since the configuration was known to be up to date.", func() float64 { return o.ConfigAge().Seconds() })
+	m.set.Gauge("comfreylink.line.length", "{request}", "Requests that wait for a target.", func() float64 { return float64(o.Waiting()) })
+	m.set.Gauge("comfreylink.turns", "{turn}", "Remembered turns in memory.", func() float64 { return float64(o.Turns()) })
+	m.set.Gauge("comfreylink.log.dropped", "{line}", "Log lines that were left out.", func() float64 { return float64(o.LinesDropped()) })
+	return m.set.Err()
 }
 
 // RequestDone counts an answered request.
 func (m *Metrics) RequestDone(route, outcome string, status int, took time.Duration) {
-	m.request.Record(context.Background(), took.Seconds(),
-		metric.WithAttributes(attrRoute.String(route), attrOutcome.String(outcome), attrStatus.Int(status)))
+	instruments.Record(m.request, took, attrRoute.String(route), attrOutcome.String(outcome), attrStatus.Int(status))
 }
 
 // Refused counts a refusal by its code.
 func (m *Metrics) Refused(code string) {
-	m.refused.Add(context.Background(), 1, metric.WithAttributes(attrCode.String(code)))
+	instruments.Add(m.refused, 1, attrCode.String(code))
 }
 
 // Waited records the time in line.
 func (m *Metrics) Waited(service string, took time.Duration) {
-	m.waited.Record(context.Background(), took.Seconds(), metric.WithAttributes(attrService.String(service)))
+	instruments.Record(m.waited, took, attrService.String(service))
 }
 
 // FirstByte records the time to the first event of a stream.
 func (m *Metrics) FirstByte(route string, took time.Duration) {
-	m.firstByte.Record(context.Background(), took.Seconds(), metric.WithAttributes(attrRoute.String(route)))
+	instruments.Record(m.firstByte, took, attrRoute.String(route))
 }
 
 // Attempt counts an attempt at a target.
 func (m *Metrics) Attempt(service, outcome string) {
-	m.attempts.Add(context.Background(), 1, metric.WithAttributes(attrService.String(service), attrOutcome.String(outcome)))
+	instruments.Add(m.attempts, 1, attrService.String(service), attrOutcome.String(outcome))
 }
 
 // StoreCall records a call to the platform's log.
@@ -168,15 +130,15 @@
 	}
 	m.calls[call] = count
 	m.mu.Unlock()
-	attributes := metric.WithAttributes(attrCall.String(call), attrFailed.Bool(err != nil))
-	m.store.Record(context.Background(), took.Seconds(), attributes)
-	m.storeBytes.Add(context.Background(), int64(bytes), attributes)
+	attributes := []attribute.KeyValue{attrCall.String(call), attrFailed.Bool(err != nil)}
+	instruments.Record(m.store, took, attributes...)
+	instruments.Add(m.storeBytes, int64(bytes), attributes...)
 }
 
 // Handler serves the metrics at /metrics and what dump returns at /dump.
 func (m *Metrics) Handler(dump func() any) http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("/metrics", promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{}))
+	mux.Handle("/metrics", m.set.Handler())
 	mux.HandleFunc("/dump", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(dump())
