Read both kinds of settings with the same two functions

Cause: LoadGateway and ParseGateway repeated the reading of the file and the loop over the sections of Load and Parse; LoadGateway also returned the file's contents, which nobody used.

Change: load and readParts serve both.

Measured: tests of internal/settings and internal/cli pass.

Conclusion: behaviour is the same.

--- a/cmd/comfreylink/gateway.go
+++ b/cmd/comfreylink/gateway.go
@@ -129,7 +129,7 @@
 }
 
 func reload(path string, level zap.AtomicLevel, logger *zap.Logger) {
-	s, _, err := settings.LoadGateway(path)
+	s, err := settings.LoadGateway(path)
 	if err != nil {
 		events.Log(logger, events.SettingsChanged, zap.String("file", path), zap.String("reason", err.Error()))
 		return
--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -30,7 +30,7 @@
 		if path == "" {
 			return &UsageError{Reason: "no settings file is given"}
 		}
-		s, _, err := settings.LoadGateway(path)
+		s, err := settings.LoadGateway(path)
 		if err != nil {
 			log := events.NewLogger(r.out.stderr, zap.InfoLevel)
 			events.Log(log, events.SettingsInvalid, zap.String("file", path), zap.Error(err))
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -1,11 +1,8 @@
 package settings
 
 import (
-	"os"
 	"time"
 
-	"github.com/samber/oops"
-
 	"github.com/comfreylink/comfreylink/internal/inifile"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 )
@@ -89,15 +86,7 @@
 }
 
 // LoadGateway reads a gateway's settings file. The error names everything that is wrong with it.
-func LoadGateway(path string) (g Gateway, data []byte, err error) {
-	defer func() { err = oops.In("settings").With("file", path).Wrapf(err, "read the settings") }()
-	data, err = os.ReadFile(path)
-	if err != nil {
-		return Gateway{}, nil, err
-	}
-	g, err = ParseGateway(path, data)
-	return g, data, err
-}
+func LoadGateway(path string) (g Gateway, err error) { return load(path, ParseGateway) }
 
 // ParseGateway reads the contents of a gateway's settings file. The name occurs in errors only.
 func ParseGateway(name string, data []byte) (g Gateway, err error) {
@@ -105,18 +94,14 @@
 	if err != nil {
 		return Gateway{}, err
 	}
-	for _, part := range []part{
+	readParts(f, []part{
 		{"instance", g.Instance.read},
 		{"relay", g.Relay.read},
 		{"store", g.Store.read},
 		{"bounds", g.Bounds.read},
 		{"dispatch", g.Dispatch.read},
 		{"observe", g.Observe.read},
-	} {
-		section := f.Section(part.name)
-		part.read(section)
-		section.Close()
-	}
+	})
 	if g.Instance.Ready != "" && g.Instance.Ready == g.Instance.Listen {
 		f.Section("instance").Fail("ready", "%s is also the address of listen", g.Instance.Ready)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -132,13 +132,15 @@
 }
 
 // Load reads a settings file. The error names everything that is wrong with it.
-func Load(path string) (s Settings, err error) {
+func Load(path string) (s Settings, err error) { return load(path, Parse) }
+
+func load[T any](path string, parse func(name string, data []byte) (T, error)) (s T, err error) {
 	defer func() { err = oops.In("settings").With("file", path).Wrapf(err, "read the settings") }()
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return Settings{}, err
+		return s, err
 	}
-	return Parse(path, data)
+	return parse(path, data)
 }
 
 // Parse reads the contents of a settings file. The name occurs in errors only.
@@ -147,11 +149,7 @@
 	if err != nil {
 		return Settings{}, err
 	}
-	for _, part := range s.parts() {
-		section := f.Section(part.name)
-		part.read(section)
-		section.Close()
-	}
+	readParts(f, s.parts())
 	s.checkTogether(f)
 	if err := f.Err(); err != nil {
 		return Settings{}, err
@@ -165,6 +163,14 @@
 	read func(*inifile.Section)
 }
 
+func readParts(f *inifile.File, parts []part) {
+	for _, part := range parts {
+		section := f.Section(part.name)
+		part.read(section)
+		section.Close()
+	}
+}
+
 func (s *Settings) parts() []part {
 	return []part{
 		{"instance", s.Instance.read},
