Start the small deployment of load commands in one place

Cause: knee repeated the set-up of added, and read a process's resident memory beside the slopes command.

Change: startSmall serves both commands, cluster.ResidentMemory both programs.

Conclusion: the directories' names begin with comfreylink-load now.

--- a/scenario/cmd/load/added.go
+++ b/scenario/cmd/load/added.go
@@ -32,18 +32,7 @@
 }
 
 func added(ctx context.Context, daemons, calls int, pause time.Duration) error {
-	dir, err := os.MkdirTemp("", "comfreylink-added-")
-	if err != nil {
-		return err
-	}
-	defer os.RemoveAll(dir)
-	if err := cluster.Build(ctx, dir); err != nil {
-		return err
-	}
-	d := deploy.Known["akwaaba"]
-	d.Engines, d.Services = 1, 1
-	const unlimited = 1e5
-	f, cleanup, err := d.Start(ctx, dir, dir, deploy.Options{Daemons: daemons, Policy: "fair", Speed: 1000, Requests: unlimited})
+	f, cleanup, err := startSmall(ctx, daemons)
 	if err != nil {
 		return err
 	}
@@ -56,6 +45,33 @@
 	return m.chats(ctx)
 }
 
+// startSmall builds the programs and runs daemons before one engine and one service, without limits; cleanup ends them.
+func startSmall(ctx context.Context, daemons int) (f *deploy.Fleet, cleanup func(), err error) {
+	dir, err := os.MkdirTemp("", "comfreylink-load-")
+	if err != nil {
+		return nil, nil, err
+	}
+	defer func() {
+		if err != nil {
+			_ = os.RemoveAll(dir)
+		}
+	}()
+	if err := cluster.Build(ctx, dir); err != nil {
+		return nil, nil, err
+	}
+	d := deploy.Known["akwaaba"]
+	d.Engines, d.Services = 1, 1
+	const unlimited = 1e5
+	f, end, err := d.Start(ctx, dir, dir, deploy.Options{Daemons: daemons, Policy: "fair", Speed: 1000, Requests: unlimited})
+	if err != nil {
+		return nil, nil, err
+	}
+	return f, func() {
+		end()
+		_ = os.RemoveAll(dir)
+	}, nil
+}
+
 type addedRun struct {
 	fleet  *deploy.Fleet
 	caller *caller.Caller
--- a/scenario/cmd/load/knee.go
+++ b/scenario/cmd/load/knee.go
@@ -4,8 +4,6 @@
 	"context"
 	"fmt"
 	"net/http"
-	"os"
-	"strings"
 	"sync"
 	"time"
 
@@ -13,7 +11,6 @@
 
 	"github.com/comfreylink/comfreylink/scenario/caller"
 	"github.com/comfreylink/comfreylink/scenario/cluster"
-	"github.com/comfreylink/comfreylink/scenario/deploy"
 )
 
 // kneeCommand measures one daemon with a growing number of callers, each of which sends its next request when the last one
@@ -30,18 +27,7 @@
 }
 
 func knee(ctx context.Context, each time.Duration) error {
-	dir, err := os.MkdirTemp("", "comfreylink-knee-")
-	if err != nil {
-		return err
-	}
-	defer os.RemoveAll(dir)
-	if err := cluster.Build(ctx, dir); err != nil {
-		return err
-	}
-	d := deploy.Known["akwaaba"]
-	d.Engines, d.Services = 1, 1
-	const unlimited = 1e5
-	f, cleanup, err := d.Start(ctx, dir, dir, deploy.Options{Daemons: 1, Policy: "fair", Speed: 1000, Requests: unlimited})
+	f, cleanup, err := startSmall(ctx, 1)
 	if err != nil {
 		return err
 	}
@@ -51,7 +37,7 @@
 	for _, callers := range []int{1, 4, 16, 64, 256} {
 		r := newRecord(options{}, "")
 		failed := hammer(ctx, f.Callers["large-1"], url, callers, each, r)
-		rss, err := residentMemory(f.Cluster.Process(f.Daemons[0]).PID())
+		rss, err := cluster.ResidentMemory(f.Cluster.Process(f.Daemons[0]).PID())
 		if err != nil {
 			return err
 		}
@@ -88,17 +74,3 @@
 	wg.Wait()
 	return failed
 }
-
-// residentMemory returns the resident memory of a process as the kernel prints it.
-func residentMemory(pid int) (rss string, err error) {
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		return "", err
-	}
-	for line := range strings.Lines(string(data)) {
-		if value, ok := strings.CutPrefix(line, "VmRSS:"); ok {
-			return strings.TrimSpace(value), nil
-		}
-	}
-	return "", fmt.Errorf("process %d shows no resident memory", pid)
-}
--- a/scenario/cmd/slopes/proc.go
+++ b/scenario/cmd/slopes/proc.go
@@ -62,16 +62,12 @@
 }
 
 func residentOf(pid int) (bytes float64, err error) {
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	text, err := cluster.ResidentMemory(pid)
 	if err != nil {
 		return 0, err
 	}
-	_, rest, found := strings.Cut(string(data), "VmRSS:")
-	fields := strings.Fields(rest)
-	if !found || len(fields) == 0 {
-		return 0, fmt.Errorf("process %d: no VmRSS", pid)
-	}
-	kib, err := strconv.ParseFloat(fields[0], 64)
+	number, _, _ := strings.Cut(text, " ")
+	kib, err := strconv.ParseFloat(number, 64)
 	return kib * 1024, err
 }
 
