Remove a wait without a caller; say which calls a round does not count

Cause: httpwire.Server.Wait had no caller, and the group it waited for no other use; the comment at maxDeferrals had become untrue.

Change: both removed; the comment names suspects and beginning calls.

Conclusion: behaviour is the same.

--- a/internal/httpwire/server.go
+++ b/internal/httpwire/server.go
@@ -44,7 +44,6 @@
 	active  atomic.Int64 // exchanges in progress
 	mu      sync.Mutex
 	idle    map[net.Conn]struct{} // connections that wait for a request
-	tasks   sync.WaitGroup
 }
 
 // NewServer returns a server.
@@ -69,7 +68,7 @@
 			}
 			return err
 		}
-		s.tasks.Go(func() { s.serveConn(conn) })
+		go s.serveConn(conn)
 	}
 }
 
@@ -85,9 +84,6 @@
 	}
 }
 
-// Wait returns when all connections have ended.
-func (s *Server) Wait() { s.tasks.Wait() }
-
 // past is a deadline that ends a blocked read.
 var past = time.Unix(1, 0)
 
--- a/pkg/dispatch/fair.go
+++ b/pkg/dispatch/fair.go
@@ -7,7 +7,8 @@
 )
 
 const (
-	// maxDeferrals bounds the items that one round leaves waiting for a full target, and so the round's time.
+	// maxDeferrals bounds the items that one round leaves waiting for a full target, and so the round's time. Suspects and
+	// calls that begin a program do not count: they wait for other reasons, and must not keep the calls behind them out.
 	maxDeferrals = 32
 	// otherZoneCost is two hops between zones, in seconds; it decides between targets that are otherwise equal.
 	otherZoneCost = 0.003
