--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -180,6 +180,10 @@
 		"This instance could not write its report of granted rate tokens, crashed targets and completed suspected requests, or could not read the reports of the others. It adds what was not written to its next report, and continues to read where it stopped.",
 		"Check the log service.",
 		"operation", "error")
+	RateGranted = define(617, "rateGranted", info,
+		"This instance granted requests of a workspace since its last report. Level is what its bucket holds now, bucketAge how long it has had the bucket.",
+		"Add up granted over all instances to see what a workspace got; several granters of one workspace in the same second share its rate.",
+		"workspace", "granted", "level", "rate", "burst", "bucketAge")
 )
 
 // Events of targets.
--- a/internal/reports/reports.go
+++ b/internal/reports/reports.go
@@ -139,7 +139,10 @@
 	r.suspects.deaths, r.suspects.survived = nil, nil
 	r.mu.Unlock()
 	var usage []quota.Usage
-	r.Grants.View(func(l *quota.Limiter, _ *quota.Members) { usage = l.Report() })
+	r.Grants.View(func(l *quota.Limiter, _ *quota.Members) {
+		usage = l.Report()
+		r.logGranted(l, usage)
+	})
 	w := wireReport{
 		Instance: r.Self.Instance, Run: r.RunID, AtMs: r.Now().UnixMilli(),
 		Address: r.Self.Address, Zone: r.Self.Zone, ReachesLog: r.Reachable(),
@@ -169,6 +172,15 @@
 	return at, err
 }
 
+// logGranted logs what this instance has granted since its last report, for each workspace.
+func (r *Reports) logGranted(l *quota.Limiter, usage []quota.Usage) {
+	for _, u := range usage {
+		s, _ := l.State(r.Now(), u.Workspace)
+		events.Log(r.Logger, events.RateGranted, zap.String("workspace", string(u.Workspace)), zap.Int("granted", u.Granted),
+			zap.Float64("level", s.Level), zap.Float64("rate", s.Limit.Rate), zap.Float64("burst", s.Limit.Burst), zap.Duration("bucketAge", s.Age))
+	}
+}
+
 // read reads and applies the reports of all instances up to the end of the partition.
 func (r *Reports) read(ctx context.Context, from ids.Offset) (next ids.Offset, err error) {
 	for {
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -34,6 +34,15 @@
 	Granted   int
 }
 
+// State is the state of a workspace's bucket.
+type State struct {
+	Limit Limit
+	// Level is the number of tokens in the bucket; it is negative if other instances' grants exceeded it.
+	Level float64
+	// Age is how long this instance has had the bucket.
+	Age time.Duration
+}
+
 // Grant is the response to a request for a token.
 type Grant struct {
 	// Tokens is how many requests may be sent now: none, one, or more than one if many tokens are left.
@@ -116,6 +125,16 @@
 	return Grant{Tokens: n, Level: level}
 }
 
+// State returns the state of a workspace's bucket; ok is false if the workspace has no limit.
+func (l *Limiter) State(now time.Time, ws ids.WorkspaceID) (s State, ok bool) {
+	b := l.buckets[ws]
+	if b == nil {
+		return s, false
+	}
+	b.refill(now)
+	return State{Limit: b.limit, Level: b.level, Age: now.Sub(b.created)}, true
+}
+
 // Return gives back unused tokens that this instance granted.
 func (l *Limiter) Return(now time.Time, ws ids.WorkspaceID, n int) {
 	if b := l.buckets[ws]; b != nil {
