--- /dev/null
+++ b/internal/grants/fleet_test.go
@@ -0,0 +1,333 @@
+package grants_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/comfreylink/comfreylink/internal/grants"
+	"github.com/comfreylink/comfreylink/internal/partlog"
+	"github.com/comfreylink/comfreylink/internal/partlog/partlogtest"
+	"github.com/comfreylink/comfreylink/internal/relay"
+	"github.com/comfreylink/comfreylink/internal/reports"
+	"github.com/comfreylink/comfreylink/internal/rpc"
+	"github.com/comfreylink/comfreylink/pkg/ids"
+	"github.com/comfreylink/comfreylink/pkg/quota"
+)
+
+// Times of the simulated network and log.
+const (
+	networkDelay = time.Millisecond
+	logDelay     = 4 * time.Millisecond
+	// slowLogDelay is the delay of each way of a call to a slow log.
+	slowLogDelay = 150 * time.Millisecond
+	// maxLateAppend is how much later an append may take effect whose answer was lost.
+	maxLateAppend = 6 * time.Second
+)
+
+// hotWorkspace is the workspace whose requests the tests count.
+const hotWorkspace ids.WorkspaceID = "ws"
+
+var errUnknownOutcome = errors.Join(partlog.ErrOutcomeUnknown, errors.New("simulated"))
+
+// logState is what instances see of the log.
+type logState int
+
+const (
+	logUp logState = iota
+	logSilent
+	logRefusing
+	logSlow
+	// logLosingAnswers applies appends, some of them seconds later, and answers none.
+	logLosingAnswers
+)
+
+// simFleet is a set of instances in one process, with real limiters and reports, and a simulated network, log and clocks.
+// It runs inside a synctest bubble, so it is deterministic but for the order of goroutines that wake at the same time.
+type simFleet struct {
+	log *partlogtest.Log
+
+	mu        sync.Mutex
+	random    *rand.Rand
+	instances map[ids.InstanceID]*simInstance
+	limit     quota.Limit
+	runs      int
+}
+
+// simInstance is one machine. Its process is replaced at each restart.
+type simInstance struct {
+	fleet *simFleet
+	id    ids.InstanceID
+
+	// Guarded by fleet.mu.
+	process     *simProcess // nil while it is down
+	clockOffset time.Duration
+	log         logState
+	cut         bool // from all other instances
+	frozenUntil time.Time
+}
+
+// simProcess is one run of an instance.
+type simProcess struct {
+	*simInstance
+	limiter *grants.RateLimiter
+	reports *reports.Reports
+	methods map[string]rpc.Method
+	leaving bool // guarded by fleet.mu
+	killed  chan struct{}
+	stop    context.CancelFunc
+	stopped chan struct{}
+}
+
+func newSimFleet(seed uint64, limit quota.Limit, count int) *simFleet {
+	f := &simFleet{log: partlogtest.New(), random: rand.New(rand.NewPCG(seed, 0)), instances: make(map[ids.InstanceID]*simInstance), limit: limit}
+	for i := range count {
+		f.add(ids.InstanceID(fmt.Sprint("i", i)))
+	}
+	return f
+}
+
+func (f *simFleet) add(id ids.InstanceID) *simInstance {
+	f.mu.Lock()
+	i := &simInstance{fleet: f, id: id}
+	f.instances[id] = i
+	f.mu.Unlock()
+	i.start()
+	return i
+}
+
+// intN returns a random number below n. It is safe for concurrent use.
+func (f *simFleet) intN(n int) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.random.IntN(n)
+}
+
+// start starts a new run of the instance.
+func (i *simInstance) start() {
+	f := i.fleet
+	f.mu.Lock()
+	f.runs++
+	p := &simProcess{simInstance: i, killed: make(chan struct{}), stopped: make(chan struct{})}
+	offset := i.clockOffset
+	now := func() time.Time { return time.Now().Round(0).Add(offset) }
+	run, limit := fmt.Sprint("run", f.runs), f.limit
+	f.mu.Unlock()
+	p.limiter = grants.New(grants.Config{Self: i.id, Client: p, Now: now, Address: func(id ids.InstanceID) (string, bool) { return p.reports.AddressOf(id) }})
+	p.reports = reports.New(reports.Config{
+		Self: relay.Peer{Instance: i.id, Address: string(i.id)}, RunID: run, Log: p, Grants: p.limiter,
+		Reachable: func() bool { return true }, Leaving: p.isLeaving, Now: now, Logger: zap.NewNop(),
+	})
+	p.methods = p.limiter.Methods()
+	p.configure(limit)
+	ctx, cancel := context.WithCancel(context.Background())
+	p.stop = cancel
+	go func() {
+		defer close(p.stopped)
+		_ = p.reports.Run(ctx)
+	}()
+	f.mu.Lock()
+	i.process = p
+	f.mu.Unlock()
+}
+
+func (p *simProcess) configure(limit quota.Limit) {
+	p.limiter.View(func(l *quota.Limiter, _ *quota.Members) {
+		l.Configure(p.limiter.Now(), map[ids.WorkspaceID]quota.Limit{hotWorkspace: limit})
+	})
+}
+
+func (p *simProcess) isLeaving() bool {
+	p.fleet.mu.Lock()
+	defer p.fleet.mu.Unlock()
+	return p.leaving
+}
+
+// kill ends the instance's process at once. What it was doing has no further effect.
+func (i *simInstance) kill() {
+	i.fleet.mu.Lock()
+	p := i.process
+	i.process = nil
+	i.fleet.mu.Unlock()
+	if p == nil {
+		return
+	}
+	close(p.killed)
+	p.stop()
+}
+
+// leave announces a planned stop, goes on for a time and ends the process.
+func (i *simInstance) leave() {
+	i.fleet.mu.Lock()
+	p := i.process
+	if p != nil {
+		p.leaving = true
+	}
+	i.fleet.mu.Unlock()
+	if p == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	_, _ = p.reports.Write(ctx)
+	cancel()
+	time.Sleep(2 * time.Second)
+	i.kill()
+}
+
+// separate cuts the instance from all other instances and from the log, or ends that.
+func (i *simInstance) separate(cut bool) {
+	i.fleet.mu.Lock()
+	defer i.fleet.mu.Unlock()
+	i.cut, i.log = cut, logUp
+	if cut {
+		i.log = logSilent
+	}
+}
+
+func (p *simProcess) alive() bool {
+	select {
+	case <-p.killed:
+		return false
+	default:
+		return true
+	}
+}
+
+// waitWhileFrozen blocks while the instance's machine is suspended.
+func (i *simInstance) waitWhileFrozen() {
+	for {
+		i.fleet.mu.Lock()
+		left := time.Until(i.frozenUntil)
+		i.fleet.mu.Unlock()
+		if left <= 0 {
+			return
+		}
+		time.Sleep(left)
+	}
+}
+
+// Call implements grants.Caller.
+func (p *simProcess) Call(ctx context.Context, address, method string, params, result any) error {
+	data, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+	f := p.fleet
+	f.mu.Lock()
+	to := f.instances[ids.InstanceID(address)]
+	unreachable := to == nil || p.cut || to.cut
+	var peer *simProcess
+	if to != nil {
+		peer = to.process
+	}
+	f.mu.Unlock()
+	switch {
+	case unreachable:
+		<-ctx.Done()
+		return ctx.Err()
+	case peer == nil:
+		time.Sleep(networkDelay)
+		return rpc.ErrUnreachable
+	}
+	answered := make(chan error, 1)
+	go func() {
+		time.Sleep(networkDelay)
+		peer.waitWhileFrozen()
+		v, err := peer.methods[method](context.Background(), data)
+		if err == nil {
+			data, err = json.Marshal(v)
+		}
+		peer.waitWhileFrozen()
+		time.Sleep(networkDelay)
+		answered <- err
+	}()
+	select {
+	case err := <-answered:
+		if err != nil || !peer.alive() {
+			return errors.Join(errors.New("connection lost"), err)
+		}
+		return json.Unmarshal(data, result)
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// state waits for the way to the log and returns what the log does. A killed process makes no more calls.
+func (p *simProcess) state(ctx context.Context) (s logState, err error) {
+	p.waitWhileFrozen()
+	p.fleet.mu.Lock()
+	s = p.log
+	p.fleet.mu.Unlock()
+	delay := logDelay / 2
+	if s == logSlow {
+		delay = slowLogDelay
+	}
+	time.Sleep(delay)
+	switch {
+	case !p.alive():
+		return s, errUnknownOutcome
+	case s == logSilent:
+		<-ctx.Done()
+		return s, errUnknownOutcome
+	case s == logRefusing:
+		return s, partlog.ErrNotApplied
+	}
+	return s, nil
+}
+
+// answer waits for the way back from the log.
+func (p *simProcess) answer(ctx context.Context, s logState) error {
+	delay := logDelay / 2
+	if s == logSlow {
+		delay = slowLogDelay
+	}
+	time.Sleep(delay)
+	p.waitWhileFrozen()
+	if ctx.Err() != nil || !p.alive() {
+		return errUnknownOutcome
+	}
+	return nil
+}
+
+// Append implements partlog.Log.
+func (p *simProcess) Append(ctx context.Context, part partlog.Partition, at ids.Offset, records ...[]byte) (first ids.Offset, err error) {
+	s, err := p.state(ctx)
+	if err != nil {
+		return 0, err
+	}
+	if s == logLosingAnswers && p.fleet.intN(2) == 0 {
+		late := time.Duration(p.fleet.intN(int(maxLateAppend)))
+		time.AfterFunc(late, func() { _, _ = p.fleet.log.Append(context.Background(), part, at, records...) })
+		<-ctx.Done()
+		return 0, errUnknownOutcome
+	}
+	first, err = p.fleet.log.Append(ctx, part, at, records...)
+	if answerErr := p.answer(ctx, s); answerErr != nil {
+		return 0, answerErr
+	}
+	return first, err
+}
+
+// Read implements partlog.Log.
+func (p *simProcess) Read(ctx context.Context, part partlog.Partition, from ids.Offset, wait time.Duration) (page partlog.Page, err error) {
+	s, err := p.state(ctx)
+	if err != nil {
+		return page, err
+	}
+	page, err = p.fleet.log.Read(ctx, part, from, wait)
+	if answerErr := p.answer(ctx, s); answerErr != nil {
+		return page, answerErr
+	}
+	return page, err
+}
+
+// Newest implements partlog.Log.
+func (p *simProcess) Newest(ctx context.Context, part partlog.Partition) ([]partlog.Entry, ids.Offset, error) {
+	return p.fleet.log.Newest(ctx, part)
+}
--- a/internal/grants/grants.go
+++ b/internal/grants/grants.go
@@ -40,10 +40,15 @@
 	Loads wireLoads `json:"loads,omitempty"`
 }
 
+// Caller calls methods of other instances.
+type Caller interface {
+	Call(ctx context.Context, address, method string, params, result any) error
+}
+
 // Config holds a rate limiter's dependencies.
 type Config struct {
 	Self   ids.InstanceID
-	Client *rpc.Client
+	Client Caller
 	Now    func() time.Time
 	// Address returns the address of an instance; ok is false if it is not known.
 	Address func(id ids.InstanceID) (address string, ok bool)
