--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -173,17 +173,24 @@
 		"Report it with the fields of the event.",
 		"requestId")
 	RateRefused = define(615, "rateRefused", info,
-		"A request was refused because too little of the workspace's burst was left at the instance that grants its requests: less than one request, or less than the reserve (spare) for running programs.",
-		"Compare level with rate and burst; raise the workspace's rate, or find the programs that use it up.",
-		"requestId", "workspace", "granter", "level", "rate", "burst", "spare", "programRequests")
+		"A request was refused because too little of the workspace's burst was left at the instances that grant its requests: less than one request, or less than the reserve (spare) for running programs. With unavailable, a part of the limit could not be asked.",
+		"Compare level with rate and burst; raise the workspace's rate, or find the programs that use it up. With unavailable, look for the owner of the part (618, 619).",
+		"requestId", "workspace", "granter", "level", "unavailable", "rate", "burst", "spare", "programRequests")
 	ReportFailed = define(616, "reportFailed", warn,
-		"This instance could not write its report of granted rate tokens, crashed targets and completed suspected requests, or could not read the reports of the others. It adds what was not written to its next report, and continues to read where it stopped.",
+		"This instance could not write its report of owned shards, crashed targets and completed suspected requests, or could not read the reports of the others. It adds what was not written to its next report, and continues to read where it stopped.",
 		"Check the log service.",
 		"operation", "error")
 	RateGranted = define(617, "rateGranted", info,
-		"This instance granted requests of a workspace since its last report. Level is what its bucket holds now, bucketAge how long it has had the bucket.",
-		"Add up granted over all instances to see what a workspace got; several granters of one workspace in the same second share its rate.",
-		"workspace", "granted", "level", "rate", "burst", "bucketAge")
+		"This instance granted requests of a workspace since its last report. Parts is how many parts of the limit it owns, level what their buckets hold, and lease how long it may grant without another report.",
+		"Add up granted over all instances to see what a workspace got.",
+		"workspace", "granted", "level", "parts", "rate", "burst", "lease")
+	ShardsClaimed = define(618, "shardsClaimed", info,
+		"This instance owns shards of the rate limits from now on, because they were free. Their buckets began empty when the earlier owner's lease ended.", noAction,
+		"shards", "lease")
+	ShardsLost = define(619, "shardsLost", warn,
+		"Another instance has claimed shards of this instance after its lease had ended.",
+		"Look for what kept this instance from writing or reading reports (616, 200) for the time of a lease.",
+		"shards", "owner")
 )
 
 // Events of targets.
--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -21,6 +21,9 @@
 	InProgress    int           `json:"inProgress"`
 	Turns         int           `json:"turns"`
 	Instances     int           `json:"instances"`
+	// Shards is how many shards of the rate limits the instance owns, LeaseMs how long it may grant from them.
+	Shards  int   `json:"shards"`
+	LeaseMs int64 `json:"leaseMs"`
 }
 
 // Dump returns the gateway's current state as a value of type Dump.
@@ -32,7 +35,11 @@
 		ConfigVersion: g.configVersion(), ConfigAgeMs: age.Milliseconds(), Targets: g.follower.Targets(now),
 		Waiting: g.queues.Len(), InProgress: g.server.Active(), Turns: g.programs.Turns(),
 	}
-	g.grants.View(func(_ *quota.Limiter, m *quota.Members) { d.Instances = m.Len() })
+	g.grants.View(func(l *quota.Limiter) {
+		d.Instances = l.Leases.Members(now)
+		n, validUntil := l.Leases.Held()
+		d.Shards, d.LeaseMs = n, max(validUntil.Sub(now).Milliseconds(), 0)
+	})
 	return d
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -119,8 +119,9 @@
 		programUses: make(map[account.Key]programUse),
 	}
 	g.grants = grants.New(grants.Config{
-		Self: c.Settings.Instance.ID, Client: c.RPC, Now: c.Clock.Now, Loads: g.queues,
+		Self: quota.Run{Instance: c.Settings.Instance.ID, ID: c.RunID}, Client: c.RPC, Now: c.Clock.Now, Loads: g.queues,
 		Address: func(id ids.InstanceID) (string, bool) { return g.reports.AddressOf(id) },
+		Claim:   func(ctx context.Context, s quota.Shard) { g.reports.Claim(ctx, s) },
 	})
 	g.reports = reports.New(reports.Config{
 		Self:  relay.Peer{Instance: c.Settings.Instance.ID, Address: c.Settings.Relay.Advertise, Zone: c.Settings.Instance.Zone},
@@ -172,7 +173,7 @@
 	for _, w := range table.Config.Workspaces {
 		limits[w.ID] = quota.Limit{Rate: w.Rate, Burst: w.Burst}
 	}
-	g.grants.View(func(l *quota.Limiter, _ *quota.Members) { l.Configure(now, limits) })
+	g.grants.View(func(l *quota.Limiter) { l.Configure(now, limits) })
 	g.queues.Update(now, g.follower.Targets(now), table.Service)
 }
 
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -88,6 +88,8 @@
 }
 
 // returnQuota returns the rate token of a request that no target can have run.
-func (g *Gateway) returnQuota(ws ids.WorkspaceID) {
-	g.grants.Return(ws)
+func (e *exchange) returnQuota() {
+	if e.workspace != nil {
+		e.grants.Return(e.workspace.ID, e.quota)
+	}
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -16,6 +16,7 @@
 
 	"github.com/comfreylink/comfreylink/internal/call"
 	"github.com/comfreylink/comfreylink/internal/events"
+	"github.com/comfreylink/comfreylink/internal/grants"
 	"github.com/comfreylink/comfreylink/internal/httpwire"
 	"github.com/comfreylink/comfreylink/internal/partlog"
 	"github.com/comfreylink/comfreylink/internal/programs"
@@ -34,6 +35,7 @@
 	codeUnknownKey        Code = "unknownKey"
 	codeNoID              Code = "noRequestId"
 	codeRate              Code = "rateExceeded"
+	codeRateUnavailable   Code = "rateUnavailable"
 	codeBudget            Code = "budgetSpent"
 	codeNoTurn            Code = "noSuchTurn"
 	codeTurnUnavailable   Code = "turnUnavailable"
@@ -95,6 +97,7 @@
 	body        []byte    // what targets receive: the earlier turns, followed by the request's own body
 	firstCall   bool      // whether it is the first request of its program
 	reservation *programs.Reservation
+	quota       grants.Decision // the token of the workspace's rate
 
 	// State of the attempts. Most of it is logged with the answer.
 	target           ids.TargetID
@@ -128,8 +131,8 @@
 		r = e.run()
 	}
 	e.settle()
-	if !e.mayHaveRun && e.workspace != nil {
-		g.returnQuota(e.workspace.ID)
+	if !e.mayHaveRun {
+		e.returnQuota()
 	}
 	if r != nil {
 		e.refuse(r)
@@ -167,12 +170,17 @@
 	if e.req.Previous != "" {
 		admitted = max(admitted, 1)
 	}
-	if d, reserve := e.takeQuota(e.ctx, e.workspace.ID, admitted, e.route.Priority); !d.OK {
+	d, reserve := e.takeQuota(e.ctx, e.workspace.ID, admitted, e.route.Priority)
+	if !d.OK {
 		events.Log(e.Logger, events.RateRefused, zap.String("requestId", string(e.req.ID)), zap.String("workspace", string(e.workspace.ID)),
-			zap.String("granter", string(d.Granter)), zap.Float64("level", d.Level), zap.Float64("rate", e.workspace.Rate),
+			zap.String("granter", string(d.Granter)), zap.Float64("level", d.Level), zap.Bool("unavailable", d.Unavailable), zap.Float64("rate", e.workspace.Rate),
 			zap.Float64("burst", e.workspace.Burst), zap.Float64("spare", reserve), zap.Int("programRequests", admitted))
+		if d.Unavailable {
+			return &refusal{status: fasthttp.StatusServiceUnavailable, code: codeRateUnavailable, retry: min(d.Retry, outageRetryDelay)}
+		}
 		return &refusal{status: fasthttp.StatusTooManyRequests, code: codeRate, retry: d.Retry}
 	}
+	e.quota = d
 	e.firstCall = admitted == 0 && e.req.Program != ""
 	e.countAdmitted(e.began, e.workspace.ID, e.req.Program)
 	return nil
--- a/internal/grants/grants.go
+++ b/internal/grants/grants.go
@@ -1,5 +1,5 @@
-// Package grants takes tokens of workspaces' request rates from the instances that grant them. If a workspace's first
-// granter does not answer, the next one is called.
+// Package grants takes tokens of workspaces' request rates from the instances that own the parts of their limits, and grants
+// from the parts that this instance owns.
 package grants
 
 import (
@@ -14,30 +14,41 @@
 )
 
 const (
-	// callTimeout bounds a call to the granting instance.
-	callTimeout = 60 * time.Millisecond
-	// granters is the maximum number of granters of a workspace. If none of them answers, this instance grants itself.
-	granters = 2
-	// prefetchTTL is how long a token that was granted ahead of need may be used.
-	prefetchTTL = 300 * time.Millisecond
+	// callTimeout bounds a call to another instance. What the other instance does before it answers takes at most
+	// claimTimeout or passOnTimeout, so that it is not mistaken for one that does not answer.
+	callTimeout   = 60 * time.Millisecond
+	claimTimeout  = 45 * time.Millisecond
+	passOnTimeout = 30 * time.Millisecond
+	// claimCandidates is the number of instances that are asked to claim a shard that is free, and passOnCandidates the number
+	// of those that are asked to call an owner that does not answer this instance.
+	claimCandidates  = 2
+	passOnCandidates = 1
+	// tokenTTL is how long after the request for its grant a token may be used. It adds to the window in which requests that
+	// run together were granted.
+	tokenTTL = 300 * time.Millisecond
+	// claimRetry is the retry delay if a shard is free but could not be claimed yet.
+	claimRetry = 100 * time.Millisecond
 )
 
 const methodGrant = "grant"
 
 type grantParams struct {
 	Workspace ids.WorkspaceID `json:"workspace"`
+	Part      int             `json:"part"`
 	Headroom  float64         `json:"spare"`
-	// Deputy is set if the called instance is not the first granter, which did not answer.
-	Deputy bool      `json:"deputy,omitempty"`
+	// PassOn is set if the called instance may call the owner for the caller, which the owner did not answer.
+	PassOn bool      `json:"passOn,omitempty"`
 	Loads  wireLoads `json:"loads,omitempty"`
 }
 
 type grantResult struct {
 	Tokens  int   `json:"tokens"`
 	RetryMs int64 `json:"retryMs,omitempty"`
-	// Level is the number of tokens that the workspace's bucket held before the grant.
-	Level float64   `json:"level,omitempty"`
-	Loads wireLoads `json:"loads,omitempty"`
+	// Level is the number of tokens that the part's bucket held before the grant.
+	Level float64 `json:"level,omitempty"`
+	// NotOwner is set if the called instance does not own the part and could not claim it.
+	NotOwner bool      `json:"notOwner,omitempty"`
+	Loads    wireLoads `json:"loads,omitempty"`
 }
 
 // Caller calls methods of other instances.
@@ -47,148 +58,207 @@
 
 // Config holds a rate limiter's dependencies.
 type Config struct {
-	Self   ids.InstanceID
+	// Self is this run. Its claims and reports carry it.
+	Self   quota.Run
 	Client Caller
 	Now    func() time.Time
 	// Address returns the address of an instance; ok is false if it is not known.
 	Address func(id ids.InstanceID) (address string, ok bool)
+	// Claim claims a shard in the log if it is free. It returns when that is decided or ctx ends.
+	Claim func(ctx context.Context, s quota.Shard)
 	// Loads holds the load observations that are exchanged with other instances in the calls; nil exchanges none.
 	Loads Loads
 }
 
-// prefetchedTokens holds a workspace's tokens that were granted ahead of need.
-type prefetchedTokens struct {
-	tokens int
-	until  time.Time
-}
-
-// RateLimiter takes tokens of workspaces' request rates from the instances that grant them, and grants those of the
-// workspaces whose granter this instance is. It is safe for concurrent use.
+// RateLimiter takes tokens of workspaces' request rates from the instances that own the parts of the limits, and grants from
+// the parts that this instance owns. It is safe for concurrent use.
 type RateLimiter struct {
 	Config
 
-	mu         sync.Mutex
-	limiter    *quota.Limiter
-	members    *quota.Members
-	prefetched map[ids.WorkspaceID]prefetchedTokens
-	breakers   map[ids.InstanceID]*breaker.Breaker // of instances that did not answer their last call
+	mu       sync.Mutex
+	limiter  *quota.Limiter
+	spare    spareTokens
+	empty    emptyParts
+	breakers map[ids.InstanceID]*breaker.Breaker // of instances that did not answer their last call
 }
 
 // New returns a rate limiter without limits.
 func New(c Config) *RateLimiter {
 	return &RateLimiter{
-		Config: c, limiter: quota.New(), members: quota.NewMembers(), prefetched: make(map[ids.WorkspaceID]prefetchedTokens),
+		Config: c, limiter: quota.New(quota.NewLeases(c.Now(), c.Self)), spare: make(spareTokens), empty: make(emptyParts),
 		breakers: make(map[ids.InstanceID]*breaker.Breaker),
 	}
 }
 
-// View runs f with the limiter and the members under the lock.
-func (g *RateLimiter) View(f func(l *quota.Limiter, m *quota.Members)) {
+// View runs f with the limiter under the lock.
+func (g *RateLimiter) View(f func(l *quota.Limiter)) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	f(g.limiter, g.members)
+	f(g.limiter)
 }
 
 // Decision is the result of Take: whether a request fits into its workspace's rate.
 type Decision struct {
 	OK bool
+	// Expires is when the request's token may no longer be used by another request.
+	Expires time.Time
+	// Unavailable is set if the request was refused although a part of the limit could not be asked. The workspace may be
+	// inside its rate.
+	Unavailable bool
 	// Retry is the retry delay if OK is false.
 	Retry time.Duration
-	// Granter is the instance that decided, and Level the number of tokens that the workspace's bucket held there before.
+	// Granter is the instance that decided, and Level the number of tokens that the part's bucket held there before.
 	Granter ids.InstanceID
 	Level   float64
 }
 
 // Take takes a token for one request of a workspace. The fraction headroom of the workspace's burst must be left after it.
-func (g *RateLimiter) Take(ctx context.Context, ws ids.WorkspaceID, headroom float64) Decision {
-	if g.takePrefetched(ws) {
-		return Decision{OK: true, Granter: g.Self}
+// It tries the parts of the limit in an order that differs between instances.
+func (g *RateLimiter) Take(ctx context.Context, ws ids.WorkspaceID, headroom float64) (d Decision) {
+	now := g.Now()
+	if expires, ok := g.takeSpare(now, ws); ok {
+		return Decision{OK: true, Expires: expires, Granter: g.Self.Instance}
 	}
-	grant, granter := g.requestGrant(ctx, ws, headroom)
-	if grant.Tokens == 0 {
-		return Decision{Retry: grant.Retry, Granter: granter, Level: grant.Level}
-	}
-	if grant.Tokens > 1 {
-		g.mu.Lock()
-		g.prefetched[ws] = prefetchedTokens{tokens: grant.Tokens - 1, until: g.Now().Add(prefetchTTL)}
-		g.mu.Unlock()
+	for i, part := range g.parts(now, ws) {
+		asked := g.Now()
+		p := grantParams{Workspace: ws, Part: part, Headroom: headroom}
+		if retry, empty := g.knownEmpty(asked, p); empty {
+			d.addRefusal(i, Decision{Retry: retry})
+			continue
+		}
+		r, granter := g.requestGrant(ctx, p)
+		if r.Tokens > 0 {
+			expires := asked.Add(tokenTTL)
+			g.addSpare(ws, r.Tokens-1, expires)
+			return Decision{OK: true, Expires: expires, Granter: granter, Level: r.Level}
+		}
+		retry := time.Duration(r.RetryMs) * time.Millisecond
+		if !r.NotOwner {
+			g.noteEmpty(asked, p, retry)
+		}
+		d.addRefusal(i, Decision{Unavailable: r.NotOwner, Retry: retry, Granter: granter, Level: r.Level})
 	}
-	return Decision{OK: true, Granter: granter, Level: grant.Level}
+	return d
 }
 
-// takePrefetched takes a token that was granted ahead of need. It reports whether there was one or the workspace has no
-// limit.
-func (g *RateLimiter) takePrefetched(ws ids.WorkspaceID) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if !g.limiter.Limited(ws) {
-		return true
+// addRefusal adds the refusal of one more part, after i others.
+func (d *Decision) addRefusal(i int, part Decision) {
+	if i == 0 || part.Retry < d.Retry {
+		d.Retry = part.Retry
 	}
-	s, ok := g.prefetched[ws]
-	if !ok || s.tokens == 0 || !g.Now().Before(s.until) {
-		delete(g.prefetched, ws)
-		return false
+	if part.Granter != "" {
+		d.Granter = part.Granter
 	}
-	s.tokens--
-	g.prefetched[ws] = s
-	return true
+	d.Unavailable = d.Unavailable || part.Unavailable
+	d.Level += part.Level
 }
 
-// Return returns the token of a request that has not run. The workspace's next request at this instance uses it.
-func (g *RateLimiter) Return(ws ids.WorkspaceID) {
+// parts returns the parts of a workspace's limit in the order in which this instance tries them: its own first, because that
+// needs no call, then the others from a different one at each instance.
+func (g *RateLimiter) parts(now time.Time, ws ids.WorkspaceID) (order []int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.limiter.Limited(ws) {
-		return
+	first := int(ids.Rendezvous(string(g.Self.Instance), string(ws)) % quota.Parts)
+	var others []int
+	for i := range quota.Parts {
+		part := (first + i) % quota.Parts
+		if _, _, ok := g.limiter.Leases.Holds(now, quota.ShardOf(ws, part)); ok {
+			order = append(order, part)
+		} else {
+			others = append(others, part)
+		}
 	}
-	s := g.prefetched[ws]
-	if s.tokens == 0 || !g.Now().Before(s.until) {
-		s = prefetchedTokens{until: g.Now().Add(prefetchTTL)}
+	return append(order, others...)
+}
+
+// Return returns the token of a request that has not run. While it is young enough, the workspace's next request at this
+// instance uses it.
+func (g *RateLimiter) Return(ws ids.WorkspaceID, d Decision) {
+	if d.Expires.After(g.Now()) {
+		g.addSpare(ws, 1, d.Expires)
 	}
-	s.tokens++
-	g.prefetched[ws] = s
 }
 
-// requestGrant calls the granters of a workspace in order until one answers. This instance grants itself if it is next in
-// the order or if none answers.
-func (g *RateLimiter) requestGrant(ctx context.Context, ws ids.WorkspaceID, headroom float64) (grant quota.Grant, granter ids.InstanceID) {
-	for i, id := range g.granters(ws) {
-		if id == g.Self {
+// requestGrant requests a grant from the owner of a part, or from another instance if the owner is not known or does not
+// answer. If the part is free, the first candidate that answers claims it, or else this instance.
+func (g *RateLimiter) requestGrant(ctx context.Context, p grantParams) (r grantResult, granter ids.InstanceID) {
+	shard := quota.ShardOf(p.Workspace, p.Part)
+	owner, free, candidates := g.route(shard)
+	if owner == g.Self.Instance {
+		return g.grant(p), owner
+	}
+	if owner != "" {
+		if r, ok := g.call(ctx, owner, p, callTimeout); ok && !r.NotOwner {
+			return r, owner
+		}
+	}
+	p.PassOn = true
+	for _, id := range candidates {
+		if id == g.Self.Instance {
 			break
 		}
-		if grant, ok := g.call(ctx, id, grantParams{Workspace: ws, Headroom: headroom, Deputy: i > 0}); ok {
-			return grant, id
+		if r, ok := g.call(ctx, id, p, callTimeout); ok && !r.NotOwner {
+			return r, id
 		}
 	}
-	return g.grant(ws, headroom), g.Self
+	if free {
+		g.claim(ctx, shard)
+	}
+	return g.grant(p), g.Self.Instance
+}
+
+func (g *RateLimiter) claim(ctx context.Context, s quota.Shard) {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	g.Claim(ctx, s)
 }
 
-func (g *RateLimiter) granters(ws ids.WorkspaceID) []ids.InstanceID {
+// route returns the owner of a shard, empty if none is known, whether this instance may claim the shard, and which other
+// instances to ask if the owner does not answer.
+func (g *RateLimiter) route(s quota.Shard) (owner ids.InstanceID, free bool, candidates []ids.InstanceID) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.members.Granters(g.Now(), ws, granters)
+	now := g.Now()
+	leases := g.limiter.Leases
+	owner, _ = leases.Owner(s)
+	at, ok := leases.FreeAt(s)
+	free = ok && !now.Before(at)
+	limit := passOnCandidates
+	if free {
+		limit = claimCandidates
+	}
+	return owner, free, leases.Candidates(now, s, owner, limit)
 }
 
-func (g *RateLimiter) grant(ws ids.WorkspaceID, headroom float64) quota.Grant {
+// grant grants from a part if this instance owns it.
+func (g *RateLimiter) grant(p grantParams) grantResult {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.limiter.Grant(g.Now(), ws, headroom)
+	now := g.Now()
+	grant, owned := g.limiter.Grant(now, p.Workspace, p.Part, p.Headroom)
+	if !owned {
+		retry := claimRetry
+		if at, ok := g.limiter.Leases.FreeAt(quota.ShardOf(p.Workspace, p.Part)); ok {
+			retry = max(retry, at.Sub(now))
+		}
+		return grantResult{NotOwner: true, RetryMs: retry.Milliseconds()}
+	}
+	return grantResult{Tokens: grant.Tokens, RetryMs: grant.Retry.Milliseconds(), Level: grant.Level}
 }
 
 // call requests a grant from one instance. It fails at once for a time after the instance did not answer.
-func (g *RateLimiter) call(ctx context.Context, id ids.InstanceID, p grantParams) (grant quota.Grant, ok bool) {
+func (g *RateLimiter) call(ctx context.Context, id ids.InstanceID, p grantParams, timeout time.Duration) (r grantResult, ok bool) {
 	address, known := g.Address(id)
 	if !known || !g.allow(id) {
-		return grant, false
+		return r, false
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	p.Loads = g.ownLoads()
-	var r grantResult
 	err := g.Client.Call(ctx, address, methodGrant, p, &r)
 	g.recordResult(id, err)
 	g.applyLoads(r.Loads)
-	return quota.Grant{Tokens: r.Tokens, Retry: time.Duration(r.RetryMs) * time.Millisecond, Level: r.Level}, err == nil
+	return r, err == nil
 }
 
 func (g *RateLimiter) allow(id ids.InstanceID) bool {
@@ -215,14 +285,27 @@
 func (g *RateLimiter) Methods() map[string]rpc.Method {
 	return map[string]rpc.Method{methodGrant: rpc.Typed(func(ctx context.Context, p grantParams) (any, error) {
 		g.applyLoads(p.Loads)
-		grant, ok := quota.Grant{}, false
-		// Perhaps only the caller cannot reach the first granter, so try it from here.
-		if first := g.granters(p.Workspace); p.Deputy && len(first) > 0 && first[0] != g.Self {
-			grant, ok = g.call(ctx, first[0], grantParams{Workspace: p.Workspace, Headroom: p.Headroom})
-		}
-		if !ok {
-			grant = g.grant(p.Workspace, p.Headroom)
-		}
-		return grantResult{Tokens: grant.Tokens, RetryMs: grant.Retry.Milliseconds(), Level: grant.Level, Loads: g.ownLoads()}, nil
+		r := g.serve(ctx, p)
+		r.Loads = g.ownLoads()
+		return r, nil
 	})}
 }
+
+// serve grants from a part for another instance. If the part is free, this instance claims it first.
+func (g *RateLimiter) serve(ctx context.Context, p grantParams) grantResult {
+	if p.Part < 0 || p.Part >= quota.Parts {
+		return grantResult{NotOwner: true}
+	}
+	shard := quota.ShardOf(p.Workspace, p.Part)
+	owner, free, _ := g.route(shard)
+	switch {
+	case free:
+		g.claim(ctx, shard)
+	case p.PassOn && owner != "" && owner != g.Self.Instance:
+		p.PassOn = false
+		if r, ok := g.call(ctx, owner, p, passOnTimeout); ok {
+			return r
+		}
+	}
+	return g.grant(p)
+}
--- a/internal/partlog/partlogtest/partlogtest.go
+++ b/internal/partlog/partlogtest/partlogtest.go
@@ -15,6 +15,7 @@
 type Log struct {
 	mu         sync.Mutex
 	partitions map[partlog.Partition][][]byte
+	first      map[partlog.Partition]ids.Offset // the oldest retained record
 	calls      int
 	fault      func(call int) Fault
 }
@@ -28,7 +29,18 @@
 }
 
 // New returns an empty log.
-func New() *Log { return &Log{partitions: make(map[partlog.Partition][][]byte)} }
+func New() *Log {
+	return &Log{partitions: make(map[partlog.Partition][][]byte), first: make(map[partlog.Partition]ids.Offset)}
+}
+
+// Forget deletes the records that were appended so far. Offsets go on.
+func (l *Log) Forget() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for p, records := range l.partitions {
+		l.first[p] = ids.Offset(len(records))
+	}
+}
 
 // SetFault sets a function that returns the fault of each call, and resets the number of calls. It is passed the number of
 // the call since then, from 0. With nil, no call fails.
@@ -89,8 +101,13 @@
 	if f := l.nextFault(); f.Err != nil {
 		return page, f.Err
 	}
+	if first := l.first[p]; from < first {
+		return page, &partlog.TruncatedError{First: first}
+	}
 	records := l.partitions[p]
-	return partlog.Page{Records: slices.Clone(records[min(int(from), len(records)):]), From: from, End: ids.Offset(len(records))}, nil
+	return partlog.Page{
+		Records: slices.Clone(records[min(int(from), len(records)):]), From: from, First: l.first[p], End: ids.Offset(len(records)),
+	}, nil
 }
 
 // Newest implements partlog.Log. It returns nothing; no test needs it.
--- a/internal/reports/peers.go
+++ b/internal/reports/peers.go
@@ -33,7 +33,6 @@
 	for id, p := range r.peers {
 		if now.Sub(p.reportedAt) > peerTimeout {
 			delete(r.peers, id)
-			delete(r.runs, id)
 			continue
 		}
 		if id != r.Self.Instance {
--- a/internal/reports/reports.go
+++ b/internal/reports/reports.go
@@ -1,6 +1,6 @@
 // Package reports exchanges reports between instances through a partition of the platform's log. About once a second each
-// instance writes that it runs, what it has granted and which requests crashed targets, and reads the reports of the
-// others.
+// instance writes that it runs, which shards of the rate limits it owns and which requests crashed targets, and reads the
+// reports of the others.
 package reports
 
 import (
@@ -23,7 +23,7 @@
 
 const (
 	// interval is the minimum time between two reports of an instance. In a large fleet it is intervalPerInstance for each
-	// other instance, so that one partition can take the reports of all.
+	// other instance that owns no shards, so that one partition can take the reports of all.
 	interval            = time.Second
 	intervalPerInstance = 8 * time.Millisecond
 	// deathInterval is the time between reports while a target's death is still to be reported.
@@ -31,8 +31,12 @@
 	// backlogRecords is the number of reports before its own first one that a new run reads, which are those of a few
 	// seconds. All instances may start at once, and reading the whole history would be too much for the log.
 	backlogRecords = 300
-	// backlogAge is the age above which reports are ignored.
+	// backlogAge is the age above which the deaths in a report of the backlog are ignored.
 	backlogAge = 10 * time.Second
+	// claimInterval is the minimum time between two attempts to claim shards, and claimTries the number of tries of each. A
+	// try fails if another report comes first.
+	claimInterval = 20 * time.Millisecond
+	claimTries    = 4
 	// timeout bounds one call to the log.
 	timeout = 500 * time.Millisecond
 )
@@ -61,64 +65,49 @@
 	mu       sync.Mutex
 	suspects suspects
 	peers    map[ids.InstanceID]peer
-	runs     map[ids.InstanceID]string // the last run of each instance that reported
+	wanted   map[quota.Shard]struct{} // shards to claim
+	decided  chan struct{}            // closed when the claims of the shards in wanted are decided
+	wakeup   chan struct{}
+	backlog  bool // whether the reports being read were written before the first one of this run
 }
 
 // New returns Reports that know no other instance.
 func New(c Config) *Reports {
 	return &Reports{
-		Config: c, suspects: newSuspects(), peers: make(map[ids.InstanceID]peer), runs: make(map[ids.InstanceID]string),
+		Config: c, suspects: newSuspects(), peers: make(map[ids.InstanceID]peer), wanted: make(map[quota.Shard]struct{}),
+		decided: make(chan struct{}), wakeup: make(chan struct{}, 1), backlog: true,
 	}
 }
 
-// wireReport is the encoding of a report in the log.
-type wireReport struct {
-	Instance ids.InstanceID `json:"instance"`
-	Run      string         `json:"run"`
-	AtMs     int64          `json:"atMs"`
-	Address  string         `json:"address"`
-	Zone     ids.Zone       `json:"zone"`
-	// Leaving is set once a planned stop has begun.
-	Leaving bool `json:"leaving,omitempty"`
-	// ReachesLog is false if the instance reaches the log only through others.
-	ReachesLog bool        `json:"reachesLog"`
-	Usage      []wireUsage `json:"usage,omitempty"`
-	Deaths     []wireDeath `json:"deaths,omitempty"`
-	// Survived are requests that were suspected and have been completed.
-	Survived []ids.Fingerprint `json:"survived,omitempty"`
-}
-
-type wireUsage struct {
-	Workspace ids.WorkspaceID `json:"workspace"`
-	Granted   int             `json:"granted"`
-}
-
-type wireDeath struct {
-	Fingerprint ids.Fingerprint `json:"fingerprint"`
-	Target      ids.TargetID    `json:"target"`
-}
-
 // Run writes and reads reports until the context ends.
 func (r *Reports) Run(ctx context.Context) error {
-	next := ids.Offset(-1)
 	for ctx.Err() == nil {
 		began := r.Now()
-		at, writeErr := r.Write(ctx)
-		if writeErr == nil && next < 0 {
-			next = max(at-backlogRecords, 0)
+		err := r.claimWanted(ctx)
+		if at, writeErr := r.Write(ctx); writeErr == nil {
+			r.begin(at)
+		} else {
+			err = errors.Join(err, writeErr)
 		}
-		var err error
-		if next >= 0 {
-			next, err = r.read(ctx, next)
-		}
-		if err != nil || writeErr != nil {
-			events.Log(r.Logger, events.ReportFailed, zap.String("operation", "report"), zap.Error(errors.Join(writeErr, err)))
+		err = errors.Join(err, r.read(ctx))
+		if err != nil {
+			events.Log(r.Logger, events.ReportFailed, zap.String("operation", "report"), zap.Error(err))
 		}
 		r.waitForNext(ctx, began)
 	}
 	return nil
 }
 
+// begin begins to read reports some time before the first own one, at the offset at.
+func (r *Reports) begin(at ids.Offset) {
+	r.Grants.View(func(l *quota.Limiter) {
+		if _, ok := l.Leases.Next(); !ok {
+			l.Leases.Begin(r.Now(), max(at-backlogRecords, 0))
+		}
+	})
+}
+
+// waitForNext waits until the next report is due, and claims wanted shards meanwhile.
 func (r *Reports) waitForNext(ctx context.Context, began time.Time) {
 	r.mu.Lock()
 	wait := max(interval, intervalPerInstance*time.Duration(len(r.peers)))
@@ -126,31 +115,54 @@
 		wait = deathInterval
 	}
 	r.mu.Unlock()
-	select {
-	case <-ctx.Done():
-	case <-time.After(wait - r.Now().Sub(began)):
+	if n, _ := r.held(); n > 0 {
+		wait = min(wait, interval)
+	}
+	due := time.NewTimer(wait - r.Now().Sub(began))
+	defer due.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-due.C:
+			return
+		case <-r.wakeup:
+		}
+		if err := r.claimWanted(ctx); err != nil {
+			events.Log(r.Logger, events.ReportFailed, zap.String("operation", "claim"), zap.Error(err))
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(claimInterval):
+		}
 	}
 }
 
 // Write appends a report on everything since the last one and returns its offset.
 func (r *Reports) Write(ctx context.Context) (at ids.Offset, err error) {
+	var lease quota.Report
+	r.Grants.View(func(l *quota.Limiter) {
+		if r.Leaving() {
+			l.Leases.Leave()
+		}
+		lease = l.Leases.NewReport(r.Now())
+		r.logGranted(l)
+	})
+	return r.append(ctx, partlog.AnyOffset, lease)
+}
+
+// append appends a report with what is to be reported of suspected requests.
+func (r *Reports) append(ctx context.Context, at ids.Offset, lease quota.Report) (first ids.Offset, err error) {
 	r.mu.Lock()
 	deaths, survived := r.suspects.deaths, r.suspects.survived
 	r.suspects.deaths, r.suspects.survived = nil, nil
 	r.mu.Unlock()
-	var usage []quota.Usage
-	r.Grants.View(func(l *quota.Limiter, _ *quota.Members) {
-		usage = l.Report()
-		r.logGranted(l, usage)
-	})
 	w := wireReport{
 		Instance: r.Self.Instance, Run: r.RunID, AtMs: r.Now().UnixMilli(),
-		Address: r.Self.Address, Zone: r.Self.Zone, ReachesLog: r.Reachable(),
-		Leaving: r.Leaving(), Survived: survived,
-	}
-	for _, u := range usage {
-		w.Usage = append(w.Usage, wireUsage(u))
+		Address: r.Self.Address, Zone: r.Self.Zone, ReachesLog: r.Reachable(), Survived: survived,
 	}
+	w.setLease(lease)
 	for _, d := range deaths {
 		w.Deaths = append(w.Deaths, wireDeath(d))
 	}
@@ -158,40 +170,47 @@
 	if err == nil {
 		ctx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
-		at, err = r.Log.Append(ctx, partition, partlog.AnyOffset, data)
+		first, err = r.Log.Append(ctx, partition, at, data)
 	}
 	if err != nil {
-		// If only the answer was lost, the grants are reported twice and others deduct them twice. That refuses requests
-		// within the rate, which is better than exceeding it.
-		r.Grants.View(func(l *quota.Limiter, _ *quota.Members) { l.Restore(usage) })
 		r.mu.Lock()
 		r.suspects.deaths = append(deaths, r.suspects.deaths...)
 		r.suspects.survived = append(survived, r.suspects.survived...)
 		r.mu.Unlock()
 	}
-	return at, err
+	return first, err
 }
 
 // logGranted logs what this instance has granted since its last report, for each workspace.
-func (r *Reports) logGranted(l *quota.Limiter, usage []quota.Usage) {
-	for _, u := range usage {
-		s, _ := l.State(r.Now(), u.Workspace)
+func (r *Reports) logGranted(l *quota.Limiter) {
+	_, validUntil := l.Leases.Held()
+	now := r.Now()
+	for _, u := range l.TakeUsage(now) {
 		events.Log(r.Logger, events.RateGranted, zap.String("workspace", string(u.Workspace)), zap.Int("granted", u.Granted),
-			zap.Float64("level", s.Level), zap.Float64("rate", s.Limit.Rate), zap.Float64("burst", s.Limit.Burst), zap.Duration("bucketAge", s.Age))
+			zap.Float64("level", u.Level), zap.Int("parts", u.Owned), zap.Float64("rate", u.Limit.Rate), zap.Float64("burst", u.Limit.Burst),
+			zap.Duration("lease", validUntil.Sub(now)))
 	}
 }
 
 // read reads and applies the reports of all instances up to the end of the partition.
-func (r *Reports) read(ctx context.Context, from ids.Offset) (next ids.Offset, err error) {
+func (r *Reports) read(ctx context.Context) (err error) {
 	for {
+		var from ids.Offset
+		ok := false
+		r.Grants.View(func(l *quota.Limiter) { from, ok = l.Leases.Next() })
+		if !ok {
+			return nil
+		}
 		page, err := partlog.ReadRetained(ctx, r.Log, partition, from, timeout)
 		if err != nil {
-			return from, err
+			return err
 		}
 		r.applyPage(page)
-		from = page.Next()
-		if from >= page.End {
-			return from, nil
+		if page.Next() >= page.End {
+			r.mu.Lock()
+			r.backlog = false
+			r.mu.Unlock()
+			return nil
 		}
 	}
 }
@@ -200,40 +219,32 @@
 	now := r.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.Grants.View(func(l *quota.Limiter) {
+		l.Leases.Begin(now, page.From)
+		l.Leases.Members(now)
+	})
 	for i, data := range page.Records {
 		var w wireReport
 		if err := json.Unmarshal(data, &w); err != nil {
 			events.Log(r.Logger, events.EntrySkipped, zap.String("stream", partition.Topic),
 				zap.Int64("offset", int64(page.From)+int64(i)), zap.String("reason", err.Error()))
+			r.Grants.View(func(l *quota.Limiter) { l.Leases.Skip() })
 			continue
 		}
-		at := time.UnixMilli(w.AtMs)
-		if now.Sub(at) > backlogAge {
-			continue
-		}
-		r.apply(now, at, w)
+		r.apply(now, w)
 	}
-	r.Grants.View(func(_ *quota.Limiter, m *quota.Members) { m.DropOld(now) })
 }
 
-func (r *Reports) apply(now, at time.Time, w wireReport) {
-	own := w.Instance == r.Self.Instance && w.Run == r.RunID
-	usage := make([]quota.Usage, len(w.Usage))
-	for i, u := range w.Usage {
-		usage[i] = quota.Usage(u)
-	}
-	newRun := r.runs[w.Instance] != w.Run
-	r.runs[w.Instance] = w.Run
-	r.Grants.View(func(l *quota.Limiter, m *quota.Members) {
-		m.Report(now, at, w.Instance, newRun, w.Leaving)
-		if !own {
-			l.Merge(now, at, usage)
-		}
-	})
-	if own {
+func (r *Reports) apply(now time.Time, w wireReport) {
+	r.applyLease(now, w.lease())
+	if w.Instance == r.Self.Instance {
+		return
+	}
+	r.peers[w.Instance] = peer{reportedAt: now, Peer: relay.Peer{Instance: w.Instance, Address: w.Address, Zone: w.Zone, ReachesLog: w.ReachesLog}}
+	// The writer's clock may be apart from this one, so its times only tell old reports of the backlog apart.
+	if r.backlog && now.Sub(time.UnixMilli(w.AtMs)) > backlogAge {
 		return
 	}
-	r.peers[w.Instance] = peer{reportedAt: at, Peer: relay.Peer{Instance: w.Instance, Address: w.Address, Zone: w.Zone, ReachesLog: w.ReachesLog}}
 	for _, d := range w.Deaths {
 		r.suspects.tracker.ReportDeath(now, suspect.Death(d))
 	}
--- /dev/null
+++ b/internal/reports/wire.go
@@ -0,0 +1,60 @@
+package reports
+
+import (
+	"github.com/comfreylink/comfreylink/pkg/ids"
+	"github.com/comfreylink/comfreylink/pkg/quota"
+)
+
+// wireReport is the encoding of a report in the log.
+type wireReport struct {
+	Instance ids.InstanceID `json:"instance"`
+	Run      string         `json:"run"`
+	// Seq numbers the reports of a run, Read is the offset up to which the run had read the reports.
+	Seq     uint64     `json:"seq"`
+	Read    ids.Offset `json:"read"`
+	AtMs    int64      `json:"atMs"`
+	Address string     `json:"address"`
+	Zone    ids.Zone   `json:"zone"`
+	// Leaving is set once a planned stop has begun.
+	Leaving bool `json:"leaving,omitempty"`
+	// ReachesLog is false if the instance reaches the log only through others.
+	ReachesLog bool `json:"reachesLog"`
+	// Owned and Released are pairs of a shard and the offset of its claim.
+	Owned    [][2]int64    `json:"owned,omitempty"`
+	Claimed  []quota.Shard `json:"claimed,omitempty"`
+	Released [][2]int64    `json:"released,omitempty"`
+	Deaths   []wireDeath   `json:"deaths,omitempty"`
+	// Survived are requests that were suspected and have been completed.
+	Survived []ids.Fingerprint `json:"survived,omitempty"`
+}
+
+type wireDeath struct {
+	Fingerprint ids.Fingerprint `json:"fingerprint"`
+	Target      ids.TargetID    `json:"target"`
+}
+
+func (w *wireReport) setLease(r quota.Report) {
+	w.Seq, w.Read, w.Leaving, w.Claimed = r.Seq, r.Read, r.Leaving, r.Claimed
+	w.Owned, w.Released = toPairs(r.Owned), toPairs(r.Released)
+}
+
+func (w wireReport) lease() quota.Report {
+	return quota.Report{
+		Run: quota.Run{Instance: w.Instance, ID: w.Run}, Seq: w.Seq, Read: w.Read, Leaving: w.Leaving,
+		Owned: fromPairs(w.Owned), Claimed: w.Claimed, Released: fromPairs(w.Released),
+	}
+}
+
+func toPairs(l []quota.Owned) (pairs [][2]int64) {
+	for _, o := range l {
+		pairs = append(pairs, [2]int64{int64(o.Shard), int64(o.Claimed)})
+	}
+	return pairs
+}
+
+func fromPairs(pairs [][2]int64) (l []quota.Owned) {
+	for _, p := range pairs {
+		l = append(l, quota.Owned{Shard: quota.Shard(p[0]), Claimed: ids.Offset(p[1])})
+	}
+	return l
+}
--- /dev/null
+++ b/pkg/quota/lease.go
@@ -0,0 +1,343 @@
+package quota
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/comfreylink/comfreylink/pkg/ids"
+)
+
+const (
+	// LeaseTime is how long an owner grants after it sent its last report. It is less than the age at which a configuration
+	// is too old to accept its keys, so an unavailable log stops both at about the same time.
+	LeaseTime = 4 * time.Second
+	// claimMargin is added to LeaseTime before another instance claims, because clocks run at slightly different speeds.
+	claimMargin = 100 * time.Millisecond
+	// noOffset is the offset of a partition of which nothing was read.
+	noOffset ids.Offset = -1
+)
+
+// Run is one run of an instance's process.
+type Run struct {
+	Instance ids.InstanceID
+	ID       string
+}
+
+// Owned is a shard and the offset of the report that claimed it for its owner.
+type Owned struct {
+	Shard   Shard
+	Claimed ids.Offset
+}
+
+// Report is the part of an instance's report that concerns leases. Its offset in the log orders it among all reports.
+type Report struct {
+	Run Run
+	// Seq numbers the reports of a run.
+	Seq uint64
+	// Read is the offset up to which the run had applied all reports when it wrote this one.
+	Read ids.Offset
+	// Leaving is set if the run is about to end. It claims nothing more.
+	Leaving bool
+	Owned   []Owned
+	// Claimed are shards that the run owns from this report on. Such a report is appended only if the run has read all
+	// reports before it.
+	Claimed []Shard
+	// Released are shards that the run owned and from which it grants nothing more.
+	Released []Owned
+}
+
+// Leases decides which instance owns which shard. All instances apply the same reports in the order of the log.
+//
+// An owner grants for LeaseTime after it sent a report, once it has read that report back and found that it still owns the
+// shard. Another instance claims the shard only after it has read no report of the owner for longer than that, or if the
+// owner has released it, or if the owner was an earlier run on the same instance. As a claim is appended only directly
+// behind what its writer has read, an owner's report that its claimant has not read makes the claim fail. So a shard never
+// has two instances that grant, whatever happens to instances, their clocks and the log. Only the speed of clocks matters.
+//
+// Leases is not safe for concurrent use.
+type Leases struct {
+	self  Run
+	began time.Time // when this run began; earlier runs on the instance had ended
+
+	next    ids.Offset // after the last report that was read
+	history ids.Offset // from here on all reports were read
+	readAt  time.Time  // when reading from history began
+	owners  map[Shard]owner
+	members map[ids.InstanceID]member
+
+	seq        uint64
+	sent       map[uint64]sentReport // own reports that were not read back
+	validUntil time.Time             // when the own lease ends
+	leaving    bool
+}
+
+// owner is what is known of a shard's owner.
+type owner struct {
+	run     Run // zero if the last owner does not own the shard any more and the next one is not known
+	claimed ids.Offset
+	// certain is set if all reports since the run was the owner were read.
+	certain  bool
+	readAt   time.Time // when the run's last report was read
+	released time.Time // when its release was read; zero if it has not released the shard
+	// emptyAt is the latest time at which an earlier owner may have granted; known for the own shards.
+	emptyAt time.Time
+}
+
+type member struct {
+	run     Run
+	readAt  time.Time
+	leaving bool
+}
+
+type sentReport struct {
+	at      time.Time
+	emptyAt map[Shard]time.Time
+}
+
+// NewLeases returns the leases of a run that begins now and has read nothing.
+func NewLeases(now time.Time, self Run) *Leases {
+	return &Leases{
+		self: self, began: now, next: noOffset, history: noOffset,
+		owners: make(map[Shard]owner), members: make(map[ids.InstanceID]member), sent: make(map[uint64]sentReport),
+	}
+}
+
+// NewReport returns this run's next report, to be sent now.
+func (l *Leases) NewReport(now time.Time) Report {
+	for seq, s := range l.sent {
+		if now.Sub(s.at) > LeaseTime {
+			delete(l.sent, seq)
+		}
+	}
+	l.seq++
+	l.sent[l.seq] = sentReport{at: now}
+	r := Report{Run: l.self, Seq: l.seq, Read: l.next, Leaving: l.leaving}
+	for s, o := range l.owners {
+		if o.run != l.self {
+			continue
+		}
+		if l.leaving {
+			r.Released = append(r.Released, Owned{Shard: s, Claimed: o.claimed})
+			continue
+		}
+		r.Owned = append(r.Owned, Owned{Shard: s, Claimed: o.claimed})
+	}
+	return r
+}
+
+// NewClaim returns a report that claims those of the wanted shards that are free; ok is false if none is. It must be
+// appended only if the log ends where this run has read it.
+func (l *Leases) NewClaim(now time.Time, wanted []Shard) (r Report, ok bool) {
+	emptyAt := make(map[Shard]time.Time)
+	for _, s := range wanted {
+		if free, ok := l.FreeAt(s); ok && !now.Before(free) {
+			emptyAt[s] = free
+		}
+	}
+	if len(emptyAt) == 0 {
+		return r, false
+	}
+	r = l.NewReport(now)
+	l.sent[r.Seq] = sentReport{at: now, emptyAt: emptyAt}
+	for s := range emptyAt {
+		r.Claimed = append(r.Claimed, s)
+	}
+	return r, true
+}
+
+// FreeAt returns from when on this run may claim a shard; ok is false if it may not. No other instance grants from the shard
+// after that time, unless it claims it.
+func (l *Leases) FreeAt(s Shard) (free time.Time, ok bool) {
+	o, known := l.owners[s]
+	if l.history == noOffset || l.leaving || o.run == l.self {
+		return free, false
+	}
+	free = l.readAt
+	switch {
+	case !known && l.history == 0:
+		return l.began, true // no report has ever claimed it
+	case o.certain && !o.released.IsZero():
+		return o.released, true
+	case o.certain && o.run.Instance == l.self.Instance:
+		return l.began, true
+	case o.readAt.After(free):
+		free = o.readAt
+	}
+	return free.Add(LeaseTime + claimMargin), true
+}
+
+// Owner returns the instance that owns a shard, as far as this one knows.
+func (l *Leases) Owner(s Shard) (id ids.InstanceID, ok bool) {
+	o := l.owners[s]
+	return o.run.Instance, o.run != Run{} && o.released.IsZero()
+}
+
+// Holds reports whether this run may grant from a shard now. The offset of its claim and the time at which the shard was
+// empty belong to its tokens.
+func (l *Leases) Holds(now time.Time, s Shard) (claimed ids.Offset, emptyAt time.Time, ok bool) {
+	o := l.owners[s]
+	return o.claimed, o.emptyAt, o.run == l.self && !l.leaving && now.Before(l.validUntil)
+}
+
+// Held returns the number of shards that this run owns, and when its lease ends.
+func (l *Leases) Held() (n int, validUntil time.Time) {
+	for _, o := range l.owners {
+		if o.run == l.self {
+			n++
+		}
+	}
+	return n, l.validUntil
+}
+
+// Leave makes this run grant and claim nothing more. Its next report releases its shards.
+func (l *Leases) Leave() { l.leaving = true }
+
+// Next returns the offset of the next report to read; ok is false before the first one.
+func (l *Leases) Next() (next ids.Offset, ok bool) { return l.next, l.next != noOffset }
+
+// Begin notes that reports are read from an offset on. If reports before it were not read, they may have claimed any
+// shard, also those of this run.
+func (l *Leases) Begin(now time.Time, from ids.Offset) {
+	if l.next == from {
+		return
+	}
+	l.next, l.history, l.readAt = from, from, now
+	for s, o := range l.owners {
+		if o.run == l.self {
+			o.run = Run{}
+		}
+		o.certain = false
+		l.owners[s] = o
+	}
+}
+
+// Skip notes that the report at the offset Next is not readable.
+func (l *Leases) Skip() { l.next++ }
+
+// Apply applies the report at the offset Next, read now. It returns the shards that this run has gained and lost.
+func (l *Leases) Apply(now time.Time, r Report) (gained, lost []Shard) {
+	at := l.next
+	l.next++
+	l.members[r.Run.Instance] = member{run: r.Run, readAt: now, leaving: r.Leaving}
+	emptyAt := l.renew(r)
+	owned := make(map[Shard]bool)
+	for _, x := range r.Owned {
+		owned[x.Shard] = true
+		l.applyOwned(now, r, x)
+	}
+	for _, x := range r.Released {
+		owned[x.Shard] = true
+		l.applyReleased(now, r, x)
+	}
+	l.dropLost(now, r, owned)
+	for _, s := range r.Claimed {
+		if l.owners[s].run == l.self && r.Run != l.self {
+			lost = append(lost, s)
+		}
+		o := owner{run: r.Run, claimed: at, certain: true, readAt: now}
+		if r.Run == l.self {
+			gained = append(gained, s)
+			o.emptyAt = now
+			if t, ok := emptyAt[s]; ok {
+				o.emptyAt = t
+			}
+		}
+		l.owners[s] = o
+	}
+	return gained, lost
+}
+
+// renew extends the own lease if the report is an own one, and returns since when the shards that it claims were empty.
+func (l *Leases) renew(r Report) (emptyAt map[Shard]time.Time) {
+	if r.Run != l.self {
+		return nil
+	}
+	sent, ok := l.sent[r.Seq]
+	if !ok {
+		return nil
+	}
+	delete(l.sent, r.Seq)
+	if end := sent.at.Add(LeaseTime); end.After(l.validUntil) {
+		l.validUntil = end
+	}
+	return sent.emptyAt
+}
+
+// applyOwned applies that a run said that it owned a shard.
+func (l *Leases) applyOwned(now time.Time, r Report, x Owned) {
+	o := l.owners[x.Shard]
+	if r.Run == l.self || x.Claimed < o.claimed || !o.released.IsZero() && x.Claimed == o.claimed {
+		return
+	}
+	same := o.run == r.Run && o.claimed == x.Claimed
+	l.owners[x.Shard] = owner{run: r.Run, claimed: x.Claimed, certain: same && o.certain || r.Read >= l.history, readAt: now}
+}
+
+// applyReleased applies that a run has released a shard.
+func (l *Leases) applyReleased(now time.Time, r Report, x Owned) {
+	o := l.owners[x.Shard]
+	if x.Claimed < o.claimed || !o.released.IsZero() && x.Claimed == o.claimed {
+		return
+	}
+	same := o.run == r.Run && o.claimed == x.Claimed
+	l.owners[x.Shard] = owner{run: r.Run, claimed: x.Claimed, certain: same && o.certain || r.Read >= l.history, readAt: now, released: now}
+}
+
+// dropLost notes which shards a run does not own any more according to its report.
+func (l *Leases) dropLost(now time.Time, r Report, owned map[Shard]bool) {
+	if r.Run == l.self {
+		return
+	}
+	for s, o := range l.owners {
+		if o.run != r.Run {
+			continue
+		}
+		o.readAt = now
+		// A report that was written before the run had read its own claim says nothing about it.
+		if !owned[s] && r.Read > o.claimed && o.released.IsZero() {
+			o.run, o.certain = Run{}, false
+		}
+		l.owners[s] = o
+	}
+}
+
+// memberTimeout is how long after its last report an instance is asked to claim shards.
+const memberTimeout = 4 * time.Second
+
+// Candidates returns up to limit instances other than its owner that should claim a shard, in order. They differ between
+// the parts of a workspace's limit. The order only spreads the shards; any instance may claim.
+func (l *Leases) Candidates(now time.Time, s Shard, owner ids.InstanceID, limit int) (candidates []ids.InstanceID) {
+	group := strconv.Itoa(s.group())
+	for id, m := range l.members {
+		if id != owner && !m.leaving && now.Sub(m.readAt) <= memberTimeout {
+			candidates = append(candidates, id)
+		}
+	}
+	if len(candidates) == 0 {
+		return nil
+	}
+	slices.SortFunc(candidates, func(a, b ids.InstanceID) int {
+		x, y := ids.Rendezvous(string(a), group), ids.Rendezvous(string(b), group)
+		switch {
+		case x > y:
+			return -1
+		case x < y:
+			return 1
+		}
+		return 0
+	})
+	first := s.part() % len(candidates)
+	candidates = append(candidates[first:], candidates[:first]...)
+	return candidates[:min(len(candidates), limit)]
+}
+
+// Members returns the number of instances that have reported in the last memberTimeout, and forgets the others.
+func (l *Leases) Members(now time.Time) int {
+	for id, m := range l.members {
+		if now.Sub(m.readAt) > memberTimeout {
+			delete(l.members, id)
+		}
+	}
+	return len(l.members)
+}
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -1,7 +1,8 @@
-// Package quota limits the request rates of workspaces across all instances. Each workspace has one granting instance,
-// found by rendezvous hashing, so no request is refused while the workspace has tokens left. Every instance keeps a copy
-// of the token bucket: it deducts its own grants at once, and those of others when it reads their reports in the log. An
-// instance that becomes the granting one therefore misses only the grants since the last report.
+// Package quota limits the request rates of workspaces across all instances. Each workspace's limit is divided into parts.
+// One instance at a time owns a part and grants requests from its token bucket; leases in the log decide which one. What an
+// owner has granted is not known to the next one, so the next one's bucket begins empty.
+//
+// All instances together grant at most Rate*d + Burst + Parts requests of a workspace in any time d.
 package quota
 
 import (
@@ -28,19 +29,9 @@
 	Burst float64
 }
 
-// Usage is how many requests of a workspace an instance has granted since its last report.
-type Usage struct {
-	Workspace ids.WorkspaceID
-	Granted   int
-}
-
-// State is the state of a workspace's bucket.
-type State struct {
-	Limit Limit
-	// Level is the number of tokens in the bucket; it is negative if other instances' grants exceeded it.
-	Level float64
-	// Age is how long this instance has had the bucket.
-	Age time.Duration
+// part returns the limit of one of a workspace's Parts. A bucket that held less than one token would never grant.
+func (l Limit) part() Limit {
+	return Limit{Rate: l.Rate / Parts, Burst: max(l.Burst/Parts, 1)}
 }
 
 // Grant is the response to a request for a token.
@@ -49,135 +40,165 @@
 	Tokens int
 	// Retry is the retry delay if there are none.
 	Retry time.Duration
-	// Level is the number of tokens in the bucket before the grant.
+	// Level is the number of tokens in the part's bucket before the grant.
 	Level float64
 }
 
-// bucket is the token bucket of one workspace.
+// Usage is what this instance has granted of a workspace's requests since the last call of TakeUsage.
+type Usage struct {
+	Workspace ids.WorkspaceID
+	Granted   int
+	// Level is the number of tokens in the buckets of the parts that it owns, and Owned the number of these parts.
+	Level float64
+	Owned int
+	Limit Limit
+}
+
+// configured is the limit of a workspace and since when it has one.
+type configured struct {
+	Limit
+	since time.Time
+}
+
+type bucketKey struct {
+	workspace ids.WorkspaceID
+	part      int
+}
+
+// bucket is the token bucket of one part of a workspace's limit.
 type bucket struct {
 	limit   Limit
-	level   float64   // tokens left; negative if other instances' grants exceeded it
-	at      time.Time // when level was last refilled
-	granted int       // since the last report
-	// created is when this instance created the bucket, full.
-	created time.Time
+	level   float64
+	at      time.Time  // when level was last refilled
+	claimed ids.Offset // the claim of the shard to which the tokens belong
+	granted int        // since the last call of TakeUsage
 }
 
-// Limiter holds the buckets of one instance. It is not safe for concurrent use.
+// Limiter holds the limits of the workspaces and the buckets of the parts that this instance owns. It is not safe for
+// concurrent use.
 type Limiter struct {
-	buckets map[ids.WorkspaceID]*bucket
+	// Leases decides which parts this instance owns.
+	Leases  *Leases
+	limits  map[ids.WorkspaceID]configured
+	buckets map[bucketKey]*bucket
 }
 
 // New returns a limiter without limits.
-func New() *Limiter { return &Limiter{buckets: make(map[ids.WorkspaceID]*bucket)} }
+func New(l *Leases) *Limiter {
+	return &Limiter{Leases: l, limits: make(map[ids.WorkspaceID]configured), buckets: make(map[bucketKey]*bucket)}
+}
 
 // Configure replaces the limits. Workspaces that are not in limits have none.
 func (l *Limiter) Configure(now time.Time, limits map[ids.WorkspaceID]Limit) {
-	for ws, newLimit := range limits {
-		b := l.buckets[ws]
-		switch {
-		case newLimit.Rate <= 0:
-			delete(l.buckets, ws)
-		case b == nil:
-			l.buckets[ws] = &bucket{limit: newLimit, level: newLimit.Burst, at: now, created: now}
-		default:
-			b.refill(now)
-			b.limit = newLimit
-			b.level = min(b.level, newLimit.Burst)
+	for ws := range l.limits {
+		if limits[ws].Rate <= 0 {
+			delete(l.limits, ws)
 		}
 	}
-	for ws := range l.buckets {
-		if _, ok := limits[ws]; !ok {
-			delete(l.buckets, ws)
+	for ws, limit := range limits {
+		if limit.Rate <= 0 {
+			continue
+		}
+		c, known := l.limits[ws]
+		if !known {
+			c.since = now
 		}
+		c.Limit = limit
+		l.limits[ws] = c
+	}
+	for key, b := range l.buckets {
+		c, ok := l.limits[key.workspace]
+		if !ok {
+			delete(l.buckets, key)
+			continue
+		}
+		b.refill(now)
+		b.limit = c.part()
+		b.level = min(b.level, b.limit.Burst)
 	}
 }
 
 // refill adds the tokens that the rate has given since the last refill, up to the burst.
 func (b *bucket) refill(now time.Time) {
-	seconds := max(now.Sub(b.at).Seconds(), 0)
+	if !now.After(b.at) {
+		return
+	}
+	b.level = min(b.level+b.limit.Rate*now.Sub(b.at).Seconds(), b.limit.Burst)
 	b.at = now
-	b.level = min(b.level+b.limit.Rate*seconds, b.limit.Burst)
 }
 
 // Limited reports whether a workspace has a limit.
-func (l *Limiter) Limited(ws ids.WorkspaceID) bool { return l.buckets[ws] != nil }
+func (l *Limiter) Limited(ws ids.WorkspaceID) bool {
+	_, ok := l.limits[ws]
+	return ok
+}
 
-// Grant takes one or more tokens from a workspace's bucket. It takes none if one token would leave less than the fraction
-// headroom of the burst. The first request of a program asks for headroom, so that running programs find tokens for their
-// next requests.
-func (l *Limiter) Grant(now time.Time, ws ids.WorkspaceID, headroom float64) Grant {
-	b := l.buckets[ws]
+// Grant takes one or more tokens from the bucket of a part of a workspace's limit. It takes none if one token would leave
+// less than the fraction headroom of the burst. The first request of a program asks for headroom, so that running programs
+// find tokens for their next requests. It reports whether this instance owns the part; otherwise it grants nothing.
+func (l *Limiter) Grant(now time.Time, ws ids.WorkspaceID, part int, headroom float64) (g Grant, owned bool) {
+	if !l.Limited(ws) {
+		return Grant{Tokens: 1}, true
+	}
+	b := l.bucket(now, ws, part)
 	if b == nil {
-		return Grant{Tokens: 1}
+		return g, false
 	}
-	b.refill(now)
-	if missing := 1 + headroom*b.limit.Burst - b.level; missing > 0 {
-		return Grant{Retry: max(time.Duration(missing/b.limit.Rate*float64(time.Second)), minRetry), Level: b.level}
+	// At least one token is granted from a full bucket, however small it is.
+	reserve := min(headroom*b.limit.Burst, b.limit.Burst-1)
+	if missing := 1 + reserve - b.level; missing > 0 {
+		return Grant{Retry: max(time.Duration(missing/b.limit.Rate*float64(time.Second)), minRetry), Level: b.level}, true
 	}
 	n := 1
 	if surplus := b.level - 1 - aheadThreshold*b.limit.Burst; surplus > 0 {
 		n += int(min(math.Floor(surplus*aheadShare), aheadMax))
 	}
-	level := b.level
+	g = Grant{Tokens: n, Level: b.level}
 	b.level -= float64(n)
 	b.granted += n
-	return Grant{Tokens: n, Level: level}
-}
-
-// State returns the state of a workspace's bucket; ok is false if the workspace has no limit.
-func (l *Limiter) State(now time.Time, ws ids.WorkspaceID) (s State, ok bool) {
-	b := l.buckets[ws]
-	if b == nil {
-		return s, false
-	}
-	b.refill(now)
-	return State{Limit: b.limit, Level: b.level, Age: now.Sub(b.created)}, true
+	return g, true
 }
 
-// Return gives back unused tokens that this instance granted.
-func (l *Limiter) Return(now time.Time, ws ids.WorkspaceID, n int) {
-	if b := l.buckets[ws]; b != nil {
-		b.refill(now)
-		b.level = min(b.level+float64(n), b.limit.Burst)
-		b.granted -= n
+// bucket returns the refilled bucket of a part that this instance owns, or nil.
+func (l *Limiter) bucket(now time.Time, ws ids.WorkspaceID, part int) *bucket {
+	claimed, emptyAt, ok := l.Leases.Holds(now, ShardOf(ws, part))
+	if !ok {
+		return nil
 	}
-}
-
-// Report returns what was granted since the last report and resets the counts. The caller passes the report to Restore if
-// it could not be written.
-func (l *Limiter) Report() (usage []Usage) {
-	for ws, b := range l.buckets {
-		if b.granted != 0 {
-			usage = append(usage, Usage{Workspace: ws, Granted: b.granted})
-			b.granted = 0
-		}
-	}
-	return usage
-}
-
-// Restore adds the counts of a report that was not written to the next one.
-func (l *Limiter) Restore(usage []Usage) {
-	for _, u := range usage {
-		if b := l.buckets[u.Workspace]; b != nil {
-			b.granted += u.Granted
+	key := bucketKey{workspace: ws, part: part}
+	b := l.buckets[key]
+	if b == nil || b.claimed != claimed {
+		c := l.limits[ws]
+		if c.since.After(emptyAt) {
+			emptyAt = c.since
 		}
+		b = &bucket{limit: c.part(), at: emptyAt, claimed: claimed}
+		l.buckets[key] = b
 	}
+	b.refill(now)
+	return b
 }
 
-// Merge deducts the grants in another instance's report, written at the time at. If the report is older than this
-// instance's bucket, which was created full, it deducts only the grants that the rate has not refilled since then.
-func (l *Limiter) Merge(now, at time.Time, usage []Usage) {
-	for _, u := range usage {
-		b := l.buckets[u.Workspace]
-		if b == nil {
+// TakeUsage returns what was granted since the last call, and resets the counts.
+func (l *Limiter) TakeUsage(now time.Time) (usage []Usage) {
+	byWorkspace := make(map[ids.WorkspaceID]Usage)
+	for key, b := range l.buckets {
+		if _, _, ok := l.Leases.Holds(now, ShardOf(key.workspace, key.part)); !ok && b.granted == 0 {
 			continue
 		}
 		b.refill(now)
-		refilled := 0.0
-		if at.Before(b.created) {
-			refilled = b.limit.Rate * now.Sub(at).Seconds()
+		u := byWorkspace[key.workspace]
+		u.Granted += b.granted
+		u.Level += b.level
+		u.Owned++
+		byWorkspace[key.workspace] = u
+		b.granted = 0
+	}
+	for ws, u := range byWorkspace {
+		if u.Granted > 0 {
+			u.Workspace, u.Limit = ws, l.limits[ws].Limit
+			usage = append(usage, u)
 		}
-		b.level -= max(float64(u.Granted)-refilled, 0)
 	}
+	return usage
 }
