Bound answers of targets that do not end

Callers' side: a target in trouble may send bytes without end, in a head or a body, until the gateway closes the connection.

Change: a stream has at most the events of the request's output tokens and one more, and 16 MiB; what follows breaks it off, incomplete. Bodies in progress hold at most an eighth of the process's memory together. Both end the attempt at once, as a broken answer does.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -39,8 +39,12 @@
 	// be sent again.
 	idempotentMaxIdle    = 8 * time.Second
 	nonIdempotentMaxIdle = 4 * time.Second
-	// maxAnswerBytes bounds the body of an answer that is not a stream.
+	// maxAnswerBytes bounds the body of an answer, also of a stream.
 	maxAnswerBytes = 16 << 20
+	// answerMemoryShare is the share of the process's memory that the bodies of answers in progress may hold together, and
+	// defaultAnswerMemory what they may hold in a process without a memory limit.
+	answerMemoryShare   = 0.125
+	defaultAnswerMemory = 64 << 20
 )
 
 // attemptResult is the result of one attempt at a target.
@@ -319,7 +323,8 @@
 
 // relayWhole passes on an answer that is not a stream.
 func (e *exchange) relayWhole(h *fasthttp.ResponseHeader, a call.Answer, body io.Reader) attemptResult {
-	data, err := httpwire.ReadAll(body, maxAnswerBytes)
+	data, release, err := e.answerMemory.ReadAll(body, maxAnswerBytes)
+	defer release()
 	if err != nil {
 		return e.incomplete(err)
 	}
@@ -338,6 +343,14 @@
 	return attemptResult{done: true, reason: "answered", outcome: outcome, usage: record.Usage{Completion: 1}}
 }
 
+// newAnswerMemory returns the limit for the bodies of answers in a process with a memory limit, or 0 for none.
+func newAnswerMemory(processBytes int64) *httpwire.MemoryLimit {
+	if processBytes == 0 {
+		return httpwire.NewMemoryLimit(defaultAnswerMemory)
+	}
+	return httpwire.NewMemoryLimit(int64(answerMemoryShare * float64(processBytes)))
+}
+
 func responseHeaders(h *fasthttp.ResponseHeader) []byte {
 	return httpwire.AppendHeaders(nil, h.All(), h.Peek("Connection"), nil)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -101,8 +101,10 @@
 	queues   *waitqueue.Queues
 	programs *programs.Store
 	server   *httpwire.Server
-	draining atomic.Bool
-	ready    atomic.Bool
+	// answerMemory bounds what targets can make this process hold with bodies that do not end.
+	answerMemory *httpwire.MemoryLimit
+	draining     atomic.Bool
+	ready        atomic.Bool
 
 	grants  *grants.RateLimiter
 	reports *reports.Reports
@@ -116,7 +118,7 @@
 	g := &Gateway{
 		Config:      c,
 		queues:      waitqueue.New(waitqueue.Options{Policy: string(c.Settings.Dispatch.Policy), Now: c.Clock.Now}),
-		programUses: make(map[account.Key]programUse),
+		programUses: make(map[account.Key]programUse), answerMemory: newAnswerMemory(c.Settings.Instance.Memory),
 	}
 	g.grants = grants.New(grants.Config{
 		Self: quota.Run{Instance: c.Settings.Instance.ID, ID: c.RunID}, Client: c.RPC, Now: c.Clock.Now, Loads: g.queues,
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -5,10 +5,12 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 
 	"github.com/valyala/fasthttp"
 
 	"github.com/comfreylink/comfreylink/internal/eventstream"
+	"github.com/comfreylink/comfreylink/internal/httpwire"
 	"github.com/comfreylink/comfreylink/internal/programs"
 	"github.com/comfreylink/comfreylink/pkg/dispatch"
 	"github.com/comfreylink/comfreylink/pkg/ids"
@@ -18,7 +20,8 @@
 // relayStream passes on a stream, event by event. If the stream breaks off and its route is resumable, it may continue at
 // another target, and the caller sees one answer.
 func (e *exchange) relayStream(h *fasthttp.ResponseHeader, body io.Reader) attemptResult {
-	r := eventstream.New(body)
+	r := eventstream.New(httpwire.Limit(body, maxAnswerBytes))
+	maxEvents := e.maxEvents()
 	for {
 		event, err := r.Next()
 		if errors.Is(err, io.EOF) && e.events > 0 {
@@ -30,12 +33,27 @@
 			}
 			return e.incomplete(err)
 		}
+		if e.events >= maxEvents {
+			return e.incomplete(errTooManyEvents)
+		}
 		if res, failed := e.relayEvent(h, event); failed {
 			return res
 		}
 	}
 }
 
+var errTooManyEvents = errors.New("the stream has more events than the request's tokens allow")
+
+// maxEvents returns how many events the caller may get: those of the most tokens that the request may generate, and one for
+// an end without tokens. A faulty target may send events without end.
+func (e *exchange) maxEvents() int {
+	if e.req.MaxOutput <= 0 {
+		return math.MaxInt
+	}
+	perEvent := max(e.tokensPerEvent(), 1)
+	return int((e.req.MaxOutput+perEvent-1)/perEvent) + 1
+}
+
 // relayEvent writes one event to the caller. If it fails, it returns the result of the attempt.
 func (e *exchange) relayEvent(h *fasthttp.ResponseHeader, event []byte) (res attemptResult, failed bool) {
 	var err error
--- a/internal/httpwire/body.go
+++ b/internal/httpwire/body.go
@@ -5,11 +5,15 @@
 	"errors"
 	"io"
 	"net/http/httputil"
+	"sync/atomic"
 )
 
 // ErrTooLarge is returned for a body that exceeds its size limit.
 var ErrTooLarge = errors.New("body too large")
 
+// ErrNoMemory is returned for a body that would exceed the MemoryLimit with which it is read.
+var ErrNoMemory = errors.New("bodies in progress hold too much memory")
+
 // maxTrailerLines bounds the trailer of a chunked body.
 const maxTrailerLines = 16
 
@@ -77,6 +81,64 @@
 	return n, err
 }
 
+// MemoryLimit bounds the memory of bodies that are read with it, all together. It is safe for concurrent use.
+type MemoryLimit struct{ left atomic.Int64 }
+
+// NewMemoryLimit returns a limit in bytes.
+func NewMemoryLimit(bytes int64) *MemoryLimit {
+	m := new(MemoryLimit)
+	m.left.Store(bytes)
+	return m
+}
+
+// firstBodyBytes is the memory with which a body begins.
+const firstBodyBytes = 2 << 10
+
+// ReadAll reads a body of at most limit bytes. It returns ErrTooLarge if the body is longer, and ErrNoMemory if other bodies
+// leave too little memory for it. The memory counts as used until release is called.
+func (m *MemoryLimit) ReadAll(r io.Reader, limit int) (body []byte, release func(), err error) {
+	reserved := int64(0)
+	release = func() { m.left.Add(reserved) }
+	for {
+		if len(body) > limit {
+			return nil, release, ErrTooLarge
+		}
+		if len(body) == cap(body) {
+			size := max(firstBodyBytes, 2*cap(body))
+			reserved += int64(size)
+			if m.left.Add(-int64(size)) < 0 {
+				return nil, release, ErrNoMemory
+			}
+			body = append(make([]byte, 0, size), body...)
+		}
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if errors.Is(err, io.EOF) {
+			return body, release, nil
+		}
+		if err != nil {
+			return nil, release, err
+		}
+	}
+}
+
+// Limit returns a reader of a body that returns ErrTooLarge after limit bytes.
+func Limit(body io.Reader, limit int64) io.Reader { return &limitedBody{body: body, left: limit} }
+
+type limitedBody struct {
+	body io.Reader
+	left int64
+}
+
+func (l *limitedBody) Read(p []byte) (n int, err error) {
+	if l.left <= 0 {
+		return 0, ErrTooLarge
+	}
+	n, err = l.body.Read(p[:min(int64(len(p)), l.left)])
+	l.left -= int64(n)
+	return n, err
+}
+
 // ReadAll reads a body of at most limit bytes. It returns ErrTooLarge if the body is longer.
 func ReadAll(r io.Reader, limit int) (body []byte, err error) {
 	body, err = io.ReadAll(io.LimitReader(r, int64(limit)+1))
