Admit a repeated model call together with reading its history

Cause: the owner looked the request's key up, waited for the log, and then read the program's history. When the append of the first call's turn reached the log in between, the repeated call ran on a history that held its own turn. The scenario shows it with faults of appendOutage beside others, which make calls wait for the log.

Change: prepareChat decides on the key and reads the history in one view of the slot, after the wait.

--- a/internal/owner/chat.go
+++ b/internal/owner/chat.go
@@ -43,15 +43,15 @@
 		return refusal.ContextEnded(r, ctx, c, peer.NotRun)
 	}
 	defer release()
-	if answer, done := admitChat(r, c); done {
+	if _, answer, done := admitChat(r, c); done {
 		return answer
 	}
 	if !r.AwaitLog(ctx) {
 		return refusal.WithRetryAfter(refusal.Of(c, peer.CodeLogUnavailable, peer.NotRun, "the log is unavailable, so the turn could not be kept"), time.Second)
 	}
-	run, refused := o.prepareChat(r, c)
-	if refused != nil {
-		return peer.Result{Refusal: refused}
+	run, answer, done := o.prepareChat(r, c)
+	if done {
+		return answer
 	}
 	item := run.item()
 	o.Targets.Request()
@@ -147,12 +147,19 @@
 }
 
 // admitChat decides whether a call runs. It reports done if the call must not run; result is then the stored turn of an
-// earlier call with the same key, a refusal or a redirect.
-func admitChat(r *slots.Run, c peer.Call) (result peer.Result, done bool) {
+// earlier call with the same key, a refusal or a redirect. state is the program's state at that moment.
+func admitChat(r *slots.Run, c peer.Call) (state program.ProgramState, result peer.Result, done bool) {
 	var d program.Decision
 	r.View(func(s *program.Slot) {
 		d = s.Admit(program.Request{Workspace: c.Workspace, Key: c.RequestKey, Fingerprint: c.Fingerprint, Epoch: r.Epoch})
+		state, _ = s.Program(c.Workspace, c.Program)
 	})
+	result, done = resultOf(c, d, r.Epoch)
+	return state, result, done
+}
+
+// resultOf returns the result of a call that must not run, according to the decision on it.
+func resultOf(c peer.Call, d program.Decision, epoch ids.Epoch) (result peer.Result, done bool) {
 	switch d.Action {
 	case program.ActionRun:
 		return peer.Result{}, false
@@ -165,22 +172,26 @@
 	case program.ActionKeyReused:
 		return refusal.Of(c, peer.CodeKeyReused, peer.NotRun, "the key belongs to a request with another content"), true
 	case program.ActionNotOwner:
-		return peer.Result{Redirect: &peer.Redirect{Epoch: r.Epoch}}, true
+		return peer.Result{Redirect: &peer.Redirect{Epoch: epoch}}, true
 	default:
 		return refusal.Of(c, peer.CodeUndecided, peer.Unknown, "an earlier request with this key may have run"), true
 	}
 }
 
-// prepareChat looks up the route, the limits and the history of a call.
-func (o *Owner) prepareChat(r *slots.Run, c peer.Call) (run *chatRun, refused *peer.Refusal) {
-	run, refused = o.routeChat(c)
+// prepareChat looks up the route, the limits and the history of a call. It reports done if the call must not run. The call
+// is admitted again together with the reading of the history: while it waited for the log, the turn of an earlier call with
+// the same key may have been kept, and it must not run on a history that holds its own turn.
+func (o *Owner) prepareChat(r *slots.Run, c peer.Call) (run *chatRun, result peer.Result, done bool) {
+	run, refused := o.routeChat(c)
 	if refused != nil {
-		return nil, refused
+		return nil, peer.Result{Refusal: refused}, true
+	}
+	state, result, done := admitChat(r, c)
+	if done {
+		return nil, result, true
 	}
-	var state program.ProgramState
-	r.View(func(s *program.Slot) { state, _ = s.Program(c.Workspace, c.Program) })
 	if maxTurns := run.route.Program.MaxTurns; maxTurns > 0 && state.Turns >= maxTurns {
-		return nil, &peer.Refusal{Code: peer.CodeTurnLimit, Run: peer.NotRun, Message: fmt.Sprintf("the program has had its %d turns", maxTurns), RequestKey: c.RequestKey}
+		return nil, refusal.Of(c, peer.CodeTurnLimit, peer.NotRun, fmt.Sprintf("the program has had its %d turns", maxTurns)), true
 	}
 	run.turns = state.Turns
 	run.messages = append(state.Messages[:len(state.Messages):len(state.Messages)], c.Chat.Messages...)
@@ -189,7 +200,7 @@
 		counted = len(state.Messages)
 	}
 	run.promptTokens = run.historyTokens + tokenBound(run.messages[counted:])
-	return run, nil
+	return run, peer.Result{}, false
 }
 
 // routeChat looks up the route and the limits of a call, without the history of its program.
