--- a/internal/owner/repeat_test.go
+++ b/internal/owner/repeat_test.go
@@ -74,7 +74,7 @@
 	calls []dispatch.Item
 }
 
-func (n *noTargets) Request()                                         {}
+func (n *noTargets) Request()                                          {}
 func (n *noTargets) Suspected(ids.WorkspaceID, ids.Fingerprint) bool   { return false }
 func (n *noTargets) Quarantined(ids.WorkspaceID, ids.Fingerprint) bool { return false }
 func (n *noTargets) Place(_ context.Context, _ ids.PoolID, it dispatch.Item) (targets.Placement, *peer.Refusal) {
