Read an event without end in linear time

Callers' side: a target that sends an event without its end, in small pieces, keeps a core busy: each read copied and scanned all bytes before it, 8 GiB of copies for 1 MiB in pieces of 64 bytes. Now the buffer doubles and only new bytes are scanned.

Test: TestEventWithoutEndIsNotCopiedAgain. Two types get a comment, an unused field goes.

--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -10,7 +10,7 @@
 // maxEventBytes bounds the size of one event.
 const maxEventBytes = 1 << 20
 
-// readSize is how many bytes are read at once.
+// readSize is the least size of the read buffer in bytes.
 const readSize = 4 << 10
 
 // errPartialEvent is returned for a stream that ends within an event.
@@ -18,9 +18,10 @@
 
 // Reader splits a stream into events.
 type Reader struct {
-	r   io.Reader
-	buf []byte
-	err error
+	r       io.Reader
+	buf     []byte
+	scanned int // bytes of buf that do not begin the end of an event
+	err     error
 }
 
 // New returns a reader of a stream.
@@ -30,10 +31,12 @@
 // The event is valid until the next call.
 func (r *Reader) Next() (event []byte, err error) {
 	for {
-		if end := bytes.Index(r.buf, []byte("\n\n")); end >= 0 {
-			event, r.buf = r.buf[:end+2], r.buf[end+2:]
+		if end := bytes.Index(r.buf[r.scanned:], []byte("\n\n")); end >= 0 {
+			end += r.scanned + 2
+			event, r.buf, r.scanned = r.buf[:end], r.buf[end:], 0
 			return event, nil
 		}
+		r.scanned = max(len(r.buf)-1, 0)
 		if r.err != nil {
 			if errors.Is(r.err, io.EOF) && len(bytes.TrimSpace(r.buf)) > 0 {
 				return nil, errPartialEvent
@@ -43,10 +46,11 @@
 		if len(r.buf) > maxEventBytes {
 			return nil, errors.New("event exceeds the size limit")
 		}
-		b := make([]byte, len(r.buf), len(r.buf)+readSize)
-		copy(b, r.buf)
-		n, err := r.r.Read(b[len(b):cap(b)])
-		r.buf, r.err = b[:len(b)+n], err
+		if len(r.buf) == cap(r.buf) {
+			r.buf = append(make([]byte, 0, 2*len(r.buf)+readSize), r.buf...)
+		}
+		n, err := r.r.Read(r.buf[len(r.buf):cap(r.buf)])
+		r.buf, r.err = r.buf[:len(r.buf)+n], err
 	}
 }
 
--- a/internal/eventstream/eventstream_test.go
+++ b/internal/eventstream/eventstream_test.go
@@ -33,3 +33,20 @@
 		c.Assert(errors.Is(err, io.EOF), qt.Equals, test.last != nil)
 	}
 }
+
+// dripping is a stream without the end of an event, of which each read returns few bytes.
+type dripping struct{}
+
+func (dripping) Read(p []byte) (int, error) { return copy(p, "yyyyyyyyyyyyyyyy"), nil }
+
+// Guards against a stream in small pieces without the end of an event, for which every piece costs a copy of all before it.
+func TestEventWithoutEndIsNotCopiedAgain(t *testing.T) {
+	c := qt.New(t)
+	allocated := testing.Benchmark(func(b *testing.B) {
+		for b.Loop() {
+			_, err := eventstream.New(dripping{}).Next()
+			c.Assert(err, qt.IsNotNil)
+		}
+	}).AllocedBytesPerOp()
+	c.Assert(allocated < 16<<20, qt.IsTrue, qt.Commentf("%d bytes for an event of 1 MiB", allocated))
+}
--- a/pkg/quota/lease.go
+++ b/pkg/quota/lease.go
@@ -84,12 +84,13 @@
 	emptyAt time.Time
 }
 
+// member is what an instance's last report says of it.
 type member struct {
-	run     Run
 	readAt  time.Time
 	leaving bool
 }
 
+// sentReport is an own report that was not read back. emptyAt holds, for the shards that it claims, when they became free.
 type sentReport struct {
 	at      time.Time
 	emptyAt map[Shard]time.Time
@@ -219,7 +220,7 @@
 func (l *Leases) Apply(now time.Time, r Report) (gained, lost []Shard) {
 	at := l.next
 	l.next++
-	l.members[r.Run.Instance] = member{run: r.Run, readAt: now, leaving: r.Leaving}
+	l.members[r.Run.Instance] = member{readAt: now, leaving: r.Leaving}
 	emptyAt := l.renew(r)
 	owned := make(map[Shard]bool)
 	for _, x := range r.Owned {
