Claim a shard of an earlier run also for the instance's own callers

Callers' side: after a restart an instance refused its own callers (rateUnavailable) as long as the log still named its earlier run as the owner and no other instance asked it; an instance that is alone refused them for good.

Cause: an instance that is named as the owner only granted, and its new run does not hold the lease. Now it claims first if the shard is free for it, by the same rules as for others.

Test: TestRestartedInstanceClaimsForItsOwnCallers fails before (refused, unavailable) and passes.

--- a/internal/grants/grants.go
+++ b/internal/grants/grants.go
@@ -185,6 +185,9 @@
 	shard := quota.ShardOf(p.Workspace, p.Part)
 	owner, free, candidates := g.route(shard)
 	if owner == g.Self.Instance {
+		if free { // it was owned by an earlier run
+			g.claim(ctx, shard)
+		}
 		return g.grant(p), owner
 	}
 	if owner != "" {
