Refuse a repeated model call as unknown while its key is undecided

The owner ran on after the broken connection, and its append of the turn had no result when its deadline passed. The repeated call then waited for a rate token and was refused as not run, and the turn was written after that. So the caller did not know of a turn in the history.

The owner now tracks the keys of model calls that are in progress or ended with an unknown outcome, and refuses a repeated call of such a key as unknown. Ruled out: a turn that runs twice; all turns of the history were different keys.

--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -31,10 +31,11 @@
 	Config
 	// attempts numbers the requests to engines, so that their ids differ.
 	attempts atomic.Int64
+	keys     *keyUses
 }
 
 // New returns an Owner.
-func New(c Config) *Owner { return &Owner{Config: c} }
+func New(c Config) *Owner { return &Owner{Config: c, keys: newKeyUses()} }
 
 // Call runs a call as the owner of its slot. It returns a redirect if this instance does not own the slot or is handing
 // it over. If ctx ends before the call does, the call continues until its own deadline, so that a repeated request finds
@@ -72,7 +73,9 @@
 	}
 	switch c.Kind {
 	case peer.KindChat:
-		return o.chat(ctx, r, c, out)
+		o.keys.begin(c)
+		result := o.chat(ctx, r, c, out)
+		return o.keys.end(time.Now(), c, result)
 	case peer.KindService:
 		return o.Services.Run(ctx, r, c)
 	case peer.KindEnd:
