Follow targets that say they leave, and bound what odd entries and panics can do

Targets announce their leaving in a header of every answer. The instance that passes one on now uses that run of the target no more, whatever its entry says later; a new run under the same id is used again. A request that waited for a connection meanwhile is not sent.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -182,7 +182,9 @@
 	NotRun bool
 	// WrongTarget is true if another target has the address now.
 	WrongTarget bool
-	Load        Load
+	// Leaving is true if the target says that it is about to stop.
+	Leaving bool
+	Load    Load
 }
 
 // OutboundRequest is a request as it is sent to a target.
--- a/internal/catchup/catchup.go
+++ b/internal/catchup/catchup.go
@@ -107,7 +107,7 @@
 		c.Logger.Warn("could not apply the entries of a peer", zap.String("peer", string(to.Instance)), zap.Error(err))
 		return
 	}
-	events.Log(c.Logger, events.EntriesFromPeer, zap.String("instance", string(to.Instance)), zap.Int64("from", int64(from)),
+	events.Log(c.Logger, events.EntriesFromPeer, zap.String("peer", string(to.Instance)), zap.Int64("from", int64(from)),
 		zap.Int("entries", len(p.Entries)), zap.Int64("configRevision", int64(c.Revision())))
 }
 
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -69,7 +69,7 @@
 		"stream", "offset", "next")
 	EntriesFromPeer = define(207, "entriesFromPeer", info,
 		"This instance cannot read the log; it received entries of the configuration from another daemon.", noAction,
-		"instance", "from", "entries", "configRevision")
+		"peer", "from", "entries", "configRevision")
 	BatchRenumbered = define(208, "batchRenumbered", warn,
 		"A batch of this instance had no effect because another batch had used its number; it is appended again with a new number.",
 		"If it happens often, report it with the fields of the event.",
@@ -174,16 +174,16 @@
 		"requestId")
 	RateRefused = define(615, "rateRefused", info,
 		"A request was refused because too little of the workspace's burst was left at the instances that grant its requests: less than one request, or less than the reserve (spare) for running programs. With unavailable, a part of the limit could not be asked.",
-		"Compare level with rate and burst; raise the workspace's rate, or find the programs that use it up. With unavailable, look for the owner of the part (618, 619).",
-		"requestId", "workspace", "granter", "level", "unavailable", "rate", "burst", "spare", "programRequests")
+		"Compare tokens with rate and burst; raise the workspace's rate, or find the programs that use it up. With unavailable, look for the owner of the part (618, 619).",
+		"requestId", "workspace", "granter", "tokens", "unavailable", "rate", "burst", "spare", "programRequests")
 	ReportFailed = define(616, "reportFailed", warn,
 		"This instance could not write its report of owned shards, crashed targets and completed suspected requests, or could not read the reports of the others. It adds what was not written to its next report, and continues to read where it stopped.",
 		"Check the log service.",
 		"operation", "error")
 	RateGranted = define(617, "rateGranted", info,
-		"This instance granted requests of a workspace since its last report. Parts is how many parts of the limit it owns, level what their buckets hold, and lease how long it may grant without another report.",
+		"This instance granted requests of a workspace since its last report. Parts is how many parts of the limit it owns, tokens what their buckets hold, and lease how long it may grant without another report.",
 		"Add up granted over all instances to see what a workspace got.",
-		"workspace", "granted", "level", "parts", "rate", "burst", "lease")
+		"workspace", "granted", "tokens", "parts", "rate", "burst", "lease")
 	ShardsClaimed = define(618, "shardsClaimed", info,
 		"This instance owns shards of the rate limits from now on, because they were free. Their buckets began empty when the earlier owner's lease ended.", noAction,
 		"shards", "lease")
@@ -214,6 +214,9 @@
 	TargetMoved = define(705, "targetMoved", info,
 		"Another target answered at the address of a target; the address is not used until the target registers again.", noAction,
 		"target", "address")
+	TargetAnnouncedLeaving = define(706, "targetAnnouncedLeaving", info,
+		"A target said in an answer that it is leaving; it gets no new work from this instance, whatever its entry says.", noAction,
+		"requestId", "target", "address")
 )
 
 // InternalError is the event of a bug in the daemon or of an error that it cannot handle.
--- a/internal/events/events_test.go
+++ b/internal/events/events_test.go
@@ -38,8 +38,11 @@
 	qt.Assert(t, string(got), qt.Equals, b.String())
 }
 
-// Guards against two events with the same number or name, and against names of events and fields that are not in camel
-// case.
+// lineKeys are the keys that every line has besides the fields of its event.
+var lineKeys = map[string]bool{"time": true, "level": true, "name": true, events.NumberField: true}
+
+// Guards against two events with the same number or name, against names of events and fields that are not in camel case, and
+// against a field whose key every line has already: a reader of the JSON keeps only one of the two values.
 func TestCatalogue(t *testing.T) {
 	camelCase := regexp.MustCompile(`^[a-z][a-zA-Z0-9]*$`)
 	names := map[string]bool{}
@@ -50,7 +53,9 @@
 		last, names[e.Name] = e.Number, true
 		for _, name := range append(e.Fields, e.Name) {
 			qt.Check(t, name, qt.Matches, camelCase)
-			qt.Check(t, name, qt.Not(qt.Equals), events.NumberField)
+		}
+		for _, name := range e.Fields {
+			qt.Check(t, lineKeys[name], qt.IsFalse, qt.Commentf("%s writes the key %s twice into its line", e.Name, name))
 		}
 	}
 }
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -110,6 +110,24 @@
 	f.onChange(f.now())
 }
 
+// Leaving records that a target has said in an answer that it is leaving. It reports whether that is news.
+func (f *Follower) Leaving(t call.Target) bool {
+	f.mu.Lock()
+	news := f.registry.Leaving(t.ID, t.Born)
+	f.mu.Unlock()
+	if news {
+		f.onChange(f.now())
+	}
+	return news
+}
+
+// IsLeaving reports whether a target is draining or has said that it is leaving.
+func (f *Follower) IsLeaving(t call.Target) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.registry.IsLeaving(t.ID, t.Born)
+}
+
 // recordResult records whether a call to the log succeeded, and logs the start and the end of an outage.
 func (f *Follower) recordResult(operation string, err error) {
 	f.mu.Lock()
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -187,6 +187,10 @@
 	if err != nil {
 		return e.unreachable(err)
 	}
+	if e.follower.IsLeaving(p.Target) { // it began to leave while the request waited for a connection
+		conn.Close()
+		return e.notSent("targetLeaving", dispatch.AnsweredLeaving, nil)
+	}
 	stop := context.AfterFunc(ctx, conn.Close)
 	defer stop()
 	e.attempts++
@@ -209,7 +213,7 @@
 	a := e.Codec.DecodeAnswer(&h)
 	p.Load(e.now(), a.Load)
 	res := e.handleAnswer(p, conn, &h, a, body)
-	if stop() && res.outcome == dispatch.Completed {
+	if stop() && writeErr == nil && res.outcome == dispatch.Completed {
 		conn.Release(&h, e.now())
 	} else {
 		conn.Close()
@@ -261,7 +265,12 @@
 	if e.ctx.Err() != nil {
 		return attemptResult{done: true, refusal: &refusal{status: fasthttp.StatusServiceUnavailable, code: codeCallerGone}, reason: string(codeCallerGone), outcome: dispatch.NotSent}
 	}
-	return attemptResult{retryable: true, refusal: e.failureRefusal(fasthttp.StatusServiceUnavailable, codeNoTarget), reason: "unreachable", outcome: dispatch.Unreachable, err: err}
+	return e.notSent("unreachable", dispatch.Unreachable, err)
+}
+
+// notSent returns the result of an attempt at a target that has not received the request.
+func (e *exchange) notSent(reason string, outcome dispatch.Outcome, err error) attemptResult {
+	return attemptResult{retryable: true, refusal: e.failureRefusal(fasthttp.StatusServiceUnavailable, codeNoTarget), reason: reason, outcome: outcome, err: err}
 }
 
 // incomplete returns the result of an attempt without a complete answer.
@@ -289,6 +298,11 @@
 	case a.ID != e.req.ID && (a.ID != "" || conn.Reused):
 		// This may be a late second answer to an earlier request. It says nothing about this one, not even that it has not run.
 		return e.incomplete(errors.New("answer belongs to another request"))
+	case a.Leaving && !a.WrongTarget && e.follower.Leaving(p.Target):
+		events.Log(e.Logger, events.TargetAnnouncedLeaving, zap.String("requestId", string(e.req.ID)),
+			zap.String("target", string(p.Target.ID)), zap.String("address", p.Target.Address))
+	}
+	switch {
 	case a.WrongTarget:
 		e.mayHaveRun = e.mayHaveRunBefore
 		e.follower.Moved(p.Target.ID)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -137,13 +137,18 @@
 		Index:    partlog.Keyspace{Name: "turns", Topics: topicsPerKeyspace, Parts: parts},
 	})
 	g.follower = follower.New(c.Source, c.Settings.Bounds, c.Logger, c.Clock.Now, g.followerChanged)
-	g.server = httpwire.NewServer(g, g.limits)
+	g.server = httpwire.NewServer(g, g.limits, g.logFailure("request"))
 	return g
 }
 
 // Peers returns the other instances.
 func (g *Gateway) Peers() []relay.Peer { return g.reports.Peers() }
 
+// logFailure returns a function that logs an error of a task. The error ends what the task was about, and not the process.
+func (g *Gateway) logFailure(task string) func(err error) {
+	return func(err error) { events.Log(g.Logger, events.InternalError, zap.String("task", task), zap.Error(err)) }
+}
+
 func (g *Gateway) now() time.Time { return g.Clock.Now() }
 
 func (g *Gateway) limits() httpwire.Limits {
@@ -182,15 +187,15 @@
 // Run serves until the context ends, and then finishes the accepted requests.
 func (g *Gateway) Run(ctx context.Context) (err error) {
 	defer func() { err = oops.In("gateway").Wrapf(err, "run") }()
-	callerListener, err := net.Listen("tcp", g.Settings.Instance.Listen)
+	callerListener, err := g.listen(g.Settings.Instance.Listen)
 	if err != nil {
 		return err
 	}
-	probe, err := net.Listen("tcp", g.Settings.Instance.Ready)
+	probe, err := g.listen(g.Settings.Instance.Ready)
 	if err != nil {
 		return errors.Join(err, callerListener.Close())
 	}
-	peerListener, err := net.Listen("tcp", g.Settings.Relay.Listen)
+	peerListener, err := g.listen(g.Settings.Relay.Listen)
 	if err != nil {
 		return errors.Join(err, callerListener.Close(), probe.Close())
 	}
@@ -203,7 +208,7 @@
 	tasks.Go(func() error { return g.tick(work) })
 	tasks.Go(func() error { return g.server.Serve(callerListener) })
 	tasks.Go(func() error {
-		return rpc.NewServer(g.Log.Methods(), g.grants.Methods()).Serve(peerListener)
+		return rpc.NewServer(g.logFailure("peerCall"), g.Log.Methods(), g.grants.Methods()).Serve(peerListener)
 	})
 	probeServer := &fasthttp.Server{Handler: g.probe, NoDefaultServerHeader: true, NoDefaultDate: true}
 	tasks.Go(func() error { return probeServer.Serve(probe) })
@@ -219,6 +224,15 @@
 	return tasks.Wait()
 }
 
+// listen opens a listener that outlasts errors of single connections.
+func (g *Gateway) listen(address string) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return httpwire.KeepAccepting(l, g.logFailure("accept")), nil
+}
+
 // drain reports to the load balancer that the gateway is not ready, accepts callers until the balancer has noticed, and then
 // waits for the requests in progress.
 func (g *Gateway) drain(callerListener net.Listener) {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -173,7 +173,7 @@
 	d, reserve := e.takeQuota(e.ctx, e.workspace.ID, admitted, e.route.Priority)
 	if !d.OK {
 		events.Log(e.Logger, events.RateRefused, zap.String("requestId", string(e.req.ID)), zap.String("workspace", string(e.workspace.ID)),
-			zap.String("granter", string(d.Granter)), zap.Float64("level", d.Level), zap.Bool("unavailable", d.Unavailable), zap.Float64("rate", e.workspace.Rate),
+			zap.String("granter", string(d.Granter)), zap.Float64("tokens", d.Level), zap.Bool("unavailable", d.Unavailable), zap.Float64("rate", e.workspace.Rate),
 			zap.Float64("burst", e.workspace.Burst), zap.Float64("spare", reserve), zap.Int("programRequests", admitted))
 		if d.Unavailable {
 			return &refusal{status: fasthttp.StatusServiceUnavailable, code: codeRateUnavailable, retry: min(d.Retry, outageRetryDelay)}
--- a/internal/grants/grants_test.go
+++ b/internal/grants/grants_test.go
@@ -37,7 +37,7 @@
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		c.Assert(err, qt.IsNil)
 		c.Cleanup(func() { _ = listener.Close() })
-		go func() { _ = rpc.NewServer(g.Methods()).Serve(listener) }()
+		go func() { _ = rpc.NewServer(func(error) {}, g.Methods()).Serve(listener) }()
 		fleet[id] = instance{limiter: g, queues: queues, address: listener.Addr().String()}
 		g.View(func(l *quota.Limiter) {
 			now := time.Now()
--- a/internal/httpwire/server.go
+++ b/internal/httpwire/server.go
@@ -4,8 +4,10 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -39,6 +41,7 @@
 type Server struct {
 	handler Handler
 	limits  func() Limits
+	failed  func(err error)
 
 	keepAliveOff atomic.Bool
 	active       atomic.Int64 // exchanges in progress
@@ -46,9 +49,9 @@
 	idle         map[net.Conn]struct{} // connections that wait for a request
 }
 
-// NewServer returns a server. It calls limits for each connection and each request.
-func NewServer(h Handler, limits func() Limits) *Server {
-	return &Server{handler: h, limits: limits, idle: make(map[net.Conn]struct{})}
+// NewServer returns a server. It calls limits for each connection and each request, and failed when the handler panics.
+func NewServer(h Handler, limits func() Limits, failed func(err error)) *Server {
+	return &Server{handler: h, limits: limits, failed: failed, idle: make(map[net.Conn]struct{})}
 }
 
 // Active returns the number of exchanges in progress.
@@ -62,10 +65,6 @@
 			return nil
 		}
 		if err != nil {
-			var ne net.Error
-			if errors.As(err, &ne) && ne.Timeout() {
-				continue
-			}
 			return err
 		}
 		go s.serveConn(conn)
@@ -89,6 +88,12 @@
 
 func (s *Server) serveConn(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
+	// A request that makes the handler panic must not end the process and with it all other requests.
+	defer func() {
+		if cause := recover(); cause != nil {
+			s.failed(fmt.Errorf("panic: %v\n%s", cause, debug.Stack()))
+		}
+	}()
 	br := bufio.NewReaderSize(conn, s.limits().HeaderBytes+1024)
 	x := &Exchange{conn: conn, br: br, server: s}
 	for x.readRequest() {
--- a/internal/httpwire/server_test.go
+++ b/internal/httpwire/server_test.go
@@ -30,7 +30,7 @@
 	c.Assert(err, qt.IsNil)
 	s = httpwire.NewServer(h, func() httpwire.Limits {
 		return httpwire.Limits{HeaderBytes: 4096, BodyBytes: 1000, HeaderTimeout: time.Second, IdleTimeout: time.Second}
-	})
+	}, func(error) {})
 	go func() { _ = s.Serve(l) }()
 	c.Cleanup(func() { _ = l.Close() })
 	return l.Addr().String(), s
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -16,6 +16,10 @@
 // the target again.
 const tombstoneAge = 2 * time.Minute
 
+// leavingTombstoneAge is the same for a target that has said that it is leaving. It may serve for long after its entry was
+// removed, and its entry may come back after an outage of the log.
+const leavingTombstoneAge = time.Hour
+
 // entry is a registered target, or the tombstone of a removed one.
 type entry struct {
 	target  call.Target
@@ -24,6 +28,15 @@
 	usableUntil time.Time
 	// moved is set if another target has answered at the address since the last report.
 	moved bool
+	// leaving is set if this run of the target has said in an answer that it is leaving.
+	leaving bool
+}
+
+func (e *entry) tombstoneAge() time.Duration {
+	if e.leaving {
+		return leavingTombstoneAge
+	}
+	return tombstoneAge
 }
 
 // Registry holds the registered targets. It is not safe for concurrent use.
@@ -47,7 +60,7 @@
 		return false
 	}
 	changed := e == nil || !e.removed.IsZero() || e.moved || !equalExceptSeq(e.target, t)
-	r.entries[t.ID] = &entry{target: t}
+	r.entries[t.ID] = &entry{target: t, leaving: e != nil && e.leaving && e.target.Born == t.Born}
 	return changed
 }
 
@@ -93,17 +106,36 @@
 	}
 }
 
+// Leaving records that a run of a target has said in an answer that it is leaving. From then on the run counts as draining,
+// whatever its later reports say. It reports whether that is news.
+func (r *Registry) Leaving(id ids.TargetID, born int64) bool {
+	e := r.entries[id]
+	if e == nil || e.target.Born != born || e.leaving {
+		return false
+	}
+	e.leaving = true
+	return true
+}
+
+// IsLeaving reports whether a run of a target is draining or has said that it is leaving.
+func (r *Registry) IsLeaving(id ids.TargetID, born int64) bool {
+	e := r.entries[id]
+	return e != nil && e.target.Born == born && (e.leaving || e.target.Draining)
+}
+
 // Targets returns the targets that may be used now, including draining ones, and drops old tombstones.
 func (r *Registry) Targets(now time.Time) (l []call.Target) {
 	for id, e := range r.entries {
-		if !e.removed.IsZero() && now.Sub(e.removed) > tombstoneAge {
+		if !e.removed.IsZero() && now.Sub(e.removed) > e.tombstoneAge() {
 			delete(r.entries, id)
 			continue
 		}
 		if e.moved || !e.removed.IsZero() && !now.Before(e.usableUntil) {
 			continue
 		}
-		l = append(l, e.target)
+		t := e.target
+		t.Draining = t.Draining || e.leaving
+		l = append(l, t)
 	}
 	return l
 }
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -57,3 +57,33 @@
 	c.Assert(r.Put(report(1, 6, false)), qt.IsTrue)
 	c.Assert(r.Targets(start), qt.HasLen, 1)
 }
+
+// Guards against a target that is used again after it said that it is leaving: by a later report, or when its entry comes back
+// long after it was removed. Only a new run is used.
+func TestLeavingTarget(t *testing.T) {
+	c := qt.New(t)
+	r := registry.New()
+	r.Put(report(1, 5, false))
+	c.Assert(r.Leaving("a", 0), qt.IsFalse, qt.Commentf("another run said so"))
+	c.Assert(r.Leaving("a", 1), qt.IsTrue)
+	c.Assert(r.Leaving("a", 1), qt.IsFalse)
+	usable := func(now time.Time) bool {
+		for _, target := range r.Targets(now) {
+			if !target.Draining {
+				return true
+			}
+		}
+		return false
+	}
+	c.Assert(usable(start), qt.IsFalse)
+	r.Put(report(1, 6, false))
+	c.Assert(usable(start), qt.IsFalse)
+	r.Remove(start, "a")
+	c.Assert(usable(start.Add(10*time.Minute)), qt.IsFalse)
+	r.Put(report(1, 7, false))
+	c.Assert(usable(start.Add(10*time.Minute)), qt.IsFalse)
+	c.Assert(r.IsLeaving("a", 1), qt.IsTrue)
+	r.Put(report(2, 1, false))
+	c.Assert(usable(start.Add(10*time.Minute)), qt.IsTrue)
+	c.Assert(r.IsLeaving("a", 2), qt.IsFalse)
+}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -32,7 +32,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(func() { _ = listener.Close() })
-	go func() { _ = rpc.NewServer(l.Methods()).Serve(listener) }()
+	go func() { _ = rpc.NewServer(func(error) {}, l.Methods()).Serve(listener) }()
 	return instance{log: l, direct: direct, address: listener.Addr().String()}
 }
 
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -6,9 +6,11 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"log"
 	"net"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -117,14 +119,15 @@
 // Server serves calls of other instances.
 type Server struct {
 	methods map[string]Method
+	failed  func(err error)
 
 	mu    sync.Mutex
 	conns map[*jsonrpc2.Conn]struct{}
 }
 
-// NewServer returns a server for the methods in all of the maps, by name.
-func NewServer(methods ...map[string]Method) *Server {
-	s := &Server{methods: make(map[string]Method), conns: make(map[*jsonrpc2.Conn]struct{})}
+// NewServer returns a server for the methods in all of the maps, by name. It calls failed when a method panics.
+func NewServer(failed func(err error), methods ...map[string]Method) *Server {
+	s := &Server{failed: failed, methods: make(map[string]Method), conns: make(map[*jsonrpc2.Conn]struct{})}
 	for _, m := range methods {
 		for name, method := range m {
 			s.methods[name] = method
@@ -168,6 +171,13 @@
 }
 
 func (s *Server) handle(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (result any, err error) {
+	// A call that makes its method panic must not end the process.
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: "internal error"}
+			s.failed(fmt.Errorf("panic in %s: %v\n%s", r.Method, cause, debug.Stack()))
+		}
+	}()
 	method := s.methods[r.Method]
 	switch {
 	case method == nil:
--- a/internal/waitqueue/queue.go
+++ b/internal/waitqueue/queue.go
@@ -91,8 +91,9 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for name := range byService {
-		if q.queues[name] == nil {
-			q.queues[name] = newServiceQueue(q.opt, service(name), q.recordLoad)
+		// Entries of other writers may name any service; only those of the configuration have requests.
+		if s := service(name); s != nil && q.queues[name] == nil {
+			q.queues[name] = newServiceQueue(q.opt, s, q.recordLoad)
 		}
 	}
 	for name, sq := range q.queues {
