Divide small limits into fewer parts and grant tokens ahead of time

Cause: at 195 instances a limit of 5 a second with a burst of 5 was four buckets of 1.25 tokens. The refused first calls saw a median of 2.6 of 5 tokens left: none of the four buckets held one token and the reserve. Later requests gave up after 150 ms, less than the time between two tokens.

Change: a limit has as many parts as leave each a burst of 4 or more; requests get a token that the bucket will have within their wait, in the order in which they asked, and wait for it: first calls 200 ms, later ones 1 s, at most a third of the time left. No token is granted past the lease.

TestLimitIsUsable fails with four parts. The schedules under faults hold. A silent owner now takes all of a limit of one part away for the time of its lease, not a quarter.

--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -12,7 +12,7 @@
 // takeQuota takes one request from a workspace's rate limit, and waits a short time before it refuses. admitted is the number
 // of requests of the program so far. Running programs have precedence over first calls, which must leave a reserve: a
 // program that is refused midway has used its workspace's rate in vain.
-func (g *Gateway) takeQuota(ctx context.Context, ws ids.WorkspaceID, admitted int, priority int) (d grants.Decision, reserve float64) {
+func (g *Gateway) takeQuota(ctx context.Context, ws ids.WorkspaceID, admitted int, priority int, deadline time.Time) (d grants.Decision, reserve float64) {
 	wait := laterCallQuotaWait
 	switch {
 	case admitted == 0:
@@ -20,9 +20,11 @@
 	case admitted > longProgramRequests:
 		reserve = longProgramReserve
 	}
-	giveUpAt := g.now().Add(wait)
+	now := g.now()
+	giveUpAt := now.Add(min(wait, deadline.Sub(now)/quotaWaitDivisor))
 	for {
-		d = g.grants.Take(ctx, ws, reserve)
+		left := max(giveUpAt.Sub(g.now()), 0)
+		d = g.grants.Take(ctx, ws, reserve, left)
 		if d.OK || d.Retry > giveUpAt.Sub(g.now()) || ctx.Err() != nil {
 			return d, reserve
 		}
@@ -35,9 +37,12 @@
 
 const (
 	// firstCallQuotaWait and laterCallQuotaWait are how long the first request of a program and its later ones wait for
-	// their workspace's rate before they are refused.
-	firstCallQuotaWait = 50 * time.Millisecond
-	laterCallQuotaWait = 150 * time.Millisecond
+	// their workspace's rate before they are refused. A program fails with a later one that is refused, so these wait longer
+	// than the time between two tokens of a small limit.
+	firstCallQuotaWait = 200 * time.Millisecond
+	laterCallQuotaWait = time.Second
+	// quotaWaitDivisor limits the wait to a part of the time that the request has left.
+	quotaWaitDivisor = 3
 	// firstCallReserve is the share of a workspace's burst that the first call of a program of the highest priority must
 	// leave. Each lower rank adds reservePerRank, up to maxFirstCallReserve.
 	firstCallReserve    = 0.1
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -170,7 +170,7 @@
 	if e.req.Previous != "" {
 		admitted = max(admitted, 1)
 	}
-	d, reserve := e.takeQuota(e.ctx, e.workspace.ID, admitted, e.route.Priority)
+	d, reserve := e.takeQuota(e.ctx, e.workspace.ID, admitted, e.route.Priority, e.deadline)
 	if !d.OK {
 		events.Log(e.Logger, events.RateRefused, zap.String("requestId", string(e.req.ID)), zap.String("workspace", string(e.workspace.ID)),
 			zap.String("granter", string(d.Granter)), zap.Float64("tokens", d.Level), zap.Bool("unavailable", d.Unavailable), zap.Float64("rate", e.workspace.Rate),
--- a/internal/grants/grants.go
+++ b/internal/grants/grants.go
@@ -36,13 +36,17 @@
 	Workspace ids.WorkspaceID `json:"workspace"`
 	Part      int             `json:"part"`
 	Headroom  float64         `json:"spare"`
+	// WaitMs is how long the request can wait for a token.
+	WaitMs int64 `json:"waitMs,omitempty"`
 	// PassOn is set if the called instance may call the owner for the caller, which the owner did not answer.
 	PassOn bool      `json:"passOn,omitempty"`
 	Loads  wireLoads `json:"loads,omitempty"`
 }
 
 type grantResult struct {
-	Tokens  int   `json:"tokens"`
+	Tokens int `json:"tokens"`
+	// WaitMs is how long to wait before the request is sent.
+	WaitMs  int64 `json:"waitMs,omitempty"`
 	RetryMs int64 `json:"retryMs,omitempty"`
 	// Level is the number of tokens that the part's bucket held before the grant.
 	Level float64 `json:"level,omitempty"`
@@ -112,33 +116,65 @@
 	Level   float64
 }
 
-// Take takes a token for one request of a workspace. The fraction headroom of the workspace's burst must be left after it.
-// It tries the parts of the limit in an order that differs between instances.
-func (g *RateLimiter) Take(ctx context.Context, ws ids.WorkspaceID, headroom float64) (d Decision) {
+// Take takes a token for one request of a workspace. The fraction headroom of the workspace's burst must be left after it. It
+// tries the parts of the limit in an order that differs between instances. If none has a token now, it waits for the part that
+// has one first, but at most maxWait.
+func (g *RateLimiter) Take(ctx context.Context, ws ids.WorkspaceID, headroom float64, maxWait time.Duration) (d Decision) {
 	now := g.Now()
 	if expires, ok := g.takeSpare(now, ws); ok {
 		return Decision{OK: true, Expires: expires, Granter: g.Self.Instance}
 	}
-	for i, part := range g.parts(now, ws) {
-		asked := g.Now()
-		p := grantParams{Workspace: ws, Part: part, Headroom: headroom}
-		if retry, empty := g.knownEmpty(asked, p); empty {
-			d.addRefusal(i, Decision{Retry: retry})
-			continue
+	parts := g.parts(now, ws)
+	p := grantParams{Workspace: ws, Headroom: headroom}
+	soonest := 0
+	for i, part := range parts {
+		p.Part = part
+		if len(parts) == 1 {
+			p.WaitMs = maxWait.Milliseconds()
 		}
-		r, granter := g.requestGrant(ctx, p)
-		if r.Tokens > 0 {
-			expires := asked.Add(tokenTTL)
-			g.addSpare(ws, r.Tokens-1, expires)
-			return Decision{OK: true, Expires: expires, Granter: granter, Level: r.Level}
+		partial := g.takeFrom(ctx, p)
+		if partial.OK {
+			return partial
 		}
+		if i == 0 || partial.Retry < d.Retry {
+			soonest = part
+		}
+		d.addRefusal(i, partial)
+	}
+	if len(parts) == 1 || d.Retry > maxWait {
+		return d
+	}
+	p.Part, p.WaitMs = soonest, maxWait.Milliseconds()
+	if last := g.takeFrom(ctx, p); last.OK {
+		return last
+	}
+	return d
+}
+
+// takeFrom takes a token from one part of a limit, and waits until it may be used.
+func (g *RateLimiter) takeFrom(ctx context.Context, p grantParams) (d Decision) {
+	asked := g.Now()
+	if retry, empty := g.knownEmpty(asked, p); empty && retry.Milliseconds() > p.WaitMs {
+		return Decision{Retry: retry}
+	}
+	r, granter := g.requestGrant(ctx, p)
+	if r.Tokens == 0 {
 		retry := time.Duration(r.RetryMs) * time.Millisecond
 		if !r.NotOwner {
 			g.noteEmpty(asked, p, retry)
 		}
-		d.addRefusal(i, Decision{Unavailable: r.NotOwner, Retry: retry, Granter: granter, Level: r.Level})
+		return Decision{Unavailable: r.NotOwner, Retry: retry, Granter: granter, Level: r.Level}
 	}
-	return d
+	wait := time.Duration(r.WaitMs) * time.Millisecond
+	expires := asked.Add(wait + tokenTTL)
+	g.addSpare(p.Workspace, r.Tokens-1, expires)
+	if wait > 0 {
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done(): // the caller of the gateway has disconnected; the token goes to the workspace's next request
+		}
+	}
+	return Decision{OK: true, Expires: expires, Granter: granter, Level: r.Level}
 }
 
 // addRefusal adds the refusal of one more part, after i others.
@@ -158,10 +194,11 @@
 func (g *RateLimiter) parts(now time.Time, ws ids.WorkspaceID) (order []int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	first := int(ids.Rendezvous(string(g.Self.Instance), string(ws)) % quota.Parts)
+	n := g.limiter.PartsOf(ws)
+	first := int(ids.Rendezvous(string(g.Self.Instance), string(ws)) % uint64(n))
 	var others []int
-	for i := range quota.Parts {
-		part := (first + i) % quota.Parts
+	for i := range n {
+		part := (first + i) % n
 		if _, _, ok := g.limiter.Leases.Holds(now, quota.ShardOf(ws, part)); ok {
 			order = append(order, part)
 		} else {
@@ -238,7 +275,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.Now()
-	grant, owned := g.limiter.Grant(now, p.Workspace, p.Part, p.Headroom)
+	grant, owned := g.limiter.Grant(now, quota.Ask{
+		Workspace: p.Workspace, Part: p.Part, Headroom: p.Headroom, MaxWait: time.Duration(p.WaitMs) * time.Millisecond,
+	})
 	if !owned {
 		retry := claimRetry
 		if at, ok := g.limiter.Leases.FreeAt(quota.ShardOf(p.Workspace, p.Part)); ok {
@@ -246,7 +285,9 @@
 		}
 		return grantResult{NotOwner: true, RetryMs: retry.Milliseconds()}
 	}
-	return grantResult{Tokens: grant.Tokens, RetryMs: grant.Retry.Milliseconds(), Level: grant.Level}
+	return grantResult{
+		Tokens: grant.Tokens, WaitMs: ids.Millis(grant.Wait), RetryMs: grant.Retry.Milliseconds(), Level: grant.Level,
+	}
 }
 
 // call requests a grant from one instance. It fails at once for a time after the instance did not answer.
--- a/internal/grants/grants_test.go
+++ b/internal/grants/grants_test.go
@@ -65,7 +65,7 @@
 	fleet["a"].queues.MergeLoadObservations(now, []waitqueue.LoadObservation{{Target: "t1", Calls: 3, At: now}})
 	fleet["b"].queues.MergeLoadObservations(now, []waitqueue.LoadObservation{{Target: "t2", Calls: 4, At: now}})
 	for _, i := range fleet {
-		c.Assert(i.limiter.Take(context.Background(), "ws", 0).OK, qt.IsTrue)
+		c.Assert(i.limiter.Take(context.Background(), "ws", 0, 0).OK, qt.IsTrue)
 	}
 	for id, i := range fleet {
 		calls := make(map[ids.TargetID]int)
--- a/internal/grants/restart_test.go
+++ b/internal/grants/restart_test.go
@@ -20,12 +20,12 @@
 		defer f.close()
 		i := f.all()[0]
 		time.Sleep(warmUp)
-		for i.process.limiter.Take(context.Background(), hotWorkspace, 0).OK { // so that it claims every part
+		for i.process.limiter.Take(context.Background(), hotWorkspace, 0, 0).OK { // so that it claims every part
 		}
 		i.kill()
 		i.start()
 		time.Sleep(time.Second)
-		d := i.process.limiter.Take(context.Background(), hotWorkspace, 0)
+		d := i.process.limiter.Take(context.Background(), hotWorkspace, 0, 0)
 		c.Assert(d.OK, qt.IsTrue, qt.Commentf("%+v", d))
 	})
 }
--- a/internal/grants/schedule_test.go
+++ b/internal/grants/schedule_test.go
@@ -25,6 +25,8 @@
 	quotaWindow  = 5 * time.Second
 	quotaOverage = 0.1
 	quotaSlack   = 20
+	// maxTokenWait is how long a request waits for its token.
+	maxTokenWait = time.Second
 	// configDelay is how long after its publication a limit is known to all instances.
 	configDelay = 2 * time.Second
 )
@@ -85,7 +87,7 @@
 	if !p.alive() {
 		return
 	}
-	d := p.limiter.Take(context.Background(), hotWorkspace, headroom)
+	d := p.limiter.Take(context.Background(), hotWorkspace, headroom, maxTokenWait)
 	p.waitWhileFrozen()
 	if !d.OK && p.alive() && !isolated {
 		t.mu.Lock()
@@ -386,7 +388,7 @@
 		p := f.instances["i0"].process
 		take := func(d time.Duration) (held []grants.Decision) {
 			for until := time.Now().Add(d); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
-				if d := p.limiter.Take(context.Background(), hotWorkspace, 0); d.OK {
+				if d := p.limiter.Take(context.Background(), hotWorkspace, 0, 0); d.OK {
 					held = append(held, d)
 				}
 			}
@@ -398,7 +400,7 @@
 		}
 		n := 0
 		for range held {
-			if p.limiter.Take(context.Background(), hotWorkspace, 0).OK {
+			if p.limiter.Take(context.Background(), hotWorkspace, 0, 0).OK {
 				n++
 			}
 		}
--- a/pkg/quota/lease.go
+++ b/pkg/quota/lease.go
@@ -191,6 +191,9 @@
 	return n, l.validUntil
 }
 
+// ValidUntil returns when this run's lease ends.
+func (l *Leases) ValidUntil() time.Time { return l.validUntil }
+
 // Leave makes this run grant and claim nothing more. Its next report releases its shards.
 func (l *Leases) Leave() { l.leaving = true }
 
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -1,8 +1,10 @@
-// Package quota limits the request rates of workspaces across all instances. Each workspace's limit is divided into parts.
-// One instance at a time owns a part and grants requests from its token bucket; leases in the log decide which one. What an
-// owner has granted is not known to the next one, so the next one's bucket begins empty.
+// Package quota limits the request rates of workspaces across all instances. Each workspace's limit is divided into parts,
+// the more of them the larger its burst is. One instance at a time owns a part and grants requests from its token bucket;
+// leases in the log decide which one. What an owner has granted is not known to the next one, so the next one's bucket begins
+// empty.
 //
-// All instances together grant at most Rate*d + Burst + Parts requests of a workspace in any time d.
+// All instances together grant at most Rate*d + Burst + Parts requests of a workspace in any time d. While the limit is changed
+// so that it has another number of parts, instances that know different limits may grant up to a third more.
 package quota
 
 import (
@@ -20,6 +22,10 @@
 	aheadThreshold = 0.6
 	aheadMax       = 4
 	aheadShare     = 0.1
+	// minPartBurst is the smallest burst of a part, unless the limit is not divided. Each part can keep a fraction of a token
+	// that no request gets, and a first call needs one token and the reserve in the same part, so small parts leave much of
+	// the limit unused.
+	minPartBurst = 4
 )
 
 // Limit is a workspace's rate limit.
@@ -29,15 +35,23 @@
 	Burst float64
 }
 
-// part returns the limit of one of a workspace's Parts. A bucket that held less than one token would never grant.
+// parts returns the number of parts into which the limit is divided.
+func (l Limit) parts() int {
+	return int(min(max(l.Burst/minPartBurst, 1), Parts))
+}
+
+// part returns the limit of one part. A bucket that held less than one token would never grant.
 func (l Limit) part() Limit {
-	return Limit{Rate: l.Rate / Parts, Burst: max(l.Burst/Parts, 1)}
+	n := float64(l.parts())
+	return Limit{Rate: l.Rate / n, Burst: max(l.Burst/n, 1)}
 }
 
 // Grant is the response to a request for a token.
 type Grant struct {
-	// Tokens is how many requests may be sent now: none, one, or more than one if many tokens are left.
+	// Tokens is how many requests may be sent: none, one, or more than one if many tokens are left.
 	Tokens int
+	// Wait is how long to wait before the request is sent.
+	Wait time.Duration
 	// Retry is the retry delay if there are none.
 	Retry time.Duration
 	// Level is the number of tokens in the part's bucket before the grant.
@@ -68,7 +82,7 @@
 // bucket is the token bucket of one part of a workspace's limit.
 type bucket struct {
 	limit   Limit
-	level   float64
+	level   float64    // negative if tokens were granted that the bucket did not have yet
 	at      time.Time  // when level was last refilled
 	claimed ids.Offset // the claim of the shard to which the tokens belong
 	granted int        // since the last call of TakeUsage
@@ -133,21 +147,45 @@
 	return ok
 }
 
-// Grant takes one or more tokens from the bucket of a part of a workspace's limit. It takes none if one token would leave
-// less than the fraction headroom of the burst. The first request of a program asks for headroom, so that running programs
-// find tokens for their next requests. It reports whether this instance owns the part; otherwise it grants nothing.
-func (l *Limiter) Grant(now time.Time, ws ids.WorkspaceID, part int, headroom float64) (g Grant, owned bool) {
-	if !l.Limited(ws) {
+// PartsOf returns the number of parts of a workspace's limit.
+func (l *Limiter) PartsOf(ws ids.WorkspaceID) int { return l.limits[ws].parts() }
+
+// Ask describes a request for tokens from one part of a workspace's limit.
+type Ask struct {
+	Workspace ids.WorkspaceID
+	Part      int
+	// Headroom is the fraction of the burst that must be left. The first request of a program asks for headroom, so that
+	// running programs find tokens for their next requests.
+	Headroom float64
+	// MaxWait is how long the request can wait for its token.
+	MaxWait time.Duration
+}
+
+// Grant takes one or more tokens from the bucket of a part. If the bucket has too few, it takes one that the bucket will have
+// after at most MaxWait, so that waiting requests are served in the order in which they asked. It reports whether this instance
+// owns the part; otherwise it grants nothing.
+func (l *Limiter) Grant(now time.Time, a Ask) (g Grant, owned bool) {
+	if !l.Limited(a.Workspace) {
 		return Grant{Tokens: 1}, true
 	}
-	b := l.bucket(now, ws, part)
+	if a.Part >= l.PartsOf(a.Workspace) { // the caller knows another limit
+		return g, false
+	}
+	b := l.bucket(now, a.Workspace, a.Part)
 	if b == nil {
 		return g, false
 	}
 	// At least one token is granted from a full bucket, however small it is.
-	reserve := min(headroom*b.limit.Burst, b.limit.Burst-1)
+	reserve := min(a.Headroom*b.limit.Burst, b.limit.Burst-1)
 	if missing := 1 + reserve - b.level; missing > 0 {
-		return Grant{Retry: max(time.Duration(missing/b.limit.Rate*float64(time.Second)), minRetry), Level: b.level}, true
+		wait := time.Duration(missing / b.limit.Rate * float64(time.Second))
+		if wait > a.MaxWait || !now.Add(wait).Before(l.Leases.ValidUntil()) {
+			return Grant{Retry: max(wait, minRetry), Level: b.level}, true
+		}
+		g = Grant{Tokens: 1, Wait: wait, Level: b.level}
+		b.level--
+		b.granted++
+		return g, true
 	}
 	n := 1
 	if surplus := b.level - 1 - aheadThreshold*b.limit.Burst; surplus > 0 {
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -1,6 +1,8 @@
 package quota_test
 
 import (
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -32,12 +34,26 @@
 
 // grant asks the parts in turn and returns the tokens of the first that grants.
 func grant(l *quota.Limiter, now time.Time, headroom float64) int {
-	for part := range quota.Parts {
-		if g, _ := l.Grant(now, "w", part, headroom); g.Tokens > 0 {
-			return g.Tokens
+	return take(l, now, 0, headroom, 0).Tokens
+}
+
+// take asks the parts in turn, from the part first on, and then the part that has a token soonest.
+func take(l *quota.Limiter, now time.Time, first int, headroom float64, maxWait time.Duration) (g quota.Grant) {
+	parts := l.PartsOf("w")
+	ask := quota.Ask{Workspace: "w", Headroom: headroom}
+	soonest, retry := 0, time.Hour
+	for i := range parts {
+		ask.Part = (first + i) % parts
+		if g, _ = l.Grant(now, ask); g.Tokens > 0 {
+			return g
+		}
+		if g.Retry < retry {
+			soonest, retry = ask.Part, g.Retry
 		}
 	}
-	return 0
+	ask.Part, ask.MaxWait = soonest, maxWait
+	g, _ = l.Grant(now, ask)
+	return g
 }
 
 // Guards against a workspace that gets more than its rate and burst in some time window, for random request times.
@@ -53,10 +69,12 @@
 		var uses []use
 		for range rapid.IntRange(1, 200).Draw(t, "requests") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "ms")) * time.Millisecond)
-			if n := grant(limiter, now, 0); n > 0 {
-				uses = append(uses, use{now, n})
+			maxWait := time.Duration(rapid.IntRange(0, 1000).Draw(t, "wait")) * time.Millisecond
+			if g := take(limiter, now, 0, 0, maxWait); g.Tokens > 0 {
+				uses = append(uses, use{now.Add(g.Wait), g.Tokens})
 			}
 		}
+		slices.SortStableFunc(uses, func(a, b use) int { return a.at.Compare(b.at) })
 		// The bucket of each part holds at least one token.
 		burst := max(limit.Burst, quota.Parts)
 		for i := range uses {
@@ -93,6 +111,50 @@
 	c.Assert(grant(limiter, start.Add(200*time.Millisecond), 0), qt.Equals, 1)
 }
 
+// Replays the demand of programs that arrives at many instances, evenly or in clumps of several calls at once. Guards against
+// limits whose tokens stay in parts where no request finds them: above its limit a workspace gets nine tenths of its rate at
+// least, and well below it nothing is refused, at any number of instances.
+func TestLimitIsUsable(t *testing.T) {
+	const seconds, clump, maxWait = 20, 5, time.Second
+	for _, instances := range []int{16, 100, 200, 400} {
+		for _, rate := range []float64{1, 5, 6, 8, 14, 29, 100, 1000} {
+			for _, size := range []int{1, clump} {
+				run := func(demand, headroom float64) (asked, granted int) {
+					limiter := newOwner(quota.Limit{Rate: rate, Burst: max(rate, clump)})
+					random := rand.New(rand.NewPCG(uint64(instances), uint64(rate)))
+					step := time.Duration(float64(size) / (demand * rate) * float64(time.Second))
+					for at := time.Duration(0); at < seconds*time.Second; at += step {
+						for range size {
+							asked++
+							granted += min(take(limiter, start.Add(at), random.IntN(instances)%limiter.PartsOf("w"), headroom, maxWait).Tokens, 1)
+						}
+					}
+					return asked, granted
+				}
+				what := qt.Commentf("%d instances, rate %v, %d at once", instances, rate, size)
+				_, granted := run(1.5, 0)
+				qt.Check(t, float64(granted) >= 0.9*rate*seconds, qt.IsTrue, what)
+				asked, granted := run(0.6, 0)
+				qt.Check(t, granted, qt.Equals, asked, what)
+				if size == 1 {
+					asked, granted = run(0.6, 0.2)
+					qt.Check(t, granted, qt.Equals, asked, what)
+				}
+			}
+		}
+	}
+}
+
+// Guards against a grant that is to be used after the owner's lease has ended, when another owner grants too.
+func TestWaitEndsWithTheLease(t *testing.T) {
+	c := qt.New(t)
+	limiter := newOwner(quota.Limit{Rate: 1, Burst: 1})
+	end := limiter.Leases.ValidUntil()
+	c.Assert(take(limiter, end.Add(-600*time.Millisecond), 0, 0, time.Second).Tokens, qt.Equals, 1)
+	g := take(limiter, end.Add(-500*time.Millisecond), 0, 0, time.Second)
+	c.Assert(g.Tokens, qt.Equals, 0)
+}
+
 // Replays one workspace at five times its rate, with programs of ten requests each. Guards against admitting new programs
 // while running ones are refused: then few programs finish, and the requests of the others are wasted.
 func TestRunningProgramsFinishFirst(t *testing.T) {
