--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -16,7 +16,8 @@
 	wait := laterCallQuotaWait
 	switch {
 	case admitted == 0:
-		reserve, wait = min(firstCallReserve+reservePerRank*float64(priority), maxFirstCallReserve), firstCallQuotaWait
+		reserve = min(firstCallReserve+reservePerRank*float64(priority), maxFirstCallReserve)
+		wait = firstCallQuotaWait / time.Duration(1+max(priority, 0))
 	case admitted > longProgramRequests:
 		reserve = longProgramReserve
 	}
@@ -37,12 +38,13 @@
 
 const (
 	// firstCallQuotaWait and laterCallQuotaWait are how long the first request of a program and its later ones wait for
-	// their workspace's rate before they are refused. A program fails with a later one that is refused, so these wait longer
-	// than the time between two tokens of a small limit.
+	// their workspace's rate before they are refused. A first request of a lower rank waits for a fraction of the time, so
+	// that it does not take tokens of the near future. A program fails with a later request that is refused, so these wait
+	// longest.
 	firstCallQuotaWait = 600 * time.Millisecond
-	laterCallQuotaWait = time.Second
+	laterCallQuotaWait = 1500 * time.Millisecond
 	// quotaWaitDivisor limits the wait to a part of the time that the request has left.
-	quotaWaitDivisor = 3
+	quotaWaitDivisor = 2
 	// firstCallReserve is the share of a workspace's burst that the first call of a program of the highest priority must
 	// leave. Each lower rank adds reservePerRank, up to maxFirstCallReserve.
 	firstCallReserve    = 0.1
--- a/internal/httpwire/server.go
+++ b/internal/httpwire/server.go
@@ -54,7 +54,7 @@
 	return &Server{handler: h, limits: limits, failed: failed, idle: make(map[net.Conn]struct{})}
 }
 
-// Active returns the number of exchanges in progress.
+// Active returns the number of exchanges in progress, from the first byte of their requests on.
 func (s *Server) Active() int { return int(s.active.Load()) }
 
 // Serve accepts connections until the listener is closed.
@@ -96,17 +96,23 @@
 	}()
 	br := bufio.NewReaderSize(conn, s.limits().HeaderBytes+1024)
 	x := &Exchange{conn: conn, br: br, server: s}
-	for x.readRequest() {
-		if !s.serveExchange(x) {
+	for s.waitIdle(x, s.limits().IdleTimeout) {
+		if !s.serveNext(x) {
 			return
 		}
 	}
 }
 
-// serveExchange runs the handler and reports whether the connection can carry another request.
-func (s *Server) serveExchange(x *Exchange) bool {
+// serveNext reads a request of which the first byte has arrived, and serves it. It reports whether the connection can carry
+// another one. A request counts as in progress while it is read, so that a planned stop does not cut it off.
+func (s *Server) serveNext(x *Exchange) bool {
 	s.active.Add(1)
 	defer s.active.Add(-1)
+	return x.readRequest() && s.serveExchange(x)
+}
+
+// serveExchange runs the handler and reports whether the connection can carry another request.
+func (s *Server) serveExchange(x *Exchange) bool {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	watcherDone := make(chan struct{})
@@ -157,9 +163,6 @@
 // readRequest reads the next request. It returns false if the connection must be closed.
 func (x *Exchange) readRequest() bool {
 	l := x.server.limits()
-	if !x.server.waitIdle(x, l.IdleTimeout) {
-		return false
-	}
 	x.started, x.complete, x.closeAfter = false, false, false
 	x.Body = nil
 	x.Header.Reset()
