--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -294,11 +294,11 @@
 
 // handleAnswer passes a target's answer on to the caller, or returns a result that says whether to try another target.
 func (e *exchange) handleAnswer(p waitqueue.Placement, conn *httpwire.Conn, h *fasthttp.ResponseHeader, a call.Answer, body io.Reader) (res attemptResult) {
-	switch {
-	case a.ID != e.req.ID && (a.ID != "" || conn.Reused):
+	if a.ID != e.req.ID && (a.ID != "" || conn.Reused) {
 		// This may be a late second answer to an earlier request. It says nothing about this one, not even that it has not run.
 		return e.incomplete(errors.New("answer belongs to another request"))
-	case a.Leaving && !a.WrongTarget && e.follower.Leaving(p.Target):
+	}
+	if a.Leaving && !a.WrongTarget && e.follower.Leaving(p.Target) {
 		events.Log(e.Logger, events.TargetAnnouncedLeaving, zap.String("requestId", string(e.req.ID)),
 			zap.String("target", string(p.Target.ID)), zap.String("address", p.Target.Address))
 	}
--- a/internal/grants/grants.go
+++ b/internal/grants/grants.go
@@ -26,7 +26,7 @@
 	// tokenTTL is how long after the request for its grant a token may be used. It adds to the window in which requests that
 	// run together were granted.
 	tokenTTL = 300 * time.Millisecond
-	// claimRetry is the retry delay if a shard is free but could not be claimed yet.
+	// claimRetry is the retry delay if a shard is free but could not be claimed yet, or a token was too old to be used.
 	claimRetry = 100 * time.Millisecond
 )
 
@@ -184,13 +184,20 @@
 	wait := time.Duration(r.WaitMs) * time.Millisecond
 	expires := asked.Add(wait + tokenTTL)
 	g.addSpare(p.Workspace, r.Tokens-1, expires)
-	if wait > 0 {
-		select {
-		case <-time.After(wait):
-		case <-ctx.Done(): // the caller of the gateway has disconnected; the token goes to the workspace's next request
-		}
+	d = Decision{OK: true, Expires: expires, Granter: granter, Level: r.Level, part: p.Part, bucket: r.Bucket}
+	if wait == 0 {
+		return d
+	}
+	select {
+	case <-time.After(wait):
+	case <-ctx.Done():
 	}
-	return Decision{OK: true, Expires: expires, Granter: granter, Level: r.Level, part: p.Part, bucket: r.Bucket}
+	if g.Now().After(expires) {
+		// The process was suspended. The token belongs to a time in which others may have used up the limit by now.
+		g.Return(p.Workspace, d)
+		return Decision{Retry: claimRetry, Granter: granter, Level: r.Level}
+	}
+	return d
 }
 
 // addRefusal adds the refusal of one more part, after i others.
