--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/comfreylink/comfreylink/internal/call"
 	"github.com/comfreylink/comfreylink/internal/grants"
 	"github.com/comfreylink/comfreylink/pkg/account"
 	"github.com/comfreylink/comfreylink/pkg/ids"
@@ -94,6 +95,12 @@
 	g.programUses[k] = programUse{requests: g.programUses[k].requests + 1, lastRequest: now}
 }
 
+// belongsToRunningProgram reports whether a request shows by itself that its program has begun, though this instance may not
+// have seen the program before: it continues an earlier turn, or it is the call of a tool, since programs begin with a turn.
+func belongsToRunningProgram(r call.Request, route *call.Route) bool {
+	return r.Previous != "" || r.Program != "" && route.Kind != call.Stream
+}
+
 // returnQuota returns the rate token of a request that no target can have run.
 func (e *exchange) returnQuota() {
 	if e.workspace != nil {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -167,7 +167,7 @@
 		return nil
 	}
 	admitted := e.admittedRequests(e.workspace.ID, e.req.Program)
-	if e.req.Previous != "" {
+	if belongsToRunningProgram(e.req, e.route) {
 		admitted = max(admitted, 1)
 	}
 	d, reserve := e.takeQuota(e.ctx, e.workspace.ID, admitted, e.route.Priority, e.deadline)
