--- a/internal/owner/keys.go
+++ b/internal/owner/keys.go
@@ -13,11 +13,15 @@
 // was on its way to the log then has been written or lost by the end of that time.
 const undecidedTTL = 2 * time.Minute
 
+// keyID identifies the request of a call. Each slot has keys of its own, and the program decides on the slot.
 type keyID struct {
 	workspace ids.WorkspaceID
+	program   ids.ProgramID
 	key       ids.RequestKey
 }
 
+func keyIDOf(c peer.Call) keyID { return keyID{c.Workspace, c.Program, c.RequestKey} }
+
 // keyUse is what this instance knows of the model calls with one key.
 type keyUse struct {
 	running int
@@ -39,7 +43,7 @@
 func (k *keyUses) begin(c peer.Call) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	id := keyID{c.Workspace, c.RequestKey}
+	id := keyIDOf(c)
 	u := k.uses[id]
 	u.running++
 	k.uses[id] = u
@@ -51,7 +55,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.dropExpired(now)
-	id := keyID{c.Workspace, c.RequestKey}
+	id := keyIDOf(c)
 	u := k.uses[id]
 	u.running--
 	ownOutcomeUnknown := mayHaveRun(result)
--- a/internal/owner/repeat_test.go
+++ b/internal/owner/repeat_test.go
@@ -213,7 +213,11 @@
 				go func() { first <- o.Call(context.Background(), 0, newCall(5*time.Second), nil) }()
 				time.Sleep(time.Second)
 				defer log.resumeAppends()
-				r := o.Call(context.Background(), 0, newCall(second.deadline), nil)
+				otherProgram := newCall(time.Second)
+				otherProgram.Program = "q"
+				r := o.Call(context.Background(), 0, otherProgram, nil)
+				c.Check(r.Refusal.Run, qt.Equals, peer.NotRun, qt.Commentf("the key of another program"))
+				r = o.Call(context.Background(), 0, newCall(second.deadline), nil)
 				c.Assert(r.Refusal, qt.IsNotNil)
 				c.Check(r.Refusal.Run, qt.Equals, peer.Unknown, qt.Commentf("%+v", r.Refusal))
 				<-first
