--- a/internal/grants/grants.go
+++ b/internal/grants/grants.go
@@ -36,13 +36,6 @@
 	methodReturn = "return"
 )
 
-// returnParams name a token that its request does not need.
-type returnParams struct {
-	Workspace ids.WorkspaceID `json:"workspace"`
-	Part      int             `json:"part"`
-	Bucket    quota.BucketID  `json:"bucket"`
-}
-
 type grantParams struct {
 	Workspace ids.WorkspaceID `json:"workspace"`
 	Part      int             `json:"part"`
@@ -127,8 +120,9 @@
 	// Granter is the instance that decided, and Level the number of tokens that the part's bucket held there before.
 	Granter ids.InstanceID
 	Level   float64
-	// part and bucket are where the token was taken from; bucket is zero for a token that was granted ahead of need.
-	part   int
+	// part is the part that granted the token, or else the one that has a token first.
+	part int
+	// bucket is where the token was taken from; zero for a token that was granted ahead of need.
 	bucket quota.BucketID
 }
 
@@ -142,7 +136,6 @@
 	}
 	parts := g.parts(now, ws)
 	p := grantParams{Workspace: ws, Headroom: headroom}
-	soonest := 0
 	for i, part := range parts {
 		p.Part = part
 		if len(parts) == 1 {
@@ -152,15 +145,12 @@
 		if partial.OK {
 			return partial
 		}
-		if i == 0 || partial.Retry < d.Retry {
-			soonest = part
-		}
 		d.addRefusal(i, partial)
 	}
 	if len(parts) == 1 || d.Retry > maxWait {
 		return d
 	}
-	p.Part, p.WaitMs = soonest, maxWait.Milliseconds()
+	p.Part, p.WaitMs = d.part, maxWait.Milliseconds()
 	if last := g.takeFrom(ctx, p); last.OK {
 		return last
 	}
@@ -171,7 +161,7 @@
 func (g *RateLimiter) takeFrom(ctx context.Context, p grantParams) (d Decision) {
 	asked := g.Now()
 	if retry, empty := g.knownEmpty(asked, p); empty && retry.Milliseconds() > p.WaitMs {
-		return Decision{Retry: retry}
+		return Decision{Retry: retry, part: p.Part}
 	}
 	r, granter := g.requestGrant(ctx, p)
 	if r.Tokens == 0 {
@@ -179,7 +169,7 @@
 		if !r.NotOwner {
 			g.noteEmpty(asked, p, retry)
 		}
-		return Decision{Unavailable: r.NotOwner, Retry: retry, Granter: granter, Level: r.Level}
+		return Decision{Unavailable: r.NotOwner, Retry: retry, Granter: granter, Level: r.Level, part: p.Part}
 	}
 	wait := time.Duration(r.WaitMs) * time.Millisecond
 	expires := asked.Add(wait + tokenTTL)
@@ -203,7 +193,7 @@
 // addRefusal adds the refusal of one more part, after i others.
 func (d *Decision) addRefusal(i int, part Decision) {
 	if i == 0 || part.Retry < d.Retry {
-		d.Retry = part.Retry
+		d.Retry, d.part = part.Retry, part.part
 	}
 	if part.Granter != "" {
 		d.Granter = part.Granter
@@ -231,38 +221,6 @@
 	return append(order, others...)
 }
 
-// Return returns the token of a request that has not run and will not, to the owner that granted it. A token that was granted
-// ahead of need is kept for the workspace's next request at this instance, while it is young enough. Return does not block.
-func (g *RateLimiter) Return(ws ids.WorkspaceID, d Decision) {
-	switch p := (returnParams{Workspace: ws, Part: d.part, Bucket: d.bucket}); {
-	case d.bucket == quota.BucketID{}:
-		if d.Expires.After(g.Now()) {
-			g.addSpare(ws, 1, d.Expires)
-		}
-	case d.Granter == g.Self.Instance:
-		g.takeBack(p)
-	default:
-		go g.sendBack(d.Granter, p)
-	}
-}
-
-// sendBack returns a token to its owner. If the owner does not answer, the token is lost.
-func (g *RateLimiter) sendBack(owner ids.InstanceID, p returnParams) {
-	address, known := g.Address(owner)
-	if !known || !g.allow(owner) {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	defer cancel()
-	g.recordResult(owner, g.Client.Call(ctx, address, methodReturn, p, nil))
-}
-
-func (g *RateLimiter) takeBack(p returnParams) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.limiter.Return(g.Now(), p.Workspace, p.Part, p.Bucket)
-}
-
 // requestGrant requests a grant from the owner of a part, or from another instance if the owner is not known or does not
 // answer. If the part is free, the first candidate that answers claims it, or else this instance.
 func (g *RateLimiter) requestGrant(ctx context.Context, p grantParams) (r grantResult, granter ids.InstanceID) {
--- a/internal/owner/keys.go
+++ b/internal/owner/keys.go
@@ -54,7 +54,6 @@
 func (k *keyUses) end(now time.Time, c peer.Call, result peer.Result) peer.Result {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.dropExpired(now)
 	id := keyIDOf(c)
 	u := k.uses[id]
 	u.running--
@@ -68,6 +67,7 @@
 	case result.Chat != nil:
 		u.undecidedUntil = time.Time{}
 	case ownOutcomeUnknown:
+		k.dropExpired(now)
 		u.undecidedUntil = now.Add(undecidedTTL)
 	}
 	if u.running == 0 && !now.Before(u.undecidedUntil) {
@@ -86,7 +86,8 @@
 	return r.Refusal != nil && r.Refusal.Run != peer.NotRun
 }
 
-// dropExpired forgets the keys that are no longer undecided. Only calls that failed leave such keys, so they are few.
+// dropExpired forgets the keys that are no longer undecided. Only calls of unknown outcome leave such keys, so it is enough to
+// look for them when another one is added.
 func (k *keyUses) dropExpired(now time.Time) {
 	for id, u := range k.uses {
 		if u.running == 0 && !now.Before(u.undecidedUntil) {
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -4,7 +4,7 @@
 // empty.
 //
 // All instances together grant at most Rate*d + Burst + Parts requests of a workspace in any time d. While the limit is changed
-// so that it has another number of parts, instances that know different limits may grant up to a third more.
+// so that it has another number of parts, instances that know different limits may grant up to half more.
 package quota
 
 import (
