Be ready only after the queues have the targets

The follower said that the targets are known before it passed them on, so an instance could be ready without a target. TestTargetsAreKnownAfterTheChangeWasApplied fails without the change.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -180,15 +180,27 @@
 // FollowTargets keeps the targets up to date and returns when the context ends.
 func (f *Follower) FollowTargets(ctx context.Context) error {
 	return f.follow(ctx, f.source.Targets, f.targetsInterval, func(_ time.Time, upToDate bool, entries []partlog.Entry, complete bool) {
-		if f.applyTargets(entries, complete, upToDate) {
+		first := upToDate && !f.TargetsKnown()
+		if f.applyTargets(entries, complete) || first {
 			f.onChange(f.now())
 		}
+		if first {
+			f.markTargetsKnown()
+		}
 	})
 }
 
+// markTargetsKnown records that the targets were read to the end once. It comes after onChange: an instance that is ready
+// before its queues have the targets refuses its first requests.
+func (f *Follower) markTargetsKnown() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.listed = true
+}
+
 // applyTargets applies entries of targets to the registry; complete says that they are all that there are. It reports
 // whether anything changed.
-func (f *Follower) applyTargets(entries []partlog.Entry, complete, upToDate bool) (changed bool) {
+func (f *Follower) applyTargets(entries []partlog.Entry, complete bool) (changed bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.now()
@@ -217,9 +229,6 @@
 	if complete {
 		changed = f.registry.Replace(now, list) || changed
 	}
-	if upToDate && !f.listed {
-		f.listed, changed = true, true
-	}
 	return changed
 }
 
--- /dev/null
+++ b/internal/follower/follower_test.go
@@ -0,0 +1,53 @@
+package follower_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+
+	"github.com/comfreylink/comfreylink/internal/call"
+	"github.com/comfreylink/comfreylink/internal/follower"
+	"github.com/comfreylink/comfreylink/internal/partlog"
+	"github.com/comfreylink/comfreylink/internal/settings"
+	"github.com/comfreylink/comfreylink/pkg/ids"
+)
+
+// oneTarget is a log with the entry of one target.
+type oneTarget struct{ partlog.Log }
+
+func (oneTarget) Newest(context.Context, partlog.Partition) ([]partlog.Entry, ids.Offset, error) {
+	return []partlog.Entry{{Key: "t", Value: []byte("entry")}}, 1, nil
+}
+
+func (oneTarget) Read(ctx context.Context, _ partlog.Partition, from ids.Offset, _ time.Duration) (partlog.Page, error) {
+	return partlog.Page{From: from, End: from}, ctx.Err()
+}
+
+// Guards against an instance that is ready while its queues do not have the targets yet, and refuses its first requests because
+// there is no target.
+func TestTargetsAreKnownAfterTheChangeWasApplied(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var f *follower.Follower
+	knownAtChange := make(chan bool, 8)
+	f = follower.New(follower.Source{
+		Log:          oneTarget{},
+		DecodeTarget: func(id string, _ []byte) (call.Target, error) { return call.Target{ID: ids.TargetID(id)}, nil },
+	}, settings.Bounds{Revoke: time.Second, Removal: 30 * time.Millisecond}, zap.NewNop(), time.Now, func(now time.Time) {
+		if len(f.Targets(now)) == 1 {
+			knownAtChange <- f.TargetsKnown()
+		}
+	})
+	ended := make(chan error, 1)
+	go func() { ended <- f.FollowTargets(ctx) }()
+	c.Assert(<-knownAtChange, qt.IsFalse)
+	for last := time.Now().Add(5 * time.Second); !f.TargetsKnown(); time.Sleep(time.Millisecond) {
+		c.Assert(time.Now().Before(last), qt.IsTrue)
+	}
+	cancel()
+	c.Assert(<-ended, qt.IsNil)
+}
