--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -111,12 +111,8 @@
 }
 
 // oldChain plays one program whose turns follow each other well inside RetentionS until its chain is older than twice
-// that time.
+// that time. With trouble, each turn arrives through another zone than the one before it.
 func oldChain(w *world, trouble bool) (held bool, err error) {
-	pause := chainPause
-	if !trouble {
-		pause = time.Second
-	}
 	if err := w.publish(retentionS); err != nil {
 		return false, err
 	}
@@ -125,21 +121,23 @@
 			return false, err
 		}
 	}
-	g, err := w.addGateway(1)
-	if err != nil {
-		return false, err
-	}
-	if _, err := w.addGateway(2); err != nil {
-		return false, err
+	for i := range 2 {
+		if _, err := w.addGateway(1 + i); err != nil {
+			return false, err
+		}
 	}
 	time.Sleep(stableWindow + time.Second)
 	began, previous, history := time.Now(), "", ""
 	aim := time.Duration(programAimS * float64(time.Second))
 	for turn := range chainTurns {
+		entry := 0
+		if trouble {
+			entry = turn % len(w.gateways)
+		}
 		input := fmt.Sprintf("question %d;", turn)
-		a, reached := w.sendTurn(g, turn, input, previous, aim-time.Since(began))
+		a, reached := w.sendTurn(entry, turn, input, previous, aim-time.Since(began))
 		if !reached {
-			return w.othersReachWorkers(g)
+			return w.othersReachWorkers()
 		}
 		if !a.complete || a.status != http.StatusOK {
 			return false, fmt.Errorf("turn %d reached a worker and was not answered whole", turn)
@@ -150,16 +148,18 @@
 		}
 		previous, history = a.id, history+input+outputOf(a.body)
 		if turn < chainTurns-1 {
-			time.Sleep(pause)
+			time.Sleep(chainPause)
 		}
 	}
 	return true, nil
 }
 
-// sendTurn sends a turn up to turnTries times and reports whether it reached a worker.
-func (w *world) sendTurn(g *gateway, turn int, input, previous string, left time.Duration) (a answer, reached bool) {
+// sendTurn sends a turn up to turnTries times, each time to another gateway than before, and reports whether it reached a
+// worker. The number of the first gateway is entry.
+func (w *world) sendTurn(entry, turn int, input, previous string, left time.Duration) (a answer, reached bool) {
 	for try := range turnTries {
 		id := fmt.Sprintf("%016x", 0xb000+turn*16+try)
+		g := w.gateways[(entry+try)%len(w.gateways)]
 		a = w.send(g, id, "/chat/order", input, turnWait, turnHeaders("3fa81c", previous, left))
 		if len(w.runsOf(id)) > 0 {
 			return a, true
@@ -170,12 +170,13 @@
 	return a, false
 }
 
-// othersReachWorkers sends first turns of other programs to the same gateway. The rule is broken if nine tenths of them reach
-// a worker.
-func (w *world) othersReachWorkers(g *gateway) (held bool, err error) {
+// othersReachWorkers sends first turns of other programs to the gateways. The rule is broken if nine tenths of them reach a
+// worker.
+func (w *world) othersReachWorkers() (held bool, err error) {
 	reached := 0
 	for i := range firstTurns {
 		id := fmt.Sprintf("%016x", 0xc000+i)
+		g := w.gateways[i%len(w.gateways)]
 		w.send(g, id, "/chat/order", "hello", turnWait, turnHeaders(fmt.Sprintf("first%d", i), "", time.Minute))
 		reached += len(w.runsOf(id))
 	}
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -278,10 +278,14 @@
 	return putKeyed(w.store, "keyed.op", "config", data)
 }
 
+// zones are the availability zones; the gateways are spread over them.
+var zones = []string{"osu", "tema"}
+
 // addGateway starts a gateway and waits until it is ready.
 func (w *world) addGateway(number int) (g *gateway, err error) {
 	ip := fmt.Sprintf("127.%d.%d.%d", 20+os.Getpid()%200, 1+os.Getpid()/200%250, 10+number)
-	g = &gateway{name: fmt.Sprintf("front-osu-%d", number), zone: "osu", ip: ip}
+	zone := zones[(number-1)%len(zones)]
+	g = &gateway{name: fmt.Sprintf("front-%s-%d", zone, number), zone: zone, ip: ip}
 	var relay string
 	for _, address := range []*string{&g.front, &g.ready, &relay} {
 		if *address, err = freeAddress(ip); err != nil {
