--- a/cmd/comfreylink/gateway.go
+++ b/cmd/comfreylink/gateway.go
@@ -7,9 +7,7 @@
 	"errors"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -39,8 +37,9 @@
 	silenceTimeout   = time.Second
 )
 
-// serveGateway creates a gateway with the platform's adapters and runs it.
-func serveGateway(ctx context.Context, path string, s settings.Gateway) (err error) {
+// serveGateway creates a gateway with the platform's adapters and runs it. Each signal from reload makes it read its settings
+// file again.
+func serveGateway(ctx context.Context, path string, s settings.Gateway, reload <-chan os.Signal) (err error) {
 	debug.SetGCPercent(gcPercent)
 	if s.Instance.Memory > 0 {
 		debug.SetMemoryLimit(int64(float64(s.Instance.Memory) * memoryShare))
@@ -76,10 +75,11 @@
 		return err
 	}
 	events.Log(logger, events.Started, zap.String("writer", runID))
-	ctx, stop := context.WithCancel(ctx)
+	// These tasks go on during a planned stop, which begins when ctx ends.
+	tasks, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	go watchSettings(ctx, path, level, logger)
-	go logUsage(ctx, ring, metrics, logger)
+	go watchSettings(tasks, path, reload, level, logger)
+	go logUsage(tasks, ring, metrics, logger)
 	if s.Instance.Metrics != "" {
 		endServer := serveMetrics(s.Instance.Metrics, metrics.Handler(g.Dump), logger)
 		defer endServer()
@@ -102,11 +102,9 @@
 	return func() { _ = server.Close() }
 }
 
-// watchSettings reloads the settings file on SIGHUP, when its content changes, and at every check while it is unreadable.
-func watchSettings(ctx context.Context, path string, level zap.AtomicLevel, logger *zap.Logger) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
+// watchSettings reloads the settings file after each signal, when its content changes, and at every check while it is
+// unreadable.
+func watchSettings(ctx context.Context, path string, signals <-chan os.Signal, level zap.AtomicLevel, logger *zap.Logger) {
 	ticker := time.NewTicker(settingsInterval)
 	defer ticker.Stop()
 	last, _ := os.ReadFile(path)
@@ -115,7 +113,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-hup:
+		case <-signals:
 			signaled = true
 		case <-ticker.C:
 		}
@@ -126,12 +124,12 @@
 		if err == nil {
 			last = data
 		}
-		reload(path, level, logger)
+		applySettings(path, level, logger)
 	}
 }
 
-// reload applies the log level of the settings file. The other settings apply from the next start.
-func reload(path string, level zap.AtomicLevel, logger *zap.Logger) {
+// applySettings applies the log level of the settings file. The other settings apply from the next start.
+func applySettings(path string, level zap.AtomicLevel, logger *zap.Logger) {
 	s, err := settings.LoadGateway(path)
 	if err != nil {
 		events.Log(logger, events.SettingsChanged, zap.String("file", path), zap.String("reason", err.Error()))
--- a/cmd/comfreylink/main.go
+++ b/cmd/comfreylink/main.go
@@ -11,14 +11,23 @@
 	"github.com/comfreylink/comfreylink/internal/daemon"
 	"github.com/comfreylink/comfreylink/internal/logservice"
 	"github.com/comfreylink/comfreylink/internal/publisher"
+	"github.com/comfreylink/comfreylink/internal/settings"
 	"github.com/comfreylink/comfreylink/platform"
 )
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	// SIGHUP says that the settings file has changed. It stays caught until the process has ended, also during a planned stop
+	// and in commands that reload nothing, because its default action ends the process at once.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	runners := cli.Runners{
-		Serve: daemon.Serve, Gateway: serveGateway, GatewaySettings: platform.SettingsFile(), Connect: connect,
+		Serve: daemon.Serve,
+		Gateway: func(ctx context.Context, path string, s settings.Gateway) error {
+			return serveGateway(ctx, path, s, reload)
+		},
+		GatewaySettings: platform.SettingsFile(), Connect: connect,
 	}
 	os.Exit(cli.New(runners).Run(ctx, os.Args, os.Stdout, os.Stderr))
 }
--- a/scenario/cluster/cluster.go
+++ b/scenario/cluster/cluster.go
@@ -212,6 +212,12 @@
 	return err
 }
 
+// HangUp sends SIGHUP to a process.
+func (c *Cluster) HangUp(name string) error {
+	_, err := c.signal(name, syscall.SIGHUP)
+	return err
+}
+
 // Terminate sends SIGTERM to a process and waits for its end. It returns an error if the exit code is not 0.
 func (c *Cluster) Terminate(name string, within time.Duration) error {
 	p, err := c.signal(name, syscall.SIGTERM)
--- a/scenario/fault_test.go
+++ b/scenario/fault_test.go
@@ -26,6 +26,9 @@
 // continue NAME...: resumes paused processes.
 func (w *world) resume(_ *reply, args []string) error { return forEachName(args, w.cluster.Continue) }
 
+// hangup NAME...: sends SIGHUP to processes.
+func (w *world) hangUp(_ *reply, args []string) error { return forEachName(args, w.cluster.HangUp) }
+
 // terminate NAME...: sends SIGTERM to processes for a planned stop. Each must exit with code 0 within stopTimeout.
 func (w *world) terminate(_ *reply, args []string) error {
 	return forEachName(args, func(name string) error { return w.cluster.Terminate(name, stopTimeout) })
@@ -33,7 +36,7 @@
 
 func forEachName(names []string, f func(string) error) error {
 	if len(names) == 0 {
-		return errors.New("usage: crash|pause|continue|terminate NAME...")
+		return errors.New("usage: crash|pause|continue|hangup|terminate NAME...")
 	}
 	var errs []error
 	for _, n := range names {
--- a/scenario/world_test.go
+++ b/scenario/world_test.go
@@ -72,7 +72,7 @@
 	return map[string]command{
 		"platform": (*world).platform, "standin": (*world).standin, "target": (*world).target, "daemon": (*world).daemon,
 		"settled": (*world).settled, "owner": (*world).owner, "publish": (*world).publish, "key": (*world).key,
-		"crash": (*world).crash, "pause": (*world).pause, "continue": (*world).resume, "terminate": (*world).terminate,
+		"crash": (*world).crash, "pause": (*world).pause, "continue": (*world).resume, "hangup": (*world).hangUp, "terminate": (*world).terminate,
 		"leave": (*world).leave, "fault": (*world).fault, "cut": (*world).cut, "heal": (*world).heal,
 		"disturb": (*world).disturb, "chat": (*world).chat, "call": (*world).call, "end": (*world).end,
 		"raw": (*world).raw, "expect": (*world).expect, "runs": (*world).runs, "arrived": (*world).arrived,
