Keep daemons running when the reader of their log has gone

A write to a broken pipe on standard output or standard error raises SIGPIPE. Daemons now ignore it; their log lines are lost, and requests go on. Other commands keep the default, so that `comfreylink explain ID | head` ends.

--- a/cmd/comfreylink/main.go
+++ b/cmd/comfreylink/main.go
@@ -23,8 +23,12 @@
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	runners := cli.Runners{
-		Serve: daemon.Serve,
+		Serve: func(ctx context.Context, s settings.Settings) error {
+			outliveLogReader()
+			return daemon.Serve(ctx, s)
+		},
 		Gateway: func(ctx context.Context, path string, s settings.Gateway) error {
+			outliveLogReader()
 			return serveGateway(ctx, path, s, reload)
 		},
 		GatewaySettings: platform.SettingsFile(), Connect: connect,
@@ -32,6 +36,10 @@
 	os.Exit(cli.New(runners).Run(ctx, os.Args, os.Stdout, os.Stderr))
 }
 
+// outliveLogReader makes writes to a closed standard output or standard error fail instead of ending the process. Only daemons
+// use it: other commands should end when the reader of their output does.
+func outliveLogReader() { signal.Ignore(syscall.SIGPIPE) }
+
 // connect opens the log for the commands that publish configuration.
 func connect(address string) (l publisher.Log, cleanup func(), err error) {
 	return logservice.New(address)
