--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -171,7 +171,7 @@
 	ChainBroken = define(614, "chainBroken", errorLevel,
 		"The log lacks a turn that a remembered later turn refers to.",
 		"Report it with the fields of the event.",
-		"requestId")
+		"requestId", "turn")
 	RateRefused = define(615, "rateRefused", info,
 		"A request was refused because too little of the workspace's burst was left at the instances that grant its requests: less than one request, or less than the reserve (spare) for running programs. With unavailable, a part of the limit could not be asked.",
 		"Compare tokens with rate and burst; raise the workspace's rate, or find the programs that use it up. With unavailable, look for the owner of the part (618, 619).",
@@ -191,6 +191,9 @@
 		"Another instance has claimed shards of this instance after its lease had ended.",
 		"Look for what kept this instance from writing or reading reports (616, 200) for the time of a lease.",
 		"shards", "owner")
+	TurnsDropped = define(620, "turnsDropped", info,
+		"Turns that no other turn has needed for longer than keep were dropped from memory. They are read again if they are continued after all.", noAction,
+		"count", "kept", "keep")
 )
 
 // Events of targets.
--- a/internal/programs/partition.go
+++ b/internal/programs/partition.go
@@ -34,6 +34,7 @@
 	writing        bool                  // the writer goroutine runs
 	retryScheduled bool                  // a timer will restart the writer for settlements
 	idleScheduled  bool                  // a timer will check for idle pools
+	turnsDropped   bool                  // turns were dropped from memory since the last read from the beginning
 
 	readLock sync.Mutex // held during a read
 }
@@ -315,11 +316,56 @@
 	return page.Next() >= page.End
 }
 
+// restoreTurns reads all retained turns of the partition again if some of them were dropped from memory: one that was
+// dropped may still be continued, for instance if the clocks of instances are far apart.
+func (p *partition) restoreTurns(ctx context.Context) error {
+	p.readLock.Lock()
+	defer p.readLock.Unlock()
+	p.mu.Lock()
+	needed := p.turnsDropped
+	p.turnsDropped = false
+	p.mu.Unlock()
+	if !needed {
+		return nil
+	}
+	if err := p.readTurns(ctx); err != nil {
+		p.mu.Lock()
+		p.turnsDropped = true
+		p.mu.Unlock()
+		return err
+	}
+	return nil
+}
+
+// readTurns adds all retained turns of the partition to the memory. It changes nothing else.
+func (p *partition) readTurns(ctx context.Context) error {
+	for from := ids.Offset(0); ; {
+		page, err := partlog.ReadRetained(ctx, p.store.Log, p.id, from, attemptTimeout)
+		if err != nil {
+			if err := waitBeforeRetry(ctx, err); err != nil {
+				return err
+			}
+			continue
+		}
+		for _, data := range page.Records {
+			if !isTurn(data) {
+				continue
+			}
+			if t, err := decodeTurn(data); err == nil {
+				p.store.turns.add(t, p)
+			}
+		}
+		if from = page.Next(); from >= page.End {
+			return nil
+		}
+	}
+}
+
 func (p *partition) applyRecord(data []byte) error {
 	if isTurn(data) {
 		t, err := decodeTurn(data)
 		if err == nil {
-			p.store.addTurn(t)
+			p.store.turns.add(t, p)
 		}
 		return err
 	}
--- a/internal/programs/programs.go
+++ b/internal/programs/programs.go
@@ -10,7 +10,6 @@
 
 	"go.uber.org/zap"
 
-	"github.com/comfreylink/comfreylink/internal/call"
 	"github.com/comfreylink/comfreylink/internal/partlog"
 	"github.com/comfreylink/comfreylink/pkg/account"
 )
@@ -42,11 +41,11 @@
 // Store holds the state of the programs that this instance serves. It is safe for concurrent use.
 type Store struct {
 	Config
+	turns *turnMemory
 
 	mu         sync.Mutex
 	partitions map[partlog.Partition]*partition
 	indexes    map[partlog.Partition]*index
-	turns      map[call.ID]*Turn
 	retention  time.Duration
 	// indexedSince is when the indexes in memory were last cleared. After that, the partitions of the index are read again
 	// from the beginning.
@@ -56,8 +55,8 @@
 // New returns an empty store.
 func New(c Config) *Store {
 	return &Store{
-		Config: c, partitions: make(map[partlog.Partition]*partition), indexes: make(map[partlog.Partition]*index),
-		turns: make(map[call.ID]*Turn), retention: time.Minute,
+		Config: c, turns: newTurnMemory(), partitions: make(map[partlog.Partition]*partition),
+		indexes: make(map[partlog.Partition]*index), retention: time.Minute,
 	}
 }
 
--- /dev/null
+++ b/internal/programs/retention_test.go
@@ -0,0 +1,125 @@
+package programs_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+
+	"github.com/comfreylink/comfreylink/internal/call"
+	"github.com/comfreylink/comfreylink/internal/partlog"
+	"github.com/comfreylink/comfreylink/internal/partlog/partlogtest"
+	"github.com/comfreylink/comfreylink/internal/programs"
+)
+
+const turnRetention = time.Minute
+
+// conversation is a program whose turns follow each other at the given pause, by the clock that its stores read.
+type conversation struct {
+	*qt.C
+	log   *partlogtest.Log
+	now   time.Time
+	chain []call.ID
+}
+
+func newConversation(t *testing.T) *conversation {
+	return &conversation{C: qt.New(t), log: partlogtest.New(), now: time.Unix(1_800_000_000, 0)}
+}
+
+// newStore returns a store whose clock is that of the conversation plus an offset.
+func (v *conversation) newStore(offset time.Duration) *programs.Store {
+	return programs.New(programs.Config{
+		Log: v.log, Programs: partlog.Keyspace{Name: "programs", Topics: 1, Parts: 1},
+		Index: partlog.Keyspace{Name: "turns", Topics: 1, Parts: 1},
+		Now:   func() time.Time { return v.now.Add(offset).Add(time.Nanosecond) }, Logger: zap.NewNop(),
+	})
+}
+
+// add puts the next turn of the conversation.
+func (v *conversation) add(s *programs.Store) {
+	v.Helper()
+	ctx, cancel := oneSecond()
+	defer cancel()
+	id := call.ID(fmt.Sprint("t", len(v.chain)))
+	turn := programs.Turn{ID: id, Program: program, Chain: append([]call.ID(nil), v.chain...), Input: []byte(id)}
+	v.Assert(s.Put(ctx, turn), qt.IsNil)
+	v.chain = append(v.chain, id)
+}
+
+// checkChain checks that a store returns the whole conversation.
+func (v *conversation) checkChain(s *programs.Store) {
+	v.Helper()
+	ctx, cancel := oneSecond()
+	defer cancel()
+	turns, err := s.Chain(ctx, v.now, program, v.chain[len(v.chain)-1])
+	v.Assert(err, qt.IsNil, qt.Commentf("%d turns, at %v", len(v.chain), v.now))
+	v.Assert(turns, qt.HasLen, len(v.chain))
+}
+
+// Guards against a conversation that cannot go on after twice the retention of turns, at instances that have seen all of
+// it: a turn is kept for its retention together with its chain.
+func TestLongConversation(t *testing.T) {
+	v := newConversation(t)
+	stores := []*programs.Store{v.newStore(0), v.newStore(0)}
+	for i := range 10 {
+		v.add(stores[i%2])
+		for range 4 {
+			v.now = v.now.Add(5 * time.Second)
+			for _, s := range stores {
+				s.DropOld(v.now, turnRetention)
+			}
+		}
+		for _, s := range stores {
+			v.checkChain(s)
+		}
+	}
+}
+
+// Guards against turns that stay in memory after their last use.
+func TestEndedConversationIsDropped(t *testing.T) {
+	v := newConversation(t)
+	s := v.newStore(0)
+	for range 3 {
+		v.add(s)
+	}
+	s.DropOld(v.now.Add(turnRetention), turnRetention)
+	v.Assert(s.Turns(), qt.Equals, 3)
+	s.DropOld(v.now.Add(3*turnRetention), turnRetention)
+	v.Assert(s.Turns(), qt.Equals, 0)
+}
+
+// Guards against a turn that is reported missing because it was dropped from memory, here by an instance whose clock is far
+// ahead of that of the turn's writer, although the log has it.
+func TestDroppedTurnIsReadAgain(t *testing.T) {
+	v := newConversation(t)
+	behind, reader := v.newStore(-10*time.Minute), v.newStore(0)
+	for range 3 {
+		v.add(behind)
+	}
+	for range 2 {
+		v.checkChain(reader)
+		reader.DropOld(v.now, turnRetention)
+		v.Assert(reader.Turns(), qt.Equals, 0)
+	}
+}
+
+// Guards against a log that is read from its beginning for each request that names a turn that never was.
+func TestUnknownTurnIsSoughtOnce(t *testing.T) {
+	v := newConversation(t)
+	s := v.newStore(0)
+	v.add(s)
+	s.DropOld(v.now.Add(3*turnRetention), turnRetention)
+	ctx, cancel := oneSecond()
+	defer cancel()
+	_, err := s.Chain(ctx, v.now, program, "never")
+	v.Assert(errors.Is(err, programs.ErrTurnNotFound), qt.IsTrue)
+	calls := v.log.Calls()
+	for range 5 {
+		_, err := s.Chain(ctx, v.now, program, "never")
+		v.Assert(errors.Is(err, programs.ErrTurnNotFound), qt.IsTrue)
+	}
+	v.Assert(v.log.Calls()-calls <= 10, qt.IsTrue, qt.Commentf("%d calls", v.log.Calls()-calls))
+}
--- a/internal/programs/turns.go
+++ b/internal/programs/turns.go
@@ -18,8 +18,8 @@
 )
 
 const (
-	// keepFactor is the number of retention times for which a turn is kept in memory. A turn that is still retained needs
-	// its whole chain, whose turns are older.
+	// keepFactor is the number of retention times for which a turn is kept in memory after a turn has last needed it. The
+	// second one covers clocks of instances that differ.
 	keepFactor = 2
 	// MaxInput is the maximum size of a turn's input in bytes. It lets a turn fit into one record of the log.
 	MaxInput = 128 << 10
@@ -70,7 +70,7 @@
 	if err := tasks.Wait(); err != nil {
 		return err
 	}
-	s.addTurn(&t)
+	s.turns.add(&t, p)
 	return nil
 }
 
@@ -92,18 +92,6 @@
 	}
 }
 
-func (s *Store) addTurn(t *Turn) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.turns[t.ID] = t
-}
-
-func (s *Store) lookup(id call.ID) *Turn {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.turns[id]
-}
-
 // Chain returns a turn and the turns before it, oldest first. The program is the one that continues the chain; it may be
 // another one than the turn's. The error is ErrTurnNotFound if reads of the log that began after notBefore show that the
 // workspace has no such turn.
@@ -119,7 +107,7 @@
 		t, err := s.get(ctx, notBefore, last.Program, before)
 		if errors.Is(err, ErrTurnNotFound) {
 			// A chain is kept as long as its last turn, so this is a fault of the log or of the gateway.
-			events.Log(s.Logger, events.ChainBroken, zap.String("requestId", string(id)))
+			events.Log(s.Logger, events.ChainBroken, zap.String("requestId", string(id)), zap.String("turn", string(before)))
 			return nil, oops.In("programs").With("turn", id).Errorf("a turn of the chain is missing")
 		}
 		if err != nil {
@@ -131,9 +119,9 @@
 }
 
 // get returns a turn. It looks in memory, then in the partition of the program that continues the turn, and then in the
-// partition of the program that the index names.
+// partition of the program that the index names. If turns of these partitions were dropped from memory, it reads them again.
 func (s *Store) get(ctx context.Context, notBefore time.Time, program account.Key, id call.ID) (t *Turn, err error) {
-	if t := s.lookup(id); t != nil {
+	if t := s.turns.lookup(id); t != nil {
 		return t, nil
 	}
 	defer func() {
@@ -141,26 +129,33 @@
 			err = oops.In("programs").With("turn", id).Wrapf(err, "read a turn")
 		}
 	}()
-	if err := s.partition(program).readWithRetry(ctx, notBefore); err != nil {
+	own := s.partition(program)
+	if err := own.readWithRetry(ctx, notBefore); err != nil {
 		return nil, err
 	}
-	if t := s.lookup(id); t != nil {
+	if t := s.turns.lookup(id); t != nil {
 		return t, nil
 	}
 	owner, ok, err := s.programOf(ctx, notBefore, id)
 	if err != nil {
 		return nil, err
 	}
-	if !ok {
-		return nil, ErrTurnNotFound
-	}
-	if err := s.partition(owner).readWithRetry(ctx, notBefore); err != nil {
-		return nil, err
+	places := []*partition{own}
+	if ok {
+		places = []*partition{s.partition(owner), own}
+		if err := places[0].readWithRetry(ctx, notBefore); err != nil {
+			return nil, err
+		}
 	}
-	if t := s.lookup(id); t != nil {
-		return t, nil
+	for _, p := range places {
+		if err := p.restoreTurns(ctx); err != nil {
+			return nil, err
+		}
+		if t := s.turns.lookup(id); t != nil {
+			return t, nil
+		}
 	}
-	// Only the index record was written before the turn's instance ended, so no caller has received the end of the turn.
+	// If the index has the turn, its instance ended between the two records, so no caller has received the end of the turn.
 	return nil, ErrTurnNotFound
 }
 
@@ -210,27 +205,32 @@
 	return nil
 }
 
-// dropTurns drops turns past their retention from memory, and from time to time the indexes.
+// dropTurns drops turns past their retention from memory, and from time to time the indexes. Both are read again if they are
+// needed after all.
 func (s *Store) dropTurns(now time.Time, retention time.Duration) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	if retention > 0 {
 		s.retention = retention
 	}
-	for id, t := range s.turns {
-		if now.Sub(t.At) > keepFactor*s.retention {
-			delete(s.turns, id)
-		}
-	}
-	if now.Sub(s.indexedSince) > keepFactor*s.retention {
+	keep := keepFactor * s.retention
+	if now.Sub(s.indexedSince) > keep {
 		clear(s.indexes)
 		s.indexedSince = now
 	}
+	s.mu.Unlock()
+	dropped := s.turns.drop(now, keep)
+	if len(dropped) == 0 {
+		return
+	}
+	count := 0
+	for p, n := range dropped {
+		count += n
+		p.mu.Lock()
+		p.turnsDropped = true
+		p.mu.Unlock()
+	}
+	events.Log(s.Logger, events.TurnsDropped, zap.Int("count", count), zap.Int("kept", s.turns.count()), zap.Duration("keep", keep))
 }
 
 // Turns returns the number of turns in memory.
-func (s *Store) Turns() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.turns)
-}
+func (s *Store) Turns() int { return s.turns.count() }
