Answer what a planned stop cannot finish, and refuse what it reads late

Reported by other operators: requests that came late in the grace of a planned stop were taken and passed on, and cut off at its end with no answer, among them requests that may not be repeated.

It could happen here in two ways. Callers are accepted for 2.5 s, but a request whose bytes came slowly was passed on whenever it was complete, up to 12.5 s later. And a request that was still running at the end of the grace lost its connection when the process ended, also one that was accepted long before.

A request that is complete after these 2.5 s is refused 503 stopping, notRun. 0.2 s before its exit the gateway ends the contexts of the requests in progress; they are answered 502 stopping, unknown, or 503, notRun, if no target can have run them. recheck and unreachable answered 503 without a look at earlier attempts when the context had ended; that was right only while no caller was left to read it.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -126,7 +126,7 @@
 	case refused == nil:
 		return p, nil
 	case e.ctx.Err() != nil:
-		return p, &refusal{status: fasthttp.StatusServiceUnavailable, code: codeCallerGone}
+		return p, e.failureRefusal(fasthttp.StatusServiceUnavailable, e.endCode())
 	case refused.Reason == waitqueue.ReasonNoTarget:
 		return p, &refusal{status: fasthttp.StatusServiceUnavailable, code: codeNoTarget, retry: refused.RetryAfter}
 	default:
@@ -225,7 +225,7 @@
 // request waited.
 func (e *exchange) recheck(now time.Time) *refusal {
 	if e.ctx.Err() != nil {
-		return &refusal{status: fasthttp.StatusServiceUnavailable, code: codeCallerGone}
+		return e.failureRefusal(fasthttp.StatusServiceUnavailable, e.endCode())
 	}
 	if e.workspace == nil {
 		return nil
@@ -239,6 +239,14 @@
 	return nil
 }
 
+// endCode says why the request's context ended.
+func (e *exchange) endCode() Code {
+	if errors.Is(context.Cause(e.ctx), errStopping) {
+		return codeStopping
+	}
+	return codeCallerGone
+}
+
 // failureRefusal returns a refusal with the status if no target can have run the request. Otherwise its outcome is unknown,
 // and the status is 502 Bad Gateway.
 func (e *exchange) failureRefusal(status int, code Code) *refusal {
@@ -263,7 +271,8 @@
 // unreachable returns the result of an attempt without a connection: the target has not received the request.
 func (e *exchange) unreachable(err error) attemptResult {
 	if e.ctx.Err() != nil {
-		return attemptResult{done: true, refusal: &refusal{status: fasthttp.StatusServiceUnavailable, code: codeCallerGone}, reason: string(codeCallerGone), outcome: dispatch.NotSent}
+		code := e.endCode()
+		return attemptResult{done: true, refusal: e.failureRefusal(fasthttp.StatusServiceUnavailable, code), reason: string(code), outcome: dispatch.NotSent}
 	}
 	return e.notSent("unreachable", dispatch.Unreachable, err)
 }
@@ -277,7 +286,8 @@
 func (e *exchange) incomplete(err error) attemptResult {
 	switch {
 	case e.x.ClientDisconnected() || e.ctx.Err() != nil:
-		return attemptResult{done: true, refusal: &refusal{status: fasthttp.StatusBadGateway, code: codeCallerGone}, reason: string(codeCallerGone), outcome: dispatch.NotSent, err: err}
+		code := e.endCode()
+		return attemptResult{done: true, refusal: &refusal{status: fasthttp.StatusBadGateway, code: code}, reason: string(code), outcome: dispatch.NotSent, err: err}
 	case timedOut(err) || !e.now().Before(e.deadline):
 		return attemptResult{done: true, refusal: e.deadlineRefusal(), reason: string(codeDeadline), outcome: dispatch.Incomplete, err: err}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -77,6 +77,8 @@
 	maxReadyAge = 2500 * time.Millisecond
 	// leaveDelay is how long after SIGTERM callers are still accepted: the load balancer notices after two probes.
 	leaveDelay = 2500 * time.Millisecond
+	// answerMargin is how long before its exit the gateway answers the requests that it cannot finish.
+	answerMargin = 200 * time.Millisecond
 	// exitMargin is how long before the end of the grace period, when it would be killed, the gateway exits.
 	exitMargin = 400 * time.Millisecond
 	// announceTimeout bounds the report to the other instances that this one leaves.
@@ -104,7 +106,9 @@
 	// answerMemory bounds what targets can make this process hold with bodies that do not end.
 	answerMemory *httpwire.MemoryLimit
 	draining     atomic.Bool
-	ready        atomic.Bool
+	// takeUntil is when a planned stop takes the last requests, in Unix nanoseconds; 0 before a stop.
+	takeUntil atomic.Int64
+	ready     atomic.Bool
 
 	grants  *grants.RateLimiter
 	reports *reports.Reports
@@ -233,18 +237,23 @@
 	return httpwire.KeepAccepting(l, g.logFailure("accept")), nil
 }
 
+// errStopping is the cause that ends the contexts of requests that a planned stop cannot finish.
+var errStopping = errors.New("the gateway is stopping")
+
 // drain reports to the load balancer that the gateway is not ready, accepts callers until the balancer has noticed, and then
-// waits for the requests in progress.
+// waits for the requests in progress. Those that do not end in time are answered before the exit.
 func (g *Gateway) drain(callerListener net.Listener) {
 	began := time.Now()
+	g.takeUntil.Store(g.now().Add(leaveDelay).UnixNano())
 	g.draining.Store(true)
 	go g.announceLeave()
 	g.updateReady(g.now())
 	events.Log(g.Logger, events.Draining, zap.Int("inProgress", g.server.Active()), zap.Duration("timeout", g.Settings.Instance.Grace))
 	g.server.DisableKeepAlive()
 	exitAt := began.Add(g.Settings.Instance.Grace - exitMargin)
+	cancelAt := exitAt.Add(-answerMargin)
 	for now := time.Now(); now.Before(exitAt); now = time.Now() {
-		if now.Sub(began) > leaveDelay {
+		if now.Sub(began) > leaveDelay || !now.Before(cancelAt) {
 			// A request accepted later could take longer than the time until the exit.
 			_ = callerListener.Close()
 			g.server.CloseIdle()
@@ -252,11 +261,21 @@
 				break
 			}
 		}
+		if !now.Before(cancelAt) {
+			g.server.CancelRunning(errStopping)
+		}
 		time.Sleep(min(20*time.Millisecond, exitAt.Sub(now)))
 	}
 	g.flush(exitAt)
 }
 
+// takesRequests reports whether a request that was read by now may be passed on. It may not late in a planned stop, because
+// it could take longer than the time until the exit.
+func (g *Gateway) takesRequests(now time.Time) bool {
+	until := g.takeUntil.Load()
+	return until == 0 || now.UnixNano() < until
+}
+
 // announceLeave reports to the other instances at once that this one no longer grants requests from workspaces' rate limits.
 func (g *Gateway) announceLeave() {
 	ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -49,6 +49,7 @@
 	codeBroken            Code = "answerBroken"
 	codeTurnNotKept       Code = "turnNotKept"
 	codeCallerGone        Code = "callerGone"
+	codeStopping          Code = "stopping"
 	codeOverBudget        Code = "overBudget"
 )
 
@@ -141,6 +142,9 @@
 
 // admit decides whether the request may run. It returns nil if it may.
 func (e *exchange) admit() *refusal {
+	if !e.takesRequests(e.began) {
+		return &refusal{status: fasthttp.StatusServiceUnavailable, code: codeStopping, retry: shortRetryDelay}
+	}
 	if e.table = e.follower.Table(); e.table == nil {
 		return &refusal{status: fasthttp.StatusServiceUnavailable, code: codeNoConfig, retry: shortRetryDelay}
 	}
--- a/internal/httpwire/server.go
+++ b/internal/httpwire/server.go
@@ -46,12 +46,13 @@
 	keepAliveOff atomic.Bool
 	active       atomic.Int64 // exchanges in progress
 	mu           sync.Mutex
-	idle         map[net.Conn]struct{} // connections that wait for a request
+	idle         map[net.Conn]struct{}                 // connections that wait for a request
+	running      map[*Exchange]context.CancelCauseFunc // exchanges that the handler serves
 }
 
 // NewServer returns a server. It calls limits for each connection and each request, and failed when the handler panics.
 func NewServer(h Handler, limits func() Limits, failed func(err error)) *Server {
-	return &Server{handler: h, limits: limits, failed: failed, idle: make(map[net.Conn]struct{})}
+	return &Server{handler: h, limits: limits, failed: failed, idle: make(map[net.Conn]struct{}), running: make(map[*Exchange]context.CancelCauseFunc)}
 }
 
 // Active returns the number of exchanges in progress, from the first byte of their requests on.
@@ -83,6 +84,15 @@
 	}
 }
 
+// CancelRunning ends the contexts of the exchanges that the handler serves. The handler can still answer them.
+func (s *Server) CancelRunning(cause error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, cancel := range s.running {
+		cancel(cause)
+	}
+}
+
 // pastDeadline is a deadline that ends a blocked read at once.
 var pastDeadline = time.Unix(1, 0)
 
@@ -113,12 +123,20 @@
 
 // serveExchange runs the handler and reports whether the connection can carry another request.
 func (s *Server) serveExchange(x *Exchange) bool {
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(context.Background())
+	defer cancel(nil)
+	s.mu.Lock()
+	s.running[x] = cancel
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		delete(s.running, x)
+		s.mu.Unlock()
+	}()
 	watcherDone := make(chan struct{})
 	go func() {
 		defer close(watcherDone)
-		x.watchDisconnect(cancel)
+		x.watchDisconnect(func() { cancel(nil) })
 	}()
 	s.handler.Serve(ctx, x)
 	_ = x.conn.SetReadDeadline(pastDeadline)
