Do not take an error for the continuation of a broken stream

Reported by other operators: a stream had begun and broke off, and the next worker answered with an error. Clients found its text or its whole head in the middle of their stream, or the stream ended as if it were complete.

It could happen here with a target that answers the resumed request with status 200: an error page, an error event, a head in the body or a stream that begins anew was passed on as the next events, and an empty body of another type ended the stream as complete. Answers with other statuses were not passed on before either.

An answer that continues a stream must now have the type of an event stream or that of the first answer, or none, and its first event must have an id after the last one that the caller has. Otherwise the attempt has failed, and the stream is tried at another target or left incomplete.

--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -5,6 +5,8 @@
 	"bytes"
 	"errors"
 	"io"
+	"mime"
+	"strconv"
 )
 
 // maxEventBytes bounds the size of one event.
@@ -54,6 +56,34 @@
 	}
 }
 
+// IsMediaType reports whether a value of the Content-Type header is that of a stream of events.
+func IsMediaType(contentType string) bool {
+	t, _, err := mime.ParseMediaType(contentType)
+	return err == nil && t == "text/event-stream"
+}
+
+// Comment reports whether an event consists of comments and blank lines only.
+func Comment(event []byte) bool {
+	for line := range bytes.SplitSeq(event, []byte("\n")) {
+		if len(bytes.TrimSpace(line)) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
+// Follows reports whether an event can come after the one with the id last. It must have an id, and a larger one if both are
+// numbers.
+func Follows(event []byte, last string) bool {
+	id, ok := Field(event, "id")
+	if !ok || string(id) == last {
+		return false
+	}
+	n, err := strconv.ParseUint(string(id), 10, 64)
+	before, lastErr := strconv.ParseUint(last, 10, 64)
+	return err != nil || lastErr != nil || n > before
+}
+
 // Field returns the value of the first field of an event with a name.
 func Field(event []byte, name string) (value []byte, ok bool) {
 	for line := range bytes.SplitSeq(event, []byte("\n")) {
--- a/internal/eventstream/eventstream_test.go
+++ b/internal/eventstream/eventstream_test.go
@@ -50,3 +50,24 @@
 	}).AllocedBytesPerOp()
 	c.Assert(allocated < 16<<20, qt.IsTrue, qt.Commentf("%d bytes for an event of 1 MiB", allocated))
 }
+
+// Guards against an event that is taken for the next one of a stream although it is an earlier one, none at all or an error.
+func TestFollows(t *testing.T) {
+	for _, test := range []struct {
+		event, last string
+		want        bool
+	}{
+		{"id: 3\ndata: c\n\n", "2", true},
+		{"id: 10\ndata: c\n\n", "9", true},
+		{"id: 2\ndata: b\n\n", "2", false},
+		{"id: 1\ndata: a\n\n", "2", false},
+		{"event: error\ndata: x\n\n", "2", false},
+		{"it failed\n\n", "2", false},
+		{"id: b\ndata: c\n\n", "a", true},
+		{"id: a\ndata: c\n\n", "a", false},
+	} {
+		qt.Check(t, eventstream.Follows([]byte(test.event), test.last), qt.Equals, test.want, qt.Commentf("%q", test.event))
+	}
+	qt.Check(t, eventstream.Comment([]byte(": wait\n\n")), qt.IsTrue)
+	qt.Check(t, eventstream.Comment([]byte(": wait\nid: 3\n\n")), qt.IsFalse)
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -109,6 +109,7 @@
 	cached           ids.Tokens // prompt tokens that the target was expected to have in its cache
 	mayHaveRun       bool       // a target may have run the request
 	mayHaveRunBefore bool       // mayHaveRun before the current attempt
+	contentType      string     // of the stream that the caller receives
 	output           []byte     // what the turn has generated, on routes that remember turns
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -22,6 +22,12 @@
 func (e *exchange) relayStream(h *fasthttp.ResponseHeader, body io.Reader) attemptResult {
 	r := eventstream.New(httpwire.Limit(body, maxAnswerBytes))
 	maxEvents := e.maxEvents()
+	if e.events == 0 {
+		e.contentType = string(h.ContentType())
+	} else if t := string(h.ContentType()); t != "" && t != e.contentType && !eventstream.IsMediaType(t) {
+		return e.incomplete(errNotContinued)
+	}
+	continued := e.events == 0
 	for {
 		event, err := r.Next()
 		if errors.Is(err, io.EOF) && e.events > 0 {
@@ -36,12 +42,22 @@
 		if e.events >= maxEvents {
 			return e.incomplete(errTooManyEvents)
 		}
+		if !continued && !eventstream.Comment(event) {
+			if !eventstream.Follows(event, e.req.LastEvent) {
+				return e.incomplete(errNotContinued)
+			}
+			continued = true
+		}
 		if res, failed := e.relayEvent(h, event); failed {
 			return res
 		}
 	}
 }
 
+// errNotContinued is the error of an answer that should go on with a stream after the events that the caller has. It may be
+// an error page with status 200, or a stream that begins anew.
+var errNotContinued = errors.New("the answer does not go on after the stream's last event")
+
 var errTooManyEvents = errors.New("the stream has more events than the request's tokens allow")
 
 // maxEvents returns how many events the caller may get: those of the most tokens that the request may generate, and one for
