Count the events of streams in the memory that answers may hold

Reported by other operators: a faulty worker sent bytes that were no answer, without end, in a head or in a body, until the caller closed. The machine that had called it kept them all and ran out of memory.

Heads (8 KiB), whole answers and single streams were bounded before (TestAnswersWithoutEnd), and whole answers also all together. Streams were not: each may hold an event of up to 1 MiB and, on routes that remember turns, 16 MiB of output, so that some dozens of them exceed the memory of an instance of 120 to 294 MB.

The buffer of each stream and the kept output now count in the same eighth of the process's memory as whole answers. What does not fit is given up at once with 502 memoryShort; this is not held against the target, which may be a sound one. A connection does not keep the buffer of a long event for its next answer.

--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -18,16 +18,23 @@
 // errPartialEvent is returned for a stream that ends within an event.
 var errPartialEvent = errors.New("stream ended within an event")
 
+// Memory is asked before the reader's buffer grows. An error of Grow ends the stream.
+type Memory interface {
+	Grow(bytes int) error
+}
+
 // Reader splits a stream into events.
 type Reader struct {
 	r       io.Reader
+	memory  Memory
+	granted int // bytes that memory has granted
 	buf     []byte
 	scanned int // bytes of buf that do not begin the end of an event
 	err     error
 }
 
 // New returns a reader of a stream.
-func New(r io.Reader) *Reader { return &Reader{r: r} }
+func New(r io.Reader, m Memory) *Reader { return &Reader{r: r, memory: m} }
 
 // Next returns the next event, including the blank line that ends it. At the end of a complete stream it returns io.EOF.
 // The event is valid until the next call.
@@ -49,13 +56,27 @@
 			return nil, errors.New("event exceeds the size limit")
 		}
 		if len(r.buf) == cap(r.buf) {
-			r.buf = append(make([]byte, 0, 2*len(r.buf)+readSize), r.buf...)
+			if err := r.grow(2*len(r.buf) + readSize); err != nil {
+				return nil, err
+			}
 		}
 		n, err := r.r.Read(r.buf[len(r.buf):cap(r.buf)])
 		r.buf, r.err = r.buf[:len(r.buf)+n], err
 	}
 }
 
+// grow replaces the buffer by one of a size. The garbage collector may free an earlier one, so only the largest counts.
+func (r *Reader) grow(size int) error {
+	if more := size - r.granted; more > 0 {
+		r.granted = size
+		if err := r.memory.Grow(more); err != nil {
+			return err
+		}
+	}
+	r.buf = append(make([]byte, 0, size), r.buf...)
+	return nil
+}
+
 // IsMediaType reports whether a value of the Content-Type header is that of a stream of events.
 func IsMediaType(contentType string) bool {
 	t, _, err := mime.ParseMediaType(contentType)
--- a/internal/eventstream/eventstream_test.go
+++ b/internal/eventstream/eventstream_test.go
@@ -12,6 +12,11 @@
 	"github.com/comfreylink/comfreylink/internal/eventstream"
 )
 
+// anyMemory grants everything.
+type anyMemory struct{}
+
+func (anyMemory) Grow(int) error { return nil }
+
 // Guards against events that are returned in parts, and against a stream that ends within an event but reads as complete.
 func TestReader(t *testing.T) {
 	c := qt.New(t)
@@ -20,7 +25,7 @@
 		stream string
 		last   error
 	}{{whole, io.EOF}, {whole + "\n", io.EOF}, {whole + "id: 3\nda", nil}} {
-		r := eventstream.New(iotest.OneByteReader(strings.NewReader(test.stream)))
+		r := eventstream.New(iotest.OneByteReader(strings.NewReader(test.stream)), anyMemory{})
 		for _, want := range []string{"a", "b"} {
 			event, err := r.Next()
 			c.Assert(err, qt.IsNil)
@@ -44,7 +49,7 @@
 	c := qt.New(t)
 	allocated := testing.Benchmark(func(b *testing.B) {
 		for b.Loop() {
-			_, err := eventstream.New(dripping{}).Next()
+			_, err := eventstream.New(dripping{}, anyMemory{}).Next()
 			c.Assert(err, qt.IsNotNil)
 		}
 	}).AllocedBytesPerOp()
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -290,6 +290,9 @@
 		return attemptResult{done: true, refusal: &refusal{status: fasthttp.StatusBadGateway, code: code}, reason: string(code), outcome: dispatch.NotSent, err: err}
 	case timedOut(err) || !e.now().Before(e.deadline):
 		return attemptResult{done: true, refusal: e.deadlineRefusal(), reason: string(codeDeadline), outcome: dispatch.Incomplete, err: err}
+	case errors.Is(err, httpwire.ErrNoMemory):
+		// The target is not to blame: it may be another one whose answers use up the memory.
+		return attemptResult{done: true, refusal: &refusal{status: fasthttp.StatusBadGateway, code: codeNoMemory, err: err}, reason: string(codeNoMemory), outcome: dispatch.NotSent, err: err}
 	}
 	return attemptResult{
 		retryable: e.route.Idempotent(), refusal: &refusal{status: fasthttp.StatusBadGateway, code: codeBroken, err: err},
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -50,6 +50,7 @@
 	codeTurnNotKept       Code = "turnNotKept"
 	codeCallerGone        Code = "callerGone"
 	codeStopping          Code = "stopping"
+	codeNoMemory          Code = "memoryShort"
 	codeOverBudget        Code = "overBudget"
 )
 
@@ -111,6 +112,7 @@
 	mayHaveRunBefore bool       // mayHaveRun before the current attempt
 	contentType      string     // of the stream that the caller receives
 	output           []byte     // what the turn has generated, on routes that remember turns
+	outputMemory     *httpwire.Reservation
 }
 
 // refusal is an answer made by the gateway itself. retry is the delay after which the caller should retry, 0 for none.
@@ -123,7 +125,8 @@
 
 // Serve implements httpwire.Handler.
 func (g *Gateway) Serve(ctx context.Context, x *httpwire.Exchange) {
-	e := &exchange{Gateway: g, ctx: ctx, x: x, began: g.now(), req: g.Codec.DecodeRequest(&x.Header), body: x.Body}
+	e := &exchange{Gateway: g, ctx: ctx, x: x, began: g.now(), req: g.Codec.DecodeRequest(&x.Header), body: x.Body, outputMemory: g.answerMemory.Reserve()}
+	defer e.outputMemory.Release()
 	if r := e.admit(); r != nil {
 		e.refuse(r)
 		return
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -20,7 +20,9 @@
 // relayStream passes on a stream, event by event. If the stream breaks off and its route is resumable, it may continue at
 // another target, and the caller sees one answer.
 func (e *exchange) relayStream(h *fasthttp.ResponseHeader, body io.Reader) attemptResult {
-	r := eventstream.New(httpwire.Limit(body, maxAnswerBytes))
+	memory := e.answerMemory.Reserve()
+	defer memory.Release()
+	r := eventstream.New(httpwire.Limit(body, maxAnswerBytes), memory)
 	maxEvents := e.maxEvents()
 	if e.events == 0 {
 		e.contentType = string(h.ContentType())
@@ -91,6 +93,9 @@
 		e.req.LastEvent = string(id)
 	}
 	if data, ok := eventstream.Field(event, "data"); ok && e.route.Remembered {
+		if err := e.outputMemory.Grow(len(data) + 1); err != nil {
+			return e.incomplete(err), true
+		}
 		e.output = append(e.output, data...)
 		e.output = append(e.output, '\n')
 	}
--- a/internal/httpwire/body.go
+++ b/internal/httpwire/body.go
@@ -91,23 +91,46 @@
 	return m
 }
 
+// Reservation is the part of a MemoryLimit that one answer uses. It is not safe for concurrent use.
+type Reservation struct {
+	limit *MemoryLimit
+	bytes int64
+}
+
+// Reserve begins a reservation of 0 bytes.
+func (m *MemoryLimit) Reserve() *Reservation { return &Reservation{limit: m} }
+
+// Grow adds bytes to the reservation. It returns ErrNoMemory if other reservations leave too little memory.
+func (r *Reservation) Grow(bytes int) error {
+	r.bytes += int64(bytes)
+	if r.limit.left.Add(-int64(bytes)) < 0 {
+		return ErrNoMemory
+	}
+	return nil
+}
+
+// Release gives all bytes of the reservation back, also those of a Grow that failed.
+func (r *Reservation) Release() {
+	r.limit.left.Add(r.bytes)
+	r.bytes = 0
+}
+
 // firstBodyBytes is the memory with which a body begins.
 const firstBodyBytes = 2 << 10
 
 // ReadAll reads a body of at most limit bytes. It returns ErrTooLarge if the body is longer, and ErrNoMemory if other bodies
 // leave too little memory for it. The memory counts as used until release is called.
 func (m *MemoryLimit) ReadAll(r io.Reader, limit int) (body []byte, release func(), err error) {
-	reserved := int64(0)
-	release = func() { m.left.Add(reserved) }
+	reserved := m.Reserve()
+	release = reserved.Release
 	for {
 		if len(body) > limit {
 			return nil, release, ErrTooLarge
 		}
 		if len(body) == cap(body) {
 			size := max(firstBodyBytes, 2*cap(body))
-			reserved += int64(size)
-			if m.left.Add(-int64(size)) < 0 {
-				return nil, release, ErrNoMemory
+			if err := reserved.Grow(size); err != nil {
+				return nil, release, err
 			}
 			body = append(make([]byte, 0, size), body...)
 		}
--- a/internal/httpwire/server.go
+++ b/internal/httpwire/server.go
@@ -34,6 +34,9 @@
 	discardBytes   = 8 << 20
 )
 
+// maxIdleBuffer is the largest buffer for writes, in bytes, that a connection keeps for its next answer.
+const maxIdleBuffer = 64 << 10
+
 // bodyTimeout bounds the time that a caller takes to send a request's body.
 const bodyTimeout = 10 * time.Second
 
@@ -139,6 +142,9 @@
 		x.watchDisconnect(func() { cancel(nil) })
 	}()
 	s.handler.Serve(ctx, x)
+	if cap(x.out) > maxIdleBuffer {
+		x.out = nil
+	}
 	_ = x.conn.SetReadDeadline(pastDeadline)
 	<-watcherDone
 	_ = x.conn.SetReadDeadline(time.Time{})
