End a broken stream of the own interface without the mark of a complete one

The mark now follows complete answers only. The caller of the scenarios fails if the mark follows an error.

--- a/internal/chat/stream.go
+++ b/internal/chat/stream.go
@@ -23,13 +23,10 @@
 }
 
 // finish writes the end of the stream: the text that was not sent as deltas, the finish reason and the usage, or the
-// refusal.
+// refusal. The end mark follows a complete answer only.
 func (e *eventWriter) finish(r peer.Result) error {
 	if r.Refusal != nil {
-		if err := e.writeEvent(errorBody{r.Refusal}); err != nil {
-			return err
-		}
-		return e.writeDone()
+		return e.writeEvent(errorBody{r.Refusal})
 	}
 	if rest, ok := strings.CutPrefix(r.Chat.Content, e.sent.String()); ok && rest != "" {
 		if err := e.delta(rest); err != nil {
--- a/scenario/caller/caller.go
+++ b/scenario/caller/caller.go
@@ -189,6 +189,9 @@
 		if !ok {
 			continue
 		}
+		if data == "[DONE]" && a.Error != nil {
+			return errors.New("the end mark of a complete stream follows an error")
+		}
 		if data == "[DONE]" {
 			a.Text = text.String()
 			return nil
@@ -209,5 +212,8 @@
 		}
 	}
 	a.Text = text.String()
+	if a.Error != nil {
+		return scanner.Err()
+	}
 	return errors.Join(scanner.Err(), io.ErrUnexpectedEOF)
 }
