Answer the last calls of a planned stop on the own interface

Shutdown now ends their contexts and waits up to 1 s for their refusals.

TestShutdownAnswersTheLastCalls before: "the stop has ended and the call has no answer". After: it passes with -race.

--- a/internal/chat/server.go
+++ b/internal/chat/server.go
@@ -87,13 +87,16 @@
 	http     *fasthttp.Server
 	listener net.Listener
 	active   atomic.Int64
-	stopping atomic.Bool
+	// calls is the parent of the contexts of all calls. cancelCalls ends it.
+	calls       context.Context
+	cancelCalls context.CancelFunc
 }
 
 // New binds the address on which callers connect. The returned cleanup closes the listener.
 func New(instance ids.InstanceID, address string, l Limits, d Directory, r Runner, o Observer) (s *Server, cleanup func(), err error) {
 	defer func() { err = oops.In("chat").With("address", address).Wrapf(err, "listen for callers") }()
 	s = &Server{instance: instance, limits: l, dir: d, run: r, observer: o}
+	s.calls, s.cancelCalls = context.WithCancel(context.Background())
 	if s.listener, err = net.Listen("tcp", address); err != nil {
 		return nil, nil, err
 	}
@@ -108,7 +111,10 @@
 		NoDefaultContentType:  true,
 		CloseOnShutdown:       true,
 	}
-	return s, func() { _ = s.listener.Close() }, nil
+	return s, func() {
+		s.cancelCalls()
+		_ = s.listener.Close()
+	}, nil
 }
 
 // Address returns the bound address.
@@ -122,10 +128,23 @@
 	return oops.In("chat").Wrapf(s.http.Serve(s.listener), "serve callers")
 }
 
-// Shutdown stops accepting connections and waits until the requests in progress are answered or ctx ends.
+const (
+	// lastAnswersTimeout is how long Shutdown waits for the answers to the calls that it has ended.
+	lastAnswersTimeout = time.Second
+	lastAnswersPoll    = 10 * time.Millisecond
+)
+
+// Shutdown stops accepting connections and waits until the requests in progress are answered or ctx ends. Then it ends the
+// calls that are left, so that their callers get a refusal instead of a closed connection.
 func (s *Server) Shutdown(ctx context.Context) error {
-	s.stopping.Store(true)
-	return oops.In("chat").Wrapf(s.http.ShutdownWithContext(ctx), "shut down the callers' server")
+	err := s.http.ShutdownWithContext(ctx)
+	if err != nil {
+		s.cancelCalls()
+		for waited := time.Duration(0); s.active.Load() > 0 && waited < lastAnswersTimeout; waited += lastAnswersPoll {
+			time.Sleep(lastAnswersPoll)
+		}
+	}
+	return oops.In("chat").Wrapf(err, "shut down the callers' server")
 }
 
 // protocolError answers requests that fasthttp could not read.
@@ -165,10 +184,10 @@
 	s.answer(ctx, route, call, began, result)
 }
 
-// runCall runs a call until its deadline. The call continues if the caller disconnects, so that a repeated request with
+// runCall runs a call until its deadline or the end of a planned stop. The call continues if the caller disconnects, so that a repeated request with
 // the same key gets the answer.
 func (s *Server) runCall(call peer.Call, onDelta func(string)) peer.Result {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(call.DeadlineMillis)*time.Millisecond)
+	ctx, cancel := context.WithTimeout(s.calls, time.Duration(call.DeadlineMillis)*time.Millisecond)
 	defer cancel()
 	return s.run.Run(ctx, call, onDelta)
 }
