Copy the turns of a long conversation before the log deletes them

A conversation of longer than the log's retention (300 s on the sites) could go on only at instances that had seen its first turns; any other one, and after a restart of all every one, refused its next turn 503 turnUnavailable (event 614), although it had been answered seconds before.

A turn is now written together with copies of those turns of its chain whose records would not outlive it: each at most once in 180 s with 300 s and a retention of turns of 60 s.

TestConversationLongerThanLogRetention before (with the copies switched off): "a turn of the chain is missing" at the 15th turn of 20 s each. After: it passes with -race; 40 turns of 800 s take fewer than 160 records.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -136,7 +136,7 @@
 	})
 	parts := c.Settings.Store.Partitions
 	g.programs = programs.New(programs.Config{
-		Log: c.Source.Log, Now: c.Clock.Now, Logger: c.Logger,
+		Log: c.Source.Log, LogRetention: c.Settings.Store.Retention, Now: c.Clock.Now, Logger: c.Logger,
 		Programs: partlog.Keyspace{Name: "programs", Topics: topicsPerKeyspace, Parts: parts},
 		Index:    partlog.Keyspace{Name: "turns", Topics: topicsPerKeyspace, Parts: parts},
 	})
--- a/internal/partlog/partlogtest/partlogtest.go
+++ b/internal/partlog/partlogtest/partlogtest.go
@@ -42,6 +42,20 @@
 	}
 }
 
+// End returns the offset after the last record of a partition.
+func (l *Log) End(p partlog.Partition) ids.Offset {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return ids.Offset(len(l.partitions[p]))
+}
+
+// ForgetBefore deletes the records of a partition before an offset.
+func (l *Log) ForgetBefore(p partlog.Partition, offset ids.Offset) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.first[p] = max(l.first[p], offset)
+}
+
 // SetFault sets a function that returns the fault of each call, and resets the number of calls. It is passed the number of
 // the call since then, from 0. With nil, no call fails.
 func (l *Log) SetFault(f func(call int) Fault) {
--- a/internal/programs/retention_test.go
+++ b/internal/programs/retention_test.go
@@ -13,9 +13,13 @@
 	"github.com/comfreylink/comfreylink/internal/partlog"
 	"github.com/comfreylink/comfreylink/internal/partlog/partlogtest"
 	"github.com/comfreylink/comfreylink/internal/programs"
+	"github.com/comfreylink/comfreylink/pkg/ids"
 )
 
-const turnRetention = time.Minute
+const (
+	turnRetention = time.Minute
+	logRetention  = 5 * time.Minute
+)
 
 // conversation is a program whose turns follow each other at the given pause, by the clock that its stores read.
 type conversation struct {
@@ -32,7 +36,7 @@
 // newStore returns a store whose clock is that of the conversation plus an offset.
 func (v *conversation) newStore(offset time.Duration) *programs.Store {
 	return programs.New(programs.Config{
-		Log: v.log, Programs: partlog.Keyspace{Name: "programs", Topics: 1, Parts: 1},
+		Log: v.log, LogRetention: logRetention, Programs: partlog.Keyspace{Name: "programs", Topics: 1, Parts: 1},
 		Index: partlog.Keyspace{Name: "turns", Topics: 1, Parts: 1},
 		Now:   func() time.Time { return v.now.Add(offset).Add(time.Nanosecond) }, Logger: zap.NewNop(),
 	})
@@ -123,3 +127,34 @@
 	}
 	v.Assert(v.log.Calls()-calls <= 10, qt.IsTrue, qt.Commentf("%d calls", v.log.Calls()-calls))
 }
+
+// Guards against a conversation that cannot go on at an instance that has not seen it, because its first turns are older than
+// the retention of the log.
+func TestConversationLongerThanLogRetention(t *testing.T) {
+	v := newConversation(t)
+	s := v.newStore(0)
+	parts := []partlog.Partition{{Topic: "programs-00"}, {Topic: "turns-00"}}
+	type written struct {
+		at  time.Time
+		end map[partlog.Partition]ids.Offset
+	}
+	var history []written
+	for range 40 {
+		v.add(s)
+		end := make(map[partlog.Partition]ids.Offset)
+		for _, p := range parts {
+			end[p] = v.log.End(p)
+		}
+		history = append(history, written{v.now, end})
+		v.now = v.now.Add(20 * time.Second)
+		s.DropOld(v.now, turnRetention)
+		for v.now.Sub(history[0].at) >= logRetention {
+			for _, p := range parts {
+				v.log.ForgetBefore(p, history[0].end[p])
+			}
+			history = history[1:]
+		}
+		v.checkChain(v.newStore(0))
+	}
+	v.Assert(len(v.log.Records()) < 40*4, qt.IsTrue, qt.Commentf("%d records for 40 turns", len(v.log.Records())))
+}
--- a/internal/programs/turns.go
+++ b/internal/programs/turns.go
@@ -23,6 +23,8 @@
 	keepFactor = 2
 	// MaxInput is the maximum size of a turn's input in bytes. It lets a turn fit into one record of the log.
 	MaxInput = 128 << 10
+	// maxCopyBytes bounds the turns that are copied with one append. The platform's log takes 2 MiB.
+	maxCopyBytes = 1 << 20
 )
 
 // ErrTurnNotFound is the error for a turn that definitely does not exist or belongs to another workspace.
@@ -36,7 +38,8 @@
 	Chain  []call.ID
 	Input  []byte
 	Output []byte
-	At     time.Time
+	// At is when the turn's record, or the newest copy of it, was written.
+	At time.Time
 }
 
 // index holds what was read of one partition of the index.
@@ -67,6 +70,7 @@
 		_, err := s.appendWithRetry(ctx, s.Index.PartitionFor(string(t.ID)), encodeIndex(t))
 		return err
 	})
+	tasks.Go(func() error { return s.copyOldTurns(ctx, p, t.Chain) })
 	if err := tasks.Wait(); err != nil {
 		return err
 	}
@@ -74,11 +78,61 @@
 	return nil
 }
 
-// appendWithRetry appends a record and retries until the context ends. Retries may write the record twice.
-func (s *Store) appendWithRetry(ctx context.Context, p partlog.Partition, record []byte) (first ids.Offset, err error) {
+// copyOldTurns writes the turns of a chain once more whose records the log would delete while a turn that continues them is
+// retained. The copies are in the partition of the program that continues the chain.
+func (s *Store) copyOldTurns(ctx context.Context, p *partition, chain []call.ID) error {
+	now := s.Now()
+	var copies []*Turn
+	var records [][]byte
+	size := 0
+	write := func() error {
+		if len(records) == 0 {
+			return nil
+		}
+		if _, err := s.appendWithRetry(ctx, p.id, records...); err != nil {
+			return err
+		}
+		for _, t := range copies {
+			s.turns.add(t, p)
+		}
+		copies, records, size = nil, nil, 0
+		return nil
+	}
+	for _, id := range chain {
+		t := s.turns.lookup(id)
+		if t == nil || !s.expiresSoon(t, now) {
+			continue
+		}
+		renewed := *t
+		renewed.At = now
+		record := encodeTurn(renewed)
+		if size+len(record) > maxCopyBytes {
+			if err := write(); err != nil {
+				return err
+			}
+		}
+		copies, records, size = append(copies, &renewed), append(records, record), size+len(record)
+	}
+	return write()
+}
+
+// expiresSoon reports whether the log may delete a turn's record before a turn that ends now is past its retention. No
+// record is copied before it is a quarter of the log's retention old.
+func (s *Store) expiresSoon(t *Turn, now time.Time) bool {
+	if s.LogRetention == 0 {
+		return false
+	}
+	s.mu.Lock()
+	keep := keepFactor * s.retention
+	s.mu.Unlock()
+	return now.Sub(t.At) > max(s.LogRetention/4, s.LogRetention-keep)
+}
+
+// appendWithRetry appends records and retries until the context ends. Retries may write them twice.
+func (s *Store) appendWithRetry(ctx context.Context, p partlog.Partition, records ...[]byte) (first ids.Offset, err error) {
 	for {
 		try, cancel := context.WithTimeout(ctx, attemptTimeout)
-		first, err = s.Log.Append(try, p, partlog.AnyOffset, record)
+		first, err = s.Log.Append(try, p, partlog.AnyOffset, records...)
 		cancel()
 		if err == nil {
 			return first, nil
