--- a/internal/programs/programs.go
+++ b/internal/programs/programs.go
@@ -25,8 +25,9 @@
 	// writeTimeout bounds a write with all its retries. After it, callers are asked to retry later instead of being kept
 	// waiting. Settlements that could not be written are retried after the same time.
 	writeTimeout = 1200 * time.Millisecond
-	// dropAfter is how long the ledger keeps a program after its last record.
-	dropAfter = 3 * time.Minute
+	// minDropAfter is how long the ledger keeps a program after its last record, unless the log keeps records for longer: a
+	// program whose records the log still has must not get its budget once more.
+	minDropAfter = 3 * time.Minute
 )
 
 // Config holds a store's dependencies.
@@ -88,7 +89,7 @@
 func (s *Store) DropOld(now time.Time, retention time.Duration) {
 	for _, p := range s.allPartitions() {
 		p.mu.Lock()
-		p.ledger.DropIdle(now, dropAfter)
+		p.ledger.DropIdle(now, max(minDropAfter, s.LogRetention))
 		p.mu.Unlock()
 	}
 	s.dropTurns(now, retention)
--- a/internal/programs/retention_test.go
+++ b/internal/programs/retention_test.go
@@ -1,6 +1,7 @@
 package programs_test
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"testing"
@@ -158,3 +159,20 @@
 	}
 	v.Assert(len(v.log.Records()) < 40*4, qt.IsTrue, qt.Commentf("%d records for 40 turns", len(v.log.Records())))
 }
+
+// Guards against a program that gets its budget once more after a pause, because its instance has dropped what it had spent
+// while the log still has it.
+func TestPauseDoesNotRenewTheBudget(t *testing.T) {
+	v := newConversation(t)
+	s := v.newStore(0)
+	r, err := reserve(s, "a", 100, 80)
+	v.Assert(err, qt.IsNil)
+	r.Settle(80)
+	s.Flush(context.Background())
+	for range 58 {
+		v.now = v.now.Add(5 * time.Second)
+		s.DropOld(v.now, turnRetention)
+	}
+	_, err = reserve(s, "b", 100, 80)
+	v.Assert(errors.Is(err, programs.ErrBudgetExceeded), qt.IsTrue, qt.Commentf("%v", err))
+}
