--- a/internal/chat/server.go
+++ b/internal/chat/server.go
@@ -184,8 +184,8 @@
 	s.answer(ctx, route, call, began, result)
 }
 
-// runCall runs a call until its deadline or the end of a planned stop. The call continues if the caller disconnects, so that a repeated request with
-// the same key gets the answer.
+// runCall runs a call until its deadline or the end of a planned stop. The call continues if the caller disconnects, so
+// that a repeated request with the same key gets the answer.
 func (s *Server) runCall(call peer.Call, onDelta func(string)) peer.Result {
 	ctx, cancel := context.WithTimeout(s.calls, time.Duration(call.DeadlineMillis)*time.Millisecond)
 	defer cancel()
--- a/internal/programs/memory.go
+++ b/internal/programs/memory.go
@@ -30,7 +30,10 @@
 func (m *turnMemory) add(t *Turn, p *partition) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.turns[t.ID] = &heldTurn{Turn: t, partition: p}
+	// A record that is read again may be older than a copy of the turn in another partition.
+	if held := m.turns[t.ID]; held == nil || !held.At.After(t.At) {
+		m.turns[t.ID] = &heldTurn{Turn: t, partition: p}
+	}
 	m.need(t.ID, t.At)
 	for _, id := range t.Chain {
 		m.need(id, t.At)
