--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	ucli "github.com/urfave/cli/v3"
 	"go.uber.org/zap"
@@ -10,12 +11,16 @@
 	"github.com/comfreylink/comfreylink/internal/settings"
 )
 
+// defaultLogRetention is the retention of the log on the users' platform.
+const defaultLogRetention = 5 * time.Minute
+
 var gatewayCommand = command{
 	name:        "gateway",
 	description: "run a gateway on the users' platform until SIGTERM or SIGINT",
 	flags: func() []ucli.Flag {
 		return []ucli.Flag{
 			&ucli.StringFlag{Name: "settings", Usage: "settings `FILE`; by default the one that the platform provides"},
+			&ucli.DurationFlag{Name: "log-retention", Value: defaultLogRetention, Usage: "how long the platform's log keeps records, as a `DURATION`; 0s if it keeps all"},
 			&ucli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
 		}
 	},
@@ -36,6 +41,9 @@
 			events.Log(log, events.SettingsInvalid, zap.String("file", path), zap.Error(err))
 			return err
 		}
+		if s.Store.Retention = r.Duration("log-retention"); s.Store.Retention < 0 {
+			return &UsageError{Reason: "--log-retention is negative"}
+		}
 		if r.Bool("check") {
 			return nil
 		}
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -41,7 +41,7 @@
 	Address string
 	// Partitions is how many partitions a new topic has.
 	Partitions int
-	// Retention is how long the log keeps records; 0 if it keeps all.
+	// Retention is how long the log keeps records; 0 if it keeps all. It comes from the command line.
 	Retention time.Duration
 }
 
@@ -76,7 +76,6 @@
 func (l *Store) read(s *inifile.Section) {
 	l.Address = address(s, "address", true, false)
 	l.Partitions = int(s.Int("partitions", 12, 1, 1024))
-	l.Retention = s.Duration("retention", 5*time.Minute, 0, 365*24*time.Hour)
 }
 
 func (b *Bounds) read(s *inifile.Section) {
