Show two faults next to the long conversations by tests

Both tests fail, in each run: - TestBudgetOfProgramLongerThanLogRetention: a program that runs for 800 s gets 400 of its 200 tokens from instances that read its partition for the first time, since the log has deleted the records of its first turns after 300 s. - TestTurnRetentionNearLogRetention: with turns retained for 270 s of the log's 300 s, a turn within its retention cannot be continued at such an instance ("a turn of the chain is missing"), since its predecessor was not copied in time.

The clock and the log that forgets, which TestConversationLongerThanLogRetention had, are a type of the test now.

--- a/internal/programs/retention_test.go
+++ b/internal/programs/retention_test.go
@@ -129,37 +129,84 @@
 	v.Assert(v.log.Calls()-calls <= 10, qt.IsTrue, qt.Commentf("%d calls", v.log.Calls()-calls))
 }
 
+// parts are the partitions with the records of the conversation.
+var parts = []partlog.Partition{{Topic: "programs-00"}, {Topic: "turns-00"}}
+
+// forgetful makes a conversation's log forget records by their age.
+type forgetful struct {
+	*conversation
+	history []written
+}
+
+// written says where the partitions ended at a time.
+type written struct {
+	at  time.Time
+	end map[partlog.Partition]ids.Offset
+}
+
+// pass moves the clock forward and makes the log forget the records that are older than its retention.
+func (f *forgetful) pass(d time.Duration) {
+	end := make(map[partlog.Partition]ids.Offset)
+	for _, p := range parts {
+		end[p] = f.log.End(p)
+	}
+	f.history = append(f.history, written{f.now, end})
+	f.now = f.now.Add(d)
+	for f.now.Sub(f.history[0].at) >= logRetention {
+		for _, p := range parts {
+			f.log.ForgetBefore(p, f.history[0].end[p])
+		}
+		f.history = f.history[1:]
+	}
+}
+
 // Guards against a conversation that cannot go on at an instance that has not seen it, because its first turns are older than
 // the retention of the log.
 func TestConversationLongerThanLogRetention(t *testing.T) {
-	v := newConversation(t)
+	v := &forgetful{conversation: newConversation(t)}
 	s := v.newStore(0)
-	parts := []partlog.Partition{{Topic: "programs-00"}, {Topic: "turns-00"}}
-	type written struct {
-		at  time.Time
-		end map[partlog.Partition]ids.Offset
-	}
-	var history []written
 	for range 40 {
 		v.add(s)
-		end := make(map[partlog.Partition]ids.Offset)
-		for _, p := range parts {
-			end[p] = v.log.End(p)
-		}
-		history = append(history, written{v.now, end})
-		v.now = v.now.Add(20 * time.Second)
+		v.pass(20 * time.Second)
 		s.DropOld(v.now, turnRetention)
-		for v.now.Sub(history[0].at) >= logRetention {
-			for _, p := range parts {
-				v.log.ForgetBefore(p, history[0].end[p])
-			}
-			history = history[1:]
-		}
 		v.checkChain(v.newStore(0))
 	}
 	v.Assert(len(v.log.Records()) < 40*4, qt.IsTrue, qt.Commentf("%d records for 40 turns", len(v.log.Records())))
 }
 
+// Guards against a conversation with long pauses that cannot go on although its last turn is within its retention, because
+// that is not much shorter than the retention of the log.
+func TestTurnRetentionNearLogRetention(t *testing.T) {
+	const retention = logRetention * 9 / 10
+	v := &forgetful{conversation: newConversation(t)}
+	s := v.newStore(0)
+	for _, pause := range []time.Duration{logRetention / 5, retention - time.Second} {
+		s.DropOld(v.now, retention)
+		v.add(s)
+		v.pass(pause)
+	}
+	v.checkChain(v.newStore(0))
+}
+
+// Guards against a program that gets tokens beyond its budget from instances that have not seen it, because the records of
+// its first turns are older than the retention of the log.
+func TestBudgetOfProgramLongerThanLogRetention(t *testing.T) {
+	const budget, tokens, turns = 200, 10, 40
+	v := &forgetful{conversation: newConversation(t)}
+	granted := ids.Tokens(0)
+	for i := range turns {
+		s := v.newStore(0)
+		r, err := reserve(s, fmt.Sprint("t", i), budget, tokens)
+		if err == nil {
+			granted += tokens
+			r.Settle(tokens)
+			s.Flush(context.Background())
+		}
+		v.pass(20 * time.Second)
+	}
+	v.Assert(granted <= budget, qt.IsTrue, qt.Commentf("%d of %d", granted, budget))
+}
+
 // Guards against a program that gets its budget once more after a pause, because its instance has dropped what it had spent
 // while the log still has it.
 func TestPauseDoesNotRenewTheBudget(t *testing.T) {
