--- a/internal/programs/retention_test.go
+++ b/internal/programs/retention_test.go
@@ -132,38 +132,38 @@
 // parts are the partitions with the records of the conversation.
 var parts = []partlog.Partition{{Topic: "programs-00"}, {Topic: "turns-00"}}
 
-// forgetful makes a conversation's log forget records by their age.
-type forgetful struct {
+// expiringConversation is a conversation whose log deletes records that are older than its retention.
+type expiringConversation struct {
 	*conversation
-	history []written
+	history []checkpoint
 }
 
-// written says where the partitions ended at a time.
-type written struct {
+// checkpoint says where the partitions ended at a time.
+type checkpoint struct {
 	at  time.Time
 	end map[partlog.Partition]ids.Offset
 }
 
-// pass moves the clock forward and makes the log forget the records that are older than its retention.
-func (f *forgetful) pass(d time.Duration) {
+// pass moves the clock forward and deletes the records that are older than the retention of the log.
+func (v *expiringConversation) pass(d time.Duration) {
 	end := make(map[partlog.Partition]ids.Offset)
 	for _, p := range parts {
-		end[p] = f.log.End(p)
+		end[p] = v.log.End(p)
 	}
-	f.history = append(f.history, written{f.now, end})
-	f.now = f.now.Add(d)
-	for f.now.Sub(f.history[0].at) >= logRetention {
+	v.history = append(v.history, checkpoint{v.now, end})
+	v.now = v.now.Add(d)
+	for v.now.Sub(v.history[0].at) >= logRetention {
 		for _, p := range parts {
-			f.log.ForgetBefore(p, f.history[0].end[p])
+			v.log.ForgetBefore(p, v.history[0].end[p])
 		}
-		f.history = f.history[1:]
+		v.history = v.history[1:]
 	}
 }
 
 // Guards against a conversation that cannot go on at an instance that has not seen it, because its first turns are older than
 // the retention of the log.
 func TestConversationLongerThanLogRetention(t *testing.T) {
-	v := &forgetful{conversation: newConversation(t)}
+	v := &expiringConversation{conversation: newConversation(t)}
 	s := v.newStore(0)
 	for range 40 {
 		v.add(s)
@@ -178,7 +178,7 @@
 // that is not much shorter than the retention of the log.
 func TestTurnRetentionNearLogRetention(t *testing.T) {
 	const retention = logRetention * 9 / 10
-	v := &forgetful{conversation: newConversation(t)}
+	v := &expiringConversation{conversation: newConversation(t)}
 	s := v.newStore(0)
 	for _, pause := range []time.Duration{logRetention / 5, retention - time.Second} {
 		s.DropOld(v.now, retention)
@@ -192,7 +192,7 @@
 // its first turns are older than the retention of the log.
 func TestBudgetOfProgramLongerThanLogRetention(t *testing.T) {
 	const budget, tokens, turns = 200, 10, 40
-	v := &forgetful{conversation: newConversation(t)}
+	v := &expiringConversation{conversation: newConversation(t)}
 	granted := ids.Tokens(0)
 	for i := range turns {
 		s := v.newStore(0)
