Allow in TestNoLogContactSince for statements that were passed on

Cause: the check. An instance that passes a statement on rounds its age up to 0.7 s steps (pkg/member/digest.go says so), so that the time is never later than the statement. Two passes make it up to 1.4 s early, until a newer statement comes.

--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -166,6 +166,12 @@
 // Guards against owners that continue without a statement of no contact from every other instance, and against owners
 // that stop in a log outage although they have one from each.
 func TestNoLogContactSince(t *testing.T) {
+	const (
+		// rounding is the most that is added to the age of a statement at each instance that passes it on.
+		rounding = 700 * time.Millisecond
+		// earlyBound is for a statement that has passed through all other instances on its way to the last one.
+		earlyBound = 4 * rounding
+	)
 	net, runs := newNetwork(t, 6)
 	all := func() (n int) {
 		for _, r := range runs {
@@ -183,7 +189,11 @@
 	net.eventually(2*noticeWithin, "all know of all others", func() bool { return all() == 6 })
 	for _, r := range runs {
 		since, _ := r.NoLogContactSince(time.Now())
-		net.c.Check(since.After(began.Add(-time.Second)), qt.Equals, true)
+		net.c.Check(since.After(began.Add(-earlyBound)), qt.Equals, true, qt.Commentf("%v before the outage", began.Sub(since)))
+		net.eventually(noticeWithin, "the time is exact to a second", func() bool {
+			since, all := r.NoLogContactSince(time.Now())
+			return all && since.After(began.Add(-time.Second))
+		})
 		net.eventually(2*noticeWithin, "all admit because nobody has contact", func() bool {
 			return r.Admit(time.Now(), 5*time.Second) == member.NobodyHasContact
 		})
