--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -169,6 +169,9 @@
 	Known            bool
 	Running, Waiting int
 	Slots            int
+	// WorkTime is how long work takes at the target at the moment, as a multiple of the usual time. It is 1 if the target
+	// reports nothing else.
+	WorkTime float64
 }
 
 // Answer is the head of a target's answer.
