Write the records of programs through one instance for each partition

Change: with [store] recordPartitions the records of programs are in that many partitions, and the first instance in a weighted rendezvous order writes what all instances hand to it. Appends of reservations stay conditional, so a second leader or none costs conflicts and time only. Turns are fetched from leaders, so the index is not written. Accounts of long programs and turns whose retention is close to the log's are written again before the log deletes them.

--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -194,6 +194,10 @@
 	TurnsDropped = define(620, "turnsDropped", info,
 		"Turns that no other turn has needed for longer than keep were dropped from memory. They are read again if they are continued after all.", noAction,
 		"count", "kept", "keep")
+	LeaderFailed = define(630, "leaderFailed", warn,
+		"The instance that leads a partition of the log did not answer. For 2 s this instance calls the next one in the order instead, and writes to the partition itself if that does not answer either.",
+		"If it goes on, check the leader and the connections between the instances.",
+		"stream", "part", "leader", "error")
 )
 
 // Events of targets.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/comfreylink/comfreylink/internal/httpwire"
 	"github.com/comfreylink/comfreylink/internal/partlog"
 	"github.com/comfreylink/comfreylink/internal/programs"
+	"github.com/comfreylink/comfreylink/internal/recorder"
 	"github.com/comfreylink/comfreylink/internal/relay"
 	"github.com/comfreylink/comfreylink/internal/reports"
 	"github.com/comfreylink/comfreylink/internal/rpc"
@@ -87,6 +88,11 @@
 	queueTick = 10 * time.Millisecond
 	// updateInterval is how often the targets are applied to the queues again, because some of them expire by time alone.
 	updateInterval = 500 * time.Millisecond
+	// recordInterval is the minimum time between two appends to a partition with the records of programs. It adds half of
+	// that to the end of a turn under load.
+	recordInterval = 25 * time.Millisecond
+	// standbyInterval is how often an instance reads the partitions that it may have to lead.
+	standbyInterval = time.Second
 	// cleanupInterval is how often old state is deleted.
 	cleanupInterval = 5 * time.Second
 	// Limits that apply before the first configuration is read.
@@ -110,8 +116,9 @@
 	takeUntil atomic.Int64
 	ready     atomic.Bool
 
-	grants  *grants.RateLimiter
-	reports *reports.Reports
+	grants   *grants.RateLimiter
+	reports  *reports.Reports
+	recorder *recorder.Recorder // nil if each instance writes its own records
 
 	mu          sync.Mutex
 	programUses map[account.Key]programUse // recently admitted programs
@@ -130,21 +137,34 @@
 		Claim:   func(ctx context.Context, s quota.Shard) { g.reports.Claim(ctx, s) },
 	})
 	g.reports = reports.New(reports.Config{
-		Self:  relay.Peer{Instance: c.Settings.Instance.ID, Address: c.Settings.Relay.Advertise, Zone: c.Settings.Instance.Zone},
+		Self:  relay.Peer{Instance: c.Settings.Instance.ID, Address: c.Settings.Relay.Advertise, Zone: c.Settings.Instance.Zone, CPU: c.Settings.Instance.CPU},
 		RunID: c.RunID, Log: c.Source.Log, Grants: g.grants, Reachable: c.Log.Reachable, Leaving: g.draining.Load,
 		Now: c.Clock.Now, Logger: c.Logger,
 	})
-	parts := c.Settings.Store.Partitions
-	g.programs = programs.New(programs.Config{
-		Log: c.Source.Log, LogRetention: c.Settings.Store.Retention, Now: c.Clock.Now, Logger: c.Logger,
-		Programs: partlog.Keyspace{Name: "programs", Topics: topicsPerKeyspace, Parts: parts},
-		Index:    partlog.Keyspace{Name: "turns", Topics: topicsPerKeyspace, Parts: parts},
-	})
+	g.programs = programs.New(g.programsConfig())
 	g.follower = follower.New(c.Source, c.Settings.Bounds, c.Logger, c.Clock.Now, g.followerChanged)
 	g.server = httpwire.NewServer(g, g.limits, g.logFailure("request"))
 	return g
 }
 
+// programsConfig returns the configuration of the store of programs.
+func (g *Gateway) programsConfig() programs.Config {
+	parts := g.Settings.Store.Partitions
+	c := programs.Config{
+		Log: g.Source.Log, LogRetention: g.Settings.Store.Retention, Now: g.Clock.Now, Logger: g.Logger,
+		Programs: partlog.Keyspace{Name: "programs", Topics: topicsPerKeyspace, Parts: parts},
+		Index:    partlog.Keyspace{Name: "turns", Topics: topicsPerKeyspace, Parts: parts},
+	}
+	if n := g.Settings.Store.RecordPartitions; n > 0 {
+		g.recorder = recorder.New(recorder.Config{
+			Self: g.Settings.Instance.ID, Members: g.reports.Members, Client: g.RPC, Now: g.Clock.Now, Logger: g.Logger,
+		})
+		c.Programs = partlog.Keyspace{Name: "records", Topics: 1, Parts: n}
+		c.Leaders, c.WriteInterval = g.recorder, recordInterval
+	}
+	return c
+}
+
 // Peers returns the other instances.
 func (g *Gateway) Peers() []relay.Peer { return g.reports.Peers() }
 
@@ -210,9 +230,10 @@
 	tasks.Go(func() error { return g.follower.FollowTargets(work) })
 	tasks.Go(func() error { return g.reports.Run(work) })
 	tasks.Go(func() error { return g.tick(work) })
+	tasks.Go(func() error { return g.standby(work) })
 	tasks.Go(func() error { return g.server.Serve(callerListener) })
 	tasks.Go(func() error {
-		return rpc.NewServer(g.logFailure("peerCall"), g.Log.Methods(), g.grants.Methods()).Serve(peerListener)
+		return rpc.NewServer(g.logFailure("peerCall"), g.methods()...).Serve(peerListener)
 	})
 	probeServer := &fasthttp.Server{Handler: g.probe, NoDefaultServerHeader: true, NoDefaultDate: true}
 	tasks.Go(func() error { return probeServer.Serve(probe) })
@@ -228,6 +249,29 @@
 	return tasks.Wait()
 }
 
+// methods returns the methods that other instances call.
+func (g *Gateway) methods() []map[string]rpc.Method {
+	l := []map[string]rpc.Method{g.Log.Methods(), g.grants.Methods()}
+	if g.recorder != nil {
+		l = append(l, g.recorder.Methods(), g.programs.Methods())
+	}
+	return l
+}
+
+// standby keeps up with the partitions that this instance may have to lead.
+func (g *Gateway) standby(ctx context.Context) error {
+	ticker := time.NewTicker(standbyInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			g.programs.Standby(ctx)
+		}
+	}
+}
+
 // listen opens a listener that outlasts errors of single connections.
 func (g *Gateway) listen(address string) (net.Listener, error) {
 	l, err := net.Listen("tcp", address)
--- a/internal/partlog/partlog.go
+++ b/internal/partlog/partlog.go
@@ -110,6 +110,17 @@
 
 // PartitionFor returns the partition of a key.
 func (s Keyspace) PartitionFor(key string) Partition {
-	n := int(xxhash.Sum64String(key) % uint64(s.Topics*s.Parts))
+	return s.partition(int(xxhash.Sum64String(key) % uint64(s.Topics*s.Parts)))
+}
+
+// Partitions returns all partitions.
+func (s Keyspace) Partitions() (l []Partition) {
+	for i := range s.Topics * s.Parts {
+		l = append(l, s.partition(i))
+	}
+	return l
+}
+
+func (s Keyspace) partition(n int) Partition {
 	return Partition{Topic: fmt.Sprintf("%s-%02d", s.Name, n/s.Parts), Part: n % s.Parts}
 }
--- a/internal/programs/partition.go
+++ b/internal/programs/partition.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/samber/oops"
 	"go.uber.org/zap"
 
 	"github.com/comfreylink/comfreylink/internal/events"
@@ -23,188 +22,34 @@
 	store *Store
 	id    partlog.Partition
 
-	mu             sync.Mutex
-	ledger         *account.Ledger
-	pools          map[account.Key]*pool // the pools from which turns take tokens
-	next           ids.Offset            // offset of the next record to read
-	loaded         bool                  // the partition was read to its end once
-	readAt         time.Time             // start of the last read that reached the end
-	waiting        []*pool               // new pools whose reservations are not being written yet
-	settlements    []account.Record      // settlements that are not being written yet
-	writing        bool                  // the writer goroutine runs
-	retryScheduled bool                  // a timer will restart the writer for settlements
-	idleScheduled  bool                  // a timer will check for idle pools
-	turnsDropped   bool                  // turns were dropped from memory since the last read from the beginning
+	mu     sync.Mutex
+	ledger *account.Ledger
+	next   ids.Offset // offset of the next record to read
+	loaded bool       // the partition was read to its end once
+	readAt time.Time  // start of the last read that reached the end
+
+	// What this instance needs of the partition.
+	pools         map[account.Key]*pool // the pools from which turns take tokens
+	settlements   []account.Record      // settlements that are not being written yet
+	sending       int                   // batches that are being written
+	sendScheduled bool                  // a timer will send the settlements
+	idleScheduled bool                  // a timer will check for idle pools
+	turnsDropped  bool                  // turns were dropped from memory since the last read from the beginning
+
+	// The writer, which writes the batches of this instance, and those of others if this instance leads the partition.
+	queue       []*submission
+	queuedBytes int
+	writing     bool      // the writer goroutine runs
+	wroteAt     time.Time // when the last append was started
 
 	readLock sync.Mutex // held during a read
 }
 
-// startWriter starts the writer if there is something to write and it is not running. The caller holds the lock.
-func (p *partition) startWriter() {
-	if p.writing || len(p.waiting) == 0 && len(p.settlements) == 0 {
-		return
-	}
-	p.writing = true
-	go p.write()
-}
-
-func (p *partition) isWriting() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.writing
-}
-
-// write appends the waiting pools and settlements until there are none.
-func (p *partition) write() {
-	for {
-		p.mu.Lock()
-		pools, settlements := p.waiting, p.settlements
-		p.waiting, p.settlements = nil, nil
-		if len(pools) == 0 && len(settlements) == 0 {
-			p.writing = false
-			p.mu.Unlock()
-			return
-		}
-		p.mu.Unlock()
-		ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
-		err := p.commit(ctx, pools, settlements)
-		cancel()
-		if err == nil {
-			continue
-		}
-		events.Log(p.store.Logger, events.LedgerFailed, zap.String("stream", p.id.Topic), zap.Int("part", p.id.Part),
-			zap.Int("records", len(pools)+len(settlements)), zap.Error(err))
-		if !p.failWrite(pools, settlements, err) {
-			return
-		}
-	}
-}
-
-// failWrite fails the pools that could not be written and reports whether the writer continues. Settlements are kept; if
-// nothing else is waiting, they are retried after writeTimeout.
-func (p *partition) failWrite(pools []*pool, settlements []account.Record, err error) (continues bool) {
-	for _, pl := range pools {
-		pl.finish(err)
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.settlements = append(settlements, p.settlements...)
-	p.writing = len(p.waiting) > 0
-	if p.writing {
-		return true
-	}
-	if !p.retryScheduled {
-		p.retryScheduled = true
-		time.AfterFunc(writeTimeout, func() {
-			p.mu.Lock()
-			defer p.mu.Unlock()
-			p.retryScheduled = false
-			p.startWriter()
-		})
-	}
-	return false
-}
-
-// commit appends the reservations of the pools that fit into their budgets, together with the settlements.
-func (p *partition) commit(ctx context.Context, pools []*pool, settlements []account.Record) (err error) {
-	defer func() { err = oops.In("programs").Wrapf(err, "commit") }()
-	fresh := false
-	for {
-		if len(pools) > 0 && (!p.isLoaded() || !fresh && p.anySeemsSpent(pools)) {
-			if err := p.readWithRetry(ctx, p.store.Now()); err != nil {
-				return err
-			}
-			fresh = true
-		}
-		granted, records := p.decide(pools, settlements)
-		if len(records) == 0 {
-			return nil
-		}
-		err := p.append(ctx, len(granted) > 0, records)
-		if err == nil {
-			for _, pl := range granted {
-				pl.finish(nil)
-			}
-			return nil
-		}
-		fresh = false
-		if err := p.reread(ctx, err); err != nil {
-			return err
-		}
-		if pools = p.completeWritten(granted); len(pools) == 0 && len(settlements) == 0 {
-			return nil
-		}
-	}
-}
-
-func (p *partition) isLoaded() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.loaded
-}
-
-// anySeemsSpent reports whether a budget seems spent by what this instance has read. The partition must be read to
-// confirm it.
-func (p *partition) anySeemsSpent(pools []*pool) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, pl := range pools {
-		if !p.ledger.Allows(pl.key, pl.budget, pl.tokens) {
-			return true
-		}
-	}
-	return false
-}
-
-// decide fails the pools that exceed their budgets and returns the others with the records to append. A pool of which
-// only the first turn fits is reduced to that turn.
-func (p *partition) decide(pools []*pool, settlements []account.Record) (granted []*pool, records []account.Record) {
+// isSending reports whether batches of this instance are not written yet.
+func (p *partition) isSending() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	records = append(records, settlements...)
-	pending := make(map[account.Key]ids.Tokens)
-	now := p.store.Now()
-	for _, pl := range pools {
-		if !p.ledger.Allows(pl.key, pl.budget, pending[pl.key]+pl.tokens) {
-			// A pool that further turns have already joined cannot be reduced.
-			if pl.turns > 1 || !p.ledger.Allows(pl.key, pl.budget, pending[pl.key]+pl.firstTurnTokens) {
-				pl.finish(ErrBudgetExceeded)
-				continue
-			}
-			pl.tokens = pl.firstTurnTokens
-		}
-		pending[pl.key] += pl.tokens
-		granted = append(granted, pl)
-		records = append(records, account.Record{Key: pl.key, Turn: pl.id, Tokens: pl.tokens, At: now})
-	}
-	return granted, records
-}
-
-// append appends records and applies them to the ledger. Reservations need a conditional append, settlements alone do not.
-func (p *partition) append(ctx context.Context, conditional bool, records []account.Record) error {
-	encoded := make([][]byte, len(records))
-	for i, r := range records {
-		encoded[i] = encodeAccount(r)
-	}
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
-	defer cancel()
-	at := partlog.AnyOffset
-	p.mu.Lock()
-	if conditional {
-		at = p.next
-	}
-	p.mu.Unlock()
-	first, err := p.store.Log.Append(ctx, p.id, at, encoded...)
-	if err != nil {
-		return err
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, r := range records {
-		p.ledger.Apply(r)
-	}
-	p.advance(first, len(records))
-	return nil
+	return p.sending > 0
 }
 
 // advance moves the read offset past records that this instance has appended. If other instances' records precede them,
@@ -263,20 +108,6 @@
 	return retryPause
 }
 
-// completeWritten returns the pools whose reservations are not in the partition and completes the others.
-func (p *partition) completeWritten(pools []*pool) (missing []*pool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, pl := range pools {
-		if p.ledger.Has(pl.key, pl.id) {
-			pl.finish(nil)
-			continue
-		}
-		missing = append(missing, pl)
-	}
-	return missing
-}
-
 // read reads the partition to its end. It does nothing if a read that began after notBefore has reached the end.
 func (p *partition) read(ctx context.Context, notBefore time.Time) error {
 	p.readLock.Lock()
--- a/internal/programs/pool.go
+++ b/internal/programs/pool.go
@@ -31,6 +31,8 @@
 	Budget ids.Tokens
 	// Tokens is the maximum that the turn may generate.
 	Tokens ids.Tokens
+	// First says that the turn continues no other turn, so that its program has probably spent nothing yet.
+	First bool
 }
 
 // pool holds tokens that this instance has reserved for one or more turns of a program. It is guarded by its partition's
@@ -124,18 +126,18 @@
 	defer p.mu.Unlock()
 	now := p.store.Now()
 	pl = p.pools[a.Key]
-	ample = p.loaded && p.ledger.Allows(a.Key, a.Budget, p.pending(a.Key)+ampleTurns*a.Tokens)
 	if pl == nil || pl.failed() || pl.free() < a.Tokens {
 		if pl != nil && pl.turns == 0 {
 			p.settle(pl)
 		}
+		known := p.loaded || p.store.Leaders != nil && (a.First || p.ledger.Committed(a.Key) > 0)
+		ample = known && p.ledger.Allows(a.Key, a.Budget, p.unconfirmed(a.Key)+ampleTurns*a.Tokens)
 		pl = &pool{key: a.Key, id: a.Turn, budget: a.Budget, firstTurnTokens: a.Tokens, tokens: a.Tokens, done: make(chan struct{})}
 		if ample {
 			pl.tokens *= poolTurns
 		}
 		p.pools[a.Key] = pl
-		p.waiting = append(p.waiting, pl)
-		p.startWriter()
+		p.sendPool(pl)
 	} else {
 		// A pool with free tokens is in the log already, or its first turn was sent without waiting for that because the
 		// budget was ample. The same holds for this turn.
@@ -147,14 +149,18 @@
 	return pl, ample
 }
 
-// pending returns the tokens of a program's pools whose reservations are waiting to be written.
-func (p *partition) pending(k account.Key) (tokens ids.Tokens) {
-	for _, pl := range p.waiting {
-		if pl.key == k {
-			tokens += pl.tokens
-		}
+// unconfirmed returns the tokens of a program's pool if its reservation is not in the log yet.
+func (p *partition) unconfirmed(k account.Key) ids.Tokens {
+	pl := p.pools[k]
+	if pl == nil {
+		return 0
+	}
+	select {
+	case <-pl.done:
+		return 0
+	default:
+		return pl.tokens
 	}
-	return tokens
 }
 
 // settle returns the unspent tokens of a pool to its program's budget. The caller holds the lock.
@@ -168,7 +174,7 @@
 	r := account.Record{Key: pl.key, Turn: pl.id, Tokens: pl.spent, Settled: true, At: p.store.Now()}
 	p.ledger.Apply(r)
 	p.settlements = append(p.settlements, r)
-	p.startWriter()
+	p.scheduleSend()
 }
 
 // settleIdle settles the pools without running turns. The caller holds the lock.
--- a/internal/programs/programs.go
+++ b/internal/programs/programs.go
@@ -37,8 +37,14 @@
 	LogRetention time.Duration
 	// Programs are the partitions with the records of programs. Index are the partitions that map turns to programs.
 	Programs, Index partlog.Keyspace
-	Now             func() time.Time
-	Logger          *zap.Logger
+	// Leaders calls the instances that write the records of all instances to a partition. If it is nil, each instance writes
+	// its own records. With leaders there is no index: turns of other programs are found by asking all leaders.
+	Leaders Leaders
+	// WriteInterval is the minimum time between the starts of two appends to a partition. What arrives meanwhile is
+	// written with one append.
+	WriteInterval time.Duration
+	Now           func() time.Time
+	Logger        *zap.Logger
 }
 
 // Store holds the state of the programs that this instance serves. It is safe for concurrent use.
@@ -63,8 +69,12 @@
 	}
 }
 
+// partition returns the partition of a program.
 func (s *Store) partition(k account.Key) *partition {
-	id := s.Programs.PartitionFor(string(k.Workspace) + "/" + string(k.Program))
+	return s.partitionOf(s.Programs.PartitionFor(string(k.Workspace) + "/" + string(k.Program)))
+}
+
+func (s *Store) partitionOf(id partlog.Partition) *partition {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.partitions[id]
@@ -100,11 +110,11 @@
 	for _, p := range s.allPartitions() {
 		p.mu.Lock()
 		p.settleIdle()
-		p.startWriter()
+		p.sendSettlements()
 		p.mu.Unlock()
 	}
 	for _, p := range s.allPartitions() {
-		for p.isWriting() && ctx.Err() == nil {
+		for p.isSending() && ctx.Err() == nil {
 			time.Sleep(time.Millisecond)
 		}
 	}
--- a/internal/programs/record.go
+++ b/internal/programs/record.go
@@ -44,13 +44,22 @@
 	return data
 }
 
-func encodeAccount(r account.Record) []byte {
-	return marshal(wireAccount{
+func toWireAccount(r account.Record) wireAccount {
+	return wireAccount{
 		Workspace: r.Key.Workspace, Program: r.Key.Program, Turn: r.Turn, Tokens: r.Tokens, Settled: r.Settled,
 		AtMs: r.At.UnixMilli(),
-	})
+	}
 }
 
+func (w wireAccount) record() account.Record {
+	return account.Record{
+		Key: account.Key{Workspace: w.Workspace, Program: w.Program}, Turn: w.Turn, Tokens: w.Tokens, Settled: w.Settled,
+		At: time.UnixMilli(w.AtMs),
+	}
+}
+
+func encodeAccount(r account.Record) []byte { return marshal(toWireAccount(r)) }
+
 func decodeAccount(data []byte) (r account.Record, err error) {
 	var w wireAccount
 	if err := json.Unmarshal(data, &w); err != nil {
@@ -59,10 +68,7 @@
 	if w.Turn == "" || w.Program == "" || w.Tokens < 0 {
 		return r, errors.New("reservation or settlement without turn or program, or with negative tokens")
 	}
-	return account.Record{
-		Key: account.Key{Workspace: w.Workspace, Program: w.Program}, Turn: w.Turn, Tokens: w.Tokens, Settled: w.Settled,
-		At: time.UnixMilli(w.AtMs),
-	}, nil
+	return w.record(), nil
 }
 
 // isTurn reports whether a record is a turn's. Reservations and settlements consist of one line.
--- /dev/null
+++ b/internal/programs/send.go
@@ -0,0 +1,119 @@
+package programs
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/comfreylink/comfreylink/internal/partlog"
+	"github.com/comfreylink/comfreylink/pkg/account"
+	"github.com/comfreylink/comfreylink/pkg/ids"
+)
+
+// settleDelay is how long settlements wait for a reservation or a turn that is written to the same partition, if a leader
+// collects what is written. Without a leader they are written at once.
+const settleDelay = 500 * time.Millisecond
+
+// sendPool writes the reservation of a new pool, together with the settlements that wait. The caller holds the lock.
+func (p *partition) sendPool(pl *pool) {
+	b := batch{
+		reservations: []reservation{{key: pl.key, turn: pl.id, budget: pl.budget, tokens: pl.tokens, least: pl.firstTurnTokens}},
+		settlements:  p.takeSettlements(),
+	}
+	p.sending++
+	go func() {
+		granted, err := p.send(b)
+		if err != nil {
+			p.failPool(pl, err)
+			return
+		}
+		p.grantPool(pl, granted[0])
+	}()
+}
+
+// takeSettlements removes the settlements that wait. The caller holds the lock.
+func (p *partition) takeSettlements() (l []account.Record) {
+	l, p.settlements = p.settlements, nil
+	return l
+}
+
+// send writes a batch of this instance, which the caller has counted in sending. Settlements that could not be written wait
+// for the next batch.
+func (p *partition) send(b batch) (granted []ids.Tokens, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
+	defer cancel()
+	granted, err = p.store.write(ctx, p, b)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sending--
+	if err != nil && len(b.settlements) > 0 {
+		p.settlements = append(b.settlements, p.settlements...)
+		p.scheduleSendAfter(writeTimeout)
+	}
+	return granted, err
+}
+
+// failPool ends the wait for a reservation that could not be written. It may be written yet, so it is settled.
+func (p *partition) failPool(pl *pool, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pl.finish(err)
+	if !errors.Is(err, partlog.ErrNotApplied) {
+		p.returnGrant(pl)
+	}
+}
+
+// grantPool ends the wait for a reservation that the partition's leader has decided. A pool that is granted less than the
+// turns that have joined it meanwhile need is not used.
+func (p *partition) grantPool(pl *pool, tokens ids.Tokens) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if tokens == 0 || tokens < pl.reserved+pl.spent {
+		pl.finish(ErrBudgetExceeded)
+		if tokens > 0 {
+			p.returnGrant(pl)
+		}
+		return
+	}
+	pl.tokens = tokens
+	p.ledger.Apply(account.Record{Key: pl.key, Turn: pl.id, Tokens: tokens, At: p.store.Now()})
+	pl.finish(nil)
+}
+
+// returnGrant settles a pool from which no caller has received a token. The caller holds the lock.
+func (p *partition) returnGrant(pl *pool) {
+	p.settlements = append(p.settlements, account.Record{Key: pl.key, Turn: pl.id, Settled: true, At: p.store.Now()})
+	p.scheduleSend()
+}
+
+// scheduleSend sends the waiting settlements soon. The caller holds the lock.
+func (p *partition) scheduleSend() {
+	if p.store.Leaders == nil {
+		p.sendSettlements()
+		return
+	}
+	p.scheduleSendAfter(settleDelay)
+}
+
+func (p *partition) scheduleSendAfter(d time.Duration) {
+	if p.sendScheduled {
+		return
+	}
+	p.sendScheduled = true
+	time.AfterFunc(d, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.sendScheduled = false
+		p.sendSettlements()
+	})
+}
+
+// sendSettlements writes the waiting settlements. The caller holds the lock.
+func (p *partition) sendSettlements() {
+	b := batch{settlements: p.takeSettlements()}
+	if b.empty() {
+		return
+	}
+	p.sending++
+	go func() { _, _ = p.send(b) }()
+}
--- a/internal/programs/turns.go
+++ b/internal/programs/turns.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -56,6 +57,9 @@
 	defer func() { err = oops.In("programs").With("turn", t.ID).Wrapf(err, "write a turn") }()
 	t.At = s.Now()
 	p := s.partition(t.Program)
+	if s.Leaders != nil {
+		return s.putThroughLeader(ctx, p, &t)
+	}
 	tasks, ctx := errgroup.WithContext(ctx)
 	tasks.Go(func() error {
 		first, err := s.appendWithRetry(ctx, p.id, encodeTurn(t))
@@ -78,26 +82,48 @@
 	return nil
 }
 
+// putThroughLeader blocks until a turn and the copies of old turns that it continues are in the log, and retries until the
+// context ends.
+func (s *Store) putThroughLeader(ctx context.Context, p *partition, t *Turn) error {
+	copies := s.copiesOfOldTurns(t.Chain)
+	for _, records := range append(chunk(copies), [][]byte{encodeTurn(*t)}) {
+		for {
+			_, err := s.write(ctx, p, batch{turns: records})
+			if err == nil {
+				break
+			}
+			select {
+			case <-time.After(throttledPause + rand.N(throttledPause)):
+			case <-ctx.Done():
+				return err
+			}
+		}
+	}
+	for _, c := range copies {
+		s.turns.add(c, p)
+	}
+	s.turns.add(t, p)
+	return nil
+}
+
 // copyOldTurns writes the turns of a chain once more whose records the log would delete while a turn that continues them is
 // retained. The copies are in the partition of the program that continues the chain.
 func (s *Store) copyOldTurns(ctx context.Context, p *partition, chain []call.ID) error {
-	now := s.Now()
-	var copies []*Turn
-	var records [][]byte
-	size := 0
-	write := func() error {
-		if len(records) == 0 {
-			return nil
-		}
+	copies := s.copiesOfOldTurns(chain)
+	for _, records := range chunk(copies) {
 		if _, err := s.appendWithRetry(ctx, p.id, records...); err != nil {
 			return err
 		}
-		for _, t := range copies {
-			s.turns.add(t, p)
-		}
-		copies, records, size = nil, nil, 0
-		return nil
 	}
+	for _, t := range copies {
+		s.turns.add(t, p)
+	}
+	return nil
+}
+
+// copiesOfOldTurns returns copies of the turns of a chain that expire soon, as they are written at this time.
+func (s *Store) copiesOfOldTurns(chain []call.ID) (copies []*Turn) {
+	now := s.Now()
 	for _, id := range chain {
 		t := s.turns.lookup(id)
 		if t == nil || !s.expiresSoon(t, now) {
@@ -105,27 +131,38 @@
 		}
 		renewed := *t
 		renewed.At = now
-		record := encodeTurn(renewed)
-		if size+len(record) > maxCopyBytes {
-			if err := write(); err != nil {
-				return err
-			}
+		copies = append(copies, &renewed)
+	}
+	return copies
+}
+
+// chunk encodes turns and divides them into lists of at most maxCopyBytes, or of one turn.
+func chunk(turns []*Turn) (chunks [][][]byte) {
+	size := 0
+	for _, t := range turns {
+		record := encodeTurn(*t)
+		if len(chunks) == 0 || size+len(record) > maxCopyBytes {
+			chunks, size = append(chunks, nil), 0
 		}
-		copies, records, size = append(copies, &renewed), append(records, record), size+len(record)
+		last := len(chunks) - 1
+		chunks[last] = append(chunks[last], record)
+		size += len(record)
 	}
-	return write()
+	return chunks
 }
 
-// expiresSoon reports whether the log may delete a turn's record before a turn that ends now is past its retention. No
-// record is copied before it is a quarter of the log's retention old.
+// expiresSoon reports whether the log may delete a turn's record before a turn that ends now is past its retention. Records
+// are copied late enough that a turn is not copied with each turn of its chain: when they are a quarter of the log's
+// retention old, or half of what the log's retention exceeds the turns' by if that is shorter.
 func (s *Store) expiresSoon(t *Turn, now time.Time) bool {
 	if s.LogRetention == 0 {
 		return false
 	}
 	s.mu.Lock()
-	keep := keepFactor * s.retention
+	retention := s.retention
 	s.mu.Unlock()
-	return now.Sub(t.At) > max(s.LogRetention/4, s.LogRetention-keep)
+	earliest := min(s.LogRetention/4, (s.LogRetention-retention)/2)
+	return now.Sub(t.At) > max(earliest, s.LogRetention-keepFactor*retention)
 }
 
 // appendWithRetry appends records and retries until the context ends. Retries may write them twice.
@@ -150,6 +187,13 @@
 // another one than the turn's. The error is ErrTurnNotFound if reads of the log that began after notBefore show that the
 // workspace has no such turn.
 func (s *Store) Chain(ctx context.Context, notBefore time.Time, program account.Key, id call.ID) (l []*Turn, err error) {
+	if s.Leaders != nil {
+		l, err := s.fetchChain(ctx, notBefore, program, id)
+		if err == nil && l[len(l)-1].Program.Workspace != program.Workspace {
+			return nil, ErrTurnNotFound
+		}
+		return l, err
+	}
 	last, err := s.get(ctx, notBefore, program, id)
 	if err != nil {
 		return nil, err
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -38,6 +38,8 @@
 	Instance ids.InstanceID
 	Address  string
 	Zone     ids.Zone
+	// CPU is the instance's share of a core according to its last report.
+	CPU float64
 	// ReachesLog reports whether the instance reached the log directly according to its last report.
 	ReachesLog bool
 }
--- a/internal/reports/peers.go
+++ b/internal/reports/peers.go
@@ -3,14 +3,17 @@
 import (
 	"time"
 
+	"github.com/comfreylink/comfreylink/internal/recorder"
 	"github.com/comfreylink/comfreylink/internal/relay"
 	"github.com/comfreylink/comfreylink/pkg/ids"
+	"github.com/comfreylink/comfreylink/pkg/leader"
 )
 
 // peer is another instance, as its last report describes it.
 type peer struct {
 	relay.Peer
 	reportedAt time.Time
+	leaving    bool
 }
 
 // AddressOf returns the address of another instance; ok is false if it is not known.
@@ -41,3 +44,27 @@
 	}
 	return l
 }
+
+// memberTimeout is how long after its last report an instance may still lead partitions. It is counted from the newest
+// report of any instance, because all reports stop while the log is unavailable.
+const memberTimeout = 4 * time.Second
+
+// Members returns the instances that may lead partitions of the log: this one and the others that have reported recently
+// and are not about to stop. An instance that is stopping does not lead either.
+func (r *Reports) Members() (l []recorder.Member) {
+	if !r.Leaving() {
+		l = append(l, newMember(r.Self))
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id, p := range r.peers {
+		if id != r.Self.Instance && !p.leaving && r.reportedAt.Sub(p.reportedAt) <= memberTimeout {
+			l = append(l, newMember(p.Peer))
+		}
+	}
+	return l
+}
+
+func newMember(p relay.Peer) recorder.Member {
+	return recorder.Member{Candidate: leader.Candidate{Instance: p.Instance, Weight: p.CPU}, Address: p.Address}
+}
--- a/internal/reports/reports.go
+++ b/internal/reports/reports.go
@@ -68,7 +68,9 @@
 	wanted   map[quota.Shard]struct{} // shards to claim
 	decided  chan struct{}            // closed when the claims of the shards in wanted are decided
 	wakeup   chan struct{}
-	backlog  bool // whether the reports being read were written before the first one of this run
+	// reportedAt is when the newest report of another instance was read.
+	reportedAt time.Time
+	backlog    bool // whether the reports being read were written before the first one of this run
 }
 
 // New returns Reports that know no other instance.
@@ -160,7 +162,7 @@
 	r.mu.Unlock()
 	w := wireReport{
 		Instance: r.Self.Instance, Run: r.RunID, AtMs: r.Now().UnixMilli(),
-		Address: r.Self.Address, Zone: r.Self.Zone, ReachesLog: r.Reachable(), Survived: survived,
+		Address: r.Self.Address, Zone: r.Self.Zone, CPU: r.Self.CPU, ReachesLog: r.Reachable(), Survived: survived,
 	}
 	w.setLease(lease)
 	for _, d := range deaths {
@@ -240,7 +242,10 @@
 	if w.Instance == r.Self.Instance {
 		return
 	}
-	r.peers[w.Instance] = peer{reportedAt: now, Peer: relay.Peer{Instance: w.Instance, Address: w.Address, Zone: w.Zone, ReachesLog: w.ReachesLog}}
+	r.peers[w.Instance] = peer{reportedAt: now, leaving: w.Leaving, Peer: relay.Peer{
+		Instance: w.Instance, Address: w.Address, Zone: w.Zone, CPU: w.CPU, ReachesLog: w.ReachesLog,
+	}}
+	r.reportedAt = now
 	// The writer's clock may be apart from this one, so its times only tell old reports of the backlog apart.
 	if r.backlog && now.Sub(time.UnixMilli(w.AtMs)) > backlogAge {
 		return
--- a/internal/reports/wire.go
+++ b/internal/reports/wire.go
@@ -17,6 +17,8 @@
 	Zone    ids.Zone   `json:"zone"`
 	// Leaving is set once a planned stop has begun.
 	Leaving bool `json:"leaving,omitempty"`
+	// CPU is the instance's share of a core.
+	CPU float64 `json:"cpu,omitempty"`
 	// ReachesLog is false if the instance reaches the log only through others.
 	ReachesLog bool `json:"reachesLog"`
 	// Owned and Released are pairs of a shard and the offset of its claim.
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -23,6 +23,8 @@
 	Zone ids.Zone
 	// Listen is the address for callers, Ready that of the readiness probe and Metrics that for monitoring and dumps.
 	Listen, Ready, Metrics string
+	// CPU is the process's share of a core. Instances with a larger share do more of the work that one does for all.
+	CPU float64
 	// Memory is the memory limit of the process in bytes; 0 if there is none.
 	Memory int64
 	// Grace is the time from SIGTERM until the process is killed.
@@ -41,6 +43,9 @@
 	Address string
 	// Partitions is how many partitions a new topic has.
 	Partitions int
+	// RecordPartitions is the number of partitions with the records of programs, each of which one instance writes for all.
+	// With 0, each instance writes its own records, to many partitions.
+	RecordPartitions int
 	// Retention is how long the log keeps records; 0 if it keeps all. It comes from the command line.
 	Retention time.Duration
 }
@@ -64,6 +69,7 @@
 	i.Listen = address(s, "listen", true, true)
 	i.Ready = address(s, "ready", true, true)
 	i.Metrics = address(s, "metrics", false, true)
+	i.CPU = s.Float("cpu", 1, 0, 1024)
 	i.Memory = s.Size("memory", 0, 16<<20, 1<<40)
 	i.Grace = s.Duration("grace", 8*time.Second, 100*time.Millisecond, time.Hour)
 }
@@ -76,6 +82,10 @@
 func (l *Store) read(s *inifile.Section) {
 	l.Address = address(s, "address", true, false)
 	l.Partitions = int(s.Int("partitions", 12, 1, 1024))
+	l.RecordPartitions = int(s.Int("recordPartitions", 0, 0, 1024))
+	if l.RecordPartitions > l.Partitions {
+		s.Fail("recordPartitions", "%d is more than the %d partitions of a topic", l.RecordPartitions, l.Partitions)
+	}
 }
 
 func (b *Bounds) read(s *inifile.Section) {
--- a/pkg/account/account.go
+++ b/pkg/account/account.go
@@ -27,6 +27,7 @@
 type turn struct {
 	tokens  ids.Tokens // spent if settled, else reserved
 	settled bool
+	at      time.Time // of the newest record
 }
 
 type program struct {
@@ -57,6 +58,10 @@
 	}
 	old, known := p.turns[r.Turn]
 	if known && (old.settled || !r.Settled) {
+		if r.At.After(old.at) && old.settled == r.Settled {
+			old.at = r.At
+			p.turns[r.Turn] = old
+		}
 		return
 	}
 	if known {
@@ -67,17 +72,32 @@
 	} else {
 		p.reserved += r.Tokens
 	}
-	p.turns[r.Turn] = turn{tokens: r.Tokens, settled: r.Settled}
+	p.turns[r.Turn] = turn{tokens: r.Tokens, settled: r.Settled, at: r.At}
+}
+
+// Has reports whether the ledger has a record of a turn, and the tokens that the turn has reserved or spent.
+func (l *Ledger) Has(k Key, turn string) (tokens ids.Tokens, ok bool) {
+	p := l.programs[k]
+	if p == nil {
+		return 0, false
+	}
+	t, ok := p.turns[turn]
+	return t.tokens, ok
 }
 
-// Has reports whether the ledger has a record of a turn.
-func (l *Ledger) Has(k Key, turn string) bool {
+// Renew returns the records of a program that were last written before a time, to be written again at now. A log that
+// deletes old records would otherwise give a long program its budget anew.
+func (l *Ledger) Renew(k Key, before, now time.Time) (records []Record) {
 	p := l.programs[k]
 	if p == nil {
-		return false
+		return nil
+	}
+	for id, t := range p.turns {
+		if t.at.Before(before) {
+			records = append(records, Record{Key: k, Turn: id, Tokens: t.tokens, Settled: t.settled, At: now})
+		}
 	}
-	_, ok := p.turns[turn]
-	return ok
+	return records
 }
 
 // Committed returns the sum of the tokens that a program has spent and reserved.
