Write batches that have turns but no reservations

Cause: commit took a decision without account records for an empty one, so the turns of a batch without reservations were acknowledged and not written.

Change: the encoded records decide.

--- a/internal/programs/writer.go
+++ b/internal/programs/writer.go
@@ -169,7 +169,7 @@
 			fresh = true
 		}
 		d := p.decide(batches)
-		if len(d.records) == 0 {
+		if len(d.encoded) == 0 {
 			return nil
 		}
 		err := p.append(ctx, d)
--- /dev/null
+++ b/internal/recorder/recorder_test.go
@@ -0,0 +1,122 @@
+package recorder_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sourcegraph/jsonrpc2"
+	"go.uber.org/zap"
+
+	"github.com/comfreylink/comfreylink/internal/partlog"
+	"github.com/comfreylink/comfreylink/internal/recorder"
+	"github.com/comfreylink/comfreylink/pkg/ids"
+	"github.com/comfreylink/comfreylink/pkg/leader"
+)
+
+var part = partlog.Partition{Topic: "records"}
+
+// peers is a Caller whose instances may be dead, slow or silent.
+type peers struct {
+	mu     sync.Mutex
+	calls  map[string]int // by address, without the calls of alive
+	answer map[string]func(ctx context.Context, method string) error
+}
+
+func (p *peers) Call(ctx context.Context, address, method string, _, _ any) error {
+	p.mu.Lock()
+	answer := p.answer[address]
+	if method == "m" {
+		p.calls[address]++
+	}
+	p.mu.Unlock()
+	if answer == nil {
+		return nil
+	}
+	return answer(ctx, method)
+}
+
+func dead(context.Context, string) error { return errors.New("connection refused") }
+
+func silent(ctx context.Context, _ string) error {
+	<-ctx.Done()
+	return context.Cause(ctx)
+}
+
+// slow takes 400 ms for a call, but is alive.
+func slow(ctx context.Context, method string) error {
+	if method != "m" {
+		return nil
+	}
+	select {
+	case <-time.After(400 * time.Millisecond):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func newRecorder(p *peers) *recorder.Recorder {
+	members := []recorder.Member{{Candidate: leader.Candidate{Instance: "self"}, Address: "self"}}
+	for _, id := range []ids.InstanceID{"a", "b", "c"} {
+		// Weights so far apart make the order a, b, c, self.
+		weight := map[ids.InstanceID]float64{"a": 1e9, "b": 1e4, "c": 1}[id]
+		members = append(members, recorder.Member{Candidate: leader.Candidate{Instance: id, Weight: weight}, Address: string(id)})
+	}
+	return recorder.New(recorder.Config{
+		Self: "self", Members: func() []recorder.Member { return members }, Client: p, Now: time.Now, Logger: zap.NewNop(),
+	})
+}
+
+// Guards against an instance that keeps calling a leader that is gone, or acts itself although the next one is there.
+func TestNextLeader(t *testing.T) {
+	c := qt.New(t)
+	p := &peers{calls: make(map[string]int), answer: map[string]func(context.Context, string) error{"a": dead}}
+	r := newRecorder(p)
+	for range 5 {
+		c.Assert(r.Do(context.Background(), part, "m", nil, nil, func() error { return errors.New("acted itself") }), qt.IsNil)
+	}
+	c.Assert(p.calls, qt.DeepEquals, map[string]int{"a": 1, "b": 5})
+	c.Assert(r.Rank(part), qt.Equals, 3)
+}
+
+// Guards against a write that fails because two leaders are gone, and against one that tries all instances in turn.
+func TestWithoutLeaders(t *testing.T) {
+	c := qt.New(t)
+	p := &peers{calls: make(map[string]int), answer: map[string]func(context.Context, string) error{"a": dead, "b": dead}}
+	local := 0
+	err := newRecorder(p).Do(context.Background(), part, "m", nil, nil, func() error { local++; return nil })
+	c.Assert(err, qt.IsNil)
+	c.Assert(local, qt.Equals, 1)
+	c.Assert(p.calls["c"], qt.Equals, 0)
+}
+
+// Guards against a slow log that makes instances abandon a leader that waits for it, and against a leader without power
+// whose callers wait until their deadline.
+func TestSlowAndSilentLeaders(t *testing.T) {
+	c := qt.New(t)
+	p := &peers{calls: make(map[string]int), answer: map[string]func(context.Context, string) error{"a": slow}}
+	c.Assert(newRecorder(p).Do(context.Background(), part, "m", nil, nil, nil), qt.IsNil)
+	c.Assert(p.calls, qt.DeepEquals, map[string]int{"a": 1})
+
+	p = &peers{calls: make(map[string]int), answer: map[string]func(context.Context, string) error{"a": silent}}
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	began := time.Now()
+	c.Assert(newRecorder(p).Do(ctx, part, "m", nil, nil, nil), qt.IsNil)
+	c.Assert(time.Since(began) < time.Second, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+	c.Assert(p.calls["b"], qt.Equals, 1)
+}
+
+// Guards against a refusal of the leader that is taken for its silence, so that another instance is asked too.
+func TestAnsweredErrorIsFinal(t *testing.T) {
+	c := qt.New(t)
+	p := &peers{calls: make(map[string]int), answer: map[string]func(context.Context, string) error{
+		"a": func(context.Context, string) error { return &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams} },
+	}}
+	c.Assert(newRecorder(p).Do(context.Background(), part, "m", nil, nil, nil), qt.IsNotNil)
+	c.Assert(p.calls, qt.DeepEquals, map[string]int{"a": 1})
+}
