Write turns to a partition that is led in the same zone

Change: the partitions are dealt to the zones, a turn goes to one that is led in its instance's zone, and a missing turn is asked of the leaders of the zone, then of all, before partitions are read.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -157,7 +157,7 @@
 	}
 	if n := g.Settings.Store.RecordPartitions; n > 0 {
 		g.recorder = recorder.New(recorder.Config{
-			Self: g.Settings.Instance.ID, Members: g.reports.Members, Client: g.RPC, Now: g.Clock.Now, Logger: g.Logger,
+			Self: g.Settings.Instance.ID, Zone: g.Settings.Instance.Zone, Members: g.reports.Members, Client: g.RPC, Now: g.Clock.Now, Logger: g.Logger,
 		})
 		c.Programs = partlog.Keyspace{Name: "records", Topics: 1, Parts: n}
 		c.Leaders, c.WriteInterval = g.recorder, recordInterval
--- a/internal/programs/find.go
+++ b/internal/programs/find.go
@@ -17,109 +17,124 @@
 // findTurns returns the turns with the given ids and the turns before them, as far as they are in memory or in the
 // partition. A turn that is not among them was not in the partition at notBefore.
 func (p *partition) findTurns(ctx context.Context, notBefore time.Time, wanted []call.ID) (found []*Turn, err error) {
-	inMemory := func() (all bool) {
-		found = nil
-		all = true
-		for _, id := range wanted {
-			t := p.store.turns.lookup(id)
-			if t == nil {
-				all = false
-				continue
-			}
-			for _, before := range t.Chain {
-				if b := p.store.turns.lookup(before); b != nil {
-					found = append(found, b)
-				} else {
-					all = false
-				}
-			}
-			found = append(found, t)
-		}
-		return all
-	}
-	if inMemory() {
-		return found, nil
-	}
 	if err := p.readWithRetry(ctx, notBefore); err != nil {
 		return nil, err
 	}
-	if inMemory() {
-		return found, nil
+	inMemory := func(id call.ID) bool { return p.store.turns.lookup(id) != nil }
+	if !slices.ContainsFunc(wanted, func(id call.ID) bool { return !inMemory(id) }) {
+		return p.store.turnsInMemory(wanted), nil
 	}
 	if err := p.restoreTurns(ctx); err != nil {
 		return nil, err
 	}
-	inMemory()
-	return found, nil
+	return p.store.turnsInMemory(wanted), nil
 }
 
-// fetchTurns asks the leader of a partition for turns, and adds what it returns to the memory.
-func (s *Store) fetchTurns(ctx context.Context, notBefore time.Time, p *partition, wanted []call.ID) (err error) {
-	var result turnsResult
-	err = s.Leaders.Do(ctx, p.id, methodTurns, turnsParams{Partition: p.id, Turns: wanted}, &result, func() error {
-		result = turnsResult{}
-		_, err := p.findTurns(ctx, notBefore, wanted)
-		return err
-	})
-	if err == nil {
-		err = result.Failure.err()
-	}
-	if err != nil {
-		return err
-	}
-	for _, data := range result.Turns {
-		t, err := decodeTurn(data)
-		if err != nil {
-			return err
+// turnsInMemory returns the turns with the given ids and the turns before them, as far as they are in memory.
+func (s *Store) turnsInMemory(wanted []call.ID) (found []*Turn) {
+	for _, id := range wanted {
+		t := s.turns.lookup(id)
+		if t == nil {
+			continue
+		}
+		for _, before := range t.Chain {
+			if b := s.turns.lookup(before); b != nil && !slices.Contains(found, b) {
+				found = append(found, b)
+			}
 		}
-		s.turns.add(t, s.partition(t.Program))
+		found = append(found, t)
 	}
-	return nil
+	return found
 }
 
-// fetchChain returns a turn and the turns before it from memory, from the leader of the program's partition, or from the
-// leaders of all partitions, because the turn may belong to another program.
-func (s *Store) fetchChain(ctx context.Context, notBefore time.Time, program account.Key, id call.ID) (l []*Turn, err error) {
+// turnPartition returns the partition for a turn's record. It is one that is led in the zone of this instance, because
+// turns are most of what is written, and a turn can be found in any partition.
+func (s *Store) turnPartition(k account.Key) *partition {
+	own := s.partition(k)
+	near := s.Leaders.Near(s.Programs.Partitions())
+	if len(near) == 0 || slices.Contains(near, own.id) {
+		return own
+	}
+	return s.partitionOf(near[own.id.Part%len(near)])
+}
+
+// fetchChain returns a turn and the turns before it. It looks in memory, then asks the leaders of the zone and then all
+// leaders for what they have in memory. If turns are still missing, the leaders read their partitions.
+func (s *Store) fetchChain(ctx context.Context, notBefore time.Time, id call.ID) (l []*Turn, err error) {
 	defer func() {
 		if err != nil && !errors.Is(err, ErrTurnNotFound) {
 			err = oops.In("programs").With("turn", id).Wrapf(err, "fetch a turn")
 		}
 	}()
+	all := s.Programs.Partitions()
 	l, missing := s.chainInMemory(id)
-	if len(missing) == 0 {
-		return l, nil
-	}
-	own := s.partition(program)
-	if err := s.fetchTurns(ctx, notBefore, own, []call.ID{id}); err != nil {
-		return nil, err
-	}
-	// A turn of another program continues turns that may be in a third one's partition.
-	for range 2 {
-		if l, missing = s.chainInMemory(id); len(missing) == 0 {
+	// A turn that is found may continue turns that the leaders asked so far don't have.
+	for _, step := range []struct {
+		partitions []partlog.Partition
+		memoryOnly bool
+	}{{s.Leaders.Near(all), true}, {all, true}, {all, true}, {all, false}, {all, false}} {
+		if len(missing) == 0 {
 			return l, nil
 		}
-		if err := s.fetchFromAll(ctx, notBefore, missing); err != nil {
+		if err := s.fetchTurns(ctx, notBefore, step.partitions, missing, step.memoryOnly); err != nil {
 			return nil, err
 		}
+		l, missing = s.chainInMemory(id)
 	}
-	if l, missing = s.chainInMemory(id); len(missing) == 0 {
+	switch {
+	case len(missing) == 0:
 		return l, nil
-	}
-	if slices.Contains(missing, id) {
+	case slices.Contains(missing, id):
 		return nil, ErrTurnNotFound
+	default:
+		return nil, errors.Join(partlog.ErrOutcomeUnknown, errors.New("a turn of the chain is missing"))
 	}
-	return nil, errors.Join(partlog.ErrOutcomeUnknown, errors.New("a turn of the chain is missing"))
 }
 
-// fetchFromAll asks the leaders of all partitions for turns.
-func (s *Store) fetchFromAll(ctx context.Context, notBefore time.Time, wanted []call.ID) error {
+// fetchTurns asks the leaders of partitions for turns, and adds what they return to the memory. A leader that has no answer is
+// an error only if the turns are sought in its partition.
+func (s *Store) fetchTurns(ctx context.Context, notBefore time.Time, partitions []partlog.Partition, wanted []call.ID, memoryOnly bool) error {
 	tasks, ctx := errgroup.WithContext(ctx)
-	for _, id := range s.Programs.Partitions() {
-		tasks.Go(func() error { return s.fetchTurns(ctx, notBefore, s.partitionOf(id), wanted) })
+	for _, id := range partitions {
+		tasks.Go(func() error {
+			err := s.fetchFrom(ctx, notBefore, s.partitionOf(id), wanted, memoryOnly)
+			if memoryOnly {
+				return nil
+			}
+			return err
+		})
 	}
 	return tasks.Wait()
 }
 
+// fetchFrom asks the leader of one partition for turns.
+func (s *Store) fetchFrom(ctx context.Context, notBefore time.Time, p *partition, wanted []call.ID, memoryOnly bool) error {
+	var result turnsResult
+	params := turnsParams{Partition: p.id, Turns: wanted, MemoryOnly: memoryOnly}
+	err := s.Leaders.Do(ctx, p.id, methodTurns, params, &result, func() error {
+		result = turnsResult{}
+		if memoryOnly {
+			return nil
+		}
+		_, err := p.findTurns(ctx, notBefore, wanted)
+		return err
+	})
+	if err == nil {
+		err = result.Failure.err()
+	}
+	if err != nil {
+		return err
+	}
+	for _, data := range result.Turns {
+		t, err := decodeTurn(data)
+		if err != nil {
+			return err
+		}
+		s.turns.add(t, p)
+	}
+	return nil
+}
+
 // chainInMemory returns a turn and the turns before it, oldest first, and the ids of those that are not in memory.
 func (s *Store) chainInMemory(id call.ID) (l []*Turn, missing []call.ID) {
 	last := s.turns.lookup(id)
--- a/internal/programs/leader.go
+++ b/internal/programs/leader.go
@@ -22,6 +22,8 @@
 	Do(ctx context.Context, p partlog.Partition, method string, params, result any, local func() error) error
 	// Rank returns the place of this instance in the order in which instances lead a partition, from 0.
 	Rank(p partlog.Partition) int
+	// Near returns the partitions whose leader is in the zone of this instance.
+	Near(partitions []partlog.Partition) []partlog.Partition
 }
 
 // Names of methods.
@@ -60,6 +62,8 @@
 type turnsParams struct {
 	Partition partlog.Partition `json:"partition"`
 	Turns     []call.ID         `json:"turns"`
+	// MemoryOnly asks for turns in the leader's memory, without a read of the partition.
+	MemoryOnly bool `json:"memoryOnly,omitempty"`
 }
 
 // turnsResult has the turns that were asked for and are known, with the turns before them, encoded as in the log.
@@ -185,12 +189,18 @@
 	if err != nil {
 		return nil, err
 	}
+	if a.MemoryOnly {
+		return turnsResult{Turns: encodeTurns(s.turnsInMemory(a.Turns))}, nil
+	}
 	turns, err := p.findTurns(ctx, s.Now(), a.Turns)
-	r := turnsResult{Failure: toFailure(err)}
+	return turnsResult{Turns: encodeTurns(turns), Failure: toFailure(err)}, nil
+}
+
+func encodeTurns(turns []*Turn) (encoded [][]byte) {
 	for _, t := range turns {
-		r.Turns = append(r.Turns, encodeTurn(*t))
+		encoded = append(encoded, encodeTurn(*t))
 	}
-	return r, nil
+	return encoded
 }
 
 // ledPartition returns a partition that another instance has named.
--- a/internal/programs/leader_test.go
+++ b/internal/programs/leader_test.go
@@ -84,6 +84,9 @@
 	return json.Unmarshal(data, result)
 }
 
+// Near implements programs.Leaders. All partitions are led in the zone of each instance.
+func (m member) Near(l []partlog.Partition) []partlog.Partition { return l }
+
 // Rank implements programs.Leaders.
 func (m member) Rank(partlog.Partition) int { return m.self }
 
--- a/internal/programs/turns.go
+++ b/internal/programs/turns.go
@@ -56,10 +56,10 @@
 func (s *Store) Put(ctx context.Context, t Turn) (err error) {
 	defer func() { err = oops.In("programs").With("turn", t.ID).Wrapf(err, "write a turn") }()
 	t.At = s.Now()
-	p := s.partition(t.Program)
 	if s.Leaders != nil {
-		return s.putThroughLeader(ctx, p, &t)
+		return s.putThroughLeader(ctx, s.turnPartition(t.Program), &t)
 	}
+	p := s.partition(t.Program)
 	tasks, ctx := errgroup.WithContext(ctx)
 	tasks.Go(func() error {
 		first, err := s.appendWithRetry(ctx, p.id, encodeTurn(t))
@@ -188,7 +188,7 @@
 // workspace has no such turn.
 func (s *Store) Chain(ctx context.Context, notBefore time.Time, program account.Key, id call.ID) (l []*Turn, err error) {
 	if s.Leaders != nil {
-		l, err := s.fetchChain(ctx, notBefore, program, id)
+		l, err := s.fetchChain(ctx, notBefore, id)
 		if err == nil && l[len(l)-1].Program.Workspace != program.Workspace {
 			return nil, ErrTurnNotFound
 		}
--- a/internal/recorder/order.go
+++ b/internal/recorder/order.go
@@ -2,22 +2,38 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 
 	"github.com/comfreylink/comfreylink/internal/partlog"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 	"github.com/comfreylink/comfreylink/pkg/leader"
 )
 
-// leaders returns the members in the order in which they may lead a partition.
+// leaders returns the members in the order in which they may lead a partition. The partitions of a topic are dealt to the
+// zones in turn, and the members of the partition's zone come first, so that each zone has leaders of its own.
 func (r *Recorder) leaders(p partlog.Partition) (list []Member) {
 	members := r.Members()
 	byID := make(map[ids.InstanceID]Member, len(members))
-	candidates := make([]leader.Candidate, 0, len(members))
+	zones := make(map[ids.Zone]bool)
 	for _, m := range members {
 		byID[m.Instance] = m
-		candidates = append(candidates, m.Candidate)
+		zones[m.Zone] = true
 	}
-	for _, c := range leader.Order(candidates, fmt.Sprintf("%s/%d", p.Topic, p.Part)) {
+	if len(zones) == 0 {
+		return nil
+	}
+	home := slices.Sorted(maps.Keys(zones))[p.Part%len(zones)]
+	var near, far []leader.Candidate
+	for _, m := range members {
+		if m.Zone == home {
+			near = append(near, m.Candidate)
+		} else {
+			far = append(far, m.Candidate)
+		}
+	}
+	key := fmt.Sprintf("%s/%d", p.Topic, p.Part)
+	for _, c := range slices.Concat(leader.Order(near, key), leader.Order(far, key)) {
 		list = append(list, byID[c.Instance])
 	}
 	return list
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -37,11 +37,13 @@
 type Member struct {
 	leader.Candidate
 	Address string
+	Zone    ids.Zone
 }
 
 // Config holds a recorder's dependencies.
 type Config struct {
 	Self ids.InstanceID
+	Zone ids.Zone
 	// Members returns the instances that may lead partitions, this one included.
 	Members func() []Member
 	Client  Caller
@@ -105,6 +107,16 @@
 	return len(r.Members())
 }
 
+// Near returns the partitions whose leader is in the zone of this instance.
+func (r *Recorder) Near(partitions []partlog.Partition) (near []partlog.Partition) {
+	for _, p := range partitions {
+		if l := r.leaders(p); len(l) > 0 && l[0].Zone == r.Zone {
+			near = append(near, p)
+		}
+	}
+	return near
+}
+
 // call calls a method of a member. If the answer takes longer than quietTime and the member is gone, it ends early.
 func (r *Recorder) call(ctx context.Context, m Member, method string, params, result any) error {
 	ctx, cancel := context.WithCancelCause(ctx)
--- a/internal/reports/peers.go
+++ b/internal/reports/peers.go
@@ -66,5 +66,5 @@
 }
 
 func newMember(p relay.Peer) recorder.Member {
-	return recorder.Member{Candidate: leader.Candidate{Instance: p.Instance, Weight: p.CPU}, Address: p.Address}
+	return recorder.Member{Candidate: leader.Candidate{Instance: p.Instance, Weight: p.CPU}, Address: p.Address, Zone: p.Zone}
 }
