Take what a program has spent elsewhere from the leader's answer

Change: a turn is sent before its reservation is in the log only if the leader has told what the program has spent at other instances, or this instance has read the partition. The answer to a reservation carries that sum.

--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -282,7 +282,7 @@
 // reserve reserves the turn's tokens in the budget of the program.
 func (e *exchange) reserve(ctx context.Context) *refusal {
 	r, err := e.programs.Reserve(ctx, programs.ReserveRequest{
-		Key: e.program(), Turn: string(e.req.ID), Budget: e.req.Budget, Tokens: e.req.MaxOutput, First: e.req.Previous == "",
+		Key: e.program(), Turn: string(e.req.ID), Budget: e.req.Budget, Tokens: e.req.MaxOutput,
 	})
 	e.reservation = r
 	switch {
--- a/internal/programs/leader.go
+++ b/internal/programs/leader.go
@@ -55,8 +55,8 @@
 }
 
 type recordResult struct {
-	Granted []ids.Tokens `json:"granted,omitempty"`
-	Failure failure      `json:"failure,omitempty"`
+	Granted []grant `json:"granted,omitempty"`
+	Failure failure `json:"failure,omitempty"`
 }
 
 type turnsParams struct {
@@ -116,7 +116,7 @@
 }
 
 // write writes a batch through the partition's leader, or through the own writer if there are no leaders.
-func (s *Store) write(ctx context.Context, p *partition, b batch) (granted []ids.Tokens, err error) {
+func (s *Store) write(ctx context.Context, p *partition, b batch) (granted []grant, err error) {
 	if s.Leaders == nil {
 		return p.submit(ctx, b)
 	}
--- a/internal/programs/leader_test.go
+++ b/internal/programs/leader_test.go
@@ -104,7 +104,7 @@
 		tasks.Go(func() {
 			s := f.stores[i%len(f.stores)]
 			key := account.Key{Workspace: "w", Program: ids.ProgramID(fmt.Sprint("p", i))}
-			r, err := s.Reserve(ctx, programs.ReserveRequest{Key: key, Turn: fmt.Sprint("t", i), Budget: 1000, Tokens: 10, First: true})
+			r, err := s.Reserve(ctx, programs.ReserveRequest{Key: key, Turn: fmt.Sprint("t", i), Budget: 1000, Tokens: 10})
 			c.Check(err, qt.IsNil)
 			c.Check(s.Put(ctx, programs.Turn{ID: call.ID(fmt.Sprint("t", i)), Program: key}), qt.IsNil)
 			c.Check(r.Wait(ctx), qt.IsNil)
--- a/internal/programs/partition.go
+++ b/internal/programs/partition.go
@@ -29,12 +29,14 @@
 	readAt time.Time  // start of the last read that reached the end
 
 	// What this instance needs of the partition.
-	pools         map[account.Key]*pool // the pools from which turns take tokens
-	settlements   []account.Record      // settlements that are not being written yet
-	sending       int                   // batches that are being written
-	sendScheduled bool                  // a timer will send the settlements
-	idleScheduled bool                  // a timer will check for idle pools
-	turnsDropped  bool                  // turns were dropped from memory since the last read from the beginning
+	pools map[account.Key]*pool // the pools from which turns take tokens
+	// elsewhere has the tokens that programs have spent and reserved at other instances, as the leader last said.
+	elsewhere     map[account.Key]ids.Tokens
+	settlements   []account.Record // settlements that are not being written yet
+	sending       int              // batches that are being written
+	sendScheduled bool             // a timer will send the settlements
+	idleScheduled bool             // a timer will check for idle pools
+	turnsDropped  bool             // turns were dropped from memory since the last read from the beginning
 
 	// The writer, which writes the batches of this instance, and those of others if this instance leads the partition.
 	queue       []*submission
--- a/internal/programs/pool.go
+++ b/internal/programs/pool.go
@@ -31,8 +31,6 @@
 	Budget ids.Tokens
 	// Tokens is the maximum that the turn may generate.
 	Tokens ids.Tokens
-	// First says that the turn continues no other turn, so that its program has probably spent nothing yet.
-	First bool
 }
 
 // pool holds tokens that this instance has reserved for one or more turns of a program. It is guarded by its partition's
@@ -130,8 +128,8 @@
 		if pl != nil && pl.turns == 0 {
 			p.settle(pl)
 		}
-		known := p.loaded || p.store.Leaders != nil && (a.First || p.ledger.Committed(a.Key) > 0)
-		ample = known && p.ledger.Allows(a.Key, a.Budget, p.unconfirmed(a.Key)+ampleTurns*a.Tokens)
+		elsewhere, known := p.elsewhere[a.Key]
+		ample = (known || p.loaded) && p.ledger.Allows(a.Key, a.Budget, elsewhere+p.unconfirmed(a.Key)+ampleTurns*a.Tokens)
 		pl = &pool{key: a.Key, id: a.Turn, budget: a.Budget, firstTurnTokens: a.Tokens, tokens: a.Tokens, done: make(chan struct{})}
 		if ample {
 			pl.tokens *= poolTurns
--- a/internal/programs/programs.go
+++ b/internal/programs/programs.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -12,6 +13,7 @@
 
 	"github.com/comfreylink/comfreylink/internal/partlog"
 	"github.com/comfreylink/comfreylink/pkg/account"
+	"github.com/comfreylink/comfreylink/pkg/ids"
 )
 
 const (
@@ -79,7 +81,7 @@
 	defer s.mu.Unlock()
 	p := s.partitions[id]
 	if p == nil {
-		p = &partition{store: s, id: id, ledger: account.New(), pools: make(map[account.Key]*pool)}
+		p = &partition{store: s, id: id, ledger: account.New(), pools: make(map[account.Key]*pool), elsewhere: make(map[account.Key]ids.Tokens)}
 		s.partitions[id] = p
 	}
 	return p
@@ -100,6 +102,7 @@
 	for _, p := range s.allPartitions() {
 		p.mu.Lock()
 		p.ledger.DropIdle(now, max(minDropAfter, s.LogRetention))
+		maps.DeleteFunc(p.elsewhere, func(k account.Key, _ ids.Tokens) bool { return p.ledger.Committed(k) == 0 })
 		p.mu.Unlock()
 	}
 	s.dropTurns(now, retention)
--- a/internal/programs/send.go
+++ b/internal/programs/send.go
@@ -7,7 +7,6 @@
 
 	"github.com/comfreylink/comfreylink/internal/partlog"
 	"github.com/comfreylink/comfreylink/pkg/account"
-	"github.com/comfreylink/comfreylink/pkg/ids"
 )
 
 // settleDelay is how long settlements wait for a reservation or a turn that is written to the same partition, if a leader
@@ -39,7 +38,7 @@
 
 // send writes a batch of this instance, which the caller has counted in sending. Settlements that could not be written wait
 // for the next batch.
-func (p *partition) send(b batch) (granted []ids.Tokens, err error) {
+func (p *partition) send(b batch) (granted []grant, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
 	defer cancel()
 	granted, err = p.store.write(ctx, p, b)
@@ -65,9 +64,10 @@
 
 // grantPool ends the wait for a reservation that the partition's leader has decided. A pool that is granted less than the
 // turns that have joined it meanwhile need is not used.
-func (p *partition) grantPool(pl *pool, tokens ids.Tokens) {
+func (p *partition) grantPool(pl *pool, g grant) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	tokens := g.Tokens
 	if tokens == 0 || tokens < pl.reserved+pl.spent {
 		pl.finish(ErrBudgetExceeded)
 		if tokens > 0 {
@@ -77,6 +77,7 @@
 	}
 	pl.tokens = tokens
 	p.ledger.Apply(account.Record{Key: pl.key, Turn: pl.id, Tokens: tokens, At: p.store.Now()})
+	p.elsewhere[pl.key] = max(g.Committed-p.ledger.Committed(pl.key), 0)
 	pl.finish(nil)
 }
 
--- a/internal/programs/writer.go
+++ b/internal/programs/writer.go
@@ -56,15 +56,22 @@
 // submission is a batch that waits for a partition's writer. The other fields are set before done is closed.
 type submission struct {
 	batch
-	ctx  context.Context // ends when nobody waits for the result
-	done chan struct{}
-	// granted has the tokens of each reservation; 0 if it exceeds the budget.
-	granted []ids.Tokens
+	ctx     context.Context // ends when nobody waits for the result
+	done    chan struct{}
+	granted []grant
 	err     error
 }
 
+// grant is the result of a reservation.
+type grant struct {
+	// Tokens is 0 if the reservation exceeds the budget.
+	Tokens ids.Tokens `json:"tokens"`
+	// Committed is what the program has spent and reserved, this reservation included.
+	Committed ids.Tokens `json:"committed"`
+}
+
 // submit hands a batch to the partition's writer and blocks until it is written or has failed, or the context ends.
-func (p *partition) submit(ctx context.Context, b batch) (granted []ids.Tokens, err error) {
+func (p *partition) submit(ctx context.Context, b batch) (granted []grant, err error) {
 	s := &submission{batch: b, ctx: ctx, done: make(chan struct{})}
 	p.mu.Lock()
 	if p.queuedBytes+b.size() > maxQueuedBytes {
@@ -228,10 +235,10 @@
 		for _, r := range s.settlements {
 			add(r)
 		}
-		s.granted = make([]ids.Tokens, len(s.reservations))
+		s.granted = make([]grant, len(s.reservations))
 		for i, r := range s.reservations {
 			if tokens, ok := p.ledger.Has(r.key, r.turn); ok {
-				s.granted[i] = tokens
+				s.granted[i] = grant{tokens, p.ledger.Committed(r.key)}
 				continue
 			}
 			if !renewed[r.key] {
@@ -248,7 +255,7 @@
 				continue
 			}
 			pending[r.key] += granted
-			s.granted[i] = granted
+			s.granted[i] = grant{granted, p.ledger.Committed(r.key) + pending[r.key]}
 			d.conditional = true
 			add(account.Record{Key: r.key, Turn: r.turn, Tokens: granted, At: now})
 		}
