--- a/internal/programs/pool.go
+++ b/internal/programs/pool.go
@@ -194,11 +194,10 @@
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		p.idleScheduled = false
-		now := p.store.Now()
 		for _, pl := range p.pools {
 			switch {
 			case pl.turns > 0:
-			case now.Sub(pl.lastUse) >= poolIdle-idleSlack:
+			case p.store.Now().Sub(pl.lastUse) >= poolIdle-idleSlack:
 				p.settle(pl)
 			default:
 				p.scheduleIdleCheck()
--- a/internal/programs/send.go
+++ b/internal/programs/send.go
@@ -11,7 +11,7 @@
 
 // settleDelay is how long settlements wait for a reservation or a turn that is written to the same partition, if a leader
 // collects what is written. Without a leader they are written at once.
-const settleDelay = 500 * time.Millisecond
+const settleDelay = 200 * time.Millisecond
 
 // sendPool writes the reservation of a new pool, together with the settlements that wait. The caller holds the lock.
 func (p *partition) sendPool(pl *pool) {
