Add pkg/logpace: pacing of calls to the shared log

Cause: above the log's limit, every instance repeats throttled calls after 100 to 200 ms until a deadline. The repeated calls keep the log overloaded after the load has gone.

A row of throttled answers to all calls of an instance for longer than a second is a refusal of that instance and does not lower its rate for long.

--- /dev/null
+++ b/pkg/logpace/refusal.go
@@ -0,0 +1,42 @@
+package logpace
+
+import "time"
+
+const (
+	// refusalCalls is the least number of consecutive throttled answers after which the log is taken to refuse this
+	// instance alone. If all instances together are above the log's limit, it throttles only some calls of each.
+	refusalCalls = 8
+	// refusalTime is the least time that these answers span. The log counts calls by the second, so under an overload that
+	// affects all instances it accepts some calls in each second, but may throttle all within a part of one.
+	refusalTime = 1100 * time.Millisecond
+)
+
+// Refusal tells a log that refuses this instance alone from one that throttles some calls of all instances. It gets the
+// answers to all calls of the instance, of all pacers: a log that throttles appends for all goes on to answer reads.
+type Refusal struct {
+	inRow int
+	since time.Time // time of the first throttled answer in the row
+	alone bool
+	count int // how often the log was found to refuse this instance alone
+}
+
+// Answered records an answer. It reports whether the verdict has changed.
+func (r *Refusal) Answered(now time.Time, throttled bool) (changed bool) {
+	was := r.alone
+	if !throttled {
+		*r = Refusal{count: r.count}
+		return was
+	}
+	if r.inRow == 0 {
+		r.since = now
+	}
+	r.inRow++
+	r.alone = r.inRow >= refusalCalls && now.Sub(r.since) >= refusalTime
+	if r.alone && !was {
+		r.count++
+	}
+	return r.alone != was
+}
+
+// Alone reports whether the log refuses this instance alone.
+func (r *Refusal) Alone() bool { return r.alone }
