Add internal/pacedlog: pace the gateway's calls to the log

Cause: throttled calls were repeated after 100 to 200 ms and showed in no counter.

Change: an adapter around the direct client, which pkg/logpace decides for. The kind of a call comes from its context; reports are marked. Attempts of loops that do not mark them are recognized by their partition and records, so that the retry budget counts them. A paced call wraps partlog.ErrPaced, which the relay does not count; a log that throttles every call of the instance for more than a second is reported as unavailable, so that the relay uses another instance. Counters by kind and outcome, a counter of throttled answers (also with pacing off), gauges of rate and queue, events 215 and 216. Setting [store] callsPerSecond, 0 by default.

Result: go test -race -count=3 ./internal/pacedlog and ./internal/relay, ./internal/settings, ./internal/events pass.

--- a/cmd/comfreylink/gateway.go
+++ b/cmd/comfreylink/gateway.go
@@ -18,6 +18,8 @@
 	"github.com/comfreylink/comfreylink/internal/gateway"
 	"github.com/comfreylink/comfreylink/internal/httpwire"
 	"github.com/comfreylink/comfreylink/internal/logring"
+	"github.com/comfreylink/comfreylink/internal/pacedlog"
+	"github.com/comfreylink/comfreylink/internal/partlog"
 	"github.com/comfreylink/comfreylink/internal/relay"
 	"github.com/comfreylink/comfreylink/internal/rpc"
 	"github.com/comfreylink/comfreylink/internal/settings"
@@ -57,12 +59,16 @@
 	client, closeClient := httpwire.NewClient(httpwire.ClientOptions{ConnectTimeout: connectTimeout, SilenceTimeout: silenceTimeout})
 	defer closeClient()
 	store := platform.NewStore(s.Store.Address, client, clock.Now, metrics)
+	direct, err := pacedStore(store, s.Store, clock, metrics, logger)
+	if err != nil {
+		return err
+	}
 	runID := rand.Text()
 	var g *gateway.Gateway
 	peers, closePeers := rpc.NewClient()
 	defer closePeers()
 	log := relay.New(relay.Config{
-		Direct: store, Client: peers, Peers: func() []relay.Peer { return g.Peers() }, Zone: s.Instance.Zone, Now: clock.Now, Logger: logger,
+		Direct: direct, Client: peers, Peers: func() []relay.Peer { return g.Peers() }, Zone: s.Instance.Zone, Now: clock.Now, Logger: logger,
 	})
 	g = gateway.New(gateway.Config{
 		Settings: s, Codec: platform.Codec{}, ReadyPath: platform.ReadyPath, Client: client, Clock: clock, Logger: logger,
@@ -90,6 +96,17 @@
 	return err
 }
 
+// pacedStore returns the store, or a paced one if the settings name the log's limit.
+func pacedStore(store *platform.Store, s settings.Store, clock *boottime.Clock, metrics *telemetry.Metrics, logger *zap.Logger) (partlog.Log, error) {
+	if s.CallsPerSecond == 0 {
+		return store, nil
+	}
+	l := pacedlog.New(pacedlog.Config{
+		Direct: store, CallsPerSecond: float64(s.CallsPerSecond), Now: clock.Now, Observer: metrics, Logger: logger,
+	})
+	return l, metrics.ObservePace(l.State)
+}
+
 // serveMetrics serves the metrics address. If that fails, it logs the error and the gateway continues, since callers do
 // not depend on it.
 func serveMetrics(address string, h http.Handler, logger *zap.Logger) (end func()) {
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -78,6 +78,14 @@
 		"Calls to the platform's log since the start, by path.",
 		"Compare with docs/CAPACITY.md if the log refuses calls because there are too many.",
 		"calls")
+	LogRateLowered = define(215, "logRateLowered", warn,
+		"The log throttled calls of this instance, which makes fewer from now on. Class is append or read, from and to are rates in calls per second, count is how often the rate was lowered since the last such event, and queued is how many calls wait.",
+		"If it goes on, compare the appends of all instances (209) with the log's limit in the settings (callsPerSecond).",
+		"class", "from", "to", "count", "queued")
+	LogRefusesInstance = define(216, "logRefusesInstance", warn,
+		"The log throttles every call of this instance, which is no overload of all instances: its calls go through other instances. Refused is false when the log accepts a call again.",
+		"If it goes on, find out why the log refuses the instance.",
+		"refused")
 )
 
 // Events of slot ownership.
@@ -194,6 +202,10 @@
 	TurnsDropped = define(620, "turnsDropped", info,
 		"Turns that no other turn has needed for longer than keep were dropped from memory. They are read again if they are continued after all.", noAction,
 		"count", "kept", "keep")
+	AdmissionRefused = define(630, "admissionRefused", info,
+		"Requests were refused as not run, because their records would not be written to the log in time. Reason is failing, stalled or slow; count is the number of requests since the last such event, first how many of them were first requests of programs. Write is the expected time of a write, retryAfter the last answer's.",
+		"Check the log service and the rate of calls to it (215).",
+		"reason", "count", "first", "write", "waiting", "oldest", "retryAfter")
 )
 
 // Events of targets.
--- /dev/null
+++ b/internal/pacedlog/lane.go
@@ -0,0 +1,90 @@
+package pacedlog
+
+import (
+	"time"
+
+	"github.com/comfreylink/comfreylink/pkg/logpace"
+)
+
+// verdict is what a queued call is told.
+type verdict int
+
+const (
+	proceed verdict = iota
+	drop
+)
+
+// lane makes the calls of one class as its pacer allows. Its methods need the lock of the Log.
+type lane struct {
+	pacer    *logpace.Pacer
+	waiting  map[*logpace.Call]chan verdict
+	lowered  lowered
+	timer    *time.Timer
+	wakeTime time.Time // when the timer fires; zero if it is not set
+}
+
+// lowered collects decreases of the rate for a log event.
+type lowered struct {
+	loggedAt time.Time
+	count    int
+	from     float64 // rate before the first one
+}
+
+func newLane(p *logpace.Pacer) *lane {
+	return &lane{pacer: p, waiting: make(map[*logpace.Call]chan verdict)}
+}
+
+// submit queues a call. The channel gets one verdict each time that the call was queued.
+func (l *lane) submit(now time.Time, c *logpace.Call) (decided chan verdict, accepted bool) {
+	accepted, evicted := l.pacer.Submit(now, c)
+	if evicted != nil {
+		l.tell(evicted, drop)
+	}
+	if accepted {
+		decided = make(chan verdict, 1)
+		l.waiting[c] = decided
+	}
+	return decided, accepted
+}
+
+func (l *lane) tell(c *logpace.Call, v verdict) {
+	l.waiting[c] <- v
+	if v == drop {
+		delete(l.waiting, c)
+	}
+}
+
+// cancel removes a call whose context has ended. It reports whether the call was still queued.
+func (l *lane) cancel(c *logpace.Call) bool {
+	queued := l.pacer.Cancel(c)
+	if queued {
+		delete(l.waiting, c)
+	}
+	return queued
+}
+
+// release lets the calls proceed that may be made now, and calls wake when the next one may be.
+func (l *lane) release(now time.Time, wake func()) {
+	for {
+		c, expired, again := l.pacer.Next(now)
+		for _, e := range expired {
+			l.tell(e, drop)
+		}
+		if c == nil {
+			l.wakeAt(now, again, wake)
+			return
+		}
+		l.tell(c, proceed)
+	}
+}
+
+func (l *lane) wakeAt(now, at time.Time, wake func()) {
+	if at.IsZero() || at.Equal(l.wakeTime) {
+		return
+	}
+	if l.timer != nil {
+		l.timer.Stop()
+	}
+	l.wakeTime = at
+	l.timer = time.AfterFunc(at.Sub(now), wake)
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -155,8 +155,11 @@
 }
 
 // recordDirect records the result of a direct call. Errors such as a conflict or a truncated partition are answers and
-// count as successes.
+// count as successes. Paced calls do not count: the pacer tells a log that refuses this instance from one that throttles all.
 func (l *Log) recordDirect(err error) {
+	if errors.Is(err, partlog.ErrPaced) {
+		return
+	}
 	failed := errors.Is(err, partlog.ErrNotApplied) || errors.Is(err, partlog.ErrOutcomeUnknown)
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/reports/reports.go
+++ b/internal/reports/reports.go
@@ -14,9 +14,11 @@
 
 	"github.com/comfreylink/comfreylink/internal/events"
 	"github.com/comfreylink/comfreylink/internal/grants"
+	"github.com/comfreylink/comfreylink/internal/pacedlog"
 	"github.com/comfreylink/comfreylink/internal/partlog"
 	"github.com/comfreylink/comfreylink/internal/relay"
 	"github.com/comfreylink/comfreylink/pkg/ids"
+	"github.com/comfreylink/comfreylink/pkg/logpace"
 	"github.com/comfreylink/comfreylink/pkg/quota"
 	"github.com/comfreylink/comfreylink/pkg/suspect"
 )
@@ -168,7 +170,7 @@
 	}
 	data, err := json.Marshal(w)
 	if err == nil {
-		ctx, cancel := context.WithTimeout(ctx, timeout)
+		ctx, cancel := context.WithTimeout(pacedlog.WithKind(ctx, logpace.Lease), timeout)
 		defer cancel()
 		first, err = r.Log.Append(ctx, partition, at, data)
 	}
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -41,6 +41,8 @@
 	Address string
 	// Partitions is how many partitions a new topic has.
 	Partitions int
+	// CallsPerSecond is the log's limit of append calls per second for all gateways; 0 turns the pacing of calls off.
+	CallsPerSecond int
 	// Retention is how long the log keeps records; 0 if it keeps all. It comes from the command line.
 	Retention time.Duration
 }
@@ -76,6 +78,7 @@
 func (l *Store) read(s *inifile.Section) {
 	l.Address = address(s, "address", true, false)
 	l.Partitions = int(s.Int("partitions", 12, 1, 1024))
+	l.CallsPerSecond = int(s.Int("callsPerSecond", 0, 0, 1_000_000))
 }
 
 func (b *Bounds) read(s *inifile.Section) {
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -3,6 +3,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"maps"
 	"net/http"
 	"sync"
@@ -13,6 +14,8 @@
 	"go.opentelemetry.io/otel/metric"
 
 	"github.com/comfreylink/comfreylink/internal/instruments"
+	"github.com/comfreylink/comfreylink/internal/pacedlog"
+	"github.com/comfreylink/comfreylink/internal/partlog"
 )
 
 // Upper bounds of histogram buckets, in seconds.
@@ -30,6 +33,7 @@
 	attrService = attribute.Key("comfreylink.service")
 	attrCall    = attribute.Key("comfreylink.store.call")
 	attrFailed  = attribute.Key("comfreylink.failed")
+	attrKind    = attribute.Key("comfreylink.store.kind")
 )
 
 // Observed holds the functions that return the values of gauges when metrics are collected. They may be called at any
@@ -48,16 +52,19 @@
 
 	request, waited, firstByte, store metric.Float64Histogram
 	refused, attempts, storeBytes     metric.Int64Counter
+	storeThrottled, storePaced        metric.Int64Counter
 
 	mu    sync.Mutex
 	calls map[string]CallCount
 }
 
-// CallCount holds how often a call to the platform's log was made, how often it failed and how many bytes it transferred.
+// CallCount holds how often a call to the platform's log was made, failed and was throttled, and how many bytes it transferred.
 type CallCount struct {
 	Made   int `json:"made"`
 	Failed int `json:"failed"`
-	Bytes  int `json:"bytes"`
+	// Throttled calls are not among the failed ones.
+	Throttled int `json:"throttled"`
+	Bytes     int `json:"bytes"`
 }
 
 // StoreCalls returns the counts of all calls since the start, by path.
@@ -82,6 +89,8 @@
 	m.refused = set.Counter("comfreylink.request.refused", "{request}", "Requests that were refused.")
 	m.attempts = set.Counter("comfreylink.attempt", "{attempt}", "Attempts at targets by how they ended.")
 	m.storeBytes = set.Counter("comfreylink.store.io", "By", "Bytes written to and read from the platform's log.")
+	m.storeThrottled = set.Counter("comfreylink.store.throttled", "{call}", "Calls that the platform's log refused because there were too many.")
+	m.storePaced = set.Counter("comfreylink.store.paced", "{call}", "Paced calls to the platform's log by kind and outcome.")
 	return m, cleanup, set.Err()
 }
 
@@ -95,6 +104,14 @@
 	return m.set.Err()
 }
 
+// ObservePace creates the gauges of the pacing of calls to the platform's log.
+func (m *Metrics) ObservePace(state func() pacedlog.State) error {
+	m.set.Gauge("comfreylink.store.rate.append", "{call}/s", "Rate of appends that this instance allows itself.", func() float64 { return state().AppendRate })
+	m.set.Gauge("comfreylink.store.rate.read", "{call}/s", "Rate of reads that this instance allows itself.", func() float64 { return state().ReadRate })
+	m.set.Gauge("comfreylink.store.queued", "{call}", "Calls that wait for the rate.", func() float64 { return float64(state().Queued) })
+	return m.set.Err()
+}
+
 // RequestDone records the duration of an answered request.
 func (m *Metrics) RequestDone(route, outcome string, status int, took time.Duration) {
 	instruments.Record(m.request, took, attrRoute.String(route), attrOutcome.String(outcome), attrStatus.Int(status))
@@ -126,16 +143,28 @@
 	count := m.calls[call]
 	count.Made++
 	count.Bytes += bytes
-	if err != nil {
+	throttled := errors.Is(err, partlog.ErrThrottled)
+	switch {
+	case throttled:
+		count.Throttled++
+	case err != nil:
 		count.Failed++
 	}
 	m.calls[call] = count
 	m.mu.Unlock()
+	if throttled {
+		instruments.Add(m.storeThrottled, 1, attrCall.String(call))
+	}
 	attributes := []attribute.KeyValue{attrCall.String(call), attrFailed.Bool(err != nil)}
 	instruments.Record(m.store, took, attributes...)
 	instruments.Add(m.storeBytes, int64(bytes), attributes...)
 }
 
+// PacedCall counts a paced call to the platform's log. It implements pacedlog.Observer.
+func (m *Metrics) PacedCall(kind, outcome string) {
+	instruments.Add(m.storePaced, 1, attrKind.String(kind), attrOutcome.String(outcome))
+}
+
 // Handler serves the metrics at /metrics and what dump returns at /dump.
 func (m *Metrics) Handler(dump func() any) http.Handler {
 	mux := http.NewServeMux()
--- a/pkg/logpace/logpace.go
+++ b/pkg/logpace/logpace.go
@@ -82,7 +82,8 @@
 	Deadline time.Time
 	// Waits marks a read that waits for records. It takes a token, but does not count as in progress.
 	Waits bool
-	// Retry marks a further attempt at a call that has failed before. It needs a part of the retry budget.
+	// Retry marks a further attempt at a call that was throttled or dropped before. Calls of kinds after TurnEnd then need a
+	// part of the retry budget.
 	Retry bool
 
 	notBefore time.Time // of a retry
@@ -149,7 +150,9 @@
 			return false, nil
 		}
 	}
-	if c.Retry && !p.scheduleRetry(now, c, 1, now) {
+	// Without a budget, the repeated calls of an overload keep first attempts out of the queue after it. Work that has run is
+	// not lost for that reason.
+	if c.Retry && c.Kind > TurnEnd && !p.scheduleRetry(now, c, 1, now) {
 		return false, nil
 	}
 	if last >= 0 {
