Let rates recover under uneven load

An initial rate of 1/64 of the limit is also less than an instance of a small fleet needs.

Change: the rate doubles in a second if no answer was throttled for the last one, begins at 1/16 of the limit, and is lowered from the rate in use.

--- a/internal/pacedlog/pacedlog.go
+++ b/internal/pacedlog/pacedlog.go
@@ -18,8 +18,9 @@
 )
 
 const (
-	// initialPart is the rate of an instance's appends at the start, as a part of the limit of all instances.
-	initialPart = 1.0 / 64
+	// initialPart is the rate of an instance's appends at the start, as a part of the limit of all instances. It is more than an
+	// instance of a small fleet needs; in a large one, throttled answers lower it.
+	initialPart = 1.0 / 16
 	// maxQueueTime bounds the time in the queue of calls without a deadline, such as those for other instances.
 	maxQueueTime = time.Second
 	// lowerEventInterval is the least time between two log events about a lowered rate.
--- a/pkg/logpace/rate.go
+++ b/pkg/logpace/rate.go
@@ -13,10 +13,10 @@
 	// increasePart is the additive increase of the rate in one second, as a part of the limit of all instances. A hundred
 	// instances together then grow by a fifth of the limit in a second.
 	increasePart = 1.0 / 500
-	// quietTime is the time without throttled answers after which the rate grows by the factor quietGrowth in a second, so
-	// that one busy instance reaches what idle ones leave within seconds.
-	quietTime   = 5 * time.Second
-	quietGrowth = 1.5
+	// quietTime is the time without throttled answers after which the rate grows by the factor quietGrowth in a second. With
+	// additive growth alone, instances with more load than others took longer than 5 s to reach their rate after an overload.
+	quietTime   = time.Second
+	quietGrowth = 2
 	// minDecrease and maxDecrease bound the factor of a decrease. It is drawn at random, so that instances that were
 	// throttled at the same time do not go on in step.
 	minDecrease = 0.6
@@ -29,6 +29,10 @@
 	minRate = 2
 	// idleReset is the time without waiting calls after which a rate above the initial one returns to it.
 	idleReset = 5 * time.Second
+	// usedTime is the time over which the used rate is averaged. usedMargin is how far above it the rate from which a decrease
+	// starts may be: a decrease of a rate that is not used would have no effect.
+	usedTime   = time.Second
+	usedMargin = 1.25
 )
 
 // bucket is a token bucket with an adaptive rate.
@@ -42,6 +46,7 @@
 	throttledAt    time.Time // time of the last throttled answer
 	holdUntil      time.Time // end of the hold after the last decrease
 	loweredAt      time.Time
+	used           float64 // average of the calls per second
 }
 
 func newBucket(now time.Time, limit, initial float64) bucket {
@@ -65,6 +70,7 @@
 		b.rate = min(b.rate, b.initial)
 	}
 	b.tokens = min(b.burst(), b.tokens+b.rate*passed)
+	b.used *= math.Exp(-passed / usedTime.Seconds())
 	b.filled, b.short = now, false
 }
 
@@ -84,6 +90,7 @@
 		return false
 	}
 	b.tokens--
+	b.used += 1 / usedTime.Seconds()
 	return true
 }
 
@@ -103,7 +110,8 @@
 	if now.Before(b.holdUntil) || sentAt.Before(b.loweredAt) || b.rate <= minRate {
 		return false
 	}
-	b.rate = max(minRate, b.rate*(minDecrease+(maxDecrease-minDecrease)*random.Float64()))
+	from := min(b.rate, usedMargin*b.used)
+	b.rate = max(minRate, from*(minDecrease+(maxDecrease-minDecrease)*random.Float64()))
 	b.loweredAt = now
 	b.holdUntil = now.Add(minHold + time.Duration(random.Float64()*float64(maxHold-minHold)))
 	return true
