Space repeated failed calls and find refused instances by reads

Cause: callers repeat a call 40 ms after a failure other than throttling. A refused instance was found after 1.1 s at the earliest, although throttled reads show a refusal sooner: the log's limit counts appends.

Change: a repetition of a failed call is made 100 ms after the failure at the earliest, without the budget for throttled calls. Eight throttled answers in a row of which two were to reads are a refusal, whatever their time.

--- a/internal/pacedlog/pacedlog.go
+++ b/internal/pacedlog/pacedlog.go
@@ -73,12 +73,13 @@
 func New(c Config) *Log {
 	l := &Log{Config: c, repeats: make(repeats)}
 	now := c.Now()
-	newPacer := func(initial float64) *logpace.Pacer {
+	newPacer := func(reads bool, initial float64) *logpace.Pacer {
 		random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-		return logpace.New(now, logpace.Options{Limit: c.CallsPerSecond, Initial: initial, Random: random}, &l.refusal)
+		o := logpace.Options{Limit: c.CallsPerSecond, Initial: initial, Reads: reads, Random: random}
+		return logpace.New(now, o, &l.refusal)
 	}
-	l.appends = newLane(newPacer(c.CallsPerSecond * initialPart))
-	l.reads = newLane(newPacer(c.CallsPerSecond))
+	l.appends = newLane(newPacer(false, c.CallsPerSecond*initialPart))
+	l.reads = newLane(newPacer(true, c.CallsPerSecond))
 	return l
 }
 
@@ -177,10 +178,10 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		c.Deadline = now.Add(time.Until(deadline))
 	}
-	c.Retry = l.repeats.contains(now, hash)
+	l.repeats.mark(now, hash, c)
 	decided, accepted = lane.submit(now, c)
 	if !accepted {
-		l.repeats.add(now, hash)
+		l.repeats.add(hash, ending{at: now})
 	}
 	l.release(lane, now)
 	return decided, accepted
@@ -209,7 +210,7 @@
 // drop records that a queued call was not sent.
 func (l *Log) drop(hash callHash, c *logpace.Call) {
 	l.mu.Lock()
-	l.repeats.add(l.Now(), hash)
+	l.repeats.add(hash, ending{at: l.Now()})
 	l.mu.Unlock()
 	l.Observer.PacedCall(c.Kind.String(), string(Dropped))
 }
@@ -247,14 +248,17 @@
 	}
 	delete(lane.waiting, c)
 	switch {
-	case outcome != logpace.Throttled:
+	case outcome == logpace.Answered:
 		delete(l.repeats, hash)
 		return false, err
+	case outcome == logpace.Failed:
+		l.repeats.add(hash, ending{at: now, failed: true})
+		return false, err
 	case l.refusal.Alone():
 		// Without ErrThrottled, the caller goes through another instance, whose calls the log accepts.
 		return false, errRefused
 	default:
-		l.repeats.add(now, hash)
+		l.repeats.add(hash, ending{at: now})
 		return false, errors.Join(partlog.ErrPaced, err)
 	}
 }
--- a/internal/pacedlog/pacedlog_test.go
+++ b/internal/pacedlog/pacedlog_test.go
@@ -139,6 +139,25 @@
 	c.Assert(logged.FilterMessage("logRateLowered").Len(), qt.Equals, 1)
 }
 
+// Guards against a loop that repeats a failed call within milliseconds, and against a budget that delays held records after an
+// outage.
+func TestFailedCallsAreRepeatedLater(t *testing.T) {
+	c := qt.New(t)
+	direct := partlogtest.New()
+	l, n, _ := newLog(direct, 20000)
+	direct.SetFault(func(int) partlogtest.Fault { return partlogtest.Fault{Err: partlog.ErrNotApplied} })
+	began := time.Now()
+	for range 4 {
+		_, err := l.Append(context.Background(), part, partlog.AnyOffset, []byte("same"))
+		c.Assert(errors.Is(err, partlog.ErrThrottled), qt.IsFalse)
+	}
+	c.Assert(time.Since(began) >= 290*time.Millisecond, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+	c.Assert(n.of("reservation failed"), qt.Equals, 4)
+	direct.SetFault(nil)
+	_, err := l.Append(context.Background(), part, partlog.AnyOffset, []byte("same"))
+	c.Assert(err, qt.IsNil)
+}
+
 // Guards against an instance that takes an overload of all for a refusal of itself, or the reverse. Relayed calls add to the
 // load of a log that throttles all; a refused instance cannot do without them.
 func TestRefusalAndOverload(t *testing.T) {
--- a/internal/pacedlog/repeats.go
+++ b/internal/pacedlog/repeats.go
@@ -8,11 +8,11 @@
 
 	"github.com/comfreylink/comfreylink/internal/partlog"
 	"github.com/comfreylink/comfreylink/pkg/ids"
+	"github.com/comfreylink/comfreylink/pkg/logpace"
 )
 
 const (
-	// repeatTime is how long a call that was throttled or dropped is remembered. The gateway's loops repeat it after 100 to
-	// 200 ms.
+	// repeatTime is how long a call that did not succeed is remembered. The gateway's loops repeat it after 40 to 200 ms.
 	repeatTime = 2 * time.Second
 	// maxRepeats bounds the number of remembered calls.
 	maxRepeats = 4096
@@ -38,20 +38,34 @@
 	return callHash(h.Sum64())
 }
 
-// repeats remembers which calls were throttled or dropped. Callers repeat a call in loops without saying so, and the retry
-// budget must count these attempts too.
-type repeats map[callHash]time.Time
+// repeats remembers which calls did not succeed. Callers repeat a call in loops without saying so, but the retry budget must
+// count these attempts too, and none may follow within milliseconds.
+type repeats map[callHash]ending
 
-// contains reports whether a call is the repetition of one that was throttled or dropped.
-func (r repeats) contains(now time.Time, h callHash) bool {
-	at, ok := r[h]
-	return ok && now.Sub(at) < repeatTime
+// ending is how a call ended.
+type ending struct {
+	at time.Time
+	// failed: the log did not answer or was unavailable. Otherwise the call was throttled or dropped.
+	failed bool
 }
 
-func (r repeats) add(now time.Time, h callHash) {
+// mark marks a call that repeats one.
+func (r repeats) mark(now time.Time, h callHash, c *logpace.Call) {
+	last, ok := r[h]
+	switch {
+	case !ok || now.Sub(last.at) >= repeatTime:
+	case last.failed:
+		// The log may have recovered, so the budget for throttled calls does not apply.
+		c.NotBefore = last.at.Add(logpace.MinBackoff)
+	default:
+		c.Retry = true
+	}
+}
+
+func (r repeats) add(h callHash, e ending) {
 	if len(r) >= maxRepeats {
-		for old, at := range r {
-			if now.Sub(at) >= repeatTime {
+		for old, last := range r {
+			if e.at.Sub(last.at) >= repeatTime {
 				delete(r, old)
 			}
 		}
@@ -59,5 +73,5 @@
 	if len(r) >= maxRepeats {
 		clear(r)
 	}
-	r[h] = now
+	r[h] = e
 }
--- a/pkg/logpace/logpace.go
+++ b/pkg/logpace/logpace.go
@@ -57,8 +57,8 @@
 	maxInProgress = 64
 	// leaseSlots is how many of these are left to calls of kind Lease.
 	leaseSlots = 16
-	// minBackoff is the least wait before a retry, maxBackoff the greatest.
-	minBackoff = 100 * time.Millisecond
+	// MinBackoff is the least wait before a retry, maxBackoff the greatest.
+	MinBackoff = 100 * time.Millisecond
 	maxBackoff = time.Second
 )
 
@@ -85,10 +85,11 @@
 	// Retry marks a further attempt at a call that was throttled or dropped before. Calls of kinds after TurnEnd then need a
 	// part of the retry budget.
 	Retry bool
+	// NotBefore is the earliest time of the call; zero if there is none. A pacer changes it when it retries the call.
+	NotBefore time.Time
 
-	notBefore time.Time // of a retry
-	attempts  int
-	sentAt    time.Time
+	attempts int
+	sentAt   time.Time
 }
 
 // Options are the settings of a Pacer.
@@ -97,6 +98,8 @@
 	Limit float64
 	// Initial is the rate at the start and after idle times, in calls per second.
 	Initial float64
+	// Reads marks a pacer of reads, which the log's limit does not count.
+	Reads bool
 	// Random is the source of jitter.
 	Random *rand.Rand
 }
@@ -122,7 +125,7 @@
 // New returns a pacer. Pacers of different calls of one instance share the refusal.
 func New(now time.Time, o Options, r *Refusal) *Pacer {
 	budget := retry.DefaultOptions()
-	budget.InitialBackoff, budget.MaxBackoff, budget.MaxAttempts = 3*minBackoff, maxBackoff, 3
+	budget.InitialBackoff, budget.MaxBackoff, budget.MaxAttempts = 3*MinBackoff, maxBackoff, 3
 	o.Initial = min(max(o.Initial, minRate), max(o.Limit, minRate))
 	o.Limit = max(o.Limit, minRate)
 	return &Pacer{opt: o, bucket: newBucket(now, o.Limit, o.Initial), refusal: r, retries: retry.NewBudget(budget)}
@@ -152,7 +155,7 @@
 	}
 	// Without a budget, the repeated calls of an overload keep first attempts out of the queue after it. Work that has run is
 	// not lost for that reason.
-	if c.Retry && c.Kind > TurnEnd && !p.scheduleRetry(now, c, 1, now) {
+	if c.Retry && c.Kind > TurnEnd && !p.scheduleRetry(now, c, 1, c.NotBefore) {
 		return false, nil
 	}
 	if last >= 0 {
@@ -212,9 +215,9 @@
 	})
 	best := -1
 	for i, q := range p.queue {
-		if now.Before(q.notBefore) {
-			if again.IsZero() || q.notBefore.Before(again) {
-				again = q.notBefore
+		if now.Before(q.NotBefore) {
+			if again.IsZero() || q.NotBefore.Before(again) {
+				again = q.NotBefore
 			}
 			continue
 		}
@@ -269,7 +272,7 @@
 		return r
 	}
 	throttled := o == Throttled
-	r.VerdictChanged = p.refusal.Answered(now, throttled)
+	r.VerdictChanged = p.refusal.Answered(now, throttled, p.opt.Reads)
 	if !throttled {
 		p.endRow()
 		return r
@@ -282,7 +285,7 @@
 		return r
 	}
 	r.Lowered = p.bucket.throttled(now, c.sentAt, p.opt.Random)
-	if len(p.queue) < maxQueued && p.scheduleRetry(now, c, c.attempts, now.Add(minBackoff)) {
+	if len(p.queue) < maxQueued && p.scheduleRetry(now, c, c.attempts, now.Add(MinBackoff)) {
 		p.queue = append(p.queue, c)
 		r.Retried = true
 	}
@@ -306,6 +309,6 @@
 	at, why := p.retries.Decide(now, retry.Failure{
 		Idempotent: true, Attempts: attempts, Deadline: deadline, NotBefore: notBefore,
 	}, p.opt.Random)
-	c.notBefore = at
+	c.NotBefore = at
 	return why == ""
 }
--- a/pkg/logpace/logpace_test.go
+++ b/pkg/logpace/logpace_test.go
@@ -113,3 +113,19 @@
 	}
 	c.Assert(retries > 0 && retries <= 60, qt.IsTrue, qt.Commentf("%d retries of 500 calls", retries))
 }
+
+// Guards against a refused instance that is found late although its reads are throttled too, and against an overload of all
+// that throttles appends within a part of a second.
+func TestThrottledReadsShowARefusal(t *testing.T) {
+	c := qt.New(t)
+	var appends, mixed logpace.Refusal
+	for i := range 20 {
+		now := epoch.Add(time.Duration(i) * 50 * time.Millisecond)
+		appends.Answered(now, true, false)
+		mixed.Answered(now, true, i%3 == 0)
+		c.Assert(mixed.Alone(), qt.Equals, i >= 7)
+	}
+	c.Assert(appends.Alone(), qt.IsFalse)
+	c.Assert(mixed.Answered(epoch.Add(time.Second), false, true), qt.IsTrue)
+	c.Assert(mixed.Alone(), qt.IsFalse)
+}
--- a/pkg/logpace/refusal.go
+++ b/pkg/logpace/refusal.go
@@ -9,19 +9,23 @@
 	// refusalTime is the least time that these answers span. The log counts calls by the second, so under an overload that
 	// affects all instances it accepts some calls in each second, but may throttle all within a part of one.
 	refusalTime = 1100 * time.Millisecond
+	// refusalReads is the number of throttled reads among these answers that stands for refusalTime. The log's limit counts
+	// appends, so an overload of all does not throttle reads.
+	refusalReads = 2
 )
 
 // Refusal tells a log that refuses this instance alone from one that throttles some calls of all instances. It gets the
 // answers to all calls of the instance, of all pacers: a log that throttles appends for all goes on to answer reads.
 type Refusal struct {
 	inRow int
+	reads int       // those of inRow that were reads
 	since time.Time // time of the first throttled answer in the row
 	alone bool
 	count int // how often the log was found to refuse this instance alone
 }
 
 // Answered records an answer. It reports whether the verdict has changed.
-func (r *Refusal) Answered(now time.Time, throttled bool) (changed bool) {
+func (r *Refusal) Answered(now time.Time, throttled, read bool) (changed bool) {
 	was := r.alone
 	if !throttled {
 		*r = Refusal{count: r.count}
@@ -31,7 +35,10 @@
 		r.since = now
 	}
 	r.inRow++
-	r.alone = r.inRow >= refusalCalls && now.Sub(r.since) >= refusalTime
+	if read {
+		r.reads++
+	}
+	r.alone = r.inRow >= refusalCalls && (now.Sub(r.since) >= refusalTime || r.reads >= refusalReads)
 	if r.alone && !was {
 		r.count++
 	}
