Add internal/recordgate: feed admission with an instance's writes

Cause: pkg/admission is a plain struct; whoever calls it needs a lock, the age of waiting writes, an event and a counter. Change: an adapter with these, for the gateway and internal/programs to call. Event 630 without the age of the oldest write.

--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -205,7 +205,7 @@
 	AdmissionRefused = define(630, "admissionRefused", info,
 		"Requests were refused as not run, because their records would not be written to the log in time. Reason is failing, stalled or slow; count is the number of requests since the last such event, first how many of them were first requests of programs. Write is the expected time of a write, retryAfter the last answer's.",
 		"Check the log service and the rate of calls to it (215).",
-		"reason", "count", "first", "write", "waiting", "oldest", "retryAfter")
+		"reason", "count", "first", "write", "waiting", "retryAfter")
 )
 
 // Events of targets.
--- /dev/null
+++ b/internal/recordgate/recordgate_test.go
@@ -0,0 +1,52 @@
+package recordgate_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"github.com/comfreylink/comfreylink/internal/partlog"
+	"github.com/comfreylink/comfreylink/internal/recordgate"
+	"github.com/comfreylink/comfreylink/pkg/admission"
+)
+
+type results []string
+
+func (r *results) Admission(result string, _ bool) { *r = append(*r, result) }
+
+// Guards against errors with which the log has answered that count as an outage, against writes that count as waiting after
+// their end, and against refusals that no event and no counter shows.
+func TestGate(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	core, logged := observer.New(zap.InfoLevel)
+	counted := &results{}
+	g := recordgate.New(recordgate.Config{Now: func() time.Time { return now }, Observer: counted, Logger: zap.New(core)})
+	decide := func() bool {
+		return g.Decide(admission.Request{Deadline: now.Add(5 * time.Second), Run: time.Second, First: true}).Admitted
+	}
+	w := g.Begin()
+	for range 10 {
+		w.AttemptFailed(&partlog.ConflictError{})
+	}
+	c.Assert(decide(), qt.IsTrue)
+	now = now.Add(350 * time.Millisecond)
+	c.Assert(decide(), qt.IsFalse, qt.Commentf("the write hangs"))
+	w.End(nil)
+	c.Assert(decide(), qt.IsTrue)
+	now = now.Add(10 * time.Second)
+	c.Assert(decide(), qt.IsTrue, qt.Commentf("no write waits"))
+	g.Begin().End(errors.Join(partlog.ErrNotApplied, partlog.ErrUnavailable))
+	g.Begin().End(partlog.ErrOutcomeUnknown)
+	for range 5 {
+		c.Assert(decide(), qt.IsFalse)
+	}
+	c.Assert(*counted, qt.DeepEquals, results{
+		"admitted", "stalled", "admitted", "admitted", "failing", "failing", "failing", "failing", "failing",
+	})
+	c.Assert(logged.FilterMessage("admissionRefused").Len(), qt.Equals, 2)
+}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -33,6 +33,7 @@
 	attrService = attribute.Key("comfreylink.service")
 	attrCall    = attribute.Key("comfreylink.store.call")
 	attrFailed  = attribute.Key("comfreylink.failed")
+	attrFirst   = attribute.Key("comfreylink.program.first")
 	attrKind    = attribute.Key("comfreylink.store.kind")
 )
 
@@ -53,6 +54,7 @@
 	request, waited, firstByte, store metric.Float64Histogram
 	refused, attempts, storeBytes     metric.Int64Counter
 	storeThrottled, storePaced        metric.Int64Counter
+	admission                         metric.Int64Counter
 
 	mu    sync.Mutex
 	calls map[string]CallCount
@@ -90,6 +92,7 @@
 	m.attempts = set.Counter("comfreylink.attempt", "{attempt}", "Attempts at targets by how they ended.")
 	m.storeBytes = set.Counter("comfreylink.store.io", "By", "Bytes written to and read from the platform's log.")
 	m.storeThrottled = set.Counter("comfreylink.store.throttled", "{call}", "Calls that the platform's log refused because there were too many.")
+	m.admission = set.Counter("comfreylink.admission", "{request}", "Decisions whether the record of a request will be written in time.")
 	m.storePaced = set.Counter("comfreylink.store.paced", "{call}", "Paced calls to the platform's log by kind and outcome.")
 	return m, cleanup, set.Err()
 }
@@ -165,6 +168,11 @@
 	instruments.Add(m.storePaced, 1, attrKind.String(kind), attrOutcome.String(outcome))
 }
 
+// Admission counts a decision about a request. It implements recordgate.Observer.
+func (m *Metrics) Admission(result string, first bool) {
+	instruments.Add(m.admission, 1, attrOutcome.String(result), attrFirst.Bool(first))
+}
+
 // Handler serves the metrics at /metrics and what dump returns at /dump.
 func (m *Metrics) Handler(dump func() any) http.Handler {
 	mux := http.NewServeMux()
