Use plain names in pacedlog and admission

Cause: names such as lane and verdict are not terms of the field. Change: class, decision, RefusalChanged; two sentences reworded.

--- a/internal/pacedlog/lane.go
+++ b/internal/pacedlog/class.go
@@ -6,18 +6,18 @@
 	"github.com/comfreylink/comfreylink/pkg/logpace"
 )
 
-// verdict is what a queued call is told.
-type verdict int
+// decision is what a queued call is told.
+type decision int
 
 const (
-	proceed verdict = iota
+	proceed decision = iota
 	drop
 )
 
-// lane makes the calls of one class as its pacer allows. Its methods need the lock of the Log.
-type lane struct {
+// class makes the calls of one class as its pacer allows. Its methods need the lock of the Log.
+type class struct {
 	pacer    *logpace.Pacer
-	waiting  map[*logpace.Call]chan verdict
+	waiting  map[*logpace.Call]chan decision
 	lowered  lowered
 	timer    *time.Timer
 	wakeTime time.Time // when the timer fires; zero if it is not set
@@ -30,24 +30,24 @@
 	from     float64 // rate before the first one
 }
 
-func newLane(p *logpace.Pacer) *lane {
-	return &lane{pacer: p, waiting: make(map[*logpace.Call]chan verdict)}
+func newClass(p *logpace.Pacer) *class {
+	return &class{pacer: p, waiting: make(map[*logpace.Call]chan decision)}
 }
 
-// submit queues a call. The channel gets one verdict each time that the call was queued.
-func (l *lane) submit(now time.Time, c *logpace.Call) (decided chan verdict, accepted bool) {
+// submit queues a call. The channel gets one decision each time that the call was queued.
+func (l *class) submit(now time.Time, c *logpace.Call) (decided chan decision, accepted bool) {
 	accepted, evicted := l.pacer.Submit(now, c)
 	if evicted != nil {
 		l.tell(evicted, drop)
 	}
 	if accepted {
-		decided = make(chan verdict, 1)
+		decided = make(chan decision, 1)
 		l.waiting[c] = decided
 	}
 	return decided, accepted
 }
 
-func (l *lane) tell(c *logpace.Call, v verdict) {
+func (l *class) tell(c *logpace.Call, v decision) {
 	l.waiting[c] <- v
 	if v == drop {
 		delete(l.waiting, c)
@@ -55,7 +55,7 @@
 }
 
 // cancel removes a call whose context has ended. It reports whether the call was still queued.
-func (l *lane) cancel(c *logpace.Call) bool {
+func (l *class) cancel(c *logpace.Call) bool {
 	queued := l.pacer.Cancel(c)
 	if queued {
 		delete(l.waiting, c)
@@ -64,7 +64,7 @@
 }
 
 // release lets the calls proceed that may be made now, and calls wake when the next one may be.
-func (l *lane) release(now time.Time, wake func()) {
+func (l *class) release(now time.Time, wake func()) {
 	for {
 		c, expired, again := l.pacer.Next(now)
 		for _, e := range expired {
@@ -78,7 +78,7 @@
 	}
 }
 
-func (l *lane) wakeAt(now, at time.Time, wake func()) {
+func (l *class) wakeAt(now, at time.Time, wake func()) {
 	if at.IsZero() || at.Equal(l.wakeTime) {
 		return
 	}
--- a/internal/pacedlog/pacedlog.go
+++ b/internal/pacedlog/pacedlog.go
@@ -63,9 +63,9 @@
 	Config
 	mu      sync.Mutex
 	refusal logpace.Refusal // of appends and reads together
-	appends *lane
+	appends *class
 	// reads are not limited until the log throttles one: its limit counts appends.
-	reads   *lane
+	reads   *class
 	repeats repeats
 }
 
@@ -78,8 +78,8 @@
 		o := logpace.Options{Limit: c.CallsPerSecond, Initial: initial, Reads: reads, Random: random}
 		return logpace.New(now, o, &l.refusal)
 	}
-	l.appends = newLane(newPacer(false, c.CallsPerSecond*initialPart))
-	l.reads = newLane(newPacer(true, c.CallsPerSecond))
+	l.appends = newClass(newPacer(false, c.CallsPerSecond*initialPart))
+	l.reads = newClass(newPacer(true, c.CallsPerSecond))
 	return l
 }
 
@@ -131,20 +131,20 @@
 	return entries, end, err
 }
 
-// do makes a call when the lane's pacer allows it, and again as long as the pacer retries it.
-func (l *Log) do(ctx context.Context, lane *lane, hash callHash, waits bool, call func() error) error {
+// do makes a call when the class's pacer allows it, and again as long as the pacer retries it.
+func (l *Log) do(ctx context.Context, class *class, hash callHash, waits bool, call func() error) error {
 	c := &logpace.Call{Kind: kindOf(ctx), Waits: waits}
-	decided, accepted := l.submit(ctx, lane, hash, c)
+	decided, accepted := l.submit(ctx, class, hash, c)
 	if !accepted {
 		l.Observer.PacedCall(c.Kind.String(), string(Dropped))
 		return errDropped
 	}
 	for {
-		if !l.await(ctx, lane, c, decided) {
+		if !l.await(ctx, class, c, decided) {
 			l.drop(hash, c)
 			return errors.Join(errDropped, context.Cause(ctx))
 		}
-		again, err := l.finish(lane, hash, c, call())
+		again, err := l.finish(class, hash, c, call())
 		if !again {
 			return err
 		}
@@ -152,25 +152,25 @@
 }
 
 // await waits until a queued call may be made. It reports false if the call was dropped or its context has ended.
-func (l *Log) await(ctx context.Context, lane *lane, c *logpace.Call, decided <-chan verdict) bool {
-	var v verdict
+func (l *Log) await(ctx context.Context, class *class, c *logpace.Call, decided <-chan decision) bool {
+	var v decision
 	select {
 	case v = <-decided:
 	case <-ctx.Done():
-		if l.cancel(lane, c) {
+		if l.cancel(class, c) {
 			return false
 		}
 		v = <-decided
 	}
 	if v == proceed && ctx.Err() != nil {
-		l.abandon(lane, c)
+		l.abandon(class, c)
 		return false
 	}
 	return v == proceed
 }
 
 // submit queues a call and releases what may be made now.
-func (l *Log) submit(ctx context.Context, lane *lane, hash callHash, c *logpace.Call) (decided chan verdict, accepted bool) {
+func (l *Log) submit(ctx context.Context, class *class, hash callHash, c *logpace.Call) (decided chan decision, accepted bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.Now()
@@ -179,29 +179,29 @@
 		c.Deadline = now.Add(time.Until(deadline))
 	}
 	l.repeats.mark(now, hash, c)
-	decided, accepted = lane.submit(now, c)
+	decided, accepted = class.submit(now, c)
 	if !accepted {
 		l.repeats.add(hash, ending{at: now})
 	}
-	l.release(lane, now)
+	l.release(class, now)
 	return decided, accepted
 }
 
-// release releases what a lane may call now. The caller holds the lock.
-func (l *Log) release(lane *lane, now time.Time) {
-	lane.release(now, func() {
+// release releases what a class may call now. The caller holds the lock.
+func (l *Log) release(class *class, now time.Time) {
+	class.release(now, func() {
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		lane.wakeTime = time.Time{}
-		l.release(lane, l.Now())
+		class.wakeTime = time.Time{}
+		l.release(class, l.Now())
 	})
 }
 
 // cancel removes a call whose context has ended. It reports whether the call was still queued.
-func (l *Log) cancel(lane *lane, c *logpace.Call) (queued bool) {
+func (l *Log) cancel(class *class, c *logpace.Call) (queued bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return lane.cancel(c)
+	return class.cancel(c)
 }
 
 // errDropped is the error of calls that were not sent.
@@ -216,18 +216,18 @@
 }
 
 // abandon gives back the slot of a call whose context ended when it was released.
-func (l *Log) abandon(lane *lane, c *logpace.Call) {
+func (l *Log) abandon(class *class, c *logpace.Call) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.Now()
-	lane.pacer.Done(now, c, logpace.Failed)
-	delete(lane.waiting, c)
-	l.release(lane, now)
+	class.pacer.Done(now, c, logpace.Failed)
+	delete(class.waiting, c)
+	l.release(class, now)
 }
 
 // finish records the result of a call. It reports whether the pacer has queued the call again, and otherwise the error for
 // the caller.
-func (l *Log) finish(lane *lane, hash callHash, c *logpace.Call, err error) (again bool, result error) {
+func (l *Log) finish(class *class, hash callHash, c *logpace.Call, err error) (again bool, result error) {
 	outcome, name := logpace.Answered, Made
 	switch {
 	case errors.Is(err, partlog.ErrThrottled):
@@ -239,14 +239,14 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.Now()
-	before := lane.pacer.Rate()
-	r := lane.pacer.Done(now, c, outcome)
-	l.logChanges(lane, now, before, r)
-	l.release(lane, now)
+	before := class.pacer.Rate()
+	r := class.pacer.Done(now, c, outcome)
+	l.logChanges(class, now, before, r)
+	l.release(class, now)
 	if r.Retried {
 		return true, nil
 	}
-	delete(lane.waiting, c)
+	delete(class.waiting, c)
 	switch {
 	case outcome == logpace.Answered:
 		delete(l.repeats, hash)
@@ -266,26 +266,26 @@
 // errRefused is the error of throttled calls while the log refuses this instance alone.
 var errRefused = errors.Join(partlog.ErrNotApplied, partlog.ErrUnavailable, errors.New("the log throttles every call of this instance"))
 
-// logChanges logs a lowered rate and changes of the verdict about refusals. The caller holds the lock.
-func (l *Log) logChanges(lane *lane, now time.Time, before float64, r logpace.Result) {
-	if r.VerdictChanged {
+// logChanges logs a lowered rate and changes of refusals. The caller holds the lock.
+func (l *Log) logChanges(class *class, now time.Time, before float64, r logpace.Result) {
+	if r.RefusalChanged {
 		events.Log(l.Logger, events.LogRefusesInstance, zap.Bool("refused", l.refusal.Alone()))
 	}
 	if !r.Lowered {
 		return
 	}
-	if lane.lowered.count == 0 {
-		lane.lowered.from = before
+	if class.lowered.count == 0 {
+		class.lowered.from = before
 	}
-	lane.lowered.count++
-	if now.Sub(lane.lowered.loggedAt) < lowerEventInterval {
+	class.lowered.count++
+	if now.Sub(class.lowered.loggedAt) < lowerEventInterval {
 		return
 	}
-	class := "append"
-	if lane == l.reads {
-		class = "read"
+	name := "append"
+	if class == l.reads {
+		name = "read"
 	}
-	events.Log(l.Logger, events.LogRateLowered, zap.String("class", class), zap.Float64("from", lane.lowered.from),
-		zap.Float64("to", lane.pacer.Rate()), zap.Int("count", lane.lowered.count), zap.Int("queued", lane.pacer.Queued()))
-	lane.lowered = lowered{loggedAt: now}
+	events.Log(l.Logger, events.LogRateLowered, zap.String("class", name), zap.Float64("from", class.lowered.from),
+		zap.Float64("to", class.pacer.Rate()), zap.Int("count", class.lowered.count), zap.Int("queued", class.pacer.Queued()))
+	class.lowered = lowered{loggedAt: now}
 }
--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -91,7 +91,7 @@
 	Write time.Duration
 }
 
-// Gate knows how the writes of an instance fare. It is not safe for concurrent use.
+// Gate estimates from the writes of an instance whether the log will take further ones. It is not safe for concurrent use.
 type Gate struct {
 	random    *rand.Rand
 	write     latency
--- a/pkg/logpace/logpace.go
+++ b/pkg/logpace/logpace.go
@@ -258,8 +258,8 @@
 	Retried bool
 	// Lowered: the rate was lowered.
 	Lowered bool
-	// VerdictChanged: the log is taken to refuse this instance alone from now on, or no longer.
-	VerdictChanged bool
+	// RefusalChanged: the log is taken to refuse this instance alone from now on, or no longer.
+	RefusalChanged bool
 }
 
 // Done records the outcome of a call that Next returned. A throttled call is queued again if the retry budget and its
@@ -272,7 +272,7 @@
 		return r
 	}
 	throttled := o == Throttled
-	r.VerdictChanged = p.refusal.Answered(now, throttled, p.opt.Reads)
+	r.RefusalChanged = p.refusal.Answered(now, throttled, p.opt.Reads)
 	if !throttled {
 		p.endRow()
 		return r
--- a/pkg/logpace/refusal.go
+++ b/pkg/logpace/refusal.go
@@ -24,7 +24,7 @@
 	count int // how often the log was found to refuse this instance alone
 }
 
-// Answered records an answer. It reports whether the verdict has changed.
+// Answered records an answer. It reports whether Alone has changed.
 func (r *Refusal) Answered(now time.Time, throttled, read bool) (changed bool) {
 	was := r.alone
 	if !throttled {
