--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -46,6 +46,8 @@
 	// RecordPartitions is the number of partitions with the records of programs, each of which one instance writes for all.
 	// With 0, each instance writes its own records, to many partitions.
 	RecordPartitions int
+	// CallsPerSecond is the log's limit of append calls per second for all gateways; 0 turns the pacing of calls off.
+	CallsPerSecond int
 	// Retention is how long the log keeps records; 0 if it keeps all. It comes from the command line.
 	Retention time.Duration
 }
@@ -86,6 +88,7 @@
 	if l.RecordPartitions > l.Partitions {
 		s.Fail("recordPartitions", "%d is more than the %d partitions of a topic", l.RecordPartitions, l.Partitions)
 	}
+	l.CallsPerSecond = int(s.Int("callsPerSecond", 0, 0, 1_000_000))
 }
 
 func (b *Bounds) read(s *inifile.Section) {
