Refuse requests whose records would not be written in time, and order the calls to the log

Cause: turns ran at targets during an outage of the log and were thrown away when their callers' deadlines passed; and nothing told the pacing which calls matter most.

Change: the gateway asks internal/recordgate before it loads the chain of a turn or reserves its tokens; turns, reservations and reports feed the gate. Appends have the kind of their most urgent record, reads of the configuration and the targets that of leases.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -13,10 +13,12 @@
 
 	"github.com/comfreylink/comfreylink/internal/call"
 	"github.com/comfreylink/comfreylink/internal/events"
+	"github.com/comfreylink/comfreylink/internal/pacedlog"
 	"github.com/comfreylink/comfreylink/internal/partlog"
 	"github.com/comfreylink/comfreylink/internal/registry"
 	"github.com/comfreylink/comfreylink/internal/settings"
 	"github.com/comfreylink/comfreylink/pkg/ids"
+	"github.com/comfreylink/comfreylink/pkg/logpace"
 )
 
 const (
@@ -239,6 +241,8 @@
 func (f *Follower) follow(ctx context.Context, p partlog.Partition, interval time.Duration,
 	apply func(sentAt time.Time, upToDate bool, entries []partlog.Entry, complete bool),
 ) error {
+	// Keys and targets that are gone must stop being used in time, also while the log throttles calls.
+	ctx = pacedlog.WithKind(ctx, logpace.Lease)
 	next := ids.Offset(-1)
 	for ctx.Err() == nil {
 		sentAt := f.now()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/comfreylink/comfreylink/internal/partlog"
 	"github.com/comfreylink/comfreylink/internal/programs"
 	"github.com/comfreylink/comfreylink/internal/recorder"
+	"github.com/comfreylink/comfreylink/internal/recordgate"
 	"github.com/comfreylink/comfreylink/internal/relay"
 	"github.com/comfreylink/comfreylink/internal/reports"
 	"github.com/comfreylink/comfreylink/internal/rpc"
@@ -67,6 +68,7 @@
 	Waited(service string, took time.Duration)
 	FirstByte(route string, took time.Duration)
 	Attempt(service, outcome string)
+	recordgate.Observer
 }
 
 const (
@@ -119,6 +121,8 @@
 	grants   *grants.RateLimiter
 	reports  *reports.Reports
 	recorder *recorder.Recorder // nil if each instance writes its own records
+	// recordGate refuses requests whose records would not be written in time; nil if the log's limit is not known.
+	recordGate *recordgate.Gate
 
 	mu          sync.Mutex
 	programUses map[account.Key]programUse // recently admitted programs
@@ -131,6 +135,9 @@
 		queues:      waitqueue.New(waitqueue.Options{Policy: string(c.Settings.Dispatch.Policy), Now: c.Clock.Now}),
 		programUses: make(map[account.Key]programUse), answerMemory: newAnswerMemory(c.Settings.Instance.Memory),
 	}
+	if c.Settings.Store.CallsPerSecond > 0 {
+		g.recordGate = recordgate.New(recordgate.Config{Now: c.Clock.Now, Observer: c.Metrics, Logger: c.Logger})
+	}
 	g.grants = grants.New(grants.Config{
 		Self: quota.Run{Instance: c.Settings.Instance.ID, ID: c.RunID}, Client: c.RPC, Now: c.Clock.Now, Loads: g.queues,
 		Address: func(id ids.InstanceID) (string, bool) { return g.reports.AddressOf(id) },
@@ -139,7 +146,7 @@
 	g.reports = reports.New(reports.Config{
 		Self:  relay.Peer{Instance: c.Settings.Instance.ID, Address: c.Settings.Relay.Advertise, Zone: c.Settings.Instance.Zone, CPU: c.Settings.Instance.CPU},
 		RunID: c.RunID, Log: c.Source.Log, Grants: g.grants, Reachable: c.Log.Reachable, Leaving: g.draining.Load,
-		Now: c.Clock.Now, Logger: c.Logger,
+		Now: c.Clock.Now, Logger: c.Logger, Writes: g.recordGate,
 	})
 	g.programs = programs.New(g.programsConfig())
 	g.follower = follower.New(c.Source, c.Settings.Bounds, c.Logger, c.Clock.Now, g.followerChanged)
@@ -151,7 +158,7 @@
 func (g *Gateway) programsConfig() programs.Config {
 	parts := g.Settings.Store.Partitions
 	c := programs.Config{
-		Log: g.Source.Log, LogRetention: g.Settings.Store.Retention, Now: g.Clock.Now, Logger: g.Logger,
+		Log: g.Source.Log, LogRetention: g.Settings.Store.Retention, Now: g.Clock.Now, Logger: g.Logger, Writes: g.recordGate,
 		Programs: partlog.Keyspace{Name: "programs", Topics: topicsPerKeyspace, Parts: parts},
 		Index:    partlog.Keyspace{Name: "turns", Topics: topicsPerKeyspace, Parts: parts},
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -20,7 +20,9 @@
 	"github.com/comfreylink/comfreylink/internal/httpwire"
 	"github.com/comfreylink/comfreylink/internal/partlog"
 	"github.com/comfreylink/comfreylink/internal/programs"
+	"github.com/comfreylink/comfreylink/internal/waitqueue"
 	"github.com/comfreylink/comfreylink/pkg/account"
+	"github.com/comfreylink/comfreylink/pkg/admission"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 )
 
@@ -52,6 +54,7 @@
 	codeStopping          Code = "stopping"
 	codeNoMemory          Code = "memoryShort"
 	codeOverBudget        Code = "overBudget"
+	codeLogUnavailable    Code = "logUnavailable"
 )
 
 // RunState states whether a request has run.
@@ -233,6 +236,9 @@
 
 // prepare loads the earlier turns that the request continues, and reserves its tokens in the program's budget.
 func (e *exchange) prepare() *refusal {
+	if r := e.checkRecordable(); r != nil {
+		return r
+	}
 	ctx, cancel := context.WithTimeout(e.ctx, e.prepareTimeout())
 	defer cancel()
 	if e.route.Remembered {
@@ -240,12 +246,31 @@
 			return r
 		}
 	}
-	if e.req.Budget > 0 && e.req.MaxOutput > 0 && e.req.Program != "" && e.workspace != nil {
+	if e.needsReservation() {
 		return e.reserve(ctx)
 	}
 	return nil
 }
 
+func (e *exchange) needsReservation() bool {
+	return e.req.Budget > 0 && e.req.MaxOutput > 0 && e.req.Program != "" && e.workspace != nil
+}
+
+// checkRecordable refuses a request if the log would not take what must be recorded of it in time. A target would run it in
+// vain.
+func (e *exchange) checkRecordable() *refusal {
+	if !e.route.Remembered && !e.needsReservation() {
+		return nil
+	}
+	a := e.recordGate.Decide(admission.Request{
+		Deadline: e.deadline, Run: waitqueue.UsualDecodeTime(e.req.MaxOutput), First: e.firstCall,
+	})
+	if a.Admitted {
+		return nil
+	}
+	return &refusal{status: fasthttp.StatusServiceUnavailable, code: codeLogUnavailable, retry: a.RetryAfter}
+}
+
 // maxPrepareTimeout bounds how long a request waits for the platform's log before it is sent.
 const maxPrepareTimeout = 700 * time.Millisecond
 
--- a/internal/programs/leader.go
+++ b/internal/programs/leader.go
@@ -10,10 +10,12 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/comfreylink/comfreylink/internal/call"
+	"github.com/comfreylink/comfreylink/internal/pacedlog"
 	"github.com/comfreylink/comfreylink/internal/partlog"
 	"github.com/comfreylink/comfreylink/internal/rpc"
 	"github.com/comfreylink/comfreylink/pkg/account"
 	"github.com/comfreylink/comfreylink/pkg/ids"
+	"github.com/comfreylink/comfreylink/pkg/logpace"
 )
 
 // Leaders calls the instances that lead partitions.
@@ -220,7 +222,7 @@
 		if s.Leaders.Rank(id) > standbyRank {
 			continue
 		}
-		ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+		ctx, cancel := context.WithTimeout(pacedlog.WithKind(ctx, logpace.Background), attemptTimeout)
 		_ = s.partitionOf(id).read(ctx, s.Now())
 		cancel()
 	}
--- a/internal/programs/programs.go
+++ b/internal/programs/programs.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/comfreylink/comfreylink/internal/partlog"
+	"github.com/comfreylink/comfreylink/internal/recordgate"
 	"github.com/comfreylink/comfreylink/pkg/account"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 )
@@ -42,6 +43,8 @@
 	// Leaders calls the instances that write the records of all instances to a partition. If it is nil, each instance writes
 	// its own records. With leaders there is no index: turns of other programs are found by asking all leaders.
 	Leaders Leaders
+	// Writes is notified of the reservations and turns that are written for requests.
+	Writes *recordgate.Gate
 	// WriteInterval is the minimum time between the starts of two appends to a partition. What arrives meanwhile is
 	// written with one append.
 	WriteInterval time.Duration
--- a/internal/programs/send.go
+++ b/internal/programs/send.go
@@ -21,7 +21,9 @@
 	}
 	p.sending++
 	go func() {
+		w := p.store.Writes.Begin()
 		granted, err := p.send(b)
+		w.End(err)
 		if err != nil {
 			p.failPool(pl, err)
 			return
--- a/internal/programs/turns.go
+++ b/internal/programs/turns.go
@@ -13,9 +13,12 @@
 
 	"github.com/comfreylink/comfreylink/internal/call"
 	"github.com/comfreylink/comfreylink/internal/events"
+	"github.com/comfreylink/comfreylink/internal/pacedlog"
 	"github.com/comfreylink/comfreylink/internal/partlog"
+	"github.com/comfreylink/comfreylink/internal/recordgate"
 	"github.com/comfreylink/comfreylink/pkg/account"
 	"github.com/comfreylink/comfreylink/pkg/ids"
+	"github.com/comfreylink/comfreylink/pkg/logpace"
 )
 
 const (
@@ -86,19 +89,14 @@
 // context ends.
 func (s *Store) putThroughLeader(ctx context.Context, p *partition, t *Turn) error {
 	copies := s.copiesOfOldTurns(t.Chain)
+	w := s.Writes.Begin()
 	for _, records := range append(chunk(copies), [][]byte{encodeTurn(*t)}) {
-		for {
-			_, err := s.write(ctx, p, batch{turns: records})
-			if err == nil {
-				break
-			}
-			select {
-			case <-time.After(throttledPause + rand.N(throttledPause)):
-			case <-ctx.Done():
-				return err
-			}
+		if err := s.writeWithRetry(ctx, p, records, w); err != nil {
+			w.GiveUp()
+			return err
 		}
 	}
+	w.End(nil)
 	for _, c := range copies {
 		s.turns.add(c, p)
 	}
@@ -106,6 +104,22 @@
 	return nil
 }
 
+// writeWithRetry writes turns through the partition's leader and retries until the context ends.
+func (s *Store) writeWithRetry(ctx context.Context, p *partition, turns [][]byte, w *recordgate.Write) error {
+	for {
+		_, err := s.write(ctx, p, batch{turns: turns})
+		if err == nil {
+			return nil
+		}
+		w.AttemptFailed(err)
+		select {
+		case <-time.After(throttledPause + rand.N(throttledPause)):
+		case <-ctx.Done():
+			return err
+		}
+	}
+}
+
 // copyOldTurns writes the turns of a chain once more whose records the log would delete while a turn that continues them is
 // retained. The copies are in the partition of the program that continues the chain.
 func (s *Store) copyOldTurns(ctx context.Context, p *partition, chain []call.ID) error {
@@ -167,6 +181,7 @@
 
 // appendWithRetry appends records and retries until the context ends. Retries may write them twice.
 func (s *Store) appendWithRetry(ctx context.Context, p partlog.Partition, records ...[]byte) (first ids.Offset, err error) {
+	ctx = pacedlog.WithKind(ctx, logpace.TurnEnd)
 	for {
 		try, cancel := context.WithTimeout(ctx, attemptTimeout)
 		first, err = s.Log.Append(try, p, partlog.AnyOffset, records...)
--- a/internal/programs/writer.go
+++ b/internal/programs/writer.go
@@ -9,9 +9,11 @@
 	"go.uber.org/zap"
 
 	"github.com/comfreylink/comfreylink/internal/events"
+	"github.com/comfreylink/comfreylink/internal/pacedlog"
 	"github.com/comfreylink/comfreylink/internal/partlog"
 	"github.com/comfreylink/comfreylink/pkg/account"
 	"github.com/comfreylink/comfreylink/pkg/ids"
+	"github.com/comfreylink/comfreylink/pkg/logpace"
 )
 
 const (
@@ -167,6 +169,7 @@
 // granted.
 func (p *partition) commit(ctx context.Context, batches []*submission) (err error) {
 	defer func() { err = oops.In("programs").Wrapf(err, "commit") }()
+	ctx = pacedlog.WithKind(ctx, kindOf(batches))
 	fresh := false
 	for {
 		if !fresh && p.needsRead(batches) {
@@ -196,6 +199,20 @@
 	}
 }
 
+// kindOf returns the kind of an append with the batches, which is that of the most urgent one.
+func kindOf(batches []*submission) logpace.Kind {
+	kind := logpace.Background
+	for _, s := range batches {
+		switch {
+		case len(s.turns) > 0:
+			return logpace.TurnEnd
+		case len(s.reservations) > 0:
+			kind = logpace.Reservation
+		}
+	}
+	return kind
+}
+
 // needsRead reports whether reservations cannot be decided by what this instance has read: it has read nothing yet, or a
 // budget seems spent, which only a read can confirm.
 func (p *partition) needsRead(batches []*submission) bool {
--- a/internal/recordgate/recordgate.go
+++ b/internal/recordgate/recordgate.go
@@ -31,7 +31,7 @@
 	Logger   *zap.Logger
 }
 
-// Gate is an admission.Gate that is safe for concurrent use.
+// Gate is an admission.Gate that is safe for concurrent use. A nil Gate admits all requests.
 type Gate struct {
 	Config
 	mu       sync.Mutex
@@ -50,11 +50,14 @@
 	return &Gate{Config: c, gate: admission.New(c.Now(), random), waiting: make(map[*Write]time.Time)}
 }
 
-// Write is a write to the log with all its attempts.
+// Write is a write to the log with all its attempts. The methods of a nil Write do nothing.
 type Write struct{ gate *Gate }
 
 // Begin records that a write begins. The caller must call End.
 func (g *Gate) Begin() *Write {
+	if g == nil {
+		return nil
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	w := &Write{gate: g}
@@ -67,6 +70,9 @@
 // AttemptFailed records an attempt that failed. The write goes on. An error with which the log has answered, such as a
 // conflict, is no failure.
 func (w *Write) AttemptFailed(err error) {
+	if w == nil {
+		return
+	}
 	g := w.gate
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -87,6 +93,9 @@
 
 // End records the end of a write. The error is that of its last attempt, unless AttemptFailed got it already.
 func (w *Write) End(err error) {
+	if w == nil {
+		return
+	}
 	g := w.gate
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -101,6 +110,18 @@
 	g.update(now)
 }
 
+// GiveUp records that a write ends without success, after AttemptFailed got the error of each attempt.
+func (w *Write) GiveUp() {
+	if w == nil {
+		return
+	}
+	g := w.gate
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.waiting, w)
+	g.update(g.Now())
+}
+
 // update passes on how many writes wait. The caller holds the lock.
 func (g *Gate) update(now time.Time) {
 	oldest := time.Duration(0)
@@ -113,6 +134,9 @@
 // Decide decides whether a request may be sent to a target. Each request must be asked for once, directly before it is sent,
 // since an admitted probe is expected to run.
 func (g *Gate) Decide(r admission.Request) admission.Answer {
+	if g == nil {
+		return admission.Answer{Admitted: true}
+	}
 	g.mu.Lock()
 	now := g.Now()
 	a := g.gate.Decide(now, r)
--- a/internal/reports/reports.go
+++ b/internal/reports/reports.go
@@ -16,6 +16,7 @@
 	"github.com/comfreylink/comfreylink/internal/grants"
 	"github.com/comfreylink/comfreylink/internal/pacedlog"
 	"github.com/comfreylink/comfreylink/internal/partlog"
+	"github.com/comfreylink/comfreylink/internal/recordgate"
 	"github.com/comfreylink/comfreylink/internal/relay"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 	"github.com/comfreylink/comfreylink/pkg/logpace"
@@ -58,6 +59,9 @@
 	Leaving   func() bool
 	Now       func() time.Time
 	Logger    *zap.Logger
+	// Writes is notified of the reports that are written. They show the end of an outage of the log also at an instance that
+	// refuses all requests meanwhile.
+	Writes *recordgate.Gate
 }
 
 // Reports writes this instance's reports and holds what the others have reported. It is safe for concurrent use.
@@ -174,7 +178,9 @@
 	if err == nil {
 		ctx, cancel := context.WithTimeout(pacedlog.WithKind(ctx, logpace.Lease), timeout)
 		defer cancel()
+		write := r.Writes.Begin()
 		first, err = r.Log.Append(ctx, partition, at, data)
+		write.End(err)
 	}
 	if err != nil {
 		r.mu.Lock()
--- a/internal/waitqueue/queue.go
+++ b/internal/waitqueue/queue.go
@@ -147,6 +147,11 @@
 	plainRate = 10
 )
 
+// UsualDecodeTime returns the usual time in which an engine generates tokens.
+func UsualDecodeTime(output ids.Tokens) time.Duration {
+	return time.Duration(float64(max(output, 0)) / engineDecodeRate * float64(time.Second))
+}
+
 func (q *serviceQueue) update(now time.Time, targets []call.Target, s *call.Service) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
