--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -69,6 +69,7 @@
 	FirstByte(route string, took time.Duration)
 	Attempt(service, outcome string)
 	recordgate.Observer
+	programs.Observer
 }
 
 const (
@@ -158,7 +159,7 @@
 func (g *Gateway) programsConfig() programs.Config {
 	parts := g.Settings.Store.Partitions
 	c := programs.Config{
-		Log: g.Source.Log, LogRetention: g.Settings.Store.Retention, Now: g.Clock.Now, Logger: g.Logger, Writes: g.recordGate,
+		Log: g.Source.Log, LogRetention: g.Settings.Store.Retention, Now: g.Clock.Now, Logger: g.Logger, Observer: g.Metrics, Writes: g.recordGate,
 		Programs: partlog.Keyspace{Name: "programs", Topics: topicsPerKeyspace, Parts: parts},
 		Index:    partlog.Keyspace{Name: "turns", Topics: topicsPerKeyspace, Parts: parts},
 	}
--- a/internal/instruments/instruments.go
+++ b/internal/instruments/instruments.go
@@ -44,7 +44,12 @@
 
 // Seconds returns a histogram of durations.
 func (s *Set) Seconds(name, description string, bounds []float64) metric.Float64Histogram {
-	h, err := s.Meter.Float64Histogram(name, metric.WithUnit("s"), metric.WithDescription(description),
+	return s.Histogram(name, "s", description, bounds)
+}
+
+// Histogram returns a histogram of values.
+func (s *Set) Histogram(name, unit, description string, bounds []float64) metric.Float64Histogram {
+	h, err := s.Meter.Float64Histogram(name, metric.WithUnit(unit), metric.WithDescription(description),
 		metric.WithExplicitBucketBoundaries(bounds...))
 	s.RecordError(err)
 	return h
--- a/internal/programs/programs.go
+++ b/internal/programs/programs.go
@@ -43,6 +43,8 @@
 	// Leaders calls the instances that write the records of all instances to a partition. If it is nil, each instance writes
 	// its own records. With leaders there is no index: turns of other programs are found by asking all leaders.
 	Leaders Leaders
+	// Observer is notified of each append of the own writers; nil if nobody is.
+	Observer Observer
 	// Writes is notified of the reservations and turns that are written for requests.
 	Writes *recordgate.Gate
 	// WriteInterval is the minimum time between the starts of two appends to a partition. What arrives meanwhile is
@@ -52,6 +54,12 @@
 	Logger        *zap.Logger
 }
 
+// Observer is notified of appends to the log.
+type Observer interface {
+	// RecordsWritten reports an append with the number of its records and how long the oldest of them waited for it.
+	RecordsWritten(records int, waited time.Duration)
+}
+
 // Store holds the state of the programs that this instance serves. It is safe for concurrent use.
 type Store struct {
 	Config
--- a/internal/programs/writer.go
+++ b/internal/programs/writer.go
@@ -58,9 +58,10 @@
 // submission is a batch that waits for a partition's writer. The other fields are set before done is closed.
 type submission struct {
 	batch
+	at      time.Time       // when it was submitted
 	ctx     context.Context // ends when nobody waits for the result
 	done    chan struct{}
-	granted []grant
+	granted []grant // of each reservation
 	err     error
 }
 
@@ -74,7 +75,7 @@
 
 // submit hands a batch to the partition's writer and blocks until it is written or has failed, or the context ends.
 func (p *partition) submit(ctx context.Context, b batch) (granted []grant, err error) {
-	s := &submission{batch: b, ctx: ctx, done: make(chan struct{})}
+	s := &submission{batch: b, at: p.store.Now(), ctx: ctx, done: make(chan struct{})}
 	p.mu.Lock()
 	if p.queuedBytes+b.size() > maxQueuedBytes {
 		p.mu.Unlock()
@@ -182,8 +183,10 @@
 		if len(d.encoded) == 0 {
 			return nil
 		}
+		waited := p.store.Now().Sub(batches[0].at)
 		err := p.append(ctx, d)
 		if err == nil {
+			p.store.observe(len(d.encoded), waited)
 			return nil
 		}
 		if errors.Is(err, partlog.ErrNotApplied) {
@@ -199,6 +202,12 @@
 	}
 }
 
+func (s *Store) observe(records int, waited time.Duration) {
+	if s.Observer != nil {
+		s.Observer.RecordsWritten(records, waited)
+	}
+}
+
 // kindOf returns the kind of an append with the batches, which is that of the most urgent one.
 func kindOf(batches []*submission) logpace.Kind {
 	kind := logpace.Background
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -2,6 +2,7 @@
 package telemetry
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"maps"
@@ -21,6 +22,7 @@
 // Upper bounds of histogram buckets, in seconds.
 var (
 	requestBounds = []float64{.005, .01, .025, .05, .1, .15, .25, .5, 1, 2.5, 5, 10, 30}
+	recordBounds  = []float64{1, 2, 4, 8, 16, 32, 64, 128, 256}
 	waitBounds    = []float64{.0005, .001, .0025, .005, .01, .025, .05, .1, .25, .5, 1, 2.5}
 )
 
@@ -52,6 +54,7 @@
 	set *instruments.Set
 
 	request, waited, firstByte, store metric.Float64Histogram
+	recordWait, records               metric.Float64Histogram
 	refused, attempts, storeBytes     metric.Int64Counter
 	storeThrottled, storePaced        metric.Int64Counter
 	admission                         metric.Int64Counter
@@ -88,6 +91,8 @@
 	m.waited = set.Seconds("comfreylink.line.wait", "Time that a request waits for a target.", waitBounds)
 	m.firstByte = set.Seconds("comfreylink.stream.first_event", "Time from a request to the first event of its stream.", requestBounds)
 	m.store = set.Seconds("comfreylink.store.call.duration", "Time of a call to the platform's log.", requestBounds)
+	m.recordWait = set.Seconds("comfreylink.records.wait", "Time that the oldest record of an append has waited for it.", waitBounds)
+	m.records = set.Histogram("comfreylink.records.append", "{record}", "Records of an append to a partition with the records of programs.", recordBounds)
 	m.refused = set.Counter("comfreylink.request.refused", "{request}", "Requests that were refused.")
 	m.attempts = set.Counter("comfreylink.attempt", "{attempt}", "Attempts at targets by how they ended.")
 	m.storeBytes = set.Counter("comfreylink.store.io", "By", "Bytes written to and read from the platform's log.")
@@ -173,6 +178,12 @@
 	instruments.Add(m.admission, 1, attrOutcome.String(result), attrFirst.Bool(first))
 }
 
+// RecordsWritten records an append of records of programs.
+func (m *Metrics) RecordsWritten(records int, waited time.Duration) {
+	instruments.Record(m.recordWait, waited)
+	m.records.Record(context.Background(), float64(records))
+}
+
 // Handler serves the metrics at /metrics and what dump returns at /dump.
 func (m *Metrics) Handler(dump func() any) http.Handler {
 	mux := http.NewServeMux()
