Let instances that do not reach the log lead last

Cause: a leader that the log refuses or does not answer passes its appends on through another instance, one hop and up to a second later, for all instances of its partition.

Change: the report of such an instance gives it no weight, and members without a weight come after all others.

--- a/internal/recorder/order.go
+++ b/internal/recorder/order.go
@@ -11,7 +11,8 @@
 )
 
 // leaders returns the members in the order in which they may lead a partition. The partitions of a topic are dealt to the
-// zones in turn, and the members of the partition's zone come first, so that each zone has leaders of its own.
+// zones in turn, and the members of the partition's zone come first, so that each zone has leaders of its own. Members
+// without a weight come last, whatever their zone.
 func (r *Recorder) leaders(p partlog.Partition) (list []Member) {
 	members := r.Members()
 	byID := make(map[ids.InstanceID]Member, len(members))
@@ -26,7 +27,7 @@
 	home := slices.Sorted(maps.Keys(zones))[p.Part%len(zones)]
 	var near, far []leader.Candidate
 	for _, m := range members {
-		if m.Zone == home {
+		if m.Zone == home && m.Weight > 0 {
 			near = append(near, m.Candidate)
 		} else {
 			far = append(far, m.Candidate)
--- a/internal/reports/peers.go
+++ b/internal/reports/peers.go
@@ -53,7 +53,9 @@
 // and are not about to stop. An instance that is stopping does not lead either.
 func (r *Reports) Members() (l []recorder.Member) {
 	if !r.Leaving() {
-		l = append(l, newMember(r.Self))
+		self := r.Self
+		self.ReachesLog = r.Reachable()
+		l = append(l, newMember(self))
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -65,6 +67,11 @@
 	return l
 }
 
+// newMember returns an instance as a member. One that reaches the log only through others leads if nobody else can.
 func newMember(p relay.Peer) recorder.Member {
-	return recorder.Member{Candidate: leader.Candidate{Instance: p.Instance, Weight: p.CPU}, Address: p.Address, Zone: p.Zone}
+	m := recorder.Member{Candidate: leader.Candidate{Instance: p.Instance}, Address: p.Address, Zone: p.Zone}
+	if p.ReachesLog {
+		m.Weight = p.CPU
+	}
+	return m
 }
--- /dev/null
+++ b/internal/reports/peers_test.go
@@ -0,0 +1,53 @@
+package reports_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+
+	"github.com/comfreylink/comfreylink/internal/grants"
+	"github.com/comfreylink/comfreylink/internal/partlog/partlogtest"
+	"github.com/comfreylink/comfreylink/internal/relay"
+	"github.com/comfreylink/comfreylink/internal/reports"
+	"github.com/comfreylink/comfreylink/pkg/ids"
+	"github.com/comfreylink/comfreylink/pkg/quota"
+)
+
+// Guards against partitions that are led by an instance that does not reach the log itself, or is about to stop.
+func TestMembers(t *testing.T) {
+	c := qt.New(t)
+	log := partlogtest.New()
+	var cutOff, leaving atomic.Bool
+	newReports := func(id ids.InstanceID, reachable, leaving func() bool) *reports.Reports {
+		r := reports.New(reports.Config{
+			Self: relay.Peer{Instance: id, CPU: 0.5}, RunID: string(id), Log: log, Grants: grants.New(grants.Config{Self: quota.Run{Instance: id}, Now: time.Now}),
+			Reachable: reachable, Leaving: leaving, Now: time.Now, Logger: zap.NewNop(),
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan error, 1)
+		go func() { ended <- r.Run(ctx) }()
+		c.Cleanup(func() {
+			cancel()
+			<-ended
+		})
+		return r
+	}
+	a := newReports("a", func() bool { return true }, func() bool { return false })
+	newReports("b", func() bool { return !cutOff.Load() }, leaving.Load)
+	weights := func() map[ids.InstanceID]float64 {
+		w := make(map[ids.InstanceID]float64)
+		for _, m := range a.Members() {
+			w[m.Instance] = m.Weight
+		}
+		return w
+	}
+	eventually(c, func() bool { return weights()["b"] == 0.5 && weights()["a"] == 0.5 })
+	cutOff.Store(true)
+	eventually(c, func() bool { w, ok := weights()["b"]; return ok && w == 0 })
+	leaving.Store(true)
+	eventually(c, func() bool { _, ok := weights()["b"]; return !ok })
+}
