--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -27,6 +27,20 @@
 	Stream
 )
 
+// String returns the name of the kind.
+func (k Kind) String() string {
+	switch k {
+	case Unsafe:
+		return "unsafe"
+	case Safe:
+		return "safe"
+	case Stream:
+		return "stream"
+	default:
+		return "unknown"
+	}
+}
+
 // Part is one section of a prompt. Targets cache it as a whole, together with all parts before it.
 type Part struct {
 	Key    string
