--- a/cmd/comfreylink/main.go
+++ b/cmd/comfreylink/main.go
@@ -32,6 +32,7 @@
 			return serveGateway(ctx, path, s, reload)
 		},
 		GatewaySettings: platform.SettingsFile(), Connect: connect,
+		PlatformConfig: cli.ConfigSource{Decode: platform.DecodeConfig, Place: platform.ConfigPlace, InForce: configInForce},
 	}
 	os.Exit(cli.New(runners).Run(ctx, os.Args, os.Stdout, os.Stderr))
 }
--- a/internal/cli/check.go
+++ b/internal/cli/check.go
@@ -18,11 +18,19 @@
 
 var checkCommand = command{
 	name:          "check",
-	description:   "check files of settings, templates and workspaces without a daemon or log service",
+	description:   "check files of settings, templates and workspaces, or a platform's configuration, before they are used",
 	arguments:     "[FILE...]",
 	argumentCount: anyCount,
 	flags: func() []ucli.Flag {
-		return []ucli.Flag{&ucli.StringFlag{Name: "settings", Usage: "settings `FILE`"}}
+		return []ucli.Flag{
+			&ucli.StringFlag{Name: "settings", Usage: "settings `FILE`"},
+			&ucli.StringFlag{Name: "platform", Usage: "`FILE` with a configuration of the users' platform"},
+			&ucli.StringFlag{Name: "against", Usage: "`FILE` with the configuration in force, to print the differences"},
+			&ucli.StringFlag{Name: "log", Usage: "`ADDRESS` of the platform's log, HOST:PORT, to read the configuration in force"},
+			&ucli.DurationFlag{Name: "timeout", Value: defaultTimeout, Usage: "fail if the log takes longer than `TIME`"},
+			&ucli.DurationFlag{Name: "log-retention", Value: defaultLogRetention, Usage: "how long the platform's log keeps records, as a `DURATION`; 0s if it keeps all"},
+			&ucli.BoolFlag{Name: "fail-on-difference", Usage: "exit code 1 if anything differs from the version in force"},
+		}
 	},
 	action: check,
 }
@@ -32,13 +40,21 @@
 	Objects []string `json:"objects"`
 }
 
-func check(_ context.Context, r *run) error {
+func check(ctx context.Context, r *run) error {
+	if r.String("platform") != "" {
+		return checkPlatform(ctx, r)
+	}
+	for _, flag := range []string{"against", "log", "timeout", "log-retention", "fail-on-difference"} {
+		if r.IsSet(flag) {
+			return &UsageError{Reason: "--" + flag + " needs --platform"}
+		}
+	}
 	var errs []error
 	if file := r.String("settings"); file != "" {
 		_, err := settings.Load(file)
 		errs = append(errs, err)
 	} else if !r.Args().Present() {
-		return &UsageError{Reason: "check needs --settings or at least one FILE"}
+		return &UsageError{Reason: "check needs --settings, --platform or at least one FILE"}
 	}
 	var documents []*record.Publish
 	for _, file := range r.Args().Slice() {
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -23,6 +23,8 @@
 	GatewaySettings string
 	// Connect returns a client of the log service at the address, which is HOST:PORT.
 	Connect func(address string) (l publisher.Log, cleanup func(), err error)
+	// PlatformConfig reads the configurations that check --platform checks.
+	PlatformConfig ConfigSource
 }
 
 // CLI is the command line of comfreylink.
@@ -82,7 +84,8 @@
 	}
 	err := root.Run(ctx, args)
 	out.json = root.Bool("json")
-	if err != nil {
+	var status *statusError
+	if err != nil && !(errors.As(err, &status) && status.err == nil) {
 		out.error(err)
 	}
 	return int(exitCodeOf(err))
--- a/internal/cli/output.go
+++ b/internal/cli/output.go
@@ -28,7 +28,27 @@
 // errInvalid is wrapped by errors about invalid files.
 var errInvalid = errors.New("invalid")
 
+// statusError is the result of a command with exit codes of its own. If err is nil, the command has printed everything.
+type statusError struct {
+	code ExitCode
+	err  error
+}
+
+// Error implements error.
+func (e *statusError) Error() string {
+	if e.err == nil {
+		return fmt.Sprintf("exit code %d", e.code)
+	}
+	return e.err.Error()
+}
+
+func (e *statusError) Unwrap() error { return e.err }
+
 func exitCodeOf(err error) ExitCode {
+	var status *statusError
+	if errors.As(err, &status) {
+		return status.code
+	}
 	var usage *UsageError
 	var conflict *config.ConflictError
 	var invalid *config.InvalidError
