Count a target's death also after the first event of a stream

A request begins to run with its first token, but a death was reported only if the caller had not received any event. Failed writes to the caller do not count.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -208,7 +208,7 @@
 	body, err := conn.ReadHead(&h)
 	if err != nil {
 		conn.Close()
-		return e.reportCrash(e.incomplete(errors.Join(writeErr, err)), p.Target.ID)
+		return e.reportCrash(e.incomplete(errors.Join(writeErr, err)), p.Target)
 	}
 	a := e.Codec.DecodeAnswer(&h)
 	p.Load(e.now(), a.Load)
@@ -296,7 +296,7 @@
 	}
 	return attemptResult{
 		retryable: e.route.Idempotent(), refusal: &refusal{status: fasthttp.StatusBadGateway, code: codeBroken, err: err},
-		reason: string(codeBroken), outcome: dispatch.Incomplete, err: err, mayHaveCrashed: true,
+		reason: string(codeBroken), outcome: dispatch.Incomplete, err: err, mayHaveCrashed: !unusable(err),
 	}
 }
 
@@ -335,17 +335,7 @@
 	if res.outcome == dispatch.Completed {
 		e.reports.Survived(e.fingerprint)
 	}
-	return e.reportCrash(res, p.Target.ID)
-}
-
-// reportCrash reports that the request may have crashed the target, unless the caller has already received events. A request
-// that is quarantined because too many targets died while they ran it is not tried at another one.
-func (e *exchange) reportCrash(res attemptResult, t ids.TargetID) attemptResult {
-	if res.mayHaveCrashed && e.events == 0 {
-		e.reports.ReportDeath(e.fingerprint, t)
-		res.retryable = res.retryable && !e.reports.Quarantined(e.fingerprint)
-	}
-	return res
+	return e.reportCrash(res, p.Target)
 }
 
 // relayWhole passes on an answer that is not a stream.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math"
 
@@ -58,9 +59,9 @@
 
 // errNotContinued is the error of an answer that should go on with a stream after the events that the caller has. It may be
 // an error page with status 200, or a stream that begins anew.
-var errNotContinued = errors.New("the answer does not go on after the stream's last event")
+var errNotContinued = fmt.Errorf("%w: it does not go on after the stream's last event", errUnusable)
 
-var errTooManyEvents = errors.New("the stream has more events than the request's tokens allow")
+var errTooManyEvents = fmt.Errorf("%w: the stream has more events than the request's tokens allow", errUnusable)
 
 // maxEvents returns how many events the caller may get: those of the most tokens that the request may generate, and one for
 // an end without tokens. A faulty target may send events without end.
@@ -87,7 +88,7 @@
 	}
 	e.events++
 	if err != nil {
-		return e.incomplete(err), true
+		return e.callerFailed(err), true
 	}
 	if id, ok := eventstream.Field(event, "id"); ok {
 		e.req.LastEvent = string(id)
@@ -138,7 +139,7 @@
 		}
 	}
 	if err := e.x.WriteLast(nil); err != nil {
-		return e.incomplete(err)
+		return e.callerFailed(err)
 	}
 	e.logAnswered(fasthttp.StatusOK)
 	return attemptResult{done: true, reason: "answered", outcome: dispatch.Completed, usage: usage}
