Keep the deaths under a request known to new runs

An instance that has seen a death now records the request in the partition crashes once it knows of two deaths, and a new run reads that partition at its start. Records hold the ages of deaths, so that a death counts for two minutes whichever instance learns of it and when.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -290,7 +290,8 @@
 	ctx, cancel := context.WithDeadline(context.Background(), exitAt.Add(exitMargin/2))
 	defer cancel()
 	g.programs.Flush(ctx)
-	if _, err := g.reports.Write(ctx); err != nil {
+	_, err := g.reports.Write(ctx)
+	if err = errors.Join(err, g.reports.RecordCrashes(ctx)); err != nil {
 		events.Log(g.Logger, events.ReportFailed, zap.String("operation", "last"), zap.Error(err))
 	}
 }
--- /dev/null
+++ b/internal/reports/crashes_test.go
@@ -0,0 +1,81 @@
+package reports_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/comfreylink/comfreylink/internal/partlog"
+	"github.com/comfreylink/comfreylink/internal/partlog/partlogtest"
+	"github.com/comfreylink/comfreylink/pkg/ids"
+)
+
+var crashPartition = partlog.Partition{Topic: "crashes"}
+
+// fillReports appends more reports than a new run reads.
+func fillReports(c *qt.C, log *partlogtest.Log) {
+	for range 400 {
+		_, err := log.Append(c.Context(), partlog.Partition{Topic: "reports"}, partlog.AnyOffset, []byte(`{"instance":"x"}`))
+		c.Assert(err, qt.IsNil)
+	}
+}
+
+// Guards against a run that begins after a request was refused and lets it crash targets again (review/4): its deaths are neither in the
+// reports that a new run reads, nor young enough there. Guards against deaths that count longer than they should, or not at all
+// because clocks are apart, and against a request that is refused after a target has completed it.
+func TestNewRunKnowsCrashes(t *testing.T) {
+	c := qt.New(t)
+	log := partlogtest.New()
+	a, b := start(c, log, "a"), start(c, log, "b")
+	eventually(c, func() bool { return len(a.Peers()) == 1 && len(b.Peers()) == 1 })
+	a.ReportDeath("f", "t1")
+	b.ReportDeath("f", "t2")
+	a.ReportDeath("f", "t3")
+	a.ReportDeath("innocent", "t1")
+	for _, target := range []ids.TargetID{"t1", "t2", "t3"} {
+		b.ReportDeath("completed", target)
+	}
+	eventually(c, func() bool { return log.End(crashPartition) >= 3 && a.Quarantined("f") && a.Quarantined("completed") })
+	before := log.End(crashPartition)
+	a.Survived("completed")
+	eventually(c, func() bool { return log.End(crashPartition) > before })
+	fillReports(c, log)
+	for _, f := range []struct {
+		id      ids.InstanceID
+		later   time.Duration
+		refused bool
+	}{{"c", 0, true}, {"d", 100 * time.Second, true}, {"e", -time.Hour, true}, {"f", 3 * time.Minute, false}} {
+		n := startAt(c, log, f.id, f.later)
+		eventually(c, func() bool { return len(n.Peers()) > 0 })
+		c.Check(n.Quarantined("f"), qt.Equals, f.refused, qt.Commentf("after %v", f.later))
+		c.Check(n.Quarantined("completed"), qt.IsFalse)
+		c.Check(n.Quarantined("innocent"), qt.IsFalse)
+	}
+}
+
+// Guards against appends for requests of which only one target has died, of which a failing zone makes thousands, against
+// appends that never end, and against deaths that are lost because the log was unavailable when they were to be recorded.
+func TestCrashesAreRecordedOnce(t *testing.T) {
+	c := qt.New(t)
+	log := partlogtest.New()
+	a := start(c, log, "a")
+	for i := range 50 {
+		a.ReportDeath(ids.Fingerprint(rune('a'+i)), "t1")
+	}
+	eventually(c, func() bool { return log.End(partlog.Partition{Topic: "reports"}) >= 3 })
+	c.Assert(log.End(crashPartition), qt.Equals, ids.Offset(0))
+	log.SetFault(func(int) partlogtest.Fault {
+		return partlogtest.Fault{Err: errors.Join(partlog.ErrNotApplied, errors.New("away"))}
+	})
+	a.ReportDeath("f", "t1")
+	a.ReportDeath("f", "t2")
+	eventually(c, func() bool { return log.Calls() > 3 })
+	c.Assert(log.End(crashPartition), qt.Equals, ids.Offset(0))
+	log.SetFault(nil)
+	eventually(c, func() bool { return log.End(crashPartition) == 1 })
+	end := log.End(partlog.Partition{Topic: "reports"})
+	eventually(c, func() bool { return log.End(partlog.Partition{Topic: "reports"}) > end+2 })
+	c.Assert(log.End(crashPartition), qt.Equals, ids.Offset(1))
+}
--- a/internal/reports/reports.go
+++ b/internal/reports/reports.go
@@ -64,6 +64,7 @@
 
 	mu       sync.Mutex
 	suspects suspects
+	crashes  crashes
 	peers    map[ids.InstanceID]peer
 	wanted   map[quota.Shard]struct{} // shards to claim
 	decided  chan struct{}            // closed when the claims of the shards in wanted are decided
@@ -76,6 +77,7 @@
 	return &Reports{
 		Config: c, suspects: newSuspects(), peers: make(map[ids.InstanceID]peer), wanted: make(map[quota.Shard]struct{}),
 		decided: make(chan struct{}), wakeup: make(chan struct{}, 1), backlog: true,
+		crashes: crashes{recorded: make(map[ids.Fingerprint]recordedCrash)},
 	}
 }
 
@@ -83,13 +85,13 @@
 func (r *Reports) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		began := r.Now()
-		err := r.claimWanted(ctx)
+		err := errors.Join(r.recall(ctx), r.claimWanted(ctx))
 		if at, writeErr := r.Write(ctx); writeErr == nil {
 			r.begin(at)
 		} else {
 			err = errors.Join(err, writeErr)
 		}
-		err = errors.Join(err, r.read(ctx))
+		err = errors.Join(err, r.read(ctx), r.recordCrashes(ctx))
 		if err != nil {
 			events.Log(r.Logger, events.ReportFailed, zap.String("operation", "report"), zap.Error(err))
 		}
@@ -250,5 +252,6 @@
 	}
 	for _, f := range w.Survived {
 		r.suspects.tracker.Survived(f)
+		delete(r.crashes.recorded, f)
 	}
 }
--- a/internal/reports/reports_test.go
+++ b/internal/reports/reports_test.go
@@ -18,10 +18,16 @@
 
 // start runs an instance's Reports until the test ends.
 func start(c *qt.C, log *partlogtest.Log, id ids.InstanceID) *reports.Reports {
+	return startAt(c, log, id, 0)
+}
+
+// startAt does the same with a clock that is ahead.
+func startAt(c *qt.C, log *partlogtest.Log, id ids.InstanceID, ahead time.Duration) *reports.Reports {
+	now := func() time.Time { return time.Now().Add(ahead) }
 	r := reports.New(reports.Config{
 		Self: relay.Peer{Instance: id, Address: "address of " + string(id)}, RunID: "run of " + string(id), Log: log,
-		Grants:    grants.New(grants.Config{Self: quota.Run{Instance: id}, Now: time.Now}),
-		Reachable: func() bool { return true }, Leaving: func() bool { return false }, Now: time.Now, Logger: zap.NewNop(),
+		Grants:    grants.New(grants.Config{Self: quota.Run{Instance: id}, Now: now}),
+		Reachable: func() bool { return true }, Leaving: func() bool { return false }, Now: now, Logger: zap.NewNop(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
--- a/internal/reports/suspects.go
+++ b/internal/reports/suspects.go
@@ -23,6 +23,9 @@
 	defer r.mu.Unlock()
 	if r.suspects.tracker.ReportDeath(r.Now(), d) > 0 {
 		r.suspects.deaths = append(r.suspects.deaths, d)
+		if _, ok := r.crashes.recorded[f]; !ok {
+			r.crashes.recorded[f] = recordedCrash{}
+		}
 	}
 }
 
@@ -30,9 +33,14 @@
 func (r *Reports) Survived(f ids.Fingerprint) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.suspects.tracker.Survived(f) {
+	deaths := r.suspects.tracker.Survived(f)
+	if deaths > 0 {
 		r.suspects.survived = append(r.suspects.survived, f)
 	}
+	if deaths >= minRecordedDeaths {
+		r.crashes.survived = append(r.crashes.survived, f)
+	}
+	delete(r.crashes.recorded, f)
 }
 
 // Quarantined reports whether a request is refused because too many targets died while they ran it.
@@ -43,4 +51,11 @@
 // DropOld drops old deaths.
 func (r *Reports) DropOld(now time.Time) {
 	r.suspects.tracker.DropOld(now)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for f := range r.crashes.recorded {
+		if !r.suspects.tracker.Suspected(f) {
+			delete(r.crashes.recorded, f)
+		}
+	}
 }
--- a/pkg/suspect/suspect.go
+++ b/pkg/suspect/suspect.go
@@ -3,6 +3,8 @@
 package suspect
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -51,17 +53,49 @@
 		r = &record{deaths: make(map[ids.TargetID]time.Time)}
 		t.records[d.Fingerprint] = r
 	}
-	r.deaths[d.Target] = now
+	if now.After(r.deaths[d.Target]) {
+		r.deaths[d.Target] = now
+	}
 	return len(r.deaths)
 }
 
-// Survived clears the suspicion of a request that a target has completed. It reports whether the request was suspected.
-func (t *Tracker) Survived(f ids.Fingerprint) (suspected bool) {
+// RecallDeath records a death that happened at an earlier time, unless it does not count any more.
+func (t *Tracker) RecallDeath(now, at time.Time, d Death) {
+	if now.Sub(at) <= deathTTL {
+		t.ReportDeath(at, d)
+	}
+}
+
+// DatedDeath is a death of a target with its time.
+type DatedDeath struct {
+	Target ids.TargetID
+	At     time.Time
+}
+
+// Deaths returns the last deaths of the targets that have died while they ran a request, in the order of the targets' ids.
+func (t *Tracker) Deaths(f ids.Fingerprint) (l []DatedDeath) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	suspected = t.records[f] != nil
+	r := t.records[f]
+	if r == nil {
+		return nil
+	}
+	for _, id := range slices.Sorted(maps.Keys(r.deaths)) {
+		l = append(l, DatedDeath{Target: id, At: r.deaths[id]})
+	}
+	return l
+}
+
+// Survived clears the suspicion of a request that a target has completed. It returns how many targets had died while they ran
+// the request.
+func (t *Tracker) Survived(f ids.Fingerprint) (deaths int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.records[f]; r != nil {
+		deaths = len(r.deaths)
+	}
 	delete(t.records, f)
-	return suspected
+	return deaths
 }
 
 // Suspected reports whether a target died while it ran a request.
