Count each run of a target that dies under a request

Deaths were counted by the targets' ids, so a request that crashed two targets which started again under their ids was never refused. A death now names the start of the target's run as well.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -5,6 +5,7 @@
 
 	"github.com/comfreylink/comfreylink/internal/call"
 	"github.com/comfreylink/comfreylink/internal/httpwire"
+	"github.com/comfreylink/comfreylink/pkg/suspect"
 )
 
 // callerFailed returns the result of an attempt whose answer could not be written to the caller.
@@ -27,7 +28,7 @@
 // died while they ran it is not tried at another one.
 func (e *exchange) reportCrash(res attemptResult, t call.Target) attemptResult {
 	if res.mayHaveCrashed && !e.follower.IsLeaving(t) {
-		e.reports.ReportDeath(e.fingerprint, t.ID)
+		e.reports.ReportDeath(suspect.Death{Fingerprint: e.fingerprint, Target: t.ID, Born: t.Born})
 		res.retryable = res.retryable && !e.reports.Quarantined(e.fingerprint)
 	}
 	return res
--- a/internal/reports/crashes.go
+++ b/internal/reports/crashes.go
@@ -41,6 +41,7 @@
 
 type wireDatedDeath struct {
 	Target ids.TargetID `json:"target"`
+	Born   int64        `json:"born,omitempty"`
 	// AgeMs is the time from the death to the record.
 	AgeMs int64 `json:"ageMs"`
 }
@@ -98,7 +99,7 @@
 		r.crashes.recorded[f] = recordedCrash{deaths: len(deaths), last: lastDeath(deaths)}
 		w := wireCrash{Fingerprint: f, AtMs: now.UnixMilli()}
 		for _, d := range deaths {
-			w.Deaths = append(w.Deaths, wireDatedDeath{Target: d.Target, AgeMs: max(now.Sub(d.At), 0).Milliseconds()})
+			w.Deaths = append(w.Deaths, wireDatedDeath{Target: d.Target, Born: d.Born, AgeMs: max(now.Sub(d.At), 0).Milliseconds()})
 		}
 		l = append(l, w)
 	}
@@ -182,7 +183,7 @@
 			age := max(now.Sub(time.UnixMilli(w.AtMs)), 0)
 			for _, d := range w.Deaths {
 				at := now.Add(-age - max(time.Duration(d.AgeMs), 0)*time.Millisecond)
-				r.suspects.tracker.RecallDeath(now, at, suspect.Death{Fingerprint: f, Target: d.Target})
+				r.suspects.tracker.RecallDeath(now, at, suspect.Death{Fingerprint: f, Target: d.Target, Born: d.Born})
 			}
 		}
 	}
--- a/internal/reports/crashes_test.go
+++ b/internal/reports/crashes_test.go
@@ -10,6 +10,7 @@
 	"github.com/comfreylink/comfreylink/internal/partlog"
 	"github.com/comfreylink/comfreylink/internal/partlog/partlogtest"
 	"github.com/comfreylink/comfreylink/pkg/ids"
+	"github.com/comfreylink/comfreylink/pkg/suspect"
 )
 
 var crashPartition = partlog.Partition{Topic: "crashes"}
@@ -30,12 +31,12 @@
 	log := partlogtest.New()
 	a, b := start(c, log, "a"), start(c, log, "b")
 	eventually(c, func() bool { return len(a.Peers()) == 1 && len(b.Peers()) == 1 })
-	a.ReportDeath("f", "t1")
-	b.ReportDeath("f", "t2")
-	a.ReportDeath("f", "t3")
-	a.ReportDeath("innocent", "t1")
+	a.ReportDeath(suspect.Death{Fingerprint: "f", Target: "t1"})
+	b.ReportDeath(suspect.Death{Fingerprint: "f", Target: "t2"})
+	a.ReportDeath(suspect.Death{Fingerprint: "f", Target: "t3"})
+	a.ReportDeath(suspect.Death{Fingerprint: "innocent", Target: "t1"})
 	for _, target := range []ids.TargetID{"t1", "t2", "t3"} {
-		b.ReportDeath("completed", target)
+		b.ReportDeath(suspect.Death{Fingerprint: "completed", Target: target})
 	}
 	eventually(c, func() bool { return log.End(crashPartition) >= 3 && a.Quarantined("f") && a.Quarantined("completed") })
 	before := log.End(crashPartition)
@@ -62,15 +63,15 @@
 	log := partlogtest.New()
 	a := start(c, log, "a")
 	for i := range 50 {
-		a.ReportDeath(ids.Fingerprint(rune('a'+i)), "t1")
+		a.ReportDeath(suspect.Death{Fingerprint: ids.Fingerprint(rune('a' + i)), Target: "t1"})
 	}
 	eventually(c, func() bool { return log.End(partlog.Partition{Topic: "reports"}) >= 3 })
 	c.Assert(log.End(crashPartition), qt.Equals, ids.Offset(0))
 	log.SetFault(func(int) partlogtest.Fault {
 		return partlogtest.Fault{Err: errors.Join(partlog.ErrNotApplied, errors.New("away"))}
 	})
-	a.ReportDeath("f", "t1")
-	a.ReportDeath("f", "t2")
+	a.ReportDeath(suspect.Death{Fingerprint: "f", Target: "t1"})
+	a.ReportDeath(suspect.Death{Fingerprint: "f", Target: "t2"})
 	eventually(c, func() bool { return log.Calls() > 3 })
 	c.Assert(log.End(crashPartition), qt.Equals, ids.Offset(0))
 	log.SetFault(nil)
--- a/internal/reports/reports_test.go
+++ b/internal/reports/reports_test.go
@@ -14,6 +14,7 @@
 	"github.com/comfreylink/comfreylink/internal/reports"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 	"github.com/comfreylink/comfreylink/pkg/quota"
+	"github.com/comfreylink/comfreylink/pkg/suspect"
 )
 
 // start runs an instance's Reports until the test ends.
@@ -60,7 +61,7 @@
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(address, qt.Equals, "address of b")
 	for _, target := range []ids.TargetID{"t1", "t2", "t3"} {
-		a.ReportDeath("f", target)
+		a.ReportDeath(suspect.Death{Fingerprint: "f", Target: target})
 	}
 	eventually(c, func() bool { return b.Quarantined("f") })
 	b.Survived("f")
--- a/internal/reports/suspects.go
+++ b/internal/reports/suspects.go
@@ -17,14 +17,13 @@
 func newSuspects() suspects { return suspects{tracker: suspect.New()} }
 
 // ReportDeath records that a target died while it ran a request.
-func (r *Reports) ReportDeath(f ids.Fingerprint, t ids.TargetID) {
-	d := suspect.Death{Fingerprint: f, Target: t}
+func (r *Reports) ReportDeath(d suspect.Death) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.suspects.tracker.ReportDeath(r.Now(), d) > 0 {
 		r.suspects.deaths = append(r.suspects.deaths, d)
-		if _, ok := r.crashes.recorded[f]; !ok {
-			r.crashes.recorded[f] = recordedCrash{}
+		if _, ok := r.crashes.recorded[d.Fingerprint]; !ok {
+			r.crashes.recorded[d.Fingerprint] = recordedCrash{}
 		}
 	}
 }
--- a/internal/reports/wire.go
+++ b/internal/reports/wire.go
@@ -31,6 +31,7 @@
 type wireDeath struct {
 	Fingerprint ids.Fingerprint `json:"fingerprint"`
 	Target      ids.TargetID    `json:"target"`
+	Born        int64           `json:"born,omitempty"`
 }
 
 func (w *wireReport) setLease(r quota.Report) {
--- a/pkg/suspect/suspect.go
+++ b/pkg/suspect/suspect.go
@@ -3,7 +3,7 @@
 package suspect
 
 import (
-	"maps"
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -24,11 +24,20 @@
 type Death struct {
 	Fingerprint ids.Fingerprint
 	Target      ids.TargetID
+	// Born is when the target started, in Unix milliseconds; 0 if it is not known. A target that starts again under its id can
+	// die again.
+	Born int64
 }
 
-// record holds the targets that died while they ran a request, with the time of the last death of each.
+// run is one run of a target.
+type run struct {
+	target ids.TargetID
+	born   int64
+}
+
+// record holds the targets that died while they ran a request, with the time of the last death of each run.
 type record struct {
-	deaths map[ids.TargetID]time.Time
+	deaths map[run]time.Time
 }
 
 // Tracker counts the targets that died while they ran each request. It is safe for concurrent use.
@@ -50,11 +59,12 @@
 		if len(t.records) >= maxRecords {
 			return 0
 		}
-		r = &record{deaths: make(map[ids.TargetID]time.Time)}
+		r = &record{deaths: make(map[run]time.Time)}
 		t.records[d.Fingerprint] = r
 	}
-	if now.After(r.deaths[d.Target]) {
-		r.deaths[d.Target] = now
+	died := run{target: d.Target, born: d.Born}
+	if now.After(r.deaths[died]) {
+		r.deaths[died] = now
 	}
 	return len(r.deaths)
 }
@@ -66,13 +76,13 @@
 	}
 }
 
-// DatedDeath is a death of a target with its time.
+// DatedDeath is a death with its time.
 type DatedDeath struct {
-	Target ids.TargetID
-	At     time.Time
+	Death
+	At time.Time
 }
 
-// Deaths returns the last deaths of the targets that have died while they ran a request, in the order of the targets' ids.
+// Deaths returns the last deaths of the targets that have died while they ran a request, in the order of targets and runs.
 func (t *Tracker) Deaths(f ids.Fingerprint) (l []DatedDeath) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -80,9 +90,12 @@
 	if r == nil {
 		return nil
 	}
-	for _, id := range slices.Sorted(maps.Keys(r.deaths)) {
-		l = append(l, DatedDeath{Target: id, At: r.deaths[id]})
+	for died, at := range r.deaths {
+		l = append(l, DatedDeath{Death: Death{Fingerprint: f, Target: died.target, Born: died.born}, At: at})
 	}
+	slices.SortFunc(l, func(a, b DatedDeath) int {
+		return cmp.Or(cmp.Compare(a.Target, b.Target), cmp.Compare(a.Born, b.Born))
+	})
 	return l
 }
 
@@ -118,9 +131,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for f, r := range t.records {
-		for id, at := range r.deaths {
+		for died, at := range r.deaths {
 			if now.Sub(at) > deathTTL {
-				delete(r.deaths, id)
+				delete(r.deaths, died)
 			}
 		}
 		if len(r.deaths) == 0 {
--- a/pkg/suspect/suspect_test.go
+++ b/pkg/suspect/suspect_test.go
@@ -29,3 +29,20 @@
 	tr.DropOld(now.Add(time.Hour))
 	c.Assert(tr.MustRefuse("crashing"), qt.IsFalse)
 }
+
+// Guards against a target that starts again under its id, and whose further deaths are not counted, and against deaths that are
+// recalled after they have expired.
+func TestRunsOfOneTarget(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	tr := suspect.New()
+	for born := range int64(3) {
+		c.Assert(tr.MustRefuse("f"), qt.IsFalse)
+		tr.RecallDeath(now, now.Add(-time.Minute), suspect.Death{Fingerprint: "f", Target: "a", Born: born})
+		tr.RecallDeath(now, now.Add(-time.Hour), suspect.Death{Fingerprint: "old", Target: "a", Born: born})
+	}
+	c.Assert(tr.MustRefuse("f"), qt.IsTrue)
+	c.Assert(tr.Suspected("old"), qt.IsFalse)
+	tr.DropOld(now.Add(90 * time.Second))
+	c.Assert(tr.Suspected("f"), qt.IsFalse)
+}
