--- a/cmd/comfreylink/config.go
+++ b/cmd/comfreylink/config.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/comfreylink/comfreylink/internal/boottime"
+	"github.com/comfreylink/comfreylink/internal/call"
 	"github.com/comfreylink/comfreylink/internal/httpwire"
 	"github.com/comfreylink/comfreylink/internal/partlog"
 	"github.com/comfreylink/comfreylink/platform"
@@ -14,20 +15,35 @@
 // configRetryPause is the pause after a call to the log that had no effect, so that the command does not add to an overload.
 const configRetryPause = time.Second
 
-// configInForce reads the operator's newest configuration from the platform's log at an address. It tries again while the log
-// is throttled or unavailable, until ctx ends.
-func configInForce(ctx context.Context, address string) (data []byte, err error) {
+// readPlatformLog reads the operator's newest configuration and the registered targets from the platform's log at an address.
+func readPlatformLog(ctx context.Context, address string) (config []byte, targets []call.Target, err error) {
 	client, closeClient := httpwire.NewClient(httpwire.ClientOptions{ConnectTimeout: connectTimeout, SilenceTimeout: silenceTimeout})
 	defer closeClient()
 	store := platform.NewStore(address, client, boottime.New().Now, noObserver{})
+	err = untilApplied(ctx, func() (err error) {
+		config, err = platform.ReadConfig(ctx, store)
+		return err
+	})
+	if err != nil {
+		return nil, nil, err
+	}
+	err = untilApplied(ctx, func() (err error) {
+		targets, err = platform.ReadTargets(ctx, store)
+		return err
+	})
+	return config, targets, err
+}
+
+// untilApplied repeats a call while the log is throttled or unavailable, until ctx ends.
+func untilApplied(ctx context.Context, call func() error) error {
 	for {
-		data, err = platform.ReadConfig(ctx, store)
+		err := call()
 		if !errors.Is(err, partlog.ErrNotApplied) {
-			return data, err
+			return err
 		}
 		select {
 		case <-ctx.Done():
-			return nil, err
+			return err
 		case <-time.After(configRetryPause):
 		}
 	}
--- a/cmd/comfreylink/main.go
+++ b/cmd/comfreylink/main.go
@@ -32,7 +32,7 @@
 			return serveGateway(ctx, path, s, reload)
 		},
 		GatewaySettings: platform.SettingsFile(), Connect: connect,
-		PlatformConfig: cli.ConfigSource{Decode: platform.DecodeConfig, Place: platform.ConfigPlace, InForce: configInForce},
+		PlatformConfig: cli.ConfigSource{Decode: platform.DecodeConfig, Place: platform.ConfigPlace, ReadLog: readPlatformLog},
 	}
 	os.Exit(cli.New(runners).Run(ctx, os.Args, os.Stdout, os.Stderr))
 }
--- a/internal/cli/checkplatform.go
+++ b/internal/cli/checkplatform.go
@@ -18,8 +18,9 @@
 	Decode func(data []byte) (call.Config, error)
 	// Place returns the place and the field of a finding as they are called in the file.
 	Place func(configcheck.Place, configcheck.Field) (place, field string)
-	// InForce reads the configuration in force from the log at the address; it returns nil if there is none.
-	InForce func(ctx context.Context, address string) ([]byte, error)
+	// ReadLog reads the configuration in force and the registered targets from the log at the address. The configuration is nil
+	// if there is none.
+	ReadLog func(ctx context.Context, address string) (inForce []byte, targets []call.Target, err error)
 }
 
 // Exit codes of check --platform, which are those of other tools that check or compare.
@@ -76,11 +77,11 @@
 	if err != nil {
 		return &statusError{code: checkErrors, err: err}
 	}
-	inForce, compared, err := r.configInForce(ctx, source)
+	v, err := r.versionInForce(ctx, source)
 	if err != nil {
 		return &statusError{code: checkErrors, err: err}
 	}
-	result, err := r.checkRecord(source, data, inForce, compared)
+	result, err := r.checkRecord(source, data, v)
 	if err != nil {
 		return &statusError{code: checkErrors, err: err}
 	}
@@ -98,8 +99,15 @@
 	return nil
 }
 
-// configInForce returns the configuration to compare with. compared is false if the command line names none.
-func (r *run) configInForce(ctx context.Context, source ConfigSource) (c call.Config, compared bool, err error) {
+// versionInForce is what a configuration is compared with.
+type versionInForce struct {
+	known   bool // false if the command line names no version
+	config  call.Config
+	targets []call.Target // nil if not known
+}
+
+// versionInForce reads the version in force that the command line names.
+func (r *run) versionInForce(ctx context.Context, source ConfigSource) (v versionInForce, err error) {
 	var data []byte
 	switch {
 	case r.String("against") != "":
@@ -107,20 +115,21 @@
 	case r.String("log") != "":
 		ctx, cancel := context.WithTimeout(ctx, r.Duration("timeout"))
 		defer cancel()
-		data, err = source.InForce(ctx, r.String("log"))
+		data, v.targets, err = source.ReadLog(ctx, r.String("log"))
 	default:
-		return c, false, nil
+		return v, nil
 	}
 	if err != nil {
-		return c, false, fmt.Errorf("read the configuration in force: %w", err)
+		return v, fmt.Errorf("read the configuration in force: %w", err)
 	}
+	v.known = true
 	if data == nil {
-		return c, true, nil
+		return v, nil
 	}
-	if c, err = source.Decode(data); err != nil {
-		return c, false, fmt.Errorf("decode the configuration in force: %w", faultsOf(err))
+	if v.config, err = source.Decode(data); err != nil {
+		return v, fmt.Errorf("decode the configuration in force: %w", faultsOf(err))
 	}
-	return c, true, nil
+	return v, nil
 }
 
 // faultsOf returns the faults that an error of decoding wraps, without the text around them. Other errors are returned as they
@@ -135,7 +144,7 @@
 
 // checkRecord decodes, checks and compares a configuration. It returns an error if the configuration is faulty in a way that
 // has no place.
-func (r *run) checkRecord(source ConfigSource, data []byte, inForce call.Config, compared bool) (result platformResult, err error) {
+func (r *run) checkRecord(source ConfigSource, data []byte, inForce versionInForce) (result platformResult, err error) {
 	result.Findings = []findingResult{}
 	next, err := source.Decode(data)
 	var faults configcheck.FieldErrors
@@ -148,10 +157,10 @@
 	if err != nil {
 		return result, err
 	}
-	findings := configcheck.Check(next, configcheck.Options{LogRetention: r.Duration("log-retention")})
-	if compared {
-		changes := configcheck.Compare(inForce, next)
-		findings = append(findings, configcheck.CheckVersion(inForce, next, changes)...)
+	findings := configcheck.Check(next, configcheck.Options{LogRetention: r.Duration("log-retention"), Targets: inForce.targets})
+	if inForce.known {
+		changes := configcheck.Compare(inForce.config, next)
+		findings = append(findings, configcheck.CheckVersion(inForce.config, next, changes)...)
 		result.Changes = []changeResult{}
 		for _, c := range changes {
 			result.Changes = append(result.Changes, newChangeResult(source, c))
--- a/internal/configcheck/configcheck.go
+++ b/internal/configcheck/configcheck.go
@@ -75,6 +75,8 @@
 type Options struct {
 	// LogRetention is how long the platform's log keeps records; 0 if it keeps all.
 	LogRetention time.Duration
+	// Targets are the registered targets; nil if they are not known.
+	Targets []call.Target
 }
 
 // Check returns the findings of a configuration, in the order of its sections and entries.
--- a/internal/configcheck/configcheck_test.go
+++ b/internal/configcheck/configcheck_test.go
@@ -29,6 +29,10 @@
 	c := qt.New(t)
 	o := configcheck.Options{LogRetention: 5 * time.Minute}
 	c.Assert(configcheck.Check(valid(), o), qt.HasLen, 0)
+	withTargets := configcheck.Options{Targets: []call.Target{{Service: "llm"}, {Service: "desk", Draining: true}}}
+	findings := configcheck.Check(valid(), withTargets)
+	c.Assert(findings, qt.HasLen, 1)
+	c.Assert(findings[0].Place.Name+" "+findings[0].Message, qt.Contains, "desk no target of it is registered")
 	for name, f := range map[string]struct {
 		change func(c *call.Config)
 		want   string
--- a/internal/configcheck/services.go
+++ b/internal/configcheck/services.go
@@ -21,6 +21,8 @@
 		seen.check(k, p, "Name", Error, "only the last one has an effect")
 		if !used[s.Name] {
 			k.warn(p, "", "no route sends requests to it")
+		} else if k.options.Targets != nil && !slices.ContainsFunc(k.options.Targets, func(t call.Target) bool { return t.Service == s.Name && !t.Draining }) {
+			k.warn(p, "", "no target of it is registered, so its requests are refused")
 		}
 		notNegative(k, p, "MaxConns", s.MaxConns)
 		if s.Engine != nil {
