--- a/pkg/suspect/suspect.go
+++ b/pkg/suspect/suspect.go
@@ -3,6 +3,8 @@
 package suspect
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,11 +24,20 @@
 type Death struct {
 	Fingerprint ids.Fingerprint
 	Target      ids.TargetID
+	// Born is when the target started, in Unix milliseconds; 0 if it is not known. A target that starts again under its id can
+	// die again.
+	Born int64
 }
 
-// record holds the targets that died while they ran a request, with the time of the last death of each.
+// run is one run of a target.
+type run struct {
+	target ids.TargetID
+	born   int64
+}
+
+// record holds the targets that died while they ran a request, with the time of the last death of each run.
 type record struct {
-	deaths map[ids.TargetID]time.Time
+	deaths map[run]time.Time
 }
 
 // Tracker counts the targets that died while they ran each request. It is safe for concurrent use.
@@ -48,20 +59,56 @@
 		if len(t.records) >= maxRecords {
 			return 0
 		}
-		r = &record{deaths: make(map[ids.TargetID]time.Time)}
+		r = &record{deaths: make(map[run]time.Time)}
 		t.records[d.Fingerprint] = r
 	}
-	r.deaths[d.Target] = now
+	died := run{target: d.Target, born: d.Born}
+	if now.After(r.deaths[died]) {
+		r.deaths[died] = now
+	}
 	return len(r.deaths)
 }
 
-// Survived clears the suspicion of a request that a target has completed. It reports whether the request was suspected.
-func (t *Tracker) Survived(f ids.Fingerprint) (suspected bool) {
+// RecallDeath records a death that happened at an earlier time, unless it does not count any more.
+func (t *Tracker) RecallDeath(now, at time.Time, d Death) {
+	if now.Sub(at) <= deathTTL {
+		t.ReportDeath(at, d)
+	}
+}
+
+// DatedDeath is a death with its time.
+type DatedDeath struct {
+	Death
+	At time.Time
+}
+
+// Deaths returns the last deaths of the targets that have died while they ran a request, in the order of targets and runs.
+func (t *Tracker) Deaths(f ids.Fingerprint) (l []DatedDeath) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	suspected = t.records[f] != nil
+	r := t.records[f]
+	if r == nil {
+		return nil
+	}
+	for died, at := range r.deaths {
+		l = append(l, DatedDeath{Death: Death{Fingerprint: f, Target: died.target, Born: died.born}, At: at})
+	}
+	slices.SortFunc(l, func(a, b DatedDeath) int {
+		return cmp.Or(cmp.Compare(a.Target, b.Target), cmp.Compare(a.Born, b.Born))
+	})
+	return l
+}
+
+// Survived clears the suspicion of a request that a target has completed. It returns how many targets had died while they ran
+// the request.
+func (t *Tracker) Survived(f ids.Fingerprint) (deaths int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.records[f]; r != nil {
+		deaths = len(r.deaths)
+	}
 	delete(t.records, f)
-	return suspected
+	return deaths
 }
 
 // Suspected reports whether a target died while it ran a request.
@@ -84,9 +131,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for f, r := range t.records {
-		for id, at := range r.deaths {
+		for died, at := range r.deaths {
 			if now.Sub(at) > deathTTL {
-				delete(r.deaths, id)
+				delete(r.deaths, died)
 			}
 		}
 		if len(r.deaths) == 0 {
