--- a/internal/reports/crashes.go
+++ b/internal/reports/crashes.go
@@ -9,8 +9,10 @@
 	"go.uber.org/zap"
 
 	"github.com/comfreylink/comfreylink/internal/events"
+	"github.com/comfreylink/comfreylink/internal/pacedlog"
 	"github.com/comfreylink/comfreylink/internal/partlog"
 	"github.com/comfreylink/comfreylink/pkg/ids"
+	"github.com/comfreylink/comfreylink/pkg/logpace"
 	"github.com/comfreylink/comfreylink/pkg/suspect"
 )
 
@@ -134,7 +136,7 @@
 		records = append(records, data)
 	}
 	if err == nil {
-		ctx, cancel := context.WithTimeout(ctx, timeout)
+		ctx, cancel := context.WithTimeout(pacedlog.WithKind(ctx, logpace.Lease), timeout)
 		defer cancel()
 		_, err = r.Log.Append(ctx, crashPartition, partlog.AnyOffset, records...)
 	}
