Let less urgent requests leave slots of targets free

Cause: targets know no priorities, and the queue of an instance is nearly always empty, so that under contention requests of all priorities waited in the targets' queues in order of arrival.

Change: with [dispatch] rankMargin a request must leave that many slots of its target free for each more urgent priority among the routes of its service.

--- a/internal/call/table.go
+++ b/internal/call/table.go
@@ -14,13 +14,14 @@
 	byHost   map[string][]*Route // longest prefix first
 	byKey    map[[sha256.Size]byte]*Workspace
 	services map[ServiceName]*Service
+	ranks    map[*Route]int
 }
 
 // NewTable returns the table of a configuration.
 func NewTable(c Config) *Table {
 	t := &Table{
 		Config: c, byHost: make(map[string][]*Route), byKey: make(map[[sha256.Size]byte]*Workspace),
-		services: make(map[ServiceName]*Service),
+		services: make(map[ServiceName]*Service), ranks: make(map[*Route]int),
 	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
@@ -39,9 +40,37 @@
 	for i := range c.Services {
 		t.services[c.Services[i].Name] = &c.Services[i]
 	}
+	t.rankRoutes()
 	return t
 }
 
+// rankRoutes sets the rank of each route: the number of smaller priorities among the routes that share a service with it.
+func (t *Table) rankRoutes() {
+	priorities := make(map[ServiceName][]int)
+	for _, r := range t.Config.Routes {
+		for _, b := range r.Backends {
+			if !slices.Contains(priorities[b.Service], r.Priority) {
+				priorities[b.Service] = append(priorities[b.Service], r.Priority)
+			}
+		}
+	}
+	for i := range t.Config.Routes {
+		r := &t.Config.Routes[i]
+		for _, b := range r.Backends {
+			rank := 0
+			for _, p := range priorities[b.Service] {
+				if p < r.Priority {
+					rank++
+				}
+			}
+			t.ranks[r] = max(t.ranks[r], rank)
+		}
+	}
+}
+
+// Rank returns the number of more urgent priorities among the routes that share a service with a route.
+func (t *Table) Rank(r *Route) int { return t.ranks[r] }
+
 // Route returns the host's route with the longest prefix that matches the path, or nil.
 func (t *Table) Route(host, path string) *Route {
 	host, _, _ = strings.Cut(strings.ToLower(host), ":")
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -118,6 +118,7 @@
 		Workspace: e.workspaceID(), Program: e.req.Program, Prompt: e.req.Prompt, Output: max(e.req.MaxOutput, 1),
 		Zone: e.Settings.Instance.Zone, Idempotent: e.route.Idempotent(), Excluded: excluded, Parts: e.parts(),
 		Deadline: minTime(e.deadline, now.Add(e.queueTimeout())), FirstCall: e.firstCall,
+		Rank: e.table.Rank(e.route),
 	}
 	p, refused := e.queues.Wait(e.ctx, service, item)
 	e.waited += e.now().Sub(now)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -133,7 +133,7 @@
 func New(c Config) *Gateway {
 	g := &Gateway{
 		Config:      c,
-		queues:      waitqueue.New(waitqueue.Options{Policy: string(c.Settings.Dispatch.Policy), Now: c.Clock.Now}),
+		queues:      waitqueue.New(waitqueue.Options{Policy: string(c.Settings.Dispatch.Policy), RankMargin: c.Settings.Dispatch.RankMargin, Now: c.Clock.Now}),
 		programUses: make(map[account.Key]programUse), answerMemory: newAnswerMemory(c.Settings.Instance.Memory),
 	}
 	if c.Settings.Store.CallsPerSecond > 0 {
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -63,6 +63,9 @@
 // GatewayDispatch configures the queues of requests that wait for a target.
 type GatewayDispatch struct {
 	Policy Policy
+	// RankMargin is how many slots of a target a request must leave free for each more urgent priority of its service's
+	// routes.
+	RankMargin int
 }
 
 func (i *GatewayInstance) read(s *inifile.Section) {
@@ -98,6 +101,7 @@
 
 func (d *GatewayDispatch) read(s *inifile.Section) {
 	d.Policy = Policy(s.OneOf("policy", string(Fair), string(Fair), string(RoundRobin), string(LeastInFlight), string(Sticky)))
+	d.RankMargin = int(s.Int("rankMargin", 0, 0, 16))
 }
 
 // LoadGateway reads a gateway's settings file. The error lists everything that is wrong with the file.
--- a/internal/waitqueue/fleet_test.go
+++ b/internal/waitqueue/fleet_test.go
@@ -292,7 +292,7 @@
 
 // modelOptions returns the options of a queue before engines.
 func modelOptions() dispatch.Options {
-	return dispatchOptions("fair", &call.Service{Engine: &call.Engine{}})
+	return dispatchOptions(Options{Policy: "fair"}, &call.Service{Engine: &call.Engine{}})
 }
 
 // Guards against instances that overload some engines while others have free slots, because each instance sees only its own
--- a/internal/waitqueue/queue.go
+++ b/internal/waitqueue/queue.go
@@ -22,7 +22,9 @@
 // Options are the settings of all queues.
 type Options struct {
 	Policy string
-	Now    func() time.Time
+	// RankMargin is how many slots of a target a request must leave free for each more urgent kind of requests.
+	RankMargin int
+	Now        func() time.Time
 }
 
 // Queues holds the queues of all services. It is safe for concurrent use.
@@ -102,7 +104,7 @@
 }
 
 func newServiceQueue(o Options, s *call.Service, recordLoad func(LoadObservation)) *serviceQueue {
-	queue, err := dispatch.New(dispatchOptions(o.Policy, s))
+	queue, err := dispatch.New(dispatchOptions(o, s))
 	if err != nil {
 		panic(err) // the options are constants
 	}
@@ -112,8 +114,8 @@
 }
 
 // dispatchOptions returns the options of a service's queue.
-func dispatchOptions(policy string, s *call.Service) dispatch.Options {
-	options := dispatch.Options{Policy: policy}
+func dispatchOptions(o Options, s *call.Service) dispatch.Options {
+	options := dispatch.Options{Policy: o.Policy, RankMargin: o.RankMargin}
 	options.Ramp, options.Probation = 300*time.Millisecond, time.Second
 	options.ForeignHalfLife = time.Second
 	options.HintHalfLife = time.Minute
--- a/pkg/dispatch/fair.go
+++ b/pkg/dispatch/fair.go
@@ -42,7 +42,7 @@
 			return e, t
 		}
 		e.Skip = f.round
-		if !q.suspects.has(now, e.item.Fingerprint) && !(e.item.FirstCall && q.opt.FirstCallMargin > 0) {
+		if !q.suspects.has(now, e.item.Fingerprint) && q.margin(e) == 0 {
 			f.deferrals++
 		}
 	}
--- a/pkg/dispatch/item.go
+++ b/pkg/dispatch/item.go
@@ -75,6 +75,9 @@
 	// FirstCall marks the first call of a program. It must leave Options.FirstCallMargin slots of its target free, unless
 	// the target is idle.
 	FirstCall bool `json:"Begins"`
+	// Rank is the number of more urgent kinds of calls in the pool. The item must leave Options.RankMargin slots of its target
+	// free for each.
+	Rank int
 	// Suspected marks a call that was running at a target when the target died.
 	Suspected bool
 	// Excluded lists the targets on which the call already failed.
@@ -136,10 +139,17 @@
 
 // hasCapacityFor reports whether a target has the free capacity that an item needs.
 func (q *Queue) hasCapacityFor(now time.Time, e *entry, t *target.Target) bool {
+	return t.HasCapacityFor(now, 1+q.margin(e))
+}
+
+// margin returns how many slots of its target an item must leave free. Targets know no priorities, so when there are too few
+// slots, an item gets one before others only if these have left some.
+func (q *Queue) margin(e *entry) int {
+	margin := q.opt.RankMargin * max(e.item.Rank, 0)
 	if e.item.FirstCall {
-		return t.HasCapacityFor(now, 1+q.opt.FirstCallMargin)
+		margin += q.opt.FirstCallMargin
 	}
-	return t.HasCapacity(now)
+	return margin
 }
 
 // fits reports whether an item may be sent to a target now.
--- a/pkg/dispatch/options.go
+++ b/pkg/dispatch/options.go
@@ -24,6 +24,8 @@
 	MaxQueued int
 	// FirstCallMargin is how many slots of its target the first call of a program must leave free.
 	FirstCallMargin int
+	// RankMargin is how many slots of its target an item must leave free for each more urgent kind of calls.
+	RankMargin int
 	target.Options
 	Share share.Options
 }
