--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -26,6 +26,8 @@
 	// long it has for that answer. A slow log delays calls, and must not be taken for a leader that is gone.
 	quietTime    = 200 * time.Millisecond
 	aliveTimeout = 100 * time.Millisecond
+	// orderAge is how long an order is used. Members change with reports, of which each instance writes one a second.
+	orderAge = 250 * time.Millisecond
 	// failedPause is how long an instance is not called after it did not answer.
 	failedPause = 2 * time.Second
 )
@@ -61,11 +63,18 @@
 	Config
 	mu     sync.Mutex
 	failed map[ids.InstanceID]time.Time // instances that did not answer, and when
+	orders map[partlog.Partition]order
+}
+
+// order is the order of the members for a partition, as of a time.
+type order struct {
+	at   time.Time
+	list []Member
 }
 
 // New returns a recorder.
 func New(c Config) *Recorder {
-	return &Recorder{Config: c, failed: make(map[ids.InstanceID]time.Time)}
+	return &Recorder{Config: c, failed: make(map[ids.InstanceID]time.Time), orders: make(map[partlog.Partition]order)}
 }
 
 // Methods returns the methods that other instances call.
