Use the work time that targets report in the placement

Cause: targets report how long work takes at the moment, but placement knew a target's speed only from the durations of completed calls, a mean over several calls. A target that becomes 2.4 times as slow within half a second was noticed seconds later.

Change: the reported work time reaches pkg/target from the answers and from the observations of other instances, which carry it with an age of its own. It is a factor of the estimated time of a call, of the prefill queue and of the wait at a full target. The learned slowness is now what the report does not explain, so that slowness does not count twice; a target that reports nothing, or always the usual time, is estimated as before.

--- a/internal/waitqueue/observations.go
+++ b/internal/waitqueue/observations.go
@@ -20,18 +20,27 @@
 	Target ids.TargetID
 	Calls  int
 	At     time.Time
+	// WorkTime is how long work took at the target at the time WorkAt, as a multiple of the usual time, by the target's last
+	// report; 0 if it is unknown. It may be older than Calls, which an instance also counts when it places a call.
+	WorkTime float64
+	WorkAt   time.Time
 }
 
 // loadObservations holds the newest observation of each target.
 type loadObservations map[ids.TargetID]LoadObservation
 
-// add stores an observation if it is newer than the known one of its target, and reports whether it is.
+// add stores what is newer in an observation than in the known one of its target, and reports whether anything is.
 func (s loadObservations) add(x LoadObservation) bool {
-	if known, ok := s[x.Target]; ok && !x.At.After(known.At) {
-		return false
+	known := s[x.Target]
+	newCalls, newWork := x.At.After(known.At), x.WorkTime > 0 && x.WorkAt.After(known.WorkAt)
+	if !newCalls {
+		x.Calls, x.At = known.Calls, known.At
+	}
+	if !newWork {
+		x.WorkTime, x.WorkAt = known.WorkTime, known.WorkAt
 	}
 	s[x.Target] = x
-	return true
+	return newCalls || newWork
 }
 
 // fresh returns the observations that are recent enough to share, newest first, and deletes the others.
@@ -63,6 +72,7 @@
 		sq.mu.Lock()
 		for _, x := range list {
 			sq.queue.ApplyLoadObservation(x.Target, x.Calls, x.At)
+			sq.queue.WorkTime(x.Target, x.WorkTime, x.WorkAt)
 		}
 		sq.mu.Unlock()
 	}
--- a/internal/waitqueue/observations_test.go
+++ b/internal/waitqueue/observations_test.go
@@ -31,3 +31,18 @@
 	}
 	c.Assert(queues.LoadObservations(now), qt.HasLen, maxObservations)
 }
+
+// Guards against a count that hides a work time or makes it look newer than it is: an instance counts calls at each placement,
+// but gets work times only with answers.
+func TestWorkTimeKeepsItsOwnAge(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	ago := func(ms int) time.Time { return now.Add(-time.Duration(ms) * time.Millisecond) }
+	loads := loadObservations{}
+	c.Assert(loads.add(LoadObservation{Target: "a", Calls: 1, At: ago(20), WorkTime: 2.4, WorkAt: ago(20)}), qt.IsTrue)
+	c.Assert(loads.add(LoadObservation{Target: "a", Calls: 2, At: ago(10)}), qt.IsTrue)
+	c.Assert(loads.add(LoadObservation{Target: "a", Calls: 9, At: ago(30), WorkTime: 9, WorkAt: ago(30)}), qt.IsFalse)
+	c.Assert(loads.fresh(now), qt.DeepEquals, []LoadObservation{{Target: "a", Calls: 2, At: ago(10), WorkTime: 2.4, WorkAt: ago(20)}})
+	c.Assert(loads.add(LoadObservation{Target: "a", Calls: 1, At: ago(15), WorkTime: 1.2, WorkAt: ago(15)}), qt.IsTrue)
+	c.Assert(loads.fresh(now), qt.DeepEquals, []LoadObservation{{Target: "a", Calls: 2, At: ago(10), WorkTime: 1.2, WorkAt: ago(15)}})
+}
--- a/internal/waitqueue/queue.go
+++ b/internal/waitqueue/queue.go
@@ -290,7 +290,8 @@
 	p.serviceQueue.mu.Lock()
 	defer p.serviceQueue.mu.Unlock()
 	p.serviceQueue.queue.Load(now, p.Target.ID, load.Running, load.Waiting)
-	p.serviceQueue.recordLoad(LoadObservation{Target: p.Target.ID, Calls: load.Running + load.Waiting, At: now})
+	p.serviceQueue.queue.WorkTime(p.Target.ID, load.WorkTime, now)
+	p.serviceQueue.recordLoad(LoadObservation{Target: p.Target.ID, Calls: load.Running + load.Waiting, At: now, WorkTime: load.WorkTime, WorkAt: now})
 }
 
 // Done reports the end of the request at its target.
--- a/pkg/dispatch/queue.go
+++ b/pkg/dispatch/queue.go
@@ -146,6 +146,11 @@
 	q.targets.ApplyLoadObservation(id, calls, at)
 }
 
+// WorkTime applies the work time that a target reported at a time, to this dispatcher or to another one.
+func (q *Queue) WorkTime(id ids.TargetID, workTime float64, at time.Time) {
+	q.targets.WorkTime(id, workTime, at)
+}
+
 // ExpectedCalls returns the estimated number of calls at a target.
 func (q *Queue) ExpectedCalls(now time.Time, id ids.TargetID) int {
 	return q.targets.ExpectedCalls(now, id)
--- a/pkg/dispatch/snapshot.go
+++ b/pkg/dispatch/snapshot.go
@@ -34,6 +34,8 @@
 	Allowed int `json:"allowed"`
 	// Slow is the ratio of the measured to the predicted duration of calls.
 	Slow float64 `json:"slow"`
+	// WorkTime is how long work is expected to take now by the target's reports, as a multiple of the usual time.
+	WorkTime float64 `json:"workTime"`
 }
 
 // Snapshot returns the state, with workspaces and targets ordered by id.
@@ -45,7 +47,7 @@
 	for _, t := range q.targets.All() {
 		s.Targets = append(s.Targets, TargetSnapshot{
 			ID: t.ID(), Zone: t.Zone(), Usable: t.Usable(now), Own: t.Own(), Others: t.InFlight() - t.Own(),
-			Allowed: t.Allowed(now), Slow: t.Slow(),
+			Allowed: t.Allowed(now), Slow: t.Slow(), WorkTime: t.WorkTime(now),
 		})
 	}
 	return s
--- a/pkg/target/target.go
+++ b/pkg/target/target.go
@@ -64,6 +64,7 @@
 	unreported bool      // the ramp lasts only until the first report, because the dispatcher is new, not the target
 
 	slowness    float64 // mean ratio of the measured to the predicted duration of calls
+	work        workTime
 	meanSeconds float64 // mean duration of a call; 0 before the first completion
 	// prefilled is when the target is expected to have prefilled the prompts of all calls placed so far.
 	prefilled time.Time
@@ -101,7 +102,8 @@
 	return t.opt.MaxInFlight
 }
 
-// Slow returns the mean ratio of the measured to the predicted duration of calls.
+// Slow returns the mean ratio of the measured to the predicted duration of calls. The prediction includes the reported work
+// time.
 func (t *Target) Slow() float64 { return t.slowness }
 
 // OnProbation reports whether the target died and has not shown since that it works.
@@ -161,16 +163,16 @@
 	if t.prefilled.Before(now) {
 		t.prefilled = now
 	}
-	t.prefilled = t.prefilled.Add(time.Duration(t.slowness * uncached / t.opt.PrefillRate * float64(time.Second)))
+	t.prefilled = t.prefilled.Add(time.Duration(t.pace(now) * uncached / t.opt.PrefillRate * float64(time.Second)))
 }
 
 // End counts the end of a call and updates the target's speed and failure state from its outcome.
 func (t *Target) End(now time.Time, o Outcome, took time.Duration, u record.Usage) {
-	slowdown := t.slowdown(now)
+	slowdown, workTime := t.slowdown(now), t.work.now(now)
 	t.count(now, -1)
 	switch o {
 	case Completed:
-		t.learn(took, u, slowdown)
+		t.learn(took, u, slowdown, workTime)
 		t.stored += float64(u.Total() - u.Cached)
 		t.markWorking(now)
 	case Failed:
@@ -194,8 +196,9 @@
 // prefill. The estimate includes the prefills ahead of the call and the slowdown by concurrent calls.
 func (t *Target) Seconds(now time.Time, uncached, output float64) (own, others float64) {
 	queue := max(t.prefilled.Sub(now).Seconds(), 0)
-	prefill := t.slowness * uncached / t.opt.PrefillRate
-	return queue + prefill + t.slowness*output/t.opt.DecodeRate*t.slowdown(now) + t.connectSeconds(now), prefill * prefillDelay
+	pace := t.pace(now)
+	prefill := pace * uncached / t.opt.PrefillRate
+	return queue + prefill + pace*output/t.opt.DecodeRate*t.slowdown(now) + t.connectSeconds(now), prefill * prefillDelay
 }
 
 // connectSeconds returns the time to set up a connection for one more call; 0 if an open one can be used.
@@ -214,8 +217,9 @@
 // WaitSeconds estimates how long it takes until a full target has capacity for one more call behind the given number of
 // calls ahead. The parameter mean is the mean duration of a call, used until the target has completed a call itself.
 func (t *Target) WaitSeconds(now time.Time, ahead int, mean float64) float64 {
+	mean *= t.work.now(now)
 	if t.meanSeconds > 0 {
-		mean = t.meanSeconds
+		mean = t.meanSeconds * t.work.now(now) / t.work.usual()
 	}
 	allowed := t.Allowed(now)
 	return mean * (t.expected(now) - float64(allowed-ahead-1)) / float64(max(allowed, 1))
@@ -286,9 +290,9 @@
 }
 
 // learn updates the target's speed from a completed call. The predicted duration includes the slowdown by other calls, so
-// that a busy target does not look slow.
-func (t *Target) learn(took time.Duration, u record.Usage, slowdown float64) {
-	predicted := float64(u.Prompt-u.Cached)/t.opt.PrefillRate + float64(u.Completion)/t.opt.DecodeRate*slowdown
+// that a busy target does not look slow, and the reported work time, so that it does not count twice.
+func (t *Target) learn(took time.Duration, u record.Usage, slowdown, workTime float64) {
+	predicted := workTime * (float64(u.Prompt-u.Cached)/t.opt.PrefillRate + float64(u.Completion)/t.opt.DecodeRate*slowdown)
 	if predicted <= 0 || took <= 0 {
 		return
 	}
