Compare a few targets for each request, chosen at random

Cause: every instance compared all targets and took the first by id among equals. Instances that know little of each other's calls all chose the same target.

Change: the policy fair of the gateways' queues compares three targets with an open connection and one other, chosen at random, besides those that may have the prompt cached. The count of other instances' calls approaches the pool's mean with a half-life of 0.2 s; it approached 0 with one of 1 s, so that targets of a full pool looked idle. The expected wait at a target grows with the square of the share of its slots that are taken. Queues of other dispatchers are not changed (new options are 0).

The test of the margin for first calls keeps its factor, at 300 instead of 260 programs a second, because 260 no longer overload the model.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -120,8 +120,10 @@
 // New returns a gateway.
 func New(c Config) *Gateway {
 	g := &Gateway{
-		Config:      c,
-		queues:      waitqueue.New(waitqueue.Options{Policy: string(c.Settings.Dispatch.Policy), Now: c.Clock.Now}),
+		Config: c,
+		queues: waitqueue.New(waitqueue.Options{
+			Policy: string(c.Settings.Dispatch.Policy), Now: c.Clock.Now, Seed: ids.Rendezvous(string(c.Settings.Instance.ID), c.RunID),
+		}),
 		programUses: make(map[account.Key]programUse), answerMemory: newAnswerMemory(c.Settings.Instance.Memory),
 	}
 	g.grants = grants.New(grants.Config{
--- a/internal/waitqueue/fleet_test.go
+++ b/internal/waitqueue/fleet_test.go
@@ -251,7 +251,8 @@
 		m.targets[id] = &modelTarget{}
 		list = append(list, dispatch.Target{ID: id, Zone: "z", State: dispatch.Live, Slots: modelSlots + overcommit, CacheCapacity: 70_000})
 	}
-	for range modelInstances {
+	for n := range modelInstances {
+		options.Seed = uint64(n)
 		q, err := dispatch.New(options)
 		if err != nil {
 			panic(err)
@@ -296,17 +297,24 @@
 }
 
 // Guards against instances that overload some engines while others have free slots, because each instance sees only its own
-// calls. At the highest load of a day of a larger deployment, turns waited 0.4 s at the engines and not at all in the
-// instances' queues.
+// calls and all compare all engines. At the highest load of a day of a larger deployment, turns waited 0.4 s at the engines and
+// not at all in the instances' queues.
 func TestLoadExchangeShortensWaits(t *testing.T) {
 	c := qt.New(t)
+	all := modelOptions()
+	all.Known, all.Unknown = 0, 0
 	for _, rate := range []float64{180, 260} {
-		isolated, sharing := runFleet(1, rate, false, modelOptions()), runFleet(1, rate, true, modelOptions())
-		t.Logf("%.0f programs a second without exchange: %s", rate, isolated)
+		isolated, sharing := runFleet(1, rate, false, all), runFleet(1, rate, true, modelOptions())
+		t.Logf("%.0f programs a second without exchange, comparing all: %s", rate, isolated)
 		t.Logf("%.0f programs a second with exchange: %s", rate, sharing)
 		c.Check(sharing.late < isolated.late/2, qt.IsTrue, qt.Commentf("%.0f programs a second", rate))
 		c.Check(sharing.onTime > isolated.onTime, qt.IsTrue, qt.Commentf("%.0f programs a second", rate))
 	}
+	// With the same choice of engines, the exchange admits more programs.
+	isolated, sharing := runFleet(1, 260, false, modelOptions()), runFleet(1, 260, true, modelOptions())
+	t.Logf("260 programs a second without exchange: %s", isolated)
+	c.Check(sharing.onTime > isolated.onTime, qt.IsTrue)
+	c.Check(sharing.rejected < isolated.rejected, qt.IsTrue)
 }
 
 // Guards against programs that all end late because more are admitted than the engines can run: the capacity beyond the
@@ -315,9 +323,9 @@
 	c := qt.New(t)
 	o := modelOptions()
 	o.FirstCallMargin = 0
-	all, some := runFleet(1, 260, true, o), runFleet(1, 260, true, modelOptions())
-	t.Logf("260 programs a second, all admitted: %s", all)
-	t.Logf("260 programs a second, with the margin for first calls: %s", some)
+	all, some := runFleet(1, 300, true, o), runFleet(1, 300, true, modelOptions())
+	t.Logf("300 programs a second, all admitted: %s", all)
+	t.Logf("300 programs a second, with the margin for first calls: %s", some)
 	c.Assert(some.onTime > all.onTime*5/4, qt.IsTrue)
 	c.Assert(some.failed <= all.failed, qt.IsTrue)
 	calm := runFleet(1, 100, true, modelOptions())
--- a/internal/waitqueue/queue.go
+++ b/internal/waitqueue/queue.go
@@ -23,6 +23,8 @@
 type Options struct {
 	Policy string
 	Now    func() time.Time
+	// Seed of random choices between targets. It must differ between instances.
+	Seed uint64
 }
 
 // Queues holds the queues of all services. It is safe for concurrent use.
@@ -102,7 +104,9 @@
 }
 
 func newServiceQueue(o Options, s *call.Service, recordLoad func(LoadObservation)) *serviceQueue {
-	queue, err := dispatch.New(dispatchOptions(o.Policy, s))
+	options := dispatchOptions(o.Policy, s)
+	options.Seed = o.Seed
+	queue, err := dispatch.New(options)
 	if err != nil {
 		panic(err) // the options are constants
 	}
@@ -115,12 +119,13 @@
 func dispatchOptions(policy string, s *call.Service) dispatch.Options {
 	options := dispatch.Options{Policy: policy}
 	options.Ramp, options.Probation = 300*time.Millisecond, time.Second
-	options.ForeignHalfLife = time.Second
+	options.ForeignHalfLife = foreignHalfLife
 	options.HintHalfLife = time.Minute
 	// Service already received hardly lowers a program's rank: a program that has got much of it is near its end.
 	options.Share.AttainedMax = 1
-	options.FirstCallMargin = overcommit
+	options.FirstCallMargin, options.Overcommit = overcommit, overcommit
 	options.ConnectSeconds, options.ConnectionKeep = connectSeconds, connectionKeep
+	options.Known, options.Unknown = comparedKnown, comparedUnknown
 	if s != nil && s.Engine != nil {
 		options.PrefillRate, options.DecodeRate = enginePrefillRate, engineDecodeRate
 	} else {
@@ -136,6 +141,11 @@
 	connectSeconds = 0.04
 	// connectionKeep is how long an idle connection may still be reused.
 	connectionKeep = 4 * time.Second
+	// foreignHalfLife is about the duration of a call: later, a count of other instances' calls says little.
+	foreignHalfLife = 200 * time.Millisecond
+	// comparedKnown and comparedUnknown are how many targets are compared for a request, with an open connection and without
+	// one. More let instances that know the same choose the same target; docs/design/placement.md has the comparison.
+	comparedKnown, comparedUnknown = 3, 1
 )
 
 // Assumed speeds of a target until completed requests show its real speed.
--- a/pkg/dispatch/fair.go
+++ b/pkg/dispatch/fair.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/comfreylink/comfreylink/pkg/target"
@@ -16,11 +17,15 @@
 	otherZoneCost = 0.003
 )
 
-// fair takes the items in the order of fair sharing and places each at the target with the lowest estimated cost.
+// fair takes the items in the order of fair sharing and places each at the target with the lowest estimated cost of those that
+// it compares.
 type fair struct {
 	round     uint64
 	deferrals int
 	deferred  map[*target.Target]int // items kept waiting for a full target in this round
+	random    *rand.Rand
+	// shuffled and candidates are kept only to save memory allocations.
+	shuffled, candidates []*target.Target
 }
 
 func (*fair) Name() string { return PolicyFair }
@@ -54,7 +59,7 @@
 func (f *fair) chooseTarget(now time.Time, q *Queue, e *entry) *target.Target {
 	var free, full *target.Target
 	var freeCost, freeOwn, fullCost float64
-	for _, t := range q.targets.All() {
+	for _, t := range f.compared(now, q, e) {
 		if !t.Usable(now) || !q.mayRun(now, e, t) {
 			continue
 		}
@@ -83,6 +88,33 @@
 	return nil
 }
 
+// compared returns the targets that are compared for an item: all, or those of Options.Known and Options.Unknown.
+func (f *fair) compared(now time.Time, q *Queue, e *entry) []*target.Target {
+	all := q.targets.All()
+	known, unknown := q.opt.Known, q.opt.Unknown
+	if known+unknown == 0 {
+		return all
+	}
+	f.candidates = q.targets.Holders(f.candidates[:0], e.item.Parts)
+	f.shuffled = append(f.shuffled[:0], all...)
+	for i := range f.shuffled {
+		if known+unknown == 0 {
+			break
+		}
+		j := i + f.random.IntN(len(f.shuffled)-i)
+		f.shuffled[i], f.shuffled[j] = f.shuffled[j], f.shuffled[i]
+		t, left := f.shuffled[i], &unknown
+		if t.Connected(now) {
+			left = &known
+		}
+		if *left > 0 && t.Usable(now) && q.fits(now, e, t) {
+			*left--
+			f.candidates = append(f.candidates, t)
+		}
+	}
+	return f.candidates
+}
+
 // cost estimates the time in seconds that an item takes at a target with free capacity, and the sum of this time and
 // the time that other calls lose because of the item.
 func (q *Queue) cost(now time.Time, e *entry, t *target.Target) (own, all float64) {
--- a/pkg/dispatch/options.go
+++ b/pkg/dispatch/options.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"github.com/comfreylink/comfreylink/pkg/share"
@@ -24,6 +25,13 @@
 	MaxQueued int
 	// FirstCallMargin is how many slots of its target the first call of a program must leave free.
 	FirstCallMargin int
+	// Known and Unknown are how many targets with an open connection and how many others the policy fair compares for an
+	// item, chosen at random, besides those that may have its prefix cached. If both are 0, it compares all targets. Set them
+	// if many dispatchers share the targets: each knows only some of the others' calls, and those that compare all targets
+	// all choose the same one.
+	Known, Unknown int
+	// Seed of the random choices. It must differ between dispatchers.
+	Seed uint64
 	target.Options
 	Share share.Options
 }
@@ -74,6 +82,9 @@
 	if o.MaxInFlight < 1 || o.MaxQueued < 1 {
 		return errors.New("maxInFlight and maxQueued must be at least 1")
 	}
+	if min(o.Known, o.Unknown) < 0 {
+		return errors.New("known and unknown must not be negative")
+	}
 	if o.PrefillRate <= 0 || o.DecodeRate <= 0 || o.Share.AgingRate < 0 {
 		return errors.New("prefillRate, decodeRate and agingRate must be positive")
 	}
@@ -86,11 +97,11 @@
 	return nil
 }
 
-// newPolicy returns the policy with the given name.
-func newPolicy(name string) (p Policy, err error) {
-	switch name {
+// newPolicy returns the policy that the options name.
+func newPolicy(o Options) (p Policy, err error) {
+	switch o.Policy {
 	case PolicyFair:
-		return &fair{deferred: make(map[*target.Target]int)}, nil
+		return &fair{deferred: make(map[*target.Target]int), random: rand.New(rand.NewPCG(o.Seed, 0))}, nil
 	case PolicyRoundRobin:
 		return &roundRobin{}, nil
 	case PolicyLeastInFlight:
@@ -98,6 +109,6 @@
 	case PolicySticky:
 		return sticky{}, nil
 	default:
-		return nil, fmt.Errorf("unknown dispatch policy %q", name)
+		return nil, fmt.Errorf("unknown dispatch policy %q", o.Policy)
 	}
 }
--- a/pkg/dispatch/queue.go
+++ b/pkg/dispatch/queue.go
@@ -34,7 +34,7 @@
 	if err := o.validate(); err != nil {
 		return nil, fmt.Errorf("dispatch options: %w", err)
 	}
-	policy, err := newPolicy(o.Policy)
+	policy, err := newPolicy(o)
 	if err != nil {
 		return nil, fmt.Errorf("dispatch options: %w", err)
 	}
--- a/pkg/dispatch/targets_test.go
+++ b/pkg/dispatch/targets_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 	"github.com/comfreylink/comfreylink/pkg/dispatch"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 	"github.com/comfreylink/comfreylink/pkg/record"
+	"github.com/comfreylink/comfreylink/pkg/target"
 )
 
 // fill enqueues n small items of one workspace with consecutive tickets.
@@ -132,3 +134,32 @@
 		}
 	}
 }
+
+// Guards against a comparison of a few targets that leaves out the one with the cached prompt, or that finds no free target
+// among many full ones.
+func TestFewComparedTargets(t *testing.T) {
+	c := qt.New(t)
+	o := options("fair", 2)
+	o.Known, o.Unknown = 1, 1
+	names := []ids.TargetID{}
+	for n := range 40 {
+		names = append(names, ids.TargetID(fmt.Sprint("t", n)))
+	}
+	q := newQueue(c, o, live(names...)...)
+	part := target.Part{Key: "history", Tokens: 9000}
+	first := ids.TargetID("")
+	for n := range dispatch.Ticket(20) {
+		it := item(n, "ws", 10_000)
+		it.Parts = []target.Part{part}
+		q.Enqueue(epoch, it)
+		p := q.Next(epoch)
+		c.Assert(p, qt.HasLen, 1)
+		if n == 0 {
+			first = p[0].Target
+		}
+		c.Assert(p[0].Target, qt.Equals, first)
+		q.Done(at(second), n, dispatch.Completed, record.Usage{Prompt: 10_000, Completion: 100})
+	}
+	fill(q, 100, 200)
+	c.Assert(q.Next(at(time.Minute)), qt.HasLen, 80)
+}
--- a/pkg/target/report.go
+++ b/pkg/target/report.go
@@ -92,6 +92,8 @@
 type Options struct {
 	// MaxInFlight bounds the calls at one target, including those of other dispatchers.
 	MaxInFlight int
+	// Overcommit is how many of the calls that a target may get it queues itself; 0 if it runs all of them at once.
+	Overcommit int
 	// PrefillRate and DecodeRate are the assumed speed of a target for one call, in tokens per second. Completions correct
 	// them by a factor for each target.
 	PrefillRate float64
@@ -105,8 +107,8 @@
 	Probation time.Duration
 	// LeavingTimeout is how long a target that answered that it is leaving gets no calls, even if the list says it is live.
 	LeavingTimeout time.Duration
-	// ForeignHalfLife is the time after which half of the other dispatchers' calls in a load report are assumed to have
-	// ended; 0 keeps the count until the next report.
+	// ForeignHalfLife is the time after which the number of other dispatchers' calls in a load report has come halfway to the
+	// pool's mean; 0 keeps the count until the next report.
 	ForeignHalfLife time.Duration
 	// ConnectSeconds is how much longer a call takes that needs a new connection to its target. ConnectionKeep is how long
 	// an idle connection is kept open.
--- a/pkg/target/set.go
+++ b/pkg/target/set.go
@@ -31,6 +31,7 @@
 	order  []*Target // by id, so that decisions are deterministic
 	listed bool      // whether a list that was not empty has been applied
 	hints  map[PrefixKey][]holder
+	pool   poolLoad
 }
 
 // NewSet returns a set without targets.
@@ -51,7 +52,7 @@
 		inList[r.ID] = true
 		t := s.byID[r.ID]
 		if t == nil {
-			t = &Target{opt: &s.opt, id: r.ID, slowness: 1}
+			t = &Target{opt: &s.opt, pool: &s.pool, id: r.ID, slowness: 1}
 			s.byID[r.ID] = t
 			s.order = append(s.order, t)
 		}
@@ -69,6 +70,7 @@
 func (s *Set) Load(now time.Time, id ids.TargetID, running, waiting int) {
 	if t := s.byID[id]; t != nil {
 		t.report(now, Report{Running: running, Waiting: waiting, ReportedAt: now})
+		s.pool.add(now, float64(t.foreign)/float64(t.limit()))
 	}
 }
 
@@ -156,6 +158,19 @@
 	return tokens
 }
 
+// Holders appends the targets that may hold the longest of a prompt's parts that any target may hold.
+func (s *Set) Holders(list []*Target, parts []Part) []*Target {
+	for i := len(parts) - 1; i >= 0; i-- {
+		for _, h := range s.hints[parts[i].Key] {
+			list = append(list, h.target)
+		}
+		if len(list) > 0 {
+			break
+		}
+	}
+	return list
+}
+
 // ForgetCache drops all hints about a target's cache.
 func (s *Set) ForgetCache(t *Target) {
 	for key := range s.hints {
--- a/pkg/target/target.go
+++ b/pkg/target/target.go
@@ -41,6 +41,7 @@
 // Target is what the dispatcher knows of one target.
 type Target struct {
 	opt      *Options
+	pool     *poolLoad
 	id       ids.TargetID
 	zone     ids.Zone
 	listed   bool
@@ -89,7 +90,8 @@
 func (t *Target) expected(now time.Time) float64 {
 	foreign := float64(t.foreign)
 	if t.opt.ForeignHalfLife > 0 {
-		foreign *= math.Exp2(-max(now.Sub(t.reported).Seconds(), 0) / t.opt.ForeignHalfLife.Seconds())
+		usual := t.pool.mean(now) * float64(t.limit())
+		foreign = usual + (foreign-usual)*math.Exp2(-max(now.Sub(t.reported).Seconds(), 0)/t.opt.ForeignHalfLife.Seconds())
 	}
 	return float64(t.own) + foreign
 }
@@ -198,17 +200,42 @@
 	queue := max(t.prefilled.Sub(now).Seconds(), 0)
 	pace := t.pace(now)
 	prefill := pace * uncached / t.opt.PrefillRate
-	return queue + prefill + pace*output/t.opt.DecodeRate*t.slowdown(now) + t.connectSeconds(now), prefill * prefillDelay
+	own = queue + prefill + pace*output/t.opt.DecodeRate*t.slowdown(now) + t.connectSeconds(now)
+	return own + t.waitAtTarget(now, own), prefill * prefillDelay
+}
+
+// waitAtTarget estimates how long one more call waits at a target that queues calls itself. The number of calls there is known
+// with errors, so that a wait is possible before all are expected to be running: it grows with the square of their share. The
+// parameter mean is the duration of a call, used until the target has completed one.
+func (t *Target) waitAtTarget(now time.Time, mean float64) float64 {
+	if t.opt.Overcommit == 0 {
+		return 0
+	}
+	share := t.expected(now) / float64(max(t.limit()-t.opt.Overcommit, 1))
+	return t.mean(now, mean) * share * share
+}
+
+// mean returns the expected duration of a call, or the parameter until the target has completed one.
+func (t *Target) mean(now time.Time, untilKnown float64) float64 {
+	if t.meanSeconds == 0 {
+		return untilKnown
+	}
+	return t.meanSeconds * t.work.now(now) / t.work.usual()
 }
 
 // connectSeconds returns the time to set up a connection for one more call; 0 if an open one can be used.
 func (t *Target) connectSeconds(now time.Time) float64 {
-	if t.own < t.connections && now.Sub(t.connectionsAt) <= t.opt.ConnectionKeep {
+	if t.Connected(now) {
 		return 0
 	}
 	return t.opt.ConnectSeconds
 }
 
+// Connected reports whether one more call can be sent on an open connection.
+func (t *Target) Connected(now time.Time) bool {
+	return t.own < t.connections && now.Sub(t.connectionsAt) <= t.opt.ConnectionKeep
+}
+
 // slowdown returns the factor by which the calls in flight slow each other down.
 func (t *Target) slowdown(now time.Time) float64 {
 	return 1 + contention*min(t.expected(now)/float64(t.limit()), 1)
@@ -217,12 +244,8 @@
 // WaitSeconds estimates how long it takes until a full target has capacity for one more call behind the given number of
 // calls ahead. The parameter mean is the mean duration of a call, used until the target has completed a call itself.
 func (t *Target) WaitSeconds(now time.Time, ahead int, mean float64) float64 {
-	mean *= t.work.now(now)
-	if t.meanSeconds > 0 {
-		mean = t.meanSeconds * t.work.now(now) / t.work.usual()
-	}
 	allowed := t.Allowed(now)
-	return mean * (t.expected(now) - float64(allowed-ahead-1)) / float64(max(allowed, 1))
+	return t.mean(now, mean*t.work.now(now)) * (t.expected(now) - float64(allowed-ahead-1)) / float64(max(allowed, 1))
 }
 
 // markWorking records that the target works. If it was on probation, its ramp starts.
--- a/pkg/target/worktime_test.go
+++ b/pkg/target/worktime_test.go
@@ -68,3 +68,22 @@
 		near(c, seconds(a, now.Add(time.Hour)), test.want)
 	}
 }
+
+// Guards against dispatchers that know little and take targets without a recent report for idle, so that they admit first
+// calls to a full pool.
+func TestTargetsWithoutReportHoldTheMean(t *testing.T) {
+	c := qt.New(t)
+	s := target.NewSet(target.Options{MaxInFlight: 10, PrefillRate: 1000, DecodeRate: 100, ForeignHalfLife: 200 * time.Millisecond})
+	s.Update(epoch, []target.Report{{ID: "a", State: target.Live}, {ID: "b", State: target.Live}})
+	now := epoch
+	for range 100 {
+		now = now.Add(10 * time.Millisecond)
+		s.Load(now, "a", 8, 0)
+	}
+	c.Check(s.ExpectedCalls(now, "a"), qt.Equals, 8)
+	c.Check(s.ExpectedCalls(now, "b"), qt.Equals, 8)
+	s.Load(now, "b", 0, 0)
+	c.Check(s.ExpectedCalls(now, "b"), qt.Equals, 0)
+	c.Check(s.ExpectedCalls(now.Add(200*time.Millisecond), "b"), qt.Equals, 3) // halfway to the mean, which falls too
+	c.Check(s.ExpectedCalls(now.Add(time.Minute), "b"), qt.Equals, 0)
+}
