Decide when requests leave the zone by a price of bytes

Cause: a target in another zone cost a fixed 3 ms, whatever the traffic costs and however full the zone is.

Change: pkg/zonecost adds the price of the request's and its answer's bytes ([dispatch] zonePrice, milliseconds for each KiB, default 0, also inf), and lets only a share of the requests leave, which grows and falls in steps with hysteresis. At price 0 the cost is 3 ms and every request may leave, as before. If the own zone has no target, all requests may leave, also with inf. Metrics comfreylink.zone.sent and comfreylink.zone.cost, event 720.

--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -220,6 +220,10 @@
 	TargetAnnouncedLeaving = define(706, "targetAnnouncedLeaving", info,
 		"A target said in an answer that it is leaving; it gets no new work from this instance, whatever its entry says.", noAction,
 		"requestId", "target", "address")
+	ZoneShareChanged = define(720, "zoneShareChanged", info,
+		"The share of a service's requests that may leave the instance's zone has changed. The loads are those of the own zone and of the others together.",
+		"If it stays above 0, the zone has too few targets.",
+		"service", "share", "free", "slots", "callSeconds", "othersFree", "othersSlots", "othersCallSeconds", "cost")
 )
 
 // InternalError is the event of a bug in the daemon or of an error that it cannot handle.
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -118,6 +118,7 @@
 		Workspace: e.workspaceID(), Program: e.req.Program, Prompt: e.req.Prompt, Output: max(e.req.MaxOutput, 1),
 		Zone: e.Settings.Instance.Zone, Idempotent: e.route.Idempotent(), Excluded: excluded, Parts: e.parts(),
 		Deadline: minTime(e.deadline, now.Add(e.queueTimeout())), FirstCall: e.firstCall,
+		Bytes: e.expectedBytes(),
 	}
 	p, refused := e.queues.Wait(e.ctx, service, item)
 	e.waited += e.now().Sub(now)
@@ -195,6 +196,7 @@
 	defer stop()
 	e.attempts++
 	e.mayHaveRunBefore, e.mayHaveRun = e.mayHaveRun, true
+	e.countZone(p)
 	left = e.deadline.Sub(e.now())
 	message := e.Codec.EncodeRequest(nil, &e.x.Header, call.OutboundRequest{
 		Target: p.Target.ID, Workspace: e.workspaceID(), TimeLeft: max(left-workMargin, time.Millisecond), LastEvent: e.req.LastEvent, Body: e.body,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -66,6 +66,7 @@
 	Waited(service string, took time.Duration)
 	FirstByte(route string, took time.Duration)
 	Attempt(service, outcome string)
+	ZoneSent(zone, reason string, cost time.Duration)
 }
 
 const (
@@ -123,6 +124,7 @@
 		Config: c,
 		queues: waitqueue.New(waitqueue.Options{
 			Policy: string(c.Settings.Dispatch.Policy), Now: c.Clock.Now, Seed: ids.Rendezvous(string(c.Settings.Instance.ID), c.RunID),
+			Zone: c.Settings.Instance.Zone, ZonePrice: c.Settings.Dispatch.ZonePrice, ZoneShareChanged: logZoneShare(c.Logger),
 		}),
 		programUses: make(map[account.Key]programUse), answerMemory: newAnswerMemory(c.Settings.Instance.Memory),
 	}
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"math"
 	"time"
 
 	"github.com/comfreylink/comfreylink/internal/inifile"
@@ -56,6 +57,8 @@
 // GatewayDispatch configures the queues of requests that wait for a target.
 type GatewayDispatch struct {
 	Policy Policy
+	// ZonePrice is how many milliseconds of delay one KiB between zones is worth; it may be infinite.
+	ZonePrice float64
 }
 
 func (i *GatewayInstance) read(s *inifile.Section) {
@@ -85,6 +88,7 @@
 
 func (d *GatewayDispatch) read(s *inifile.Section) {
 	d.Policy = Policy(s.OneOf("policy", string(Fair), string(Fair), string(RoundRobin), string(LeastInFlight), string(Sticky)))
+	d.ZonePrice = s.Float("zonePrice", 0, 0, math.Inf(1))
 }
 
 // LoadGateway reads a gateway's settings file. The error lists everything that is wrong with the file.
--- a/internal/settings/gateway_test.go
+++ b/internal/settings/gateway_test.go
@@ -67,6 +67,8 @@
 		{"[bounds]", "[bounds]\nrevoke = 5", "[bounds] revoke"},
 		{"[bounds]", "[bounds]\nrevok = 5s", "revok"},
 		{"[dispatch]", "[dispatch]\npolicy = best", "[dispatch] policy"},
+		{"[dispatch]", "[dispatch]\nzonePrice = -inf", "[dispatch] zonePrice"},
+		{"[dispatch]", "[dispatch]\nzonePrice = 3ms", "[dispatch] zonePrice"},
 		{"[store]", "[store]\npartitions = 0", "[store] partitions"},
 		{"[observe]", "[observe]\n[more]", "[more]"},
 	} {
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -30,6 +30,8 @@
 	attrService = attribute.Key("comfreylink.service")
 	attrCall    = attribute.Key("comfreylink.store.call")
 	attrFailed  = attribute.Key("comfreylink.failed")
+	attrZone    = attribute.Key("comfreylink.zone")
+	attrReason  = attribute.Key("comfreylink.zone.reason")
 )
 
 // Observed holds the functions that return the values of gauges when metrics are collected. They may be called at any
@@ -47,7 +49,9 @@
 	set *instruments.Set
 
 	request, waited, firstByte, store metric.Float64Histogram
+	zoneCost                          metric.Float64Histogram
 	refused, attempts, storeBytes     metric.Int64Counter
+	zoneSent                          metric.Int64Counter
 
 	mu    sync.Mutex
 	calls map[string]CallCount
@@ -81,6 +85,8 @@
 	m.store = set.Seconds("comfreylink.store.call.duration", "Time of a call to the platform's log.", requestBounds)
 	m.refused = set.Counter("comfreylink.request.refused", "{request}", "Requests that were refused.")
 	m.attempts = set.Counter("comfreylink.attempt", "{attempt}", "Attempts at targets by how they ended.")
+	m.zoneSent = set.Counter("comfreylink.zone.sent", "{request}", "Requests sent to targets of a zone, by the reason for it.")
+	m.zoneCost = set.Seconds("comfreylink.zone.cost", "What leaving the instance's zone was taken to cost.", waitBounds)
 	m.storeBytes = set.Counter("comfreylink.store.io", "By", "Bytes written to and read from the platform's log.")
 	return m, cleanup, set.Err()
 }
@@ -120,6 +126,14 @@
 	instruments.Add(m.attempts, 1, attrService.String(service), attrOutcome.String(outcome))
 }
 
+// ZoneSent counts a request sent to a zone, and what leaving the own zone was taken to cost.
+func (m *Metrics) ZoneSent(zone, reason string, cost time.Duration) {
+	instruments.Add(m.zoneSent, 1, attrZone.String(zone), attrReason.String(reason))
+	if cost > 0 {
+		instruments.Record(m.zoneCost, cost, attrZone.String(zone), attrReason.String(reason))
+	}
+}
+
 // StoreCall records a call to the platform's log.
 func (m *Metrics) StoreCall(call string, took time.Duration, bytes int, err error) {
 	m.mu.Lock()
--- a/internal/waitqueue/queue.go
+++ b/internal/waitqueue/queue.go
@@ -10,6 +10,7 @@
 	"github.com/comfreylink/comfreylink/pkg/dispatch"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 	"github.com/comfreylink/comfreylink/pkg/record"
+	"github.com/comfreylink/comfreylink/pkg/zonecost"
 )
 
 const (
@@ -25,6 +26,11 @@
 	Now    func() time.Time
 	// Seed of random choices between targets. It must differ between instances.
 	Seed uint64
+	// Zone is the instance's zone, and ZonePrice how many milliseconds of delay one KiB between zones is worth.
+	Zone      ids.Zone
+	ZonePrice float64
+	// ZoneShareChanged is called when the share of a service's requests that may leave the zone has changed; nil for none.
+	ZoneShareChanged func(service call.ServiceName, c dispatch.ZoneChange)
 }
 
 // Queues holds the queues of all services. It is safe for concurrent use.
@@ -50,6 +56,9 @@
 	Cached ids.Tokens
 	// Waited is how long the request was in the queue.
 	Waited time.Duration
+	// ZoneReason says why the request leaves the zone, and ZoneCost what that was taken to cost; zero if it does not leave.
+	ZoneReason zonecost.Reason
+	ZoneCost   time.Duration
 
 	serviceQueue *serviceQueue
 	ticket       dispatch.Ticket
@@ -74,6 +83,7 @@
 // serviceQueue holds the waiting requests and the targets of one service.
 type serviceQueue struct {
 	opt        Options
+	name       call.ServiceName
 	recordLoad func(LoadObservation)
 
 	mu          sync.Mutex
@@ -105,13 +115,13 @@
 
 func newServiceQueue(o Options, s *call.Service, recordLoad func(LoadObservation)) *serviceQueue {
 	options := dispatchOptions(o.Policy, s)
-	options.Seed = o.Seed
+	options.Seed, options.Zone, options.ZonePrice = o.Seed, o.Zone, o.ZonePrice/1000
 	queue, err := dispatch.New(options)
 	if err != nil {
 		panic(err) // the options are constants
 	}
 	return &serviceQueue{
-		opt: o, recordLoad: recordLoad, queue: queue, targets: make(map[ids.TargetID]call.Target), waiting: make(map[dispatch.Ticket]chan waitResult),
+		opt: o, name: s.Name, recordLoad: recordLoad, queue: queue, targets: make(map[ids.TargetID]call.Target), waiting: make(map[dispatch.Ticket]chan waitResult),
 	}
 }
 
@@ -258,14 +268,20 @@
 		result := q.waiting[p.Ticket]
 		delete(q.waiting, p.Ticket)
 		q.recordLoad(LoadObservation{Target: p.Target, Calls: q.queue.ExpectedCalls(now, p.Target), At: now})
-		result <- waitResult{placement: Placement{Target: q.targets[p.Target], Cached: p.Cached, serviceQueue: q, ticket: p.Ticket}}
+		result <- waitResult{placement: Placement{
+			Target: q.targets[p.Target], Cached: p.Cached, ZoneReason: p.ZoneReason, ZoneCost: p.ZoneCost, serviceQueue: q, ticket: p.Ticket,
+		}}
 	}
 }
 
-// Tick places requests that can be placed only because time has passed. Call it every few milliseconds while Len is above 0.
+// Tick decides again which requests may leave the zone, and places requests that can be placed only because time has passed.
+// Call it every few milliseconds.
 func (q *Queues) Tick(now time.Time) {
 	for _, sq := range q.all() {
 		sq.mu.Lock()
+		if c, changed := sq.queue.UpdateZone(now); changed && q.opt.ZoneShareChanged != nil {
+			q.opt.ZoneShareChanged(sq.name, c)
+		}
 		if len(sq.waiting) > 0 {
 			sq.advance(now)
 		}
--- a/pkg/dispatch/fair.go
+++ b/pkg/dispatch/fair.go
@@ -12,9 +12,6 @@
 	// Suspects and first calls of programs do not count: they wait for other reasons and must not block the calls behind
 	// them.
 	maxDeferrals = 32
-	// otherZoneCost is the latency of two hops between zones, in seconds. It decides between targets that are otherwise
-	// equal.
-	otherZoneCost = 0.003
 )
 
 // fair takes the items in the order of fair sharing and places each at the target with the lowest estimated cost of those that
@@ -120,8 +117,7 @@
 func (q *Queue) cost(now time.Time, e *entry, t *target.Target) (own, all float64) {
 	uncached := float64(e.item.Prompt - q.cached(now, e, t))
 	own, others := t.Seconds(now, max(uncached, 0), q.expectedOutput(e.item))
-	if t.Zone() != e.item.Zone {
-		own += otherZoneCost
-	}
+	seconds, _ := q.zoneCost(e, t)
+	own += seconds
 	return own, own + others
 }
--- a/pkg/dispatch/item.go
+++ b/pkg/dispatch/item.go
@@ -11,6 +11,7 @@
 	"github.com/comfreylink/comfreylink/pkg/ids"
 	"github.com/comfreylink/comfreylink/pkg/share"
 	"github.com/comfreylink/comfreylink/pkg/target"
+	"github.com/comfreylink/comfreylink/pkg/zonecost"
 )
 
 // Ticket identifies an item within one queue; the caller chooses it.
@@ -69,6 +70,8 @@
 	Parts    []target.Part
 	Deadline time.Time
 	Zone     ids.Zone
+	// Bytes estimates the size of the request and its answer.
+	Bytes int
 	// Idempotent calls may run on a target that is on probation after a failure.
 	Idempotent  bool `json:"Repeatable"`
 	Fingerprint ids.Fingerprint
@@ -87,6 +90,9 @@
 	Target ids.TargetID
 	// Cached is how many of the prompt's tokens the target's prefix cache is expected to hold.
 	Cached ids.Tokens
+	// ZoneReason says why the item leaves its zone, and ZoneCost what that was taken to cost; zero if it does not leave.
+	ZoneReason zonecost.Reason
+	ZoneCost   time.Duration
 }
 
 // Reason says why an item was refused.
@@ -122,6 +128,7 @@
 	older, newer *entry // neighbors in the list of waiting items, which is ordered by arrival
 	// deferredSince is when the item was first kept waiting for a full target; zero if it never was.
 	deferredSince time.Time
+	zoneDraw      float64 // compared with the share of items that may leave the zone
 	target        *target.Target
 	placed        time.Time
 }
@@ -131,7 +138,7 @@
 	if t.IdempotentOnly(now) && !e.item.Idempotent {
 		return false
 	}
-	return !slices.Contains(e.item.Excluded, t.ID()) && !q.mustIsolate(now, e, t)
+	return !slices.Contains(e.item.Excluded, t.ID()) && q.mayUseZone(e, t) && !q.mustIsolate(now, e, t)
 }
 
 // hasCapacityFor reports whether a target has the free capacity that an item needs.
--- a/pkg/dispatch/options.go
+++ b/pkg/dispatch/options.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/comfreylink/comfreylink/pkg/ids"
 	"github.com/comfreylink/comfreylink/pkg/share"
 	"github.com/comfreylink/comfreylink/pkg/target"
 )
@@ -32,6 +33,11 @@
 	Known, Unknown int
 	// Seed of the random choices. It must differ between dispatchers.
 	Seed uint64
+	// ZonePrice is how much delay one KiB between zones is worth, in seconds; it may be infinite. At 0, items may always leave
+	// their zone.
+	ZonePrice float64
+	// Zone is the dispatcher's own zone. It is used only with a ZonePrice.
+	Zone ids.Zone
 	target.Options
 	Share share.Options
 }
@@ -85,6 +91,9 @@
 	if min(o.Known, o.Unknown) < 0 {
 		return errors.New("known and unknown must not be negative")
 	}
+	if !(o.ZonePrice >= 0) {
+		return errors.New("zonePrice must not be negative")
+	}
 	if o.PrefillRate <= 0 || o.DecodeRate <= 0 || o.Share.AgingRate < 0 {
 		return errors.New("prefillRate, decodeRate and agingRate must be positive")
 	}
--- a/pkg/dispatch/queue.go
+++ b/pkg/dispatch/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/comfreylink/comfreylink/pkg/record"
 	"github.com/comfreylink/comfreylink/pkg/share"
 	"github.com/comfreylink/comfreylink/pkg/target"
+	"github.com/comfreylink/comfreylink/pkg/zonecost"
 )
 
 // Queue holds the waiting and the placed calls of one pool.
@@ -26,6 +28,10 @@
 
 	meanSeconds float64 // mean duration of a call in seconds; 0 before the first completion
 	meanOutput  float64 // mean generated tokens of a call
+	meanBytes   float64 // mean bytes of an item with its answer
+
+	zone   *zonecost.Decider
+	random *rand.Rand
 }
 
 // New returns an empty queue.
@@ -41,6 +47,8 @@
 	return &Queue{
 		opt: o, policy: policy, entries: make(map[Ticket]*entry),
 		shares: share.New(o.Share), targets: target.NewSet(o.Options), suspects: newSuspects(),
+		zone:   zonecost.New(zonecost.Options{Price: o.ZonePrice, Delay: otherZoneCost}),
+		random: rand.New(rand.NewPCG(o.Seed, 1)),
 	}, nil
 }
 
@@ -56,7 +64,8 @@
 	if it.Weight <= 0 {
 		it.Weight = 1
 	}
-	e := &entry{item: it, Entry: share.Entry{
+	q.meanBytes = target.Mean(q.meanBytes, float64(it.Bytes))
+	e := &entry{item: it, zoneDraw: q.random.Float64(), Entry: share.Entry{
 		Ticket: uint64(it.Ticket), Workspace: it.Workspace, Weight: it.Weight, Root: it.Program.Root(), Arrived: now,
 		Expected: float64(it.Prompt) + q.expectedOutput(it),
 	}}
@@ -252,7 +261,11 @@
 	e.target, e.placed = t, now
 	q.suspects.placed(now, e)
 	t.Start(now, float64(e.item.Prompt-cached))
-	return Placement{Ticket: e.item.Ticket, Target: t.ID(), Cached: cached}
+	seconds, reason := q.zoneCost(e, t)
+	return Placement{
+		Ticket: e.item.Ticket, Target: t.ID(), Cached: cached,
+		ZoneReason: reason, ZoneCost: time.Duration(seconds * float64(time.Second)),
+	}
 }
 
 // hasCapacity reports whether any target may get one more call.
