Send slow requests that may be repeated to a second target

Cause: a request at a target that does not answer waited for its deadline, although others were free.

Change: with [dispatch] slowRetries above 0 (default 0: as before), an attempt whose answer does not begin within four times the expected time, at least 0.3 s, is given up and another target tried. Only requests that may be repeated, before the first event, with an attempt and twice the expected time left, and within a budget of that share of all requests (pkg/retry).

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -206,8 +206,12 @@
 		zap.Duration("left", left), zap.Bool("reused", conn.Reused))
 	var h fasthttp.ResponseHeader
 	h.SetNoDefaultContentType(true)
+	watch := e.watchSlow(p, conn)
 	writeErr := conn.Write(message)
 	body, err := conn.ReadHead(&h)
+	if watch.ended() {
+		return e.tooSlow()
+	}
 	if err != nil {
 		conn.Close()
 		return e.reportCrash(e.incomplete(errors.Join(writeErr, err)), p.Target.ID)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,6 +31,7 @@
 	"github.com/comfreylink/comfreylink/pkg/account"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 	"github.com/comfreylink/comfreylink/pkg/quota"
+	"github.com/comfreylink/comfreylink/pkg/retry"
 )
 
 // Codec converts between the gateway's requests and answers and the platform's HTTP messages.
@@ -116,6 +117,7 @@
 
 	mu          sync.Mutex
 	programUses map[account.Key]programUse // recently admitted programs
+	slowRetries *retry.Budget              // guarded by mu
 }
 
 // New returns a gateway.
@@ -127,6 +129,7 @@
 			Zone: c.Settings.Instance.Zone, ZonePrice: c.Settings.Dispatch.ZonePrice, ZoneShareChanged: logZoneShare(c.Logger),
 		}),
 		programUses: make(map[account.Key]programUse), answerMemory: newAnswerMemory(c.Settings.Instance.Memory),
+		slowRetries: newSlowRetries(c.Settings.Dispatch.SlowRetries),
 	}
 	g.grants = grants.New(grants.Config{
 		Self: quota.Run{Instance: c.Settings.Instance.ID, ID: c.RunID}, Client: c.RPC, Now: c.Clock.Now, Loads: g.queues,
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -59,6 +59,8 @@
 	Policy Policy
 	// ZonePrice is how many milliseconds of delay one KiB between zones is worth; it may be infinite.
 	ZonePrice float64
+	// SlowRetries is the share of requests that may be sent to a second target because the first is very late; 0 for none.
+	SlowRetries float64
 }
 
 func (i *GatewayInstance) read(s *inifile.Section) {
@@ -89,6 +91,7 @@
 func (d *GatewayDispatch) read(s *inifile.Section) {
 	d.Policy = Policy(s.OneOf("policy", string(Fair), string(Fair), string(RoundRobin), string(LeastInFlight), string(Sticky)))
 	d.ZonePrice = s.Float("zonePrice", 0, 0, math.Inf(1))
+	d.SlowRetries = s.Float("slowRetries", 0, 0, 0.1)
 }
 
 // LoadGateway reads a gateway's settings file. The error lists everything that is wrong with the file.
--- a/internal/settings/gateway_test.go
+++ b/internal/settings/gateway_test.go
@@ -69,6 +69,7 @@
 		{"[dispatch]", "[dispatch]\npolicy = best", "[dispatch] policy"},
 		{"[dispatch]", "[dispatch]\nzonePrice = -inf", "[dispatch] zonePrice"},
 		{"[dispatch]", "[dispatch]\nzonePrice = 3ms", "[dispatch] zonePrice"},
+		{"[dispatch]", "[dispatch]\nslowRetries = 0.5", "[dispatch] slowRetries"},
 		{"[store]", "[store]\npartitions = 0", "[store] partitions"},
 		{"[observe]", "[observe]\n[more]", "[more]"},
 	} {
--- a/internal/waitqueue/queue.go
+++ b/internal/waitqueue/queue.go
@@ -54,6 +54,8 @@
 	Target call.Target
 	// Cached is how many tokens of the prompt the target probably has in its cache.
 	Cached ids.Tokens
+	// Expected is how long the request is expected to take at the target; 0 if nothing is known of that yet.
+	Expected time.Duration
 	// Waited is how long the request was in the queue.
 	Waited time.Duration
 	// ZoneReason says why the request leaves the zone, and ZoneCost what that was taken to cost; zero if it does not leave.
@@ -269,7 +271,7 @@
 		delete(q.waiting, p.Ticket)
 		q.recordLoad(LoadObservation{Target: p.Target, Calls: q.queue.ExpectedCalls(now, p.Target), At: now})
 		result <- waitResult{placement: Placement{
-			Target: q.targets[p.Target], Cached: p.Cached, ZoneReason: p.ZoneReason, ZoneCost: p.ZoneCost, serviceQueue: q, ticket: p.Ticket,
+			Target: q.targets[p.Target], Cached: p.Cached, Expected: p.Expected, ZoneReason: p.ZoneReason, ZoneCost: p.ZoneCost, serviceQueue: q, ticket: p.Ticket,
 		}}
 	}
 }
--- a/pkg/dispatch/item.go
+++ b/pkg/dispatch/item.go
@@ -90,6 +90,8 @@
 	Target ids.TargetID
 	// Cached is how many of the prompt's tokens the target's prefix cache is expected to hold.
 	Cached ids.Tokens
+	// Expected is how long the item is expected to take at the target; 0 if the target has not completed a call yet.
+	Expected time.Duration
 	// ZoneReason says why the item leaves its zone, and ZoneCost what that was taken to cost; zero if it does not leave.
 	ZoneReason zonecost.Reason
 	ZoneCost   time.Duration
--- a/pkg/dispatch/queue.go
+++ b/pkg/dispatch/queue.go
@@ -256,14 +256,19 @@
 
 func (q *Queue) place(now time.Time, e *entry, t *target.Target) Placement {
 	cached := q.cached(now, e, t)
+	own, _ := t.Seconds(now, max(float64(e.item.Prompt-cached), 0), q.expectedOutput(e.item))
 	q.unlink(e)
 	q.shares.Start(&e.Entry, max(e.Expected-float64(cached), 0))
 	e.target, e.placed = t, now
 	q.suspects.placed(now, e)
 	t.Start(now, float64(e.item.Prompt-cached))
 	seconds, reason := q.zoneCost(e, t)
+	expected := time.Duration(0)
+	if t.Measured() {
+		expected = time.Duration(own * float64(time.Second))
+	}
 	return Placement{
-		Ticket: e.item.Ticket, Target: t.ID(), Cached: cached,
+		Ticket: e.item.Ticket, Target: t.ID(), Cached: cached, Expected: expected,
 		ZoneReason: reason, ZoneCost: time.Duration(seconds * float64(time.Second)),
 	}
 }
--- a/pkg/target/target.go
+++ b/pkg/target/target.go
@@ -108,6 +108,9 @@
 // time.
 func (t *Target) Slow() float64 { return t.slowness }
 
+// Measured reports whether the target has completed a call, so that its expected durations are based on a measurement.
+func (t *Target) Measured() bool { return t.meanSeconds > 0 }
+
 // OnProbation reports whether the target died and has not shown since that it works.
 func (t *Target) OnProbation() bool { return !t.failed.IsZero() }
 
