--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -118,7 +118,8 @@
 		Workspace: e.workspaceID(), Program: e.req.Program, Prompt: e.req.Prompt, Output: max(e.req.MaxOutput, 1),
 		Zone: e.Settings.Instance.Zone, Idempotent: e.route.Idempotent(), Excluded: excluded, Parts: e.parts(),
 		Deadline: minTime(e.deadline, now.Add(e.queueTimeout())), FirstCall: e.firstCall,
-		Rank: e.table.Rank(e.route),
+		Rank:  e.table.Rank(e.route),
+		Bytes: e.expectedBytes(),
 	}
 	p, refused := e.queues.Wait(e.ctx, service, item)
 	e.waited += e.now().Sub(now)
@@ -196,6 +197,7 @@
 	defer stop()
 	e.attempts++
 	e.mayHaveRunBefore, e.mayHaveRun = e.mayHaveRun, true
+	e.countZone(p)
 	left = e.deadline.Sub(e.now())
 	message := e.Codec.EncodeRequest(nil, &e.x.Header, call.OutboundRequest{
 		Target: p.Target.ID, Workspace: e.workspaceID(), TimeLeft: max(left-workMargin, time.Millisecond), LastEvent: e.req.LastEvent, Body: e.body,
@@ -205,8 +207,12 @@
 		zap.Duration("left", left), zap.Bool("reused", conn.Reused))
 	var h fasthttp.ResponseHeader
 	h.SetNoDefaultContentType(true)
+	watch := e.watchSlow(p, conn)
 	writeErr := conn.Write(message)
 	body, err := conn.ReadHead(&h)
+	if watch.ended() {
+		return e.tooSlow()
+	}
 	if err != nil {
 		conn.Close()
 		return e.reportCrash(e.incomplete(errors.Join(writeErr, err)), p.Target)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -33,6 +33,7 @@
 	"github.com/comfreylink/comfreylink/pkg/account"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 	"github.com/comfreylink/comfreylink/pkg/quota"
+	"github.com/comfreylink/comfreylink/pkg/retry"
 )
 
 // Codec converts between the gateway's requests and answers and the platform's HTTP messages.
@@ -70,6 +71,7 @@
 	Attempt(service, outcome string)
 	recordgate.Observer
 	programs.Observer
+	ZoneSent(zone, reason string, cost time.Duration)
 }
 
 const (
@@ -127,14 +129,19 @@
 
 	mu          sync.Mutex
 	programUses map[account.Key]programUse // recently admitted programs
+	slowRetries *retry.Budget              // guarded by mu
 }
 
 // New returns a gateway.
 func New(c Config) *Gateway {
 	g := &Gateway{
-		Config:      c,
-		queues:      waitqueue.New(waitqueue.Options{Policy: string(c.Settings.Dispatch.Policy), RankMargin: c.Settings.Dispatch.RankMargin, Now: c.Clock.Now}),
+		Config: c,
+		queues: waitqueue.New(waitqueue.Options{
+			Policy: string(c.Settings.Dispatch.Policy), RankMargin: c.Settings.Dispatch.RankMargin, Now: c.Clock.Now, Seed: ids.Rendezvous(string(c.Settings.Instance.ID), c.RunID),
+			Zone: c.Settings.Instance.Zone, ZonePrice: c.Settings.Dispatch.ZonePrice, ZoneShareChanged: logZoneShare(c.Logger),
+		}),
 		programUses: make(map[account.Key]programUse), answerMemory: newAnswerMemory(c.Settings.Instance.Memory),
+		slowRetries: newSlowRetries(c.Settings.Dispatch.SlowRetries),
 	}
 	if c.Settings.Store.CallsPerSecond > 0 {
 		g.recordGate = recordgate.New(recordgate.Config{Now: c.Clock.Now, Observer: c.Metrics, Logger: c.Logger})
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -37,6 +37,8 @@
 	attrFailed  = attribute.Key("comfreylink.failed")
 	attrFirst   = attribute.Key("comfreylink.program.first")
 	attrKind    = attribute.Key("comfreylink.store.kind")
+	attrZone    = attribute.Key("comfreylink.zone")
+	attrReason  = attribute.Key("comfreylink.zone.reason")
 )
 
 // Observed holds the functions that return the values of gauges when metrics are collected. They may be called at any
@@ -58,6 +60,8 @@
 	refused, attempts, storeBytes     metric.Int64Counter
 	storeThrottled, storePaced        metric.Int64Counter
 	admission                         metric.Int64Counter
+	zoneCost                          metric.Float64Histogram
+	zoneSent                          metric.Int64Counter
 
 	mu    sync.Mutex
 	calls map[string]CallCount
@@ -95,6 +99,8 @@
 	m.records = set.Histogram("comfreylink.records.append", "{record}", "Records of an append to a partition with the records of programs.", recordBounds)
 	m.refused = set.Counter("comfreylink.request.refused", "{request}", "Requests that were refused.")
 	m.attempts = set.Counter("comfreylink.attempt", "{attempt}", "Attempts at targets by how they ended.")
+	m.zoneSent = set.Counter("comfreylink.zone.sent", "{request}", "Requests sent to targets of a zone, by the reason for it.")
+	m.zoneCost = set.Seconds("comfreylink.zone.cost", "What leaving the instance's zone was taken to cost.", waitBounds)
 	m.storeBytes = set.Counter("comfreylink.store.io", "By", "Bytes written to and read from the platform's log.")
 	m.storeThrottled = set.Counter("comfreylink.store.throttled", "{call}", "Calls that the platform's log refused because there were too many.")
 	m.admission = set.Counter("comfreylink.admission", "{request}", "Decisions whether the record of a request will be written in time.")
@@ -145,6 +151,14 @@
 	instruments.Add(m.attempts, 1, attrService.String(service), attrOutcome.String(outcome))
 }
 
+// ZoneSent counts a request sent to a zone, and what leaving the own zone was taken to cost.
+func (m *Metrics) ZoneSent(zone, reason string, cost time.Duration) {
+	instruments.Add(m.zoneSent, 1, attrZone.String(zone), attrReason.String(reason))
+	if cost > 0 {
+		instruments.Record(m.zoneCost, cost, attrZone.String(zone), attrReason.String(reason))
+	}
+}
+
 // StoreCall records a call to the platform's log.
 func (m *Metrics) StoreCall(call string, took time.Duration, bytes int, err error) {
 	m.mu.Lock()
--- a/internal/waitqueue/queue.go
+++ b/internal/waitqueue/queue.go
@@ -10,6 +10,7 @@
 	"github.com/comfreylink/comfreylink/pkg/dispatch"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 	"github.com/comfreylink/comfreylink/pkg/record"
+	"github.com/comfreylink/comfreylink/pkg/zonecost"
 )
 
 const (
@@ -25,6 +26,13 @@
 	// RankMargin is how many slots of a target a request must leave free for each more urgent kind of requests.
 	RankMargin int
 	Now        func() time.Time
+	// Seed of random choices between targets. It must differ between instances.
+	Seed uint64
+	// Zone is the instance's zone, and ZonePrice how many milliseconds of delay one KiB between zones is worth.
+	Zone      ids.Zone
+	ZonePrice float64
+	// ZoneShareChanged is called when the share of a service's requests that may leave the zone has changed; nil for none.
+	ZoneShareChanged func(service call.ServiceName, c dispatch.ZoneChange)
 }
 
 // Queues holds the queues of all services. It is safe for concurrent use.
@@ -48,8 +56,13 @@
 	Target call.Target
 	// Cached is how many tokens of the prompt the target probably has in its cache.
 	Cached ids.Tokens
+	// Expected is how long the request is expected to take at the target; 0 if nothing is known of that yet.
+	Expected time.Duration
 	// Waited is how long the request was in the queue.
 	Waited time.Duration
+	// ZoneReason says why the request leaves the zone, and ZoneCost what that was taken to cost; zero if it does not leave.
+	ZoneReason zonecost.Reason
+	ZoneCost   time.Duration
 
 	serviceQueue *serviceQueue
 	ticket       dispatch.Ticket
@@ -74,6 +87,7 @@
 // serviceQueue holds the waiting requests and the targets of one service.
 type serviceQueue struct {
 	opt        Options
+	name       call.ServiceName
 	recordLoad func(LoadObservation)
 
 	mu          sync.Mutex
@@ -104,12 +118,14 @@
 }
 
 func newServiceQueue(o Options, s *call.Service, recordLoad func(LoadObservation)) *serviceQueue {
-	queue, err := dispatch.New(dispatchOptions(o, s))
+	options := dispatchOptions(o, s)
+	options.Seed, options.Zone, options.ZonePrice = o.Seed, o.Zone, o.ZonePrice/1000
+	queue, err := dispatch.New(options)
 	if err != nil {
 		panic(err) // the options are constants
 	}
 	return &serviceQueue{
-		opt: o, recordLoad: recordLoad, queue: queue, targets: make(map[ids.TargetID]call.Target), waiting: make(map[dispatch.Ticket]chan waitResult),
+		opt: o, name: s.Name, recordLoad: recordLoad, queue: queue, targets: make(map[ids.TargetID]call.Target), waiting: make(map[dispatch.Ticket]chan waitResult),
 	}
 }
 
@@ -117,12 +133,13 @@
 func dispatchOptions(o Options, s *call.Service) dispatch.Options {
 	options := dispatch.Options{Policy: o.Policy, RankMargin: o.RankMargin}
 	options.Ramp, options.Probation = 300*time.Millisecond, time.Second
-	options.ForeignHalfLife = time.Second
+	options.ForeignHalfLife = foreignHalfLife
 	options.HintHalfLife = time.Minute
 	// Service already received hardly lowers a program's rank: a program that has got much of it is near its end.
 	options.Share.AttainedMax = 1
-	options.FirstCallMargin = overcommit
+	options.FirstCallMargin, options.Overcommit = overcommit, overcommit
 	options.ConnectSeconds, options.ConnectionKeep = connectSeconds, connectionKeep
+	options.Known, options.Unknown = comparedKnown, comparedUnknown
 	if s != nil && s.Engine != nil {
 		options.PrefillRate, options.DecodeRate = enginePrefillRate, engineDecodeRate
 	} else {
@@ -138,6 +155,11 @@
 	connectSeconds = 0.04
 	// connectionKeep is how long an idle connection may still be reused.
 	connectionKeep = 4 * time.Second
+	// foreignHalfLife is about the duration of a call: later, a count of other instances' calls says little.
+	foreignHalfLife = 200 * time.Millisecond
+	// comparedKnown and comparedUnknown are how many targets are compared for a request, with an open connection and without
+	// one. More let instances that know the same choose the same target; docs/design/placement.md has the comparison.
+	comparedKnown, comparedUnknown = 3, 1
 )
 
 // Assumed speeds of a target until completed requests show its real speed.
@@ -255,14 +277,20 @@
 		result := q.waiting[p.Ticket]
 		delete(q.waiting, p.Ticket)
 		q.recordLoad(LoadObservation{Target: p.Target, Calls: q.queue.ExpectedCalls(now, p.Target), At: now})
-		result <- waitResult{placement: Placement{Target: q.targets[p.Target], Cached: p.Cached, serviceQueue: q, ticket: p.Ticket}}
+		result <- waitResult{placement: Placement{
+			Target: q.targets[p.Target], Cached: p.Cached, Expected: p.Expected, ZoneReason: p.ZoneReason, ZoneCost: p.ZoneCost, serviceQueue: q, ticket: p.Ticket,
+		}}
 	}
 }
 
-// Tick places requests that can be placed only because time has passed. Call it every few milliseconds while Len is above 0.
+// Tick decides again which requests may leave the zone, and places requests that can be placed only because time has passed.
+// Call it every few milliseconds.
 func (q *Queues) Tick(now time.Time) {
 	for _, sq := range q.all() {
 		sq.mu.Lock()
+		if c, changed := sq.queue.UpdateZone(now); changed && q.opt.ZoneShareChanged != nil {
+			q.opt.ZoneShareChanged(sq.name, c)
+		}
 		if len(sq.waiting) > 0 {
 			sq.advance(now)
 		}
@@ -297,7 +325,8 @@
 	p.serviceQueue.mu.Lock()
 	defer p.serviceQueue.mu.Unlock()
 	p.serviceQueue.queue.Load(now, p.Target.ID, load.Running, load.Waiting)
-	p.serviceQueue.recordLoad(LoadObservation{Target: p.Target.ID, Calls: load.Running + load.Waiting, At: now})
+	p.serviceQueue.queue.WorkTime(p.Target.ID, load.WorkTime, now)
+	p.serviceQueue.recordLoad(LoadObservation{Target: p.Target.ID, Calls: load.Running + load.Waiting, At: now, WorkTime: load.WorkTime, WorkAt: now})
 }
 
 // Done reports the end of the request at its target.
--- a/pkg/dispatch/queue.go
+++ b/pkg/dispatch/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/comfreylink/comfreylink/pkg/record"
 	"github.com/comfreylink/comfreylink/pkg/share"
 	"github.com/comfreylink/comfreylink/pkg/target"
+	"github.com/comfreylink/comfreylink/pkg/zonecost"
 )
 
 // Queue holds the waiting and the placed calls of one pool.
@@ -26,6 +28,10 @@
 
 	meanSeconds float64 // mean duration of a call in seconds; 0 before the first completion
 	meanOutput  float64 // mean generated tokens of a call
+	meanBytes   float64 // mean bytes of an item with its answer
+
+	zone   *zonecost.Decider
+	random *rand.Rand
 }
 
 // New returns an empty queue.
@@ -34,13 +40,15 @@
 	if err := o.validate(); err != nil {
 		return nil, fmt.Errorf("dispatch options: %w", err)
 	}
-	policy, err := newPolicy(o.Policy)
+	policy, err := newPolicy(o)
 	if err != nil {
 		return nil, fmt.Errorf("dispatch options: %w", err)
 	}
 	return &Queue{
 		opt: o, policy: policy, entries: make(map[Ticket]*entry),
 		shares: share.New(o.Share), targets: target.NewSet(o.Options), suspects: newSuspects(),
+		zone:   zonecost.New(zonecost.Options{Price: o.ZonePrice, Delay: otherZoneCost}),
+		random: rand.New(rand.NewPCG(o.Seed, 1)),
 	}, nil
 }
 
@@ -56,7 +64,8 @@
 	if it.Weight <= 0 {
 		it.Weight = 1
 	}
-	e := &entry{item: it, Entry: share.Entry{
+	q.meanBytes = target.Mean(q.meanBytes, float64(it.Bytes))
+	e := &entry{item: it, zoneDraw: q.random.Float64(), Entry: share.Entry{
 		Ticket: uint64(it.Ticket), Workspace: it.Workspace, Weight: it.Weight, Root: it.Program.Root(), Arrived: now,
 		Expected: float64(it.Prompt) + q.expectedOutput(it),
 	}}
@@ -146,6 +155,11 @@
 	q.targets.ApplyLoadObservation(id, calls, at)
 }
 
+// WorkTime applies the work time that a target reported at a time, to this dispatcher or to another one.
+func (q *Queue) WorkTime(id ids.TargetID, workTime float64, at time.Time) {
+	q.targets.WorkTime(id, workTime, at)
+}
+
 // ExpectedCalls returns the estimated number of calls at a target.
 func (q *Queue) ExpectedCalls(now time.Time, id ids.TargetID) int {
 	return q.targets.ExpectedCalls(now, id)
@@ -242,12 +256,21 @@
 
 func (q *Queue) place(now time.Time, e *entry, t *target.Target) Placement {
 	cached := q.cached(now, e, t)
+	own, _ := t.Seconds(now, max(float64(e.item.Prompt-cached), 0), q.expectedOutput(e.item))
 	q.unlink(e)
 	q.shares.Start(&e.Entry, max(e.Expected-float64(cached), 0))
 	e.target, e.placed = t, now
 	q.suspects.placed(now, e)
 	t.Start(now, float64(e.item.Prompt-cached))
-	return Placement{Ticket: e.item.Ticket, Target: t.ID(), Cached: cached}
+	seconds, reason := q.zoneCost(e, t)
+	expected := time.Duration(0)
+	if t.Measured() {
+		expected = time.Duration(own * float64(time.Second))
+	}
+	return Placement{
+		Ticket: e.item.Ticket, Target: t.ID(), Cached: cached, Expected: expected,
+		ZoneReason: reason, ZoneCost: time.Duration(seconds * float64(time.Second)),
+	}
 }
 
 // hasCapacity reports whether any target may get one more call.
