Keep requests out of evacuated zones

Cause: the gateway did not know evacuations. Change: the follower reads the keys evacuate/ZONE with the configuration. Targets in evacuated zones get the state of leaving targets, waiting requests that could run only there are refused at once, and the zone is looked up again before a request is written. The count of keys in TestGatewayPage leaves out the template of [zones], which it compares as a whole, because the keys there are names of zones. TestEvacuatedZoneGetsNoRequests passes with either of the two checks of the zone and fails without both.

--- a/cmd/comfreylink/gateway.go
+++ b/cmd/comfreylink/gateway.go
@@ -69,6 +69,7 @@
 		Metrics: metrics, RunID: runID, Log: log, RPC: peers, Source: follower.Source{
 			Log: log, Config: platform.ConfigPartition, Targets: platform.TargetsPartition, ConfigKey: platform.ConfigKey,
 			DecodeKeyed: platform.DecodeKeyed, DecodeConfig: platform.DecodeConfig, DecodeTarget: platform.DecodeTarget,
+			DecodeEvacuation: platform.DecodeEvacuation, Self: s.Instance.ID, Zones: s.Zones,
 		},
 	})
 	if err := metrics.Observe(g.Observed(ring.Dropped)); err != nil {
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -150,6 +150,8 @@
 	Slots int
 	// Draining targets take no new requests.
 	Draining bool
+	// Evacuated targets are in a zone that is evacuated. They get no new requests.
+	Evacuated bool
 	// Born is when the target started, in Unix milliseconds. Seq numbers the target's reports since then. Together they
 	// order its reports.
 	Born int64
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -220,6 +220,17 @@
 	TargetAnnouncedLeaving = define(706, "targetAnnouncedLeaving", info,
 		"A target said in an answer that it is leaving; it gets no new work from this instance, whatever its entry says.", noAction,
 		"requestId", "target", "address")
+	ZoneEvacuated = define(707, "zoneEvacuated", info,
+		"A zone is evacuated: its targets get no new requests from this instance, and those that run there are finished. Known is false if the zone is in no setting and has no target.",
+		"If known is false, check the spelling of the zone.",
+		"zone", "known")
+	EvacuationRevoked = define(708, "evacuationRevoked", info,
+		"The evacuation of a zone was revoked; its targets get requests again, within a few seconds.", noAction,
+		"zone")
+	ZoneEmpty = define(709, "zoneEmpty", info,
+		"No request of this instance runs in the evacuated zone any more.",
+		"The zone may be shut down when every instance has logged this event.",
+		"zone", "duration")
 )
 
 // InternalError is the event of a bug in the daemon or of an error that it cannot handle.
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -16,6 +16,7 @@
 	"github.com/comfreylink/comfreylink/internal/partlog"
 	"github.com/comfreylink/comfreylink/internal/registry"
 	"github.com/comfreylink/comfreylink/internal/settings"
+	"github.com/comfreylink/comfreylink/pkg/evacuation"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 )
 
@@ -44,6 +45,12 @@
 	DecodeKeyed  func(record []byte) (key string, value []byte, ok bool)
 	DecodeConfig func(data []byte) (call.Config, error)
 	DecodeTarget func(id string, data []byte) (call.Target, error)
+	// DecodeEvacuation decodes an entry of the partition Config that says that a zone is evacuated; ok is false for entries
+	// of other kinds. Without a value the entry revokes the evacuation. If it is nil, zones cannot be evacuated.
+	DecodeEvacuation func(key string, value []byte) (zone ids.Zone, ok bool, err error)
+	// Self is this instance, and Zones the zones that its settings name.
+	Self  ids.InstanceID
+	Zones settings.Zones
 }
 
 // Follower holds an instance's copy of the configuration and the targets. It is safe for concurrent use.
@@ -60,9 +67,12 @@
 	// confirmed is when the last read was sent that showed the configuration to be up to date, in Unix nanoseconds; 0
 	// before the first one.
 	confirmed atomic.Int64
+	// zonesConfirmed is the same for the evacuations.
+	zonesConfirmed atomic.Int64
 
 	mu        sync.Mutex
 	registry  *registry.Registry
+	zones     *evacuation.Zones
 	listed    bool                // the targets were read to the end once
 	logLostAt time.Time           // start of the current outage of the log; zero if there is none
 	onChange  func(now time.Time) // called without the lock after the table or the targets changed
@@ -71,11 +81,19 @@
 // New returns a follower that has read nothing. It calls onChange after the configuration or the targets have changed.
 func New(s Source, bounds settings.Bounds, logger *zap.Logger, now func() time.Time, onChange func(now time.Time)) *Follower {
 	return &Follower{
-		source: s, logger: logger, now: now, configWait: bounds.Revoke / readsPerRevoke,
-		targetsInterval: bounds.Removal / readsPerRemoval, registry: registry.New(), onChange: onChange,
+		source: s, logger: logger, now: now, configWait: configWait(bounds),
+		targetsInterval: bounds.Removal / readsPerRemoval, registry: registry.New(), zones: evacuation.New(), onChange: onChange,
 	}
 }
 
+// configWait returns how long a read of the configuration and the evacuations waits for new records.
+func configWait(b settings.Bounds) time.Duration {
+	if b.Evacuate > 0 {
+		return min(b.Revoke, b.Evacuate) / readsPerRevoke
+	}
+	return b.Revoke / readsPerRevoke
+}
+
 // Freshness returns the time since the configuration was last known to be up to date; ok is false before it was read.
 func (f *Follower) Freshness(now time.Time) (age time.Duration, ok bool) {
 	at := f.confirmed.Load()
@@ -92,7 +110,9 @@
 func (f *Follower) Targets(now time.Time) []call.Target {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.registry.Targets(now)
+	list := f.registry.Targets(now)
+	f.markEvacuated(now, list)
+	return list
 }
 
 // TargetsKnown reports whether the targets were read to the end once.
@@ -147,7 +167,12 @@
 // FollowConfig keeps the configuration up to date and returns when the context ends.
 func (f *Follower) FollowConfig(ctx context.Context) error {
 	readable := true
-	return f.follow(ctx, f.source.Config, 0, func(sentAt time.Time, upToDate bool, entries []partlog.Entry, _ bool) {
+	return f.follow(ctx, f.source.Config, 0, func(sentAt time.Time, upToDate bool, entries []partlog.Entry, complete bool) {
+		// The evacuations come first, so that a first configuration places no requests in an evacuated zone.
+		f.applyZones(entries, complete)
+		if upToDate {
+			f.zonesConfirmed.Store(sentAt.UnixNano())
+		}
 		for _, e := range entries {
 			if e.Key == f.source.ConfigKey && len(e.Value) > 0 {
 				readable = f.applyConfig(e.Value)
@@ -298,6 +323,8 @@
 	for i, record := range page.Records {
 		key, value, ok := f.source.DecodeKeyed(record)
 		if !ok {
+			events.Log(f.logger, events.EntrySkipped, zap.String("stream", p.Topic), zap.Int64("offset", int64(page.From)+int64(i)),
+				zap.String("reason", "the record is shorter than its key"))
 			continue
 		}
 		entries = append(entries, partlog.Entry{Key: key, Value: value, Offset: page.From + ids.Offset(i)})
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -78,7 +78,11 @@
 			}
 			return r
 		}
+		zone := placement.Target.Zone
+		e.zones.begin(zone)
 		res := e.attempt(placement)
+		e.zones.end(zone)
+		e.logEmptyZones(e.now())
 		placement.Done(e.now(), res.outcome, res.usage)
 		e.logAttempt(placement, res)
 		if res.done {
@@ -127,6 +131,10 @@
 		return p, nil
 	case e.ctx.Err() != nil:
 		return p, e.failureRefusal(fasthttp.StatusServiceUnavailable, e.endCode())
+	case refused.Reason == waitqueue.ReasonEvacuated:
+		return p, &refusal{status: fasthttp.StatusServiceUnavailable, code: codeEvacuated, retry: refused.RetryAfter}
+	case refused.Reason == waitqueue.ReasonRegion:
+		return p, &refusal{status: fasthttp.StatusServiceUnavailable, code: codeRegion, retry: refused.RetryAfter}
 	case refused.Reason == waitqueue.ReasonNoTarget:
 		return p, &refusal{status: fasthttp.StatusServiceUnavailable, code: codeNoTarget, retry: refused.RetryAfter}
 	default:
@@ -187,9 +195,9 @@
 	if err != nil {
 		return e.unreachable(err)
 	}
-	if e.follower.IsLeaving(p.Target) { // it began to leave while the request waited for a connection
+	if res := e.targetWithdrawn(p.Target); res != nil { // while the request waited for a connection
 		conn.Close()
-		return e.notSent("targetLeaving", dispatch.AnsweredLeaving, nil)
+		return *res
 	}
 	stop := context.AfterFunc(ctx, conn.Close)
 	defer stop()
@@ -227,6 +235,9 @@
 	if e.ctx.Err() != nil {
 		return e.failureRefusal(fasthttp.StatusServiceUnavailable, e.endCode())
 	}
+	if !e.zonesKnown(now) {
+		return e.failureRefusal(fasthttp.StatusServiceUnavailable, codeStale)
+	}
 	if e.workspace == nil {
 		return nil
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -115,6 +115,8 @@
 
 	mu          sync.Mutex
 	programUses map[account.Key]programUse // recently admitted programs
+
+	zones *zoneUse
 }
 
 // New returns a gateway.
@@ -123,6 +125,7 @@
 		Config:      c,
 		queues:      waitqueue.New(waitqueue.Options{Policy: string(c.Settings.Dispatch.Policy), Now: c.Clock.Now}),
 		programUses: make(map[account.Key]programUse), answerMemory: newAnswerMemory(c.Settings.Instance.Memory),
+		zones: newZoneUse(),
 	}
 	g.grants = grants.New(grants.Config{
 		Self: quota.Run{Instance: c.Settings.Instance.ID, ID: c.RunID}, Client: c.RPC, Now: c.Clock.Now, Loads: g.queues,
@@ -176,6 +179,7 @@
 
 // followerChanged applies a new configuration or a new list of targets.
 func (g *Gateway) followerChanged(now time.Time) {
+	g.logEmptyZones(now)
 	table := g.follower.Table()
 	if table == nil {
 		return
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -52,6 +52,8 @@
 	codeStopping          Code = "stopping"
 	codeNoMemory          Code = "memoryShort"
 	codeOverBudget        Code = "overBudget"
+	codeEvacuated         Code = "zonesEvacuated"
+	codeRegion            Code = "noAllowedRegion"
 )
 
 // RunState states whether a request has run.
@@ -155,6 +157,9 @@
 	if e.route = e.table.Route(e.req.Host, e.req.Path); e.route == nil {
 		return e.notConfigured(fasthttp.StatusNotFound, codeNoRoute)
 	}
+	if !e.zonesKnown(e.began) {
+		return &refusal{status: fasthttp.StatusServiceUnavailable, code: codeStale, retry: outageRetryDelay}
+	}
 	if !e.route.Public {
 		if !e.freshEnough(e.began) {
 			return &refusal{status: fasthttp.StatusServiceUnavailable, code: codeStale, retry: outageRetryDelay}
--- a/internal/inifile/section.go
+++ b/internal/inifile/section.go
@@ -55,6 +55,23 @@
 	return def
 }
 
+// TextOrEmpty returns a value unchanged. It may be empty, as in a file that was filled in from a template without a value.
+func (s *Section) TextOrEmpty(key string) string {
+	if s.ini != nil && s.ini.HasKey(key) && s.ini.Key(key).Value() == "" && len(s.ini.Key(key).ValueWithShadows()) <= 1 {
+		s.read[key] = true
+		return ""
+	}
+	return s.Text(key, "")
+}
+
+// Names returns the names of the section's keys in the order of the file, for a section whose keys are not known beforehand.
+func (s *Section) Names() (names []string) {
+	if s.ini == nil {
+		return nil
+	}
+	return s.ini.KeyStrings()
+}
+
 // Required returns a value that has no default.
 func (s *Section) Required(key string) string {
 	before := len(s.file.errs)
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -13,6 +13,7 @@
 	Relay    Relay
 	Store    Store
 	Bounds   Bounds
+	Zones    Zones
 	Dispatch GatewayDispatch
 	Observe  Observe
 }
@@ -21,6 +22,8 @@
 type GatewayInstance struct {
 	ID   ids.InstanceID
 	Zone ids.Zone
+	// Region is the region of Zone; empty if there is none.
+	Region string
 	// Listen is the address for callers, Ready that of the readiness probe and Metrics that for monitoring and dumps.
 	Listen, Ready, Metrics string
 	// Memory is the memory limit of the process in bytes; 0 if there is none.
@@ -51,8 +54,13 @@
 	Revoke time.Duration
 	// Removal is how long a target may still get requests after it announced that it leaves.
 	Removal time.Duration
+	// Evacuate is how long a zone may still get requests after its evacuation was published.
+	Evacuate time.Duration
 }
 
+// Zones holds the region of each zone. It is empty in a deployment without regions.
+type Zones map[ids.Zone]string
+
 // GatewayDispatch configures the queues of requests that wait for a target.
 type GatewayDispatch struct {
 	Policy Policy
@@ -61,6 +69,7 @@
 func (i *GatewayInstance) read(s *inifile.Section) {
 	i.ID = ids.InstanceID(name(s, "id"))
 	i.Zone = ids.Zone(name(s, "zone"))
+	i.Region = s.TextOrEmpty("region")
 	i.Listen = address(s, "listen", true, true)
 	i.Ready = address(s, "ready", true, true)
 	i.Metrics = address(s, "metrics", false, true)
@@ -81,6 +90,16 @@
 func (b *Bounds) read(s *inifile.Section) {
 	b.Revoke = s.Duration("revoke", 5*time.Second, 500*time.Millisecond, time.Hour)
 	b.Removal = s.Duration("removal", 2*time.Second, 100*time.Millisecond, time.Hour)
+	b.Evacuate = s.Duration("evacuate", 5*time.Second, time.Second, time.Hour)
+}
+
+func (z *Zones) read(s *inifile.Section) {
+	for _, key := range s.Names() {
+		if *z == nil {
+			*z = make(Zones)
+		}
+		(*z)[ids.Zone(key)] = s.Required(key)
+	}
 }
 
 func (d *GatewayDispatch) read(s *inifile.Section) {
@@ -101,12 +120,18 @@
 		{"relay", g.Relay.read},
 		{"store", g.Store.read},
 		{"bounds", g.Bounds.read},
+		{"zones", g.Zones.read},
 		{"dispatch", g.Dispatch.read},
 		{"observe", g.Observe.read},
 	})
 	if g.Instance.Ready != "" && g.Instance.Ready == g.Instance.Listen {
 		f.Section("instance").Fail("ready", "%s is also the address of listen", g.Instance.Ready)
 	}
+	if region, ok := g.Zones[g.Instance.Zone]; ok && g.Instance.Region == "" {
+		g.Instance.Region = region
+	} else if ok && g.Instance.Region != region {
+		f.Section("instance").Fail("region", "%s is not the region %s that [zones] gives for the zone %s", g.Instance.Region, region, g.Instance.Zone)
+	}
 	if err := f.Err(); err != nil {
 		return Gateway{}, err
 	}
--- a/internal/settings/gateway_test.go
+++ b/internal/settings/gateway_test.go
@@ -46,7 +46,11 @@
 			text = strings.Replace(text, section, section+cells[2]+" = "+cells[3]+"\n", 1)
 		}
 	}
-	qt.Assert(t, keys, qt.Equals, strings.Count(string(template), " = "))
+	// The keys of [zones] are names of zones, so the page has no rows for them.
+	const zones = "\n[zones]\n{{#Zones}}{{@}} = {{.}}\n{{/Zones}}\n"
+	qt.Check(t, string(page), qt.Contains, "\n## [zones]\n")
+	qt.Assert(t, string(template), qt.Contains, zones)
+	qt.Assert(t, keys, qt.Equals, strings.Count(strings.Replace(string(template), zones, "", 1), " = "))
 	documented, err := settings.ParseGateway("page", []byte(text))
 	qt.Assert(t, err, qt.IsNil)
 	defaults, err := settings.ParseGateway("minimal", []byte(minimalGateway))
@@ -66,11 +70,18 @@
 		{"advertise = 10.1.0.11:7781", "advertise = 0.0.0.0:7781", "[relay] advertise"},
 		{"[bounds]", "[bounds]\nrevoke = 5", "[bounds] revoke"},
 		{"[bounds]", "[bounds]\nrevok = 5s", "revok"},
+		{"[bounds]", "[bounds]\nevacuate = 5", "[bounds] evacuate"},
+		{"[bounds]", "[zones]\nosu =\n[bounds]", "[zones] osu"},
+		{"zone = osu", "zone = osu\nregion = west", "[instance] region"},
 		{"[dispatch]", "[dispatch]\npolicy = best", "[dispatch] policy"},
 		{"[store]", "[store]\npartitions = 0", "[store] partitions"},
 		{"[observe]", "[observe]\n[more]", "[more]"},
 	} {
-		_, err := settings.ParseGateway("file.ini", []byte(strings.Replace(minimalGateway, test.old, test.new, 1)))
+		text := strings.Replace(minimalGateway, test.old, test.new, 1)
+		if !strings.Contains(text, "[zones]") {
+			text += "[zones]\nosu = east\n"
+		}
+		_, err := settings.ParseGateway("file.ini", []byte(text))
 		qt.Check(t, err, qt.IsNotNil, qt.Commentf("%q", test.new))
 		if err != nil {
 			qt.Check(t, err.Error(), qt.Contains, test.want)
@@ -78,3 +89,19 @@
 		}
 	}
 }
+
+// Guards against a deployment without regions whose gateway does not start because the template leaves the region empty, and
+// against zones or the instance's region that are not read.
+func TestRegions(t *testing.T) {
+	read := func(region, zones string) settings.Gateway {
+		text := strings.Replace(minimalGateway, "zone = osu", "zone = osu\nregion = "+region, 1) + "[zones]\n" + zones
+		g, err := settings.ParseGateway("file.ini", []byte(text))
+		qt.Assert(t, err, qt.IsNil)
+		return g
+	}
+	qt.Assert(t, read("", "").Zones, qt.HasLen, 0)
+	g := read("", "osu = west\nfra = east\n")
+	qt.Assert(t, g.Zones, qt.DeepEquals, settings.Zones{"osu": "west", "fra": "east"})
+	qt.Assert(t, g.Instance.Region, qt.Equals, "west")
+	qt.Assert(t, read("west", "").Instance.Region, qt.Equals, "west")
+}
--- a/internal/waitqueue/queue.go
+++ b/internal/waitqueue/queue.go
@@ -60,8 +60,19 @@
 	RetryAfter time.Duration
 }
 
-// ReasonNoTarget means that the service has no targets.
-const ReasonNoTarget dispatch.Reason = "noTarget"
+// Reasons for refusals because no target of the service may get the request.
+const (
+	// ReasonNoTarget: the service has no targets.
+	ReasonNoTarget dispatch.Reason = "noTarget"
+	// ReasonEvacuated: all targets that the request might run at are in evacuated zones.
+	ReasonEvacuated dispatch.Reason = "evacuated"
+	// ReasonRegion: the service has no target in a zone where the request may run.
+	ReasonRegion dispatch.Reason = "region"
+)
+
+// noTargetRetry is the retry delay of a request that no target may get. Targets register, and evacuations are revoked, at
+// any time.
+const noTargetRetry = time.Second
 
 // waitResult ends a wait: either a placement or a refusal.
 type waitResult struct {
@@ -69,6 +80,12 @@
 	refusal   *Refusal
 }
 
+// waiter is a request that waits.
+type waiter struct {
+	item   dispatch.Item
+	result chan waitResult
+}
+
 // serviceQueue holds the waiting requests and the targets of one service.
 type serviceQueue struct {
 	opt        Options
@@ -78,7 +95,7 @@
 	queue       *dispatch.Queue
 	targets     map[ids.TargetID]call.Target
 	lastTicket  dispatch.Ticket
-	waiting     map[dispatch.Ticket]chan waitResult
+	waiting     map[dispatch.Ticket]waiter
 	lastCleanup time.Time
 }
 
@@ -107,7 +124,7 @@
 		panic(err) // the options are constants
 	}
 	return &serviceQueue{
-		opt: o, recordLoad: recordLoad, queue: queue, targets: make(map[ids.TargetID]call.Target), waiting: make(map[dispatch.Ticket]chan waitResult),
+		opt: o, recordLoad: recordLoad, queue: queue, targets: make(map[ids.TargetID]call.Target), waiting: make(map[dispatch.Ticket]waiter),
 	}
 }
 
@@ -155,7 +172,7 @@
 	for _, t := range targets {
 		q.targets[t.ID] = t
 		r := dispatch.Target{ID: t.ID, Zone: t.Zone, State: dispatch.Live, Slots: t.Slots + overcommit}
-		if t.Draining {
+		if t.Draining || t.Evacuated {
 			r.State = dispatch.Leaving
 		}
 		if s != nil && s.Engine != nil {
@@ -164,6 +181,7 @@
 		reports = append(reports, r)
 	}
 	q.queue.UpdateTargets(now, reports)
+	q.refuseUnservable(now)
 	q.advance(now)
 }
 
@@ -173,7 +191,7 @@
 	sq := q.queues[service]
 	q.mu.Unlock()
 	if sq == nil {
-		return p, &Refusal{Reason: ReasonNoTarget, RetryAfter: time.Second}
+		return p, &Refusal{Reason: ReasonNoTarget, RetryAfter: noTargetRetry}
 	}
 	now := q.opt.Now()
 	ticket, result, r := sq.enqueue(now, item)
@@ -200,18 +218,52 @@
 func (q *serviceQueue) enqueue(now time.Time, item dispatch.Item) (dispatch.Ticket, chan waitResult, *Refusal) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if len(q.targets) == 0 {
-		return 0, nil, &Refusal{Reason: ReasonNoTarget, RetryAfter: time.Second}
+	if r := q.unservable(item); r != nil {
+		return 0, nil, r
 	}
 	q.lastTicket++
 	item.Ticket = q.lastTicket
 	result := make(chan waitResult, 1)
-	q.waiting[item.Ticket] = result
+	q.waiting[item.Ticket] = waiter{item: item, result: result}
 	q.refuse(now, q.queue.Enqueue(now, item))
 	q.advance(now)
 	return item.Ticket, result, nil
 }
 
+// unservable returns the refusal of a request that no target may get, whatever its load; nil if one may. The caller must
+// hold mu.
+func (q *serviceQueue) unservable(item dispatch.Item) *Refusal {
+	if len(q.targets) == 0 {
+		return &Refusal{Reason: ReasonNoTarget, RetryAfter: noTargetRetry}
+	}
+	reason := ReasonRegion
+	for _, t := range q.targets {
+		if !item.MayRunIn(t.Zone) {
+			continue
+		}
+		if !t.Evacuated {
+			return nil
+		}
+		reason = ReasonEvacuated
+	}
+	return &Refusal{Reason: reason, RetryAfter: noTargetRetry}
+}
+
+// refuseUnservable ends the waits of requests that no target may get any more because zones were evacuated. Requests whose
+// service has lost all targets wait on, since targets may only be late to renew their entries. The caller must hold mu.
+func (q *serviceQueue) refuseUnservable(now time.Time) {
+	if len(q.targets) == 0 {
+		return
+	}
+	for ticket, w := range q.waiting {
+		if r := q.unservable(w.item); r != nil {
+			delete(q.waiting, ticket)
+			q.queue.Cancel(now, ticket)
+			w.result <- waitResult{refusal: r}
+		}
+	}
+}
+
 func (q *serviceQueue) expire(now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -230,7 +282,7 @@
 // refuse ends the waits of refused requests. The caller must hold mu.
 func (q *serviceQueue) refuse(now time.Time, refused []dispatch.Refusal) {
 	for _, r := range refused {
-		result := q.waiting[r.Ticket]
+		result := q.waiting[r.Ticket].result
 		delete(q.waiting, r.Ticket)
 		if result != nil {
 			result <- waitResult{refusal: &Refusal{Reason: r.Reason, RetryAfter: max(r.RetryAt.Sub(now), 0)}}
@@ -245,7 +297,7 @@
 		q.queue.DropOld(now)
 	}
 	for _, p := range q.queue.Next(now) {
-		result := q.waiting[p.Ticket]
+		result := q.waiting[p.Ticket].result
 		delete(q.waiting, p.Ticket)
 		q.recordLoad(LoadObservation{Target: p.Target, Calls: q.queue.ExpectedCalls(now, p.Target), At: now})
 		result <- waitResult{placement: Placement{Target: q.targets[p.Target], Cached: p.Cached, serviceQueue: q, ticket: p.Ticket}}
--- a/pkg/dispatch/item.go
+++ b/pkg/dispatch/item.go
@@ -79,8 +79,13 @@
 	Suspected bool
 	// Excluded lists the targets on which the call already failed.
 	Excluded []ids.TargetID
+	// Zones are the only zones in which the call may run; nil means all.
+	Zones []ids.Zone
 }
 
+// MayRunIn reports whether the call may run in a zone.
+func (i Item) MayRunIn(zone ids.Zone) bool { return i.Zones == nil || slices.Contains(i.Zones, zone) }
+
 // Placement assigns an item to the target to which it is sent now.
 type Placement struct {
 	Ticket Ticket
@@ -131,7 +136,7 @@
 	if t.IdempotentOnly(now) && !e.item.Idempotent {
 		return false
 	}
-	return !slices.Contains(e.item.Excluded, t.ID()) && !q.mustIsolate(now, e, t)
+	return e.item.MayRunIn(t.Zone()) && !slices.Contains(e.item.Excluded, t.ID()) && !q.mustIsolate(now, e, t)
 }
 
 // hasCapacityFor reports whether a target has the free capacity that an item needs.
