Limit the requests to cold targets over all instances

Cause: a target that has just started serves few requests a second and crashes well above that; instances did not know and could not bound their sum. Change: entries and answers say how long a target stays cold, and a target that appears during traffic or whose zone's evacuation was revoked is cold for its service's cold time. A request is sent to a cold target only with a token from the owner of the target's limit, which is one more limit of pkg/quota, named by target and start, on the same leased shards. Without a token the request goes to another target and this instance leaves the cold one alone for 40 to 960 ms. A token that is not used within 0.3 s or was answered 421 goes back. Figures that are negative or absurd are logged and left out.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -101,6 +101,10 @@
 	MaxConns int
 	// Engine is set if the targets generate tokens.
 	Engine *Engine
+	// ColdTime is how long a target is cold after its start, and ColdRate how many requests a second it can serve while it is
+	// cold; 0 means that cold targets have no limit.
+	ColdTime time.Duration
+	ColdRate float64
 }
 
 // Engine describes the model engines of a service.
@@ -138,6 +142,8 @@
 	Services   []Service
 	Workspaces []Workspace
 	Limits     Limits
+	// Ignored describes the values that were left out because they are malformed or absurd.
+	Ignored []string
 }
 
 // Target is a registered target.
@@ -156,6 +162,8 @@
 	// order its reports.
 	Born int64
 	Seq  int64
+	// ColdLeft is how long the target stays cold from the time of the report; 0 if it is not cold.
+	ColdLeft time.Duration
 }
 
 // Newer reports whether t is a later report than o of the same target.
@@ -190,6 +198,8 @@
 	// Leaving is true if the target says that it is about to stop.
 	Leaving bool
 	Load    Load
+	// ColdLeft is how long the target stays cold; 0 if it is not, and negative if what it says is malformed.
+	ColdLeft time.Duration
 }
 
 // OutboundRequest is a request as it is sent to a target.
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -231,6 +231,17 @@
 		"No request of this instance runs in the evacuated zone any more.",
 		"The zone may be shut down when every instance has logged this event.",
 		"zone", "duration")
+	TargetCold = define(710, "targetCold", info,
+		"A target is cold. All instances together send it rate requests a second and at most burst at once, each with a grant from the owner of the target's limit. Rate 0 means that its service has no limit for cold targets.", noAction,
+		"target", "service", "left", "rate", "burst")
+	ColdNotGranted = define(711, "coldNotGranted", debug,
+		"A request was not granted to a cold target and goes to another one. This instance leaves the target alone for hold.",
+		"If all requests of a cold target are not granted and granter is empty, look for the owner of its limit (618, 619).",
+		"requestId", "target", "granter", "unavailable", "retryAfter", "hold")
+	FigureIgnored = define(712, "figureIgnored", warn,
+		"A value that is malformed or absurd was left out; everything else from the same source was used.",
+		"Tell its author.",
+		"source", "target", "reason")
 )
 
 // InternalError is the event of a bug in the daemon or of an error that it cannot handle.
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -16,6 +16,7 @@
 	"github.com/comfreylink/comfreylink/internal/partlog"
 	"github.com/comfreylink/comfreylink/internal/registry"
 	"github.com/comfreylink/comfreylink/internal/settings"
+	"github.com/comfreylink/comfreylink/pkg/cold"
 	"github.com/comfreylink/comfreylink/pkg/evacuation"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 )
@@ -73,6 +74,7 @@
 	mu        sync.Mutex
 	registry  *registry.Registry
 	zones     *evacuation.Zones
+	cold      *cold.Targets
 	listed    bool                // the targets were read to the end once
 	logLostAt time.Time           // start of the current outage of the log; zero if there is none
 	onChange  func(now time.Time) // called without the lock after the table or the targets changed
@@ -82,7 +84,7 @@
 func New(s Source, bounds settings.Bounds, logger *zap.Logger, now func() time.Time, onChange func(now time.Time)) *Follower {
 	return &Follower{
 		source: s, logger: logger, now: now, configWait: configWait(bounds),
-		targetsInterval: bounds.Removal / readsPerRemoval, registry: registry.New(), zones: evacuation.New(), onChange: onChange,
+		targetsInterval: bounds.Removal / readsPerRemoval, registry: registry.New(), zones: evacuation.New(), cold: cold.New(), onChange: onChange,
 	}
 }
 
@@ -198,6 +200,9 @@
 	}
 	f.table.Store(call.NewTable(c))
 	events.Log(f.logger, events.ConfigAccepted, zap.Int64("revision", c.Version))
+	for _, reason := range c.Ignored {
+		events.Log(f.logger, events.FigureIgnored, zap.String("source", "configuration"), zap.String("reason", reason))
+	}
 	f.onChange(f.now())
 	return true
 }
@@ -245,6 +250,7 @@
 			continue
 		}
 		list = append(list, t)
+		f.observeReport(now, t)
 		if !complete && f.registry.Put(t) {
 			events.Log(f.logger, events.TargetChanged, zap.String("target", string(t.ID)), zap.String("service", string(t.Service)),
 				zap.String("address", t.Address), zap.Bool("draining", t.Draining), zap.Int64("seq", t.Seq))
--- a/internal/follower/zones.go
+++ b/internal/follower/zones.go
@@ -86,6 +86,11 @@
 		return false
 	}
 	events.Log(f.logger, events.EvacuationRevoked, zap.String("zone", string(zone)))
+	for _, t := range f.registry.Targets(now) {
+		if t.Zone == zone {
+			f.observeCold(now, t, f.coldTime(t))
+		}
+	}
 	return true
 }
 
--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -5,6 +5,7 @@
 
 	"github.com/comfreylink/comfreylink/internal/call"
 	"github.com/comfreylink/comfreylink/internal/telemetry"
+	"github.com/comfreylink/comfreylink/pkg/ids"
 	"github.com/comfreylink/comfreylink/pkg/quota"
 )
 
@@ -17,10 +18,13 @@
 	ConfigVersion int64         `json:"configVersion"`
 	ConfigAgeMs   int64         `json:"configAgeMs"`
 	Targets       []call.Target `json:"targets"`
-	Waiting       int           `json:"waiting"`
-	InProgress    int           `json:"inProgress"`
-	Turns         int           `json:"turns"`
-	Instances     int           `json:"instances"`
+	// EvacuatedZones are the zones that get no requests, and Cold is how many targets are cold.
+	EvacuatedZones []ids.Zone `json:"evacuatedZones,omitempty"`
+	Cold           int        `json:"cold"`
+	Waiting        int        `json:"waiting"`
+	InProgress     int        `json:"inProgress"`
+	Turns          int        `json:"turns"`
+	Instances      int        `json:"instances"`
 	// Shards is how many shards of the rate limits the instance owns, LeaseMs how long it may grant from them.
 	Shards  int   `json:"shards"`
 	LeaseMs int64 `json:"leaseMs"`
@@ -33,6 +37,7 @@
 	d := Dump{
 		Instance: string(g.Settings.Instance.ID), Run: g.RunID, Ready: g.ready.Load(), Draining: g.draining.Load(),
 		ConfigVersion: g.configVersion(), ConfigAgeMs: age.Milliseconds(), Targets: g.follower.Targets(now),
+		EvacuatedZones: g.follower.EvacuatedZones(), Cold: g.follower.ColdTargets(now),
 		Waiting: g.queues.Len(), InProgress: g.server.Active(), Turns: g.programs.Turns(),
 	}
 	g.grants.View(func(l *quota.Limiter) {
@@ -59,5 +64,7 @@
 			return age
 		},
 		Waiting: g.queues.Len, Turns: g.programs.Turns, LinesDropped: dropped,
+		EvacuatedZones: func() int { return len(g.follower.EvacuatedZones()) },
+		ColdTargets:    func() int { return g.follower.ColdTargets(g.now()) },
 	}
 }
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -58,6 +58,8 @@
 	outcome   dispatch.Outcome
 	usage     record.Usage
 	err       error
+	// coldRefused is true if the target is cold and the request was not granted to it.
+	coldRefused bool
 	// mayHaveCrashed is true if the target may have crashed while it ran the request.
 	mayHaveCrashed bool
 }
@@ -67,7 +69,7 @@
 	var excluded []ids.TargetID
 	var lastRefusal *refusal
 	service := e.route.Backend(e.backendKey())
-	for range maxPlacements {
+	for placements := 0; placements < maxPlacements; placements++ {
 		if e.attempts >= e.route.MaxAttempts && e.attempts > 0 {
 			break
 		}
@@ -85,6 +87,11 @@
 		e.logEmptyZones(e.now())
 		placement.Done(e.now(), res.outcome, res.usage)
 		e.logAttempt(placement, res)
+		if res.coldRefused && e.coldRefusals < maxColdRefusals {
+			placements--
+			excluded = append(excluded, e.excludeCold(service)...)
+			continue
+		}
 		if res.done {
 			return res.refusal
 		}
@@ -99,7 +106,7 @@
 
 func (e *exchange) logAttempt(p waitqueue.Placement, res attemptResult) {
 	e.Metrics.Attempt(string(p.Target.Service), res.reason)
-	if res.outcome == dispatch.Completed {
+	if res.outcome == dispatch.Completed || res.coldRefused {
 		return
 	}
 	events.Log(e.Logger, events.AttemptFailed, zap.String("requestId", string(e.req.ID)), zap.String("target", string(p.Target.ID)),
@@ -185,6 +192,10 @@
 	if left <= workMargin {
 		return attemptResult{done: true, refusal: e.deadlineRefusal(), reason: string(codeDeadline), outcome: dispatch.NotSent}
 	}
+	if res := e.takeCold(p); res != nil {
+		return *res
+	}
+	defer e.returnCold() // unless the request is written
 	maxIdle := nonIdempotentMaxIdle
 	if e.route.Idempotent() {
 		maxIdle = idempotentMaxIdle
@@ -199,6 +210,12 @@
 		conn.Close()
 		return *res
 	}
+	if res := e.coldWithdrawn(p); res != nil {
+		conn.Close()
+		return *res
+	}
+	token := e.cold
+	e.cold = nil
 	stop := context.AfterFunc(ctx, conn.Close)
 	defer stop()
 	e.attempts++
@@ -221,6 +238,9 @@
 	a := e.Codec.DecodeAnswer(&h)
 	p.Load(e.now(), a.Load)
 	res := e.handleAnswer(p, conn, &h, a, body)
+	if a.WrongTarget && res.outcome == dispatch.AnsweredLeaving {
+		e.cold = token // the request has not reached the target
+	}
 	if stop() && writeErr == nil && res.outcome == dispatch.Completed {
 		conn.Release(&h, e.now())
 	} else {
@@ -326,6 +346,7 @@
 		events.Log(e.Logger, events.TargetAnnouncedLeaving, zap.String("requestId", string(e.req.ID)),
 			zap.String("target", string(p.Target.ID)), zap.String("address", p.Target.Address))
 	}
+	e.noteCold(p, a)
 	switch {
 	case a.WrongTarget:
 		e.mayHaveRun = e.mayHaveRunBefore
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -188,6 +189,7 @@
 	for _, w := range table.Config.Workspaces {
 		limits[w.ID] = quota.Limit{Rate: w.Rate, Burst: w.Burst}
 	}
+	maps.Copy(limits, g.follower.ColdLimits())
 	g.grants.View(func(l *quota.Limiter) { l.Configure(now, limits) })
 	g.queues.Update(now, g.follower.Targets(now), table.Service)
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -115,6 +115,8 @@
 	contentType      string     // of the stream that the caller receives
 	output           []byte     // what the turn has generated, on routes that remember turns
 	outputMemory     *httpwire.Reservation
+	cold             *coldToken // of the current attempt; nil if its target is not cold
+	coldRefusals     int        // attempts that were not granted because their target is cold
 }
 
 // refusal is an answer made by the gateway itself. retry is the delay after which the caller should retry, 0 for none.
--- a/internal/grants/fleet_test.go
+++ b/internal/grants/fleet_test.go
@@ -57,6 +57,7 @@
 
 	mu        sync.Mutex
 	random    *rand.Rand
+	name      ids.WorkspaceID // of the limit
 	instances map[ids.InstanceID]*simInstance
 	limit     quota.Limit
 	lowered   time.Time // when the last instance has applied a lowered limit; zero if it was not lowered
@@ -90,7 +91,12 @@
 }
 
 func newSimFleet(seed uint64, limit quota.Limit, count int) *simFleet {
-	f := &simFleet{log: partlogtest.New(), random: rand.New(rand.NewPCG(seed, 0)), instances: make(map[ids.InstanceID]*simInstance), limit: limit}
+	return newSimFleetOf(seed, hotWorkspace, limit, count)
+}
+
+// newSimFleetOf returns a fleet that shares the limit with the given name.
+func newSimFleetOf(seed uint64, name ids.WorkspaceID, limit quota.Limit, count int) *simFleet {
+	f := &simFleet{log: partlogtest.New(), random: rand.New(rand.NewPCG(seed, 0)), name: name, instances: make(map[ids.InstanceID]*simInstance), limit: limit}
 	for i := range count {
 		f.add(ids.InstanceID(fmt.Sprint("i", i)))
 	}
@@ -194,7 +200,7 @@
 
 func (p *simProcess) configure(limit quota.Limit) {
 	p.limiter.View(func(l *quota.Limiter) {
-		l.Configure(p.limiter.Now(), map[ids.WorkspaceID]quota.Limit{hotWorkspace: limit})
+		l.Configure(p.limiter.Now(), map[ids.WorkspaceID]quota.Limit{p.fleet.name: limit})
 	})
 }
 
--- a/internal/grants/tokens.go
+++ b/internal/grants/tokens.go
@@ -14,12 +14,13 @@
 // run.
 type spareTokens map[ids.WorkspaceID][]time.Time
 
-// takeSpare takes a spare token. It reports whether there was one or the workspace has no limit.
+// takeSpare takes a spare token. It reports whether there was one or the workspace has no limit. Cold targets whose
+// limit is not known get none.
 func (g *RateLimiter) takeSpare(now time.Time, ws ids.WorkspaceID) (expires time.Time, ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if !g.limiter.Limited(ws) {
-		return now, true
+		return now, !quota.IsCold(ws)
 	}
 	l := g.spare[ws]
 	for len(l) > 0 {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -64,9 +64,10 @@
 	return changed
 }
 
-// equalExceptSeq reports whether two reports are equal except for their sequence numbers.
+// equalExceptSeq reports whether two reports are equal except for their sequence numbers and the time for which the target
+// stays cold, which becomes shorter in each report.
 func equalExceptSeq(a, b call.Target) bool {
-	a.Seq = b.Seq
+	a.Seq, a.ColdLeft = b.Seq, b.ColdLeft
 	return a == b
 }
 
@@ -123,6 +124,21 @@
 	return e != nil && e.target.Born == born && (e.leaving || e.target.Draining)
 }
 
+// Knows reports whether a report of a run of a target was applied, also if the target was removed since. Without the time of
+// the start, a target that returns counts as another run.
+func (r *Registry) Knows(id ids.TargetID, born int64) bool {
+	e := r.entries[id]
+	return e != nil && e.target.Born == born && (born != 0 || e.removed.IsZero())
+}
+
+// Known returns the last report of each target, including those that may not be used.
+func (r *Registry) Known() (l []call.Target) {
+	for _, e := range r.entries {
+		l = append(l, e.target)
+	}
+	return l
+}
+
 // Targets returns the targets that may be used now, including draining ones, and drops old tombstones.
 func (r *Registry) Targets(now time.Time) (l []call.Target) {
 	for id, e := range r.entries {
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -40,6 +40,9 @@
 	Waiting       func() int
 	Turns         func() int
 	LinesDropped  func() int64
+	// EvacuatedZones and ColdTargets return how many this instance knows.
+	EvacuatedZones func() int
+	ColdTargets    func() int
 }
 
 // Metrics holds the gateway's instruments. Its methods may be called concurrently.
@@ -92,6 +95,8 @@
 	m.set.Gauge("comfreylink.line.length", "{request}", "Requests that wait for a target.", func() float64 { return float64(o.Waiting()) })
 	m.set.Gauge("comfreylink.turns", "{turn}", "Remembered turns in memory.", func() float64 { return float64(o.Turns()) })
 	m.set.Gauge("comfreylink.log.dropped", "{line}", "Log lines that were left out.", func() float64 { return float64(o.LinesDropped()) })
+	m.set.Gauge("comfreylink.zones.evacuated", "{zone}", "Zones that are evacuated.", func() float64 { return float64(o.EvacuatedZones()) })
+	m.set.Gauge("comfreylink.targets.cold", "{target}", "Targets that are cold.", func() float64 { return float64(o.ColdTargets()) })
 	return m.set.Err()
 }
 
--- a/internal/waitqueue/queue.go
+++ b/internal/waitqueue/queue.go
@@ -345,6 +345,13 @@
 	p.serviceQueue.recordLoad(LoadObservation{Target: p.Target.ID, Calls: load.Running + load.Waiting, At: now})
 }
 
+// Hold keeps further requests from the target until a time.
+func (p Placement) Hold(until time.Time) {
+	p.serviceQueue.mu.Lock()
+	defer p.serviceQueue.mu.Unlock()
+	p.serviceQueue.queue.Hold(p.Target.ID, until)
+}
+
 // Done reports the end of the request at its target.
 func (p Placement) Done(now time.Time, o dispatch.Outcome, u record.Usage) {
 	p.serviceQueue.mu.Lock()
--- a/pkg/dispatch/queue.go
+++ b/pkg/dispatch/queue.go
@@ -140,6 +140,9 @@
 	q.targets.Load(now, id, running, waiting)
 }
 
+// Hold keeps new calls from a target until a time.
+func (q *Queue) Hold(id ids.TargetID, until time.Time) { q.targets.Hold(id, until) }
+
 // ApplyLoadObservation applies a load observation of another dispatcher: the number of calls that it saw at a target, with
 // the time.
 func (q *Queue) ApplyLoadObservation(id ids.TargetID, calls int, at time.Time) {
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -178,6 +178,9 @@
 // owns the part; otherwise it grants nothing.
 func (l *Limiter) Grant(now time.Time, a Ask) (g Grant, owned bool) {
 	if !l.Limited(a.Workspace) {
+		if IsCold(a.Workspace) {
+			return Grant{Retry: minRetry}, true
+		}
 		return Grant{Tokens: 1}, true
 	}
 	if a.Part >= l.PartsOf(a.Workspace) { // the caller knows another limit
--- a/pkg/target/set.go
+++ b/pkg/target/set.go
@@ -72,6 +72,13 @@
 	}
 }
 
+// Hold keeps new calls from a target until a time.
+func (s *Set) Hold(id ids.TargetID, until time.Time) {
+	if t := s.byID[id]; t != nil && until.After(t.held) {
+		t.held = until
+	}
+}
+
 // ApplyLoadObservation applies a load observation of another dispatcher, unless a newer report is known.
 func (s *Set) ApplyLoadObservation(id ids.TargetID, calls int, at time.Time) {
 	if t := s.byID[id]; t != nil && at.After(t.reported) {
--- a/pkg/target/target.go
+++ b/pkg/target/target.go
@@ -57,6 +57,7 @@
 	connections   int
 	connectionsAt time.Time
 
+	held       time.Time // when the target may get calls again; zero if it was never held
 	leaving    time.Time // when the target answered that it is leaving; zero if it never did
 	failed     time.Time // last death; zero after the target has shown that it works
 	incomplete int       // incomplete answers since the last complete one
@@ -118,7 +119,7 @@
 
 // Usable reports whether the target may get new calls at all.
 func (t *Target) Usable(now time.Time) bool {
-	if !t.listed || t.state != Live {
+	if !t.listed || t.state != Live || now.Before(t.held) {
 		return false
 	}
 	if !t.leaving.IsZero() && now.Sub(t.leaving) < t.opt.LeavingTimeout {
