Send requests only to their allowed regions

Cause: routes and workspaces may have a list of allowed regions. Change: the settings name the instance's region and that of each zone; lists of the route and the workspace give the zones in which the queue may place a request. Without a target there it is refused at once, before it takes a token of its rate. Calls of the log through another instance, which show bodies, are made only through instances in a region that all lists allow. Moves the encoding of refusals and the limit of answers' memory to files of their own.

--- a/cmd/comfreylink/gateway.go
+++ b/cmd/comfreylink/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/comfreylink/comfreylink/internal/gateway"
 	"github.com/comfreylink/comfreylink/internal/httpwire"
 	"github.com/comfreylink/comfreylink/internal/logring"
+	"github.com/comfreylink/comfreylink/internal/partlog"
 	"github.com/comfreylink/comfreylink/internal/relay"
 	"github.com/comfreylink/comfreylink/internal/rpc"
 	"github.com/comfreylink/comfreylink/internal/settings"
@@ -62,7 +63,8 @@
 	peers, closePeers := rpc.NewClient()
 	defer closePeers()
 	log := relay.New(relay.Config{
-		Direct: store, Client: peers, Peers: func() []relay.Peer { return g.Peers() }, Zone: s.Instance.Zone, Now: clock.Now, Logger: logger,
+		Direct: store, Client: peers, Peers: func() []relay.Peer { return g.Peers() },
+		MayPassOn: func(p partlog.Partition, peer relay.Peer) bool { return g.MayPassOn(p, peer) }, Zone: s.Instance.Zone, Now: clock.Now, Logger: logger,
 	})
 	g = gateway.New(gateway.Config{
 		Settings: s, Codec: platform.Codec{}, ReadyPath: platform.ReadyPath, Client: client, Clock: clock, Logger: logger,
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -86,6 +86,8 @@
 	// Remembered keeps the route's turns for Retention, so that later turns can continue them.
 	Remembered bool
 	Retention  time.Duration
+	// Regions are the only regions in which the route's requests may run; empty for all.
+	Regions []string
 }
 
 // Backend is a service that runs a share of a route's requests, in proportion to its Weight.
@@ -125,6 +127,8 @@
 	// Rate is in requests per second; 0 means no limit.
 	Rate  float64
 	Burst float64
+	// Regions are the only regions in which the workspace's requests may run; empty for all.
+	Regions []string
 }
 
 // Limits bound what a caller may send and how long it may take.
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -41,10 +41,6 @@
 	nonIdempotentMaxIdle = 4 * time.Second
 	// maxAnswerBytes bounds the body of an answer, also of a stream.
 	maxAnswerBytes = 16 << 20
-	// answerMemoryShare is the share of the process's memory that the bodies of answers in progress may hold together, and
-	// defaultAnswerMemory what they may hold in a process without a memory limit.
-	answerMemoryShare   = 0.125
-	defaultAnswerMemory = 64 << 20
 )
 
 // attemptResult is the result of one attempt at a target.
@@ -69,7 +65,7 @@
 	var excluded []ids.TargetID
 	var lastRefusal *refusal
 	service := e.route.Backend(e.backendKey())
-	for placements := 0; placements < maxPlacements; placements++ {
+	for placements := 0; placements < maxPlacements; {
 		if e.attempts >= e.route.MaxAttempts && e.attempts > 0 {
 			break
 		}
@@ -88,10 +84,10 @@
 		placement.Done(e.now(), res.outcome, res.usage)
 		e.logAttempt(placement, res)
 		if res.coldRefused && e.coldRefusals < maxColdRefusals {
-			placements--
 			excluded = append(excluded, e.excludeCold(service)...)
 			continue
 		}
+		placements++
 		if res.done {
 			return res.refusal
 		}
@@ -129,6 +125,7 @@
 		Workspace: e.workspaceID(), Program: e.req.Program, Prompt: e.req.Prompt, Output: max(e.req.MaxOutput, 1),
 		Zone: e.Settings.Instance.Zone, Idempotent: e.route.Idempotent(), Excluded: excluded, Parts: e.parts(),
 		Deadline: minTime(e.deadline, now.Add(e.queueTimeout())), FirstCall: e.firstCall,
+		Zones: e.zoneList,
 	}
 	p, refused := e.queues.Wait(e.ctx, service, item)
 	e.waited += e.now().Sub(now)
@@ -138,10 +135,8 @@
 		return p, nil
 	case e.ctx.Err() != nil:
 		return p, e.failureRefusal(fasthttp.StatusServiceUnavailable, e.endCode())
-	case refused.Reason == waitqueue.ReasonEvacuated:
-		return p, &refusal{status: fasthttp.StatusServiceUnavailable, code: codeEvacuated, retry: refused.RetryAfter}
-	case refused.Reason == waitqueue.ReasonRegion:
-		return p, &refusal{status: fasthttp.StatusServiceUnavailable, code: codeRegion, retry: refused.RetryAfter}
+	case refused.Reason == waitqueue.ReasonEvacuated || refused.Reason == waitqueue.ReasonRegion:
+		return p, zonesRefusal(refused)
 	case refused.Reason == waitqueue.ReasonNoTarget:
 		return p, &refusal{status: fasthttp.StatusServiceUnavailable, code: codeNoTarget, retry: refused.RetryAfter}
 	default:
@@ -401,15 +396,3 @@
 	}
 	return attemptResult{done: true, reason: "answered", outcome: outcome, usage: record.Usage{Completion: 1}}
 }
-
-// newAnswerMemory returns the limit for the bodies of answers in a process with a memory limit, or 0 for none.
-func newAnswerMemory(processBytes int64) *httpwire.MemoryLimit {
-	if processBytes == 0 {
-		return httpwire.NewMemoryLimit(defaultAnswerMemory)
-	}
-	return httpwire.NewMemoryLimit(int64(answerMemoryShare * float64(processBytes)))
-}
-
-func responseHeaders(h *fasthttp.ResponseHeader) []byte {
-	return httpwire.AppendHeaders(nil, h.All(), h.Peek("Connection"), nil)
-}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/hex"
-	"encoding/json"
 	"errors"
 	"math"
 	"strconv"
@@ -97,9 +96,10 @@
 	workspace   *call.Workspace // nil on public routes
 	deadline    time.Time
 	fingerprint ids.Fingerprint
-	chain       []call.ID // the earlier turns that the request continues, oldest first
-	body        []byte    // what targets receive: the earlier turns, followed by the request's own body
-	firstCall   bool      // whether it is the first request of its program
+	chain       []call.ID  // the earlier turns that the request continues, oldest first
+	body        []byte     // what targets receive: the earlier turns, followed by the request's own body
+	zoneList    []ids.Zone // in which the request may run; nil for all
+	firstCall   bool       // whether it is the first request of its program
 	reservation *programs.Reservation
 	quota       grants.Decision // the token of the workspace's rate
 
@@ -178,6 +178,9 @@
 	if e.reports.Quarantined(e.fingerprint) {
 		return &refusal{status: fasthttp.StatusServiceUnavailable, code: codeQuarantined, retry: e.deadline.Sub(e.began)}
 	}
+	if r := e.checkZones(); r != nil {
+		return r
+	}
 	if e.workspace == nil {
 		return nil
 	}
@@ -341,23 +344,6 @@
 	return notRun
 }
 
-type wireRefusal struct {
-	Error wireError `json:"error"`
-}
-
-type wireError struct {
-	Code         Code     `json:"code"`
-	RunState     RunState `json:"run"`
-	RetryAfterMs int64    `json:"retryAfterMs,omitempty"`
-	RequestID    call.ID  `json:"requestId,omitempty"`
-}
-
-func refusalBody(r *refusal, run RunState, id call.ID) []byte {
-	// Marshal cannot fail: every field of the type can be encoded.
-	data, _ := json.Marshal(wireRefusal{wireError{Code: r.code, RunState: run, RetryAfterMs: ids.Millis(r.retry), RequestID: id}})
-	return append(data, '\n')
-}
-
 // logAnswered logs an answer of a target that was passed on to the caller.
 func (e *exchange) logAnswered(status int) { e.log(status, "answered", ran, 0) }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -48,10 +49,12 @@
 	Direct partlog.Log
 	Client *rpc.Client
 	// Peers returns the other instances.
-	Peers  func() []Peer
-	Zone   ids.Zone
-	Now    func() time.Time
-	Logger *zap.Logger
+	Peers func() []Peer
+	// MayPassOn reports whether a call that concerns a partition may be made through another instance; nil allows all.
+	MayPassOn func(p partlog.Partition, peer Peer) bool
+	Zone      ids.Zone
+	Now       func() time.Time
+	Logger    *zap.Logger
 }
 
 // Log is the platform's log, called directly or through another instance. It is safe for concurrent use.
@@ -77,7 +80,7 @@
 
 // Append implements partlog.Log.
 func (l *Log) Append(ctx context.Context, p partlog.Partition, at ids.Offset, records ...[]byte) (first ids.Offset, err error) {
-	err = l.call(ctx, 0, false, func(ctx context.Context, log partlog.Log) (err error) {
+	err = l.call(ctx, p, 0, false, func(ctx context.Context, log partlog.Log) (err error) {
 		first, err = log.Append(ctx, p, at, records...)
 		return err
 	})
@@ -86,7 +89,7 @@
 
 // Read implements partlog.Log.
 func (l *Log) Read(ctx context.Context, p partlog.Partition, from ids.Offset, wait time.Duration) (page partlog.Page, err error) {
-	err = l.call(ctx, wait, true, func(ctx context.Context, log partlog.Log) (err error) {
+	err = l.call(ctx, p, wait, true, func(ctx context.Context, log partlog.Log) (err error) {
 		page, err = log.Read(ctx, p, from, wait)
 		return err
 	})
@@ -95,7 +98,7 @@
 
 // Newest implements partlog.Log.
 func (l *Log) Newest(ctx context.Context, p partlog.Partition) (entries []partlog.Entry, end ids.Offset, err error) {
-	err = l.call(ctx, 0, true, func(ctx context.Context, log partlog.Log) (err error) {
+	err = l.call(ctx, p, 0, true, func(ctx context.Context, log partlog.Log) (err error) {
 		entries, end, err = log.Newest(ctx, p)
 		return err
 	})
@@ -104,7 +107,9 @@
 
 // call makes a call directly or, if it was not applied, through another instance. A direct call with an unknown outcome is
 // repeated only if it is a read; after an append the caller must find out whether it took effect.
-func (l *Log) call(ctx context.Context, wait time.Duration, read bool, do func(context.Context, partlog.Log) error) (err error) {
+func (l *Log) call(ctx context.Context, p partlog.Partition, wait time.Duration, read bool,
+	do func(context.Context, partlog.Log) error,
+) (err error) {
 	allowed, open := l.allowDirect()
 	err = errUnavailable
 	if allowed {
@@ -118,7 +123,7 @@
 		}
 	}
 	for range peerTries {
-		peer, ok := l.pickPeer()
+		peer, ok := l.pickPeer(p)
 		if !ok || ctx.Err() != nil {
 			return err
 		}
@@ -193,8 +198,11 @@
 // pickPeer returns an instance to call the log through. It prefers the last one that passed on a call, then instances
 // that reported to reach the log directly, then instances of the same zone. Instances that failed in the last
 // failedPause are left out.
-func (l *Log) pickPeer() (peer Peer, ok bool) {
+func (l *Log) pickPeer(partition partlog.Partition) (peer Peer, ok bool) {
 	peers := l.Peers()
+	if l.MayPassOn != nil {
+		peers = slices.DeleteFunc(slices.Clone(peers), func(p Peer) bool { return !l.MayPassOn(partition, p) })
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.Now()
--- a/internal/waitqueue/queue.go
+++ b/internal/waitqueue/queue.go
@@ -185,6 +185,23 @@
 	q.advance(now)
 }
 
+// Check returns the refusal of a request that would be refused at once because of the zones in which it may run; nil if it would
+// not be.
+func (q *Queues) Check(service call.ServiceName, item dispatch.Item) *Refusal {
+	q.mu.Lock()
+	sq := q.queues[service]
+	q.mu.Unlock()
+	if sq == nil {
+		return nil
+	}
+	sq.mu.Lock()
+	defer sq.mu.Unlock()
+	if r := sq.unservable(item); r != nil && r.Reason != ReasonNoTarget {
+		return r
+	}
+	return nil
+}
+
 // Wait enqueues a request and blocks until it gets a target, is refused, its deadline passes or the context ends.
 func (q *Queues) Wait(ctx context.Context, service call.ServiceName, item dispatch.Item) (p Placement, r *Refusal) {
 	q.mu.Lock()
