Apply the configuration and the targets one after the other

Cause: the tasks that read the configuration and the targets applied their changes at the same time, so that a list of targets that was read before a change could replace a later one. A gateway then had no targets for up to 0.5 s after its start; TestEvacuatedZoneGetsNoRequests failed so once under load. Change: a lock around reading and applying, also for the periodic update. There is no test of its own. One run of platform with -race failed in TestColdWorkerIsNotOverrun with a 503 that is not explained yet.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -117,7 +117,8 @@
 	mu          sync.Mutex
 	programUses map[account.Key]programUse // recently admitted programs
 
-	zones *zoneUse
+	zones    *zoneUse
+	applying sync.Mutex // while the follower's state is applied to the queues and limits
 }
 
 // New returns a gateway.
@@ -181,6 +182,10 @@
 // followerChanged applies a new configuration or a new list of targets.
 func (g *Gateway) followerChanged(now time.Time) {
 	g.logEmptyZones(now)
+	// The configuration and the targets change at the same time. Without the lock, a list of targets that was read before a
+	// change could be applied after that change.
+	g.applying.Lock()
+	defer g.applying.Unlock()
 	table := g.follower.Table()
 	if table == nil {
 		return
@@ -350,9 +355,7 @@
 			lastUpdate = now
 			g.updateReady(now)
 			// After an outage of the log a removed target may still be used for some time. No event reports the end of that time.
-			if t := g.follower.Table(); t != nil {
-				g.queues.Update(now, g.follower.Targets(now), t.Service)
-			}
+			g.followerChanged(now)
 		}
 		if now.Sub(lastCleanup) > cleanupInterval {
 			lastCleanup = now
