--- a/cmd/comfreylink/gateway.go
+++ b/cmd/comfreylink/gateway.go
@@ -68,13 +68,15 @@
 	peers, closePeers := rpc.NewClient()
 	defer closePeers()
 	log := relay.New(relay.Config{
-		Direct: direct, Client: peers, Peers: func() []relay.Peer { return g.Peers() }, Zone: s.Instance.Zone, Now: clock.Now, Logger: logger,
+		Direct: direct, Client: peers, Peers: func() []relay.Peer { return g.Peers() },
+		MayPassOn: func(p partlog.Partition, peer relay.Peer) bool { return g.MayPassOn(p, peer) }, Zone: s.Instance.Zone, Now: clock.Now, Logger: logger,
 	})
 	g = gateway.New(gateway.Config{
 		Settings: s, Codec: platform.Codec{}, ReadyPath: platform.ReadyPath, Client: client, Clock: clock, Logger: logger,
 		Metrics: metrics, RunID: runID, Log: log, RPC: peers, Source: follower.Source{
 			Log: log, Config: platform.ConfigPartition, Targets: platform.TargetsPartition, ConfigKey: platform.ConfigKey,
 			DecodeKeyed: platform.DecodeKeyed, DecodeConfig: platform.DecodeConfig, DecodeTarget: platform.DecodeTarget,
+			DecodeEvacuation: platform.DecodeEvacuation, Self: s.Instance.ID, Zones: s.Zones,
 		},
 	})
 	if err := metrics.Observe(g.Observed(ring.Dropped)); err != nil {
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -100,6 +100,8 @@
 	// Remembered keeps the route's turns for Retention, so that later turns can continue them.
 	Remembered bool
 	Retention  time.Duration
+	// Regions are the only regions in which the route's requests may run; empty for all.
+	Regions []string
 }
 
 // Backend is a service that runs a share of a route's requests, in proportion to its Weight.
@@ -115,6 +117,10 @@
 	MaxConns int
 	// Engine is set if the targets generate tokens.
 	Engine *Engine
+	// ColdTime is how long a target is cold after its start, and ColdRate how many requests a second it can serve while it is
+	// cold; 0 means that cold targets have no limit.
+	ColdTime time.Duration
+	ColdRate float64
 }
 
 // Engine describes the model engines of a service.
@@ -135,6 +141,8 @@
 	// Rate is in requests per second; 0 means no limit.
 	Rate  float64
 	Burst float64
+	// Regions are the only regions in which the workspace's requests may run; empty for all.
+	Regions []string
 }
 
 // Limits bound what a caller may send and how long it may take.
@@ -152,6 +160,8 @@
 	Services   []Service
 	Workspaces []Workspace
 	Limits     Limits
+	// Ignored describes the values that were left out because they are malformed or absurd.
+	Ignored []string
 }
 
 // Target is a registered target.
@@ -164,10 +174,14 @@
 	Slots int
 	// Draining targets take no new requests.
 	Draining bool
+	// Evacuated targets are in a zone that is evacuated. They get no new requests.
+	Evacuated bool
 	// Born is when the target started, in Unix milliseconds. Seq numbers the target's reports since then. Together they
 	// order its reports.
 	Born int64
 	Seq  int64
+	// ColdLeft is how long the target stays cold from the time of the report; 0 if it is not cold.
+	ColdLeft time.Duration
 }
 
 // Newer reports whether t is a later report than o of the same target.
@@ -202,6 +216,8 @@
 	// Leaving is true if the target says that it is about to stop.
 	Leaving bool
 	Load    Load
+	// ColdLeft is how long the target stays cold; 0 if it is not, and negative if what it says is malformed.
+	ColdLeft time.Duration
 }
 
 // OutboundRequest is a request as it is sent to a target.
--- a/internal/configcheck/compare.go
+++ b/internal/configcheck/compare.go
@@ -126,12 +126,15 @@
 	return l
 }
 
+// ignoredField is the field of call.Config with what could not be used of the record. It is reported as findings.
+const ignoredField = "Ignored"
+
 // keysField is the field of call.Workspace that must not be shown.
 const keysField = "Keys"
 
 // compared reports whether a field of the configuration is compared as a section of its own.
 func compared(f Field, t reflect.Type) bool {
-	sections := []Field{"Routes", "Services", "Workspaces", "Limits"}
+	sections := []Field{"Routes", "Services", "Workspaces", "Limits", ignoredField}
 	return t == reflect.TypeFor[call.Config]() && slices.Contains(sections, f)
 }
 
--- a/internal/configcheck/configcheck.go
+++ b/internal/configcheck/configcheck.go
@@ -77,6 +77,8 @@
 	LogRetention time.Duration
 	// Targets are the registered targets; nil if they are not known.
 	Targets []call.Target
+	// TargetRegions are the regions that have targets; nil if they are not known.
+	TargetRegions map[string]bool
 }
 
 // Check returns the findings of a configuration, in the order of its sections and entries.
@@ -87,6 +89,7 @@
 	k.routes()
 	k.services()
 	k.workspaces()
+	k.regions()
 	return k.findings
 }
 
@@ -115,6 +118,9 @@
 // root reports a configuration with which nothing is served, such as an empty file.
 func (k *checker) root() {
 	p := Place{Section: Root}
+	for _, reason := range k.config.Ignored {
+		k.warn(p, "", "%s; the value is left out", reason)
+	}
 	if len(k.config.Routes) == 0 {
 		k.error(p, "Routes", "are missing, so all requests are refused")
 	}
--- a/internal/configcheck/configcheck_test.go
+++ b/internal/configcheck/configcheck_test.go
@@ -119,3 +119,23 @@
 	l = configcheck.AllowedRegions(p, "f", []string{"south"}, targets)
 	c.Assert(l[len(l)-1].Severity, qt.Equals, configcheck.Error)
 }
+
+// Guards against a workspace whose requests to a route are refused because both allow other regions, and against a value that
+// decoding leaves out without a word.
+func TestRegionsOfRoutesAndWorkspaces(t *testing.T) {
+	c := qt.New(t)
+	config := call.Config{
+		Ignored: []string{"a service has a negative rate"}, Services: []call.Service{{Name: "llm"}},
+		Routes:     []call.Route{{Name: "r", Host: "h", Prefix: "/r/", Backends: []call.Backend{{Service: "llm", Weight: 1}}, Regions: []string{"north"}}},
+		Workspaces: []call.Workspace{{ID: "far", Keys: []string{"k"}, Regions: []string{"south"}}, {ID: "any", Keys: []string{"l"}}},
+	}
+	var messages []string
+	for _, f := range configcheck.Check(config, configcheck.Options{}) {
+		if f.Field == "Regions" || f.Place.Section == configcheck.Root {
+			messages = append(messages, f.Message)
+		}
+	}
+	c.Assert(messages, qt.DeepEquals, []string{
+		"a service has a negative rate; the value is left out", `share none with those of the workspace "far", so its requests are refused`,
+	})
+}
--- a/internal/configcheck/services.go
+++ b/internal/configcheck/services.go
@@ -84,22 +84,3 @@
 		owners[key] = string(w.ID)
 	}
 }
-
-// AllowedRegions checks the regions in which the requests of a route or workspace may run; none means all. targets tells the
-// regions that have targets.
-func AllowedRegions[R ~string](p Place, f Field, allowed []R, targets map[R]bool) (l []Finding) {
-	if len(allowed) == 0 {
-		return nil
-	}
-	served := false
-	for _, region := range allowed {
-		served = served || targets[region]
-		if !targets[region] {
-			l = append(l, Finding{Severity: Warning, Place: p, Field: f, Message: "the region " + string(region) + " has no target"})
-		}
-	}
-	if !served {
-		l = append(l, Finding{Severity: Error, Place: p, Field: f, Message: "no allowed region has a target, so all requests are refused"})
-	}
-	return l
-}
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -236,6 +236,28 @@
 	TargetAnnouncedLeaving = define(706, "targetAnnouncedLeaving", info,
 		"A target said in an answer that it is leaving; it gets no new work from this instance, whatever its entry says.", noAction,
 		"requestId", "target", "address")
+	ZoneEvacuated = define(707, "zoneEvacuated", info,
+		"A zone is evacuated: its targets get no new requests from this instance, and those that run there are finished. Known is false if the zone is in no setting and has no target.",
+		"If known is false, check the spelling of the zone.",
+		"zone", "known")
+	EvacuationRevoked = define(708, "evacuationRevoked", info,
+		"The evacuation of a zone was revoked; its targets get requests again, within a few seconds.", noAction,
+		"zone")
+	ZoneEmpty = define(709, "zoneEmpty", info,
+		"No request of this instance runs in the evacuated zone any more.",
+		"The zone may be shut down when every instance has logged this event.",
+		"zone", "duration")
+	TargetCold = define(710, "targetCold", info,
+		"A target is cold. All instances together send it rate requests a second and at most burst at once, each with a grant from the owner of the target's limit. Rate 0 means that its service has no limit for cold targets.", noAction,
+		"target", "service", "left", "rate", "burst")
+	ColdNotGranted = define(711, "coldNotGranted", debug,
+		"A request was not granted to a cold target and goes to another one. This instance leaves the target alone for hold.",
+		"If all requests of a cold target are not granted and granter is empty, look for the owner of its limit (618, 619).",
+		"requestId", "target", "granter", "unavailable", "retryAfter", "hold")
+	FigureIgnored = define(712, "figureIgnored", warn,
+		"A value that is malformed or absurd was left out; everything else from the same source was used.",
+		"Tell its author.",
+		"source", "target", "reason")
 	ZoneShareChanged = define(720, "zoneShareChanged", info,
 		"The share of a service's requests that may leave the instance's zone has changed. The loads are those of the own zone and of the others together.",
 		"If it stays above 0, the zone has too few targets.",
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -41,10 +41,6 @@
 	nonIdempotentMaxIdle = 4 * time.Second
 	// maxAnswerBytes bounds the body of an answer, also of a stream.
 	maxAnswerBytes = 16 << 20
-	// answerMemoryShare is the share of the process's memory that the bodies of answers in progress may hold together, and
-	// defaultAnswerMemory what they may hold in a process without a memory limit.
-	answerMemoryShare   = 0.125
-	defaultAnswerMemory = 64 << 20
 )
 
 // attemptResult is the result of one attempt at a target.
@@ -58,6 +54,8 @@
 	outcome   dispatch.Outcome
 	usage     record.Usage
 	err       error
+	// coldRefused is true if the target is cold and the request was not granted to it.
+	coldRefused bool
 	// mayHaveCrashed is true if the target may have crashed while it ran the request.
 	mayHaveCrashed bool
 }
@@ -67,7 +65,7 @@
 	var excluded []ids.TargetID
 	var lastRefusal *refusal
 	service := e.route.Backend(e.backendKey())
-	for range maxPlacements {
+	for placements := 0; placements < maxPlacements; {
 		if e.attempts >= e.route.MaxAttempts && e.attempts > 0 {
 			break
 		}
@@ -78,9 +76,18 @@
 			}
 			return r
 		}
+		zone := placement.Target.Zone
+		e.zones.begin(zone)
 		res := e.attempt(placement)
+		e.zones.end(zone)
+		e.logEmptyZones(e.now())
 		placement.Done(e.now(), res.outcome, res.usage)
 		e.logAttempt(placement, res)
+		if res.coldRefused && e.coldRefusals < maxColdRefusals {
+			excluded = append(excluded, e.excludeCold(service)...)
+			continue
+		}
+		placements++
 		if res.done {
 			return res.refusal
 		}
@@ -95,7 +102,7 @@
 
 func (e *exchange) logAttempt(p waitqueue.Placement, res attemptResult) {
 	e.Metrics.Attempt(string(p.Target.Service), res.reason)
-	if res.outcome == dispatch.Completed {
+	if res.outcome == dispatch.Completed || res.coldRefused {
 		return
 	}
 	events.Log(e.Logger, events.AttemptFailed, zap.String("requestId", string(e.req.ID)), zap.String("target", string(p.Target.ID)),
@@ -120,6 +127,7 @@
 		Deadline: minTime(e.deadline, now.Add(e.queueTimeout())), FirstCall: e.firstCall,
 		Rank:  e.table.Rank(e.route),
 		Bytes: e.expectedBytes(),
+		Zones: e.zoneList,
 	}
 	p, refused := e.queues.Wait(e.ctx, service, item)
 	e.waited += e.now().Sub(now)
@@ -129,6 +137,8 @@
 		return p, nil
 	case e.ctx.Err() != nil:
 		return p, e.failureRefusal(fasthttp.StatusServiceUnavailable, e.endCode())
+	case refused.Reason == waitqueue.ReasonEvacuated || refused.Reason == waitqueue.ReasonRegion:
+		return p, zonesRefusal(refused)
 	case refused.Reason == waitqueue.ReasonNoTarget:
 		return p, &refusal{status: fasthttp.StatusServiceUnavailable, code: codeNoTarget, retry: refused.RetryAfter}
 	default:
@@ -179,6 +189,10 @@
 	if left <= workMargin {
 		return attemptResult{done: true, refusal: e.deadlineRefusal(), reason: string(codeDeadline), outcome: dispatch.NotSent}
 	}
+	if res := e.takeCold(p); res != nil {
+		return *res
+	}
+	defer e.returnCold() // unless the request is written
 	maxIdle := nonIdempotentMaxIdle
 	if e.route.Idempotent() {
 		maxIdle = idempotentMaxIdle
@@ -189,10 +203,16 @@
 	if err != nil {
 		return e.unreachable(err)
 	}
-	if e.follower.IsLeaving(p.Target) { // it began to leave while the request waited for a connection
+	if res := e.targetWithdrawn(p.Target); res != nil { // while the request waited for a connection
 		conn.Close()
-		return e.notSent("targetLeaving", dispatch.AnsweredLeaving, nil)
+		return *res
 	}
+	if res := e.coldWithdrawn(p); res != nil {
+		conn.Close()
+		return *res
+	}
+	token := e.cold
+	e.cold = nil
 	stop := context.AfterFunc(ctx, conn.Close)
 	defer stop()
 	e.attempts++
@@ -220,6 +240,9 @@
 	a := e.Codec.DecodeAnswer(&h)
 	p.Load(e.now(), a.Load)
 	res := e.handleAnswer(p, conn, &h, a, body)
+	if a.WrongTarget && res.outcome == dispatch.AnsweredLeaving {
+		e.cold = token // the request has not reached the target
+	}
 	if stop() && writeErr == nil && res.outcome == dispatch.Completed {
 		conn.Release(&h, e.now())
 	} else {
@@ -234,6 +257,9 @@
 	if e.ctx.Err() != nil {
 		return e.failureRefusal(fasthttp.StatusServiceUnavailable, e.endCode())
 	}
+	if !e.zonesKnown(now) {
+		return e.failureRefusal(fasthttp.StatusServiceUnavailable, codeStale)
+	}
 	if e.workspace == nil {
 		return nil
 	}
@@ -322,6 +348,7 @@
 		events.Log(e.Logger, events.TargetAnnouncedLeaving, zap.String("requestId", string(e.req.ID)),
 			zap.String("target", string(p.Target.ID)), zap.String("address", p.Target.Address))
 	}
+	e.noteCold(p, a)
 	switch {
 	case a.WrongTarget:
 		e.mayHaveRun = e.mayHaveRunBefore
@@ -366,15 +393,3 @@
 	}
 	return attemptResult{done: true, reason: "answered", outcome: outcome, usage: record.Usage{Completion: 1}}
 }
-
-// newAnswerMemory returns the limit for the bodies of answers in a process with a memory limit, or 0 for none.
-func newAnswerMemory(processBytes int64) *httpwire.MemoryLimit {
-	if processBytes == 0 {
-		return httpwire.NewMemoryLimit(defaultAnswerMemory)
-	}
-	return httpwire.NewMemoryLimit(int64(answerMemoryShare * float64(processBytes)))
-}
-
-func responseHeaders(h *fasthttp.ResponseHeader) []byte {
-	return httpwire.AppendHeaders(nil, h.All(), h.Peek("Connection"), nil)
-}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,7 +5,9 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -130,6 +132,9 @@
 	mu          sync.Mutex
 	programUses map[account.Key]programUse // recently admitted programs
 	slowRetries *retry.Budget              // guarded by mu
+
+	zones    *zoneUse
+	applying sync.Mutex // while the follower's state is applied to the queues and limits
 }
 
 // New returns a gateway.
@@ -141,7 +146,7 @@
 			Zone: c.Settings.Instance.Zone, ZonePrice: c.Settings.Dispatch.ZonePrice, ZoneShareChanged: logZoneShare(c.Logger),
 		}),
 		programUses: make(map[account.Key]programUse), answerMemory: newAnswerMemory(c.Settings.Instance.Memory),
-		slowRetries: newSlowRetries(c.Settings.Dispatch.SlowRetries),
+		slowRetries: newSlowRetries(c.Settings.Dispatch.SlowRetries), zones: newZoneUse(),
 	}
 	if c.Settings.Store.CallsPerSecond > 0 {
 		g.recordGate = recordgate.New(recordgate.Config{Now: c.Clock.Now, Observer: c.Metrics, Logger: c.Logger})
@@ -172,7 +177,7 @@
 	}
 	if n := g.Settings.Store.RecordPartitions; n > 0 {
 		g.recorder = recorder.New(recorder.Config{
-			Self: g.Settings.Instance.ID, Zone: g.Settings.Instance.Zone, Members: g.reports.Members, Client: g.RPC, Now: g.Clock.Now, Logger: g.Logger,
+			Self: g.Settings.Instance.ID, Zone: g.Settings.Instance.Zone, Members: g.leaderCandidates, Client: g.RPC, Now: g.Clock.Now, Logger: g.Logger,
 		})
 		c.Programs = partlog.Keyspace{Name: "records", Topics: 1, Parts: n}
 		c.Leaders, c.WriteInterval = g.recorder, recordInterval
@@ -180,6 +185,16 @@
 	return c
 }
 
+// leaderCandidates returns the instances that may lead partitions. The bodies of turns must not leave the region, so each
+// region has leaders of its own.
+func (g *Gateway) leaderCandidates() []recorder.Member {
+	region := g.Settings.Instance.Region
+	return slices.DeleteFunc(g.reports.Members(), func(m recorder.Member) bool {
+		other, ok := g.Settings.Zones[m.Zone]
+		return ok && other != region
+	})
+}
+
 // Peers returns the other instances.
 func (g *Gateway) Peers() []relay.Peer { return g.reports.Peers() }
 
@@ -211,6 +226,11 @@
 
 // followerChanged applies a new configuration or a new list of targets.
 func (g *Gateway) followerChanged(now time.Time) {
+	g.logEmptyZones(now)
+	// The configuration and the targets change at the same time. Without the lock, a list of targets that was read before a
+	// change could be applied after that change.
+	g.applying.Lock()
+	defer g.applying.Unlock()
 	table := g.follower.Table()
 	if table == nil {
 		return
@@ -219,6 +239,7 @@
 	for _, w := range table.Config.Workspaces {
 		limits[w.ID] = quota.Limit{Rate: w.Rate, Burst: w.Burst}
 	}
+	maps.Copy(limits, g.follower.ColdLimits())
 	g.grants.View(func(l *quota.Limiter) { l.Configure(now, limits) })
 	g.queues.Update(now, g.follower.Targets(now), table.Service)
 }
@@ -404,9 +425,7 @@
 			lastUpdate = now
 			g.updateReady(now)
 			// After an outage of the log a removed target may still be used for some time. No event reports the end of that time.
-			if t := g.follower.Table(); t != nil {
-				g.queues.Update(now, g.follower.Targets(now), t.Service)
-			}
+			g.followerChanged(now)
 		}
 		if now.Sub(lastCleanup) > cleanupInterval {
 			lastCleanup = now
