--- a/internal/configcheck/configcheck_test.go
+++ b/internal/configcheck/configcheck_test.go
@@ -107,16 +107,16 @@
 }
 
 // Guards against regions that are reported although one of them has targets for the requests, and the reverse.
-func TestAllowedRegions(t *testing.T) {
+func TestRegionFindings(t *testing.T) {
 	c := qt.New(t)
 	targets := map[string]bool{"north": true}
 	p := configcheck.Place{Section: configcheck.Routes}
-	c.Assert(configcheck.AllowedRegions(p, "f", nil, targets), qt.HasLen, 0)
-	c.Assert(configcheck.AllowedRegions(p, "f", []string{"north"}, targets), qt.HasLen, 0)
-	l := configcheck.AllowedRegions(p, "f", []string{"south", "north"}, targets)
+	c.Assert(configcheck.RegionFindings(p, "f", nil, targets), qt.HasLen, 0)
+	c.Assert(configcheck.RegionFindings(p, "f", []string{"north"}, targets), qt.HasLen, 0)
+	l := configcheck.RegionFindings(p, "f", []string{"south", "north"}, targets)
 	c.Assert(l, qt.HasLen, 1)
 	c.Assert(l[0].Severity, qt.Equals, configcheck.Warning)
-	l = configcheck.AllowedRegions(p, "f", []string{"south"}, targets)
+	l = configcheck.RegionFindings(p, "f", []string{"south"}, targets)
 	c.Assert(l[len(l)-1].Severity, qt.Equals, configcheck.Error)
 }
 
--- a/internal/configcheck/regions.go
+++ b/internal/configcheck/regions.go
@@ -21,7 +21,7 @@
 
 func (k *checker) targetRegions(p Place, allowed []string) {
 	if k.options.TargetRegions != nil {
-		k.findings = append(k.findings, AllowedRegions(p, "Regions", allowed, k.options.TargetRegions)...)
+		k.findings = append(k.findings, RegionFindings(p, "Regions", allowed, k.options.TargetRegions)...)
 	}
 }
 
@@ -30,7 +30,7 @@
 	return len(a) > 0 && len(b) > 0 && !slices.ContainsFunc(a, func(region string) bool { return slices.Contains(b, region) })
 }
 
-// AllowedRegions checks the regions in which the requests of a route or workspace may run; none means all. targets tells the
+// RegionFindings checks the regions in which the requests of a route or workspace may run; none means all. targets tells the
 // regions that have targets.
 func AllowedRegions[R ~string](p Place, f Field, allowed []R, targets map[R]bool) (l []Finding) {
 	if len(allowed) == 0 {
