--- a/internal/configcheck/regions.go
+++ b/internal/configcheck/regions.go
@@ -32,7 +32,7 @@
 
 // RegionFindings checks the regions in which the requests of a route or workspace may run; none means all. targets tells the
 // regions that have targets.
-func AllowedRegions[R ~string](p Place, f Field, allowed []R, targets map[R]bool) (l []Finding) {
+func RegionFindings[R ~string](p Place, f Field, allowed []R, targets map[R]bool) (l []Finding) {
 	if len(allowed) == 0 {
 		return nil
 	}
