Assume a longer wait at loaded targets

Cause: with work times, instances that know the same sent most calls to the fast targets (busiest 1.78 times the mean at 72 deciders).

Change: one more call is assumed to wait two calls' durations at a target whose slots are all taken, before one.

--- a/pkg/target/target.go
+++ b/pkg/target/target.go
@@ -28,6 +28,9 @@
 	// each of 9 calls. In the model of the dispatch tests, 0.5, 1, 2, 3 and 6 gave a P95 program latency of 300, 299, 300,
 	// 298 and 298 s at 80% load, and 409, 381, 360, 350 and 347 s with one workspace flooding.
 	prefillDelay = 3.0
+	// waitFactor is how many calls' durations one more call is assumed to wait at a target that has all its slots taken. The
+	// calls that other dispatchers have sent since the last report are not known.
+	waitFactor = 2.0
 	// fullFactor is how many calls a target that refuses calls is assumed to hold, in multiples of its limit.
 	fullFactor = 2
 )
@@ -215,7 +218,7 @@
 		return 0
 	}
 	share := t.expected(now) / float64(max(t.limit()-t.opt.Overcommit, 1))
-	return t.mean(now, mean) * share * share
+	return waitFactor * t.mean(now, mean) * share * share
 }
 
 // mean returns the expected duration of a call, or the parameter until the target has completed one.
