Count settlements of a batch before its reservations

An instance sends the settlement of a program's last pool together with the reservation of the next one. The leader decided the reservation by a ledger without that settlement, so a program whose budget had room for the turn got 402: with a budget of 100 and turns of at most 40 tokens that spend 30, the third turn was refused.

The leader counts what the settlements of an append change before it decides the reservations of the same append, and writes them first.

--- a/internal/programs/writer.go
+++ b/internal/programs/writer.go
@@ -227,9 +227,10 @@
 func (p *partition) needsRead(batches []*submission) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	settled := p.settledTokens(batches)
 	for _, s := range batches {
 		for _, r := range s.reservations {
-			if !p.loaded || !p.ledger.Allows(r.key, r.budget, r.tokens) {
+			if !p.loaded || !p.ledger.Allows(r.key, r.budget, settled[r.key]+r.tokens) {
 				return true
 			}
 		}
@@ -245,22 +246,46 @@
 	conditional bool // whether the append must fail if others have appended meanwhile
 }
 
+// settledTokens returns by how much the settlements of the batches change what programs have spent and reserved. They are
+// appended together with the reservations, so these may use what they return. The caller holds the lock.
+func (p *partition) settledTokens(batches []*submission) map[account.Key]ids.Tokens {
+	type turn struct {
+		key account.Key
+		id  string
+	}
+	change := make(map[account.Key]ids.Tokens)
+	seen := make(map[turn]bool)
+	for _, s := range batches {
+		for _, r := range s.settlements {
+			if seen[turn{r.Key, r.Turn}] {
+				continue
+			}
+			seen[turn{r.Key, r.Turn}] = true
+			change[r.Key] += p.ledger.Change(r)
+		}
+	}
+	return change
+}
+
 // decide grants the reservations that fit into their budgets, at least in part, and returns the records to append. A
 // reservation that is in the log already is granted as it is there.
 func (p *partition) decide(batches []*submission) (d decision) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.store.Now()
-	pending := make(map[account.Key]ids.Tokens)
+	pending := p.settledTokens(batches)
 	renewed := make(map[account.Key]bool)
 	add := func(r account.Record) {
 		d.records = append(d.records, r)
 		d.encoded = append(d.encoded, encodeAccount(r))
 	}
+	// Settlements come before the reservations that use what they return.
 	for _, s := range batches {
 		for _, r := range s.settlements {
 			add(r)
 		}
+	}
+	for _, s := range batches {
 		s.granted = make([]grant, len(s.reservations))
 		for i, r := range s.reservations {
 			if tokens, ok := p.ledger.Has(r.key, r.turn); ok {
--- a/pkg/account/account.go
+++ b/pkg/account/account.go
@@ -75,6 +75,19 @@
 	p.turns[r.Turn] = turn{tokens: r.Tokens, settled: r.Settled, at: r.At}
 }
 
+// Change returns by how much a record would change the sum of the tokens that its program has spent and reserved.
+func (l *Ledger) Change(r Record) ids.Tokens {
+	p := l.programs[r.Key]
+	if p == nil {
+		return r.Tokens
+	}
+	old, known := p.turns[r.Turn]
+	if known && (old.settled || !r.Settled) {
+		return 0
+	}
+	return r.Tokens - old.tokens
+}
+
 // Has reports whether the ledger has a record of a turn, and the tokens that the turn has reserved or spent.
 func (l *Ledger) Has(k Key, turn string) (tokens ids.Tokens, ok bool) {
 	p := l.programs[k]
