Settle reservations that an unanswering leader may have written

If a leader wrote a reservation, its answer was lost and the next instance then failed without an effect, the write was taken to have had none. The reservation was never settled, and its tokens were lost to the program's budget.

Recorder.Do reports whether the method was sent to a leader that did not answer, and the outcome of such a write is unknown unless it succeeds. The new test failed before (not granted within 3 s) and passes now.

--- a/internal/programs/find.go
+++ b/internal/programs/find.go
@@ -111,7 +111,7 @@
 func (s *Store) fetchFrom(ctx context.Context, notBefore time.Time, p *partition, wanted []call.ID, memoryOnly bool) error {
 	var result turnsResult
 	params := turnsParams{Partition: p.id, Turns: wanted, MemoryOnly: memoryOnly}
-	err := s.Leaders.Do(ctx, p.id, methodTurns, params, &result, func() error {
+	_, err := s.Leaders.Do(ctx, p.id, methodTurns, params, &result, func() error {
 		result = turnsResult{}
 		if memoryOnly {
 			return nil
--- a/internal/programs/leader.go
+++ b/internal/programs/leader.go
@@ -20,8 +20,9 @@
 
 // Leaders calls the instances that lead partitions.
 type Leaders interface {
-	// Do calls a method of a partition's leader, or local if that is this instance or no leader answers.
-	Do(ctx context.Context, p partlog.Partition, method string, params, result any, local func() error) error
+	// Do calls a method of a partition's leader, or local if that is this instance or no leader answers. unanswered reports
+	// whether the method may have taken effect at a leader that did not answer, whatever the error is.
+	Do(ctx context.Context, p partlog.Partition, method string, params, result any, local func() error) (unanswered bool, err error)
 	// Rank returns the place of this instance in the order in which instances lead a partition, from 0.
 	Rank(p partlog.Partition) int
 	// Near returns the partitions whose leader is in the zone of this instance.
@@ -117,6 +118,12 @@
 	}
 }
 
+// errLeaderUnanswered is the error of a write that failed after a leader that did not answer may have applied it. It does
+// not wrap the errors of the later attempts, which may wrap partlog.ErrNotApplied.
+func errLeaderUnanswered(later error) error {
+	return errors.Join(partlog.ErrOutcomeUnknown, fmt.Errorf("a leader did not answer, and then: %s", later.Error()))
+}
+
 // write writes a batch through the partition's leader, or through the own writer if there are no leaders.
 func (s *Store) write(ctx context.Context, p *partition, b batch) (granted []grant, err error) {
 	if s.Leaders == nil {
@@ -135,7 +142,7 @@
 		params.Settlements = append(params.Settlements, toWireAccount(r))
 	}
 	var result recordResult
-	err = s.Leaders.Do(ctx, p.id, methodRecord, params, &result, func() error {
+	unanswered, err := s.Leaders.Do(ctx, p.id, methodRecord, params, &result, func() error {
 		granted, err := p.submit(ctx, b)
 		result = recordResult{Granted: granted}
 		return err
@@ -146,6 +153,9 @@
 	if err == nil && len(result.Granted) != len(b.reservations) {
 		err = errors.Join(errLeader, partlog.ErrOutcomeUnknown)
 	}
+	if err != nil && unanswered {
+		err = errLeaderUnanswered(err)
+	}
 	return result.Granted, err
 }
 
--- a/internal/programs/leader_faults_test.go
+++ b/internal/programs/leader_faults_test.go
@@ -1,11 +1,15 @@
 package programs_test
 
 import (
+	"errors"
 	"fmt"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/comfreylink/comfreylink/internal/partlog"
+	"github.com/comfreylink/comfreylink/internal/partlog/partlogtest"
 	"github.com/comfreylink/comfreylink/internal/programs"
 )
 
@@ -22,3 +26,32 @@
 	_, err := reserve(f.stores[1], "t3", 100, 40)
 	c.Assert(err, qt.ErrorIs, programs.ErrBudgetExceeded)
 }
+
+// Guards against a budget that stays reserved: a leader wrote the reservation, its answer was lost, and the next leader
+// refused the reservation without an effect.
+func TestReservationOfLostAnswerIsSettled(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(2)
+	f.setLeader(func(int) (int, bool) { return 0, true })
+	f.log.SetFault(func(call int) partlogtest.Fault {
+		if call < 2 { // the read and the append of the first leader
+			return partlogtest.Fault{}
+		}
+		return partlogtest.Fault{Err: unavailable}
+	})
+	_, err := reserve(f.stores[1], "t0", 100, 60)
+	c.Assert(err, qt.IsNotNil)
+	f.setLeader(func(int) (int, bool) { return 0, false })
+	f.log.SetFault(nil)
+	var granted bool
+	for end := time.Now().Add(3 * time.Second); !granted && time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		r, err := reserve(f.stores[1], fmt.Sprint("t", time.Now().UnixNano()), 100, 60)
+		if granted = err == nil; granted {
+			r.Settle(0)
+		}
+	}
+	c.Assert(granted, qt.IsTrue)
+}
+
+// unavailable is the error of a call that was not sent because the log is unavailable.
+var unavailable = errors.Join(partlog.ErrNotApplied, partlog.ErrUnavailable)
--- a/internal/programs/leader_test.go
+++ b/internal/programs/leader_test.go
@@ -60,28 +60,28 @@
 }
 
 // Do implements programs.Leaders. Parameters and results are encoded as between instances.
-func (m member) Do(ctx context.Context, _ partlog.Partition, method string, params, result any, local func() error) error {
+func (m member) Do(ctx context.Context, _ partlog.Partition, method string, params, result any, local func() error) (unanswered bool, err error) {
 	m.mu.Lock()
 	leader, lost := m.pick(m.self)
 	m.mu.Unlock()
 	if leader < 0 || leader == m.self {
-		return local()
+		return false, local()
 	}
 	data, err := json.Marshal(params)
 	if err != nil {
-		return err
+		return false, err
 	}
 	answer, err := m.stores[leader].Methods()[method](ctx, data)
 	if lost {
-		return local()
+		return true, local()
 	}
 	if err != nil {
-		return err
+		return false, err
 	}
 	if data, err = json.Marshal(answer); err != nil {
-		return err
+		return false, err
 	}
-	return json.Unmarshal(data, result)
+	return false, json.Unmarshal(data, result)
 }
 
 // Near implements programs.Leaders. All partitions are led in the zone of each instance.
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -75,9 +75,10 @@
 	}
 }
 
-// Do calls a method of a partition's leader. If that is this instance, or no leader answers, it calls local instead. The
-// method may have taken effect at a leader that did not answer.
-func (r *Recorder) Do(ctx context.Context, p partlog.Partition, method string, params, result any, local func() error) error {
+// Do calls a method of a partition's leader. If that is this instance, or no leader answers, it calls local instead.
+// unanswered reports whether the method was sent to a leader that did not answer, where it may have taken effect, whatever the
+// error is.
+func (r *Recorder) Do(ctx context.Context, p partlog.Partition, method string, params, result any, local func() error) (unanswered bool, err error) {
 	tried := 0
 	for _, m := range r.leaders(p) {
 		if m.Instance == r.Self || tried == maxLeaders {
@@ -89,12 +90,16 @@
 		tried++
 		err := r.call(ctx, m, method, params, result)
 		var answered *jsonrpc2.Error
-		if err == nil || errors.As(err, &answered) || ctx.Err() != nil {
-			return err
+		if err == nil || errors.As(err, &answered) {
+			return unanswered, err
+		}
+		unanswered = unanswered || !errors.Is(err, rpc.ErrUnreachable)
+		if ctx.Err() != nil {
+			return unanswered, err
 		}
 		r.recordFailure(m, p, err)
 	}
-	return local()
+	return unanswered, local()
 }
 
 // Rank returns the place of this instance in the order for a partition, from 0 for the leader.
--- a/internal/recorder/recorder_test.go
+++ b/internal/recorder/recorder_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/comfreylink/comfreylink/internal/partlog"
 	"github.com/comfreylink/comfreylink/internal/recorder"
+	"github.com/comfreylink/comfreylink/internal/rpc"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 	"github.com/comfreylink/comfreylink/pkg/leader"
 )
@@ -39,7 +40,9 @@
 	return answer(ctx, method)
 }
 
-func dead(context.Context, string) error { return errors.New("connection refused") }
+func dead(context.Context, string) error {
+	return errors.Join(rpc.ErrUnreachable, errors.New("connection refused"))
+}
 
 func silent(ctx context.Context, _ string) error {
 	<-ctx.Done()
@@ -77,7 +80,8 @@
 	p := &peers{calls: make(map[string]int), answer: map[string]func(context.Context, string) error{"a": dead}}
 	r := newRecorder(p)
 	for range 5 {
-		c.Assert(r.Do(context.Background(), part, "m", nil, nil, func() error { return errors.New("acted itself") }), qt.IsNil)
+		_, err := r.Do(context.Background(), part, "m", nil, nil, func() error { return errors.New("acted itself") })
+		c.Assert(err, qt.IsNil)
 	}
 	c.Assert(p.calls, qt.DeepEquals, map[string]int{"a": 1, "b": 5})
 	c.Assert(r.Rank(part), qt.Equals, 3)
@@ -88,8 +92,9 @@
 	c := qt.New(t)
 	p := &peers{calls: make(map[string]int), answer: map[string]func(context.Context, string) error{"a": dead, "b": dead}}
 	local := 0
-	err := newRecorder(p).Do(context.Background(), part, "m", nil, nil, func() error { local++; return nil })
+	unanswered, err := newRecorder(p).Do(context.Background(), part, "m", nil, nil, func() error { local++; return nil })
 	c.Assert(err, qt.IsNil)
+	c.Assert(unanswered, qt.IsFalse)
 	c.Assert(local, qt.Equals, 1)
 	c.Assert(p.calls["c"], qt.Equals, 0)
 }
@@ -99,14 +104,18 @@
 func TestSlowAndSilentLeaders(t *testing.T) {
 	c := qt.New(t)
 	p := &peers{calls: make(map[string]int), answer: map[string]func(context.Context, string) error{"a": slow}}
-	c.Assert(newRecorder(p).Do(context.Background(), part, "m", nil, nil, nil), qt.IsNil)
+	unanswered, err := newRecorder(p).Do(context.Background(), part, "m", nil, nil, nil)
+	c.Assert(err, qt.IsNil)
+	c.Assert(unanswered, qt.IsFalse)
 	c.Assert(p.calls, qt.DeepEquals, map[string]int{"a": 1})
 
 	p = &peers{calls: make(map[string]int), answer: map[string]func(context.Context, string) error{"a": silent}}
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
 	began := time.Now()
-	c.Assert(newRecorder(p).Do(ctx, part, "m", nil, nil, nil), qt.IsNil)
+	unanswered, err = newRecorder(p).Do(ctx, part, "m", nil, nil, nil)
+	c.Assert(err, qt.IsNil)
+	c.Assert(unanswered, qt.IsTrue)
 	c.Assert(time.Since(began) < time.Second, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
 	c.Assert(p.calls["b"], qt.Equals, 1)
 }
@@ -117,6 +126,7 @@
 	p := &peers{calls: make(map[string]int), answer: map[string]func(context.Context, string) error{
 		"a": func(context.Context, string) error { return &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams} },
 	}}
-	c.Assert(newRecorder(p).Do(context.Background(), part, "m", nil, nil, nil), qt.IsNotNil)
+	_, err := newRecorder(p).Do(context.Background(), part, "m", nil, nil, nil)
+	c.Assert(err, qt.IsNotNil)
 	c.Assert(p.calls, qt.DeepEquals, map[string]int{"a": 1})
 }
