Repeat failed settlements in a planned stop

Flush waited for the batches being written and returned when they had failed, so one failed call to the log or a leader that died lost the settlements of a stopping instance: their reservations stayed in the budgets. The settlement that follows from a failed reservation was not waited for either.

Flush repeats settlements until they are written or its context ends, with a pause as for throttled calls, for all partitions at once. A part of the remaining time is left for the last report. The test failed before and passes now.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -337,11 +337,14 @@
 	}
 }
 
-// flush writes pending records and the last report. It stops trying half of exitMargin after exitAt.
+// flush writes pending records and the last report. It stops trying half of exitMargin after exitAt, and half of that time is
+// left for the report.
 func (g *Gateway) flush(exitAt time.Time) {
 	ctx, cancel := context.WithDeadline(context.Background(), exitAt.Add(exitMargin/2))
 	defer cancel()
-	g.programs.Flush(ctx)
+	recordsCtx, cancelRecords := context.WithDeadline(ctx, exitAt.Add(exitMargin/4))
+	defer cancelRecords()
+	g.programs.Flush(recordsCtx)
 	_, err := g.reports.Write(ctx)
 	if err = errors.Join(err, g.reports.RecordCrashes(ctx)); err != nil {
 		events.Log(g.Logger, events.ReportFailed, zap.String("operation", "last"), zap.Error(err))
--- a/internal/programs/leader_faults_test.go
+++ b/internal/programs/leader_faults_test.go
@@ -1,8 +1,10 @@
 package programs_test
 
 import (
+	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -53,5 +55,30 @@
 	c.Assert(granted, qt.IsTrue)
 }
 
+// Guards against a planned stop that gives up settlements after their first write has failed.
+func TestFlushRepeatsSettlements(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(2)
+	r, err := reserve(f.stores[1], "t0", 100, 60)
+	c.Assert(err, qt.IsNil)
+	r.Settle(10)
+	f.log.SetFault(func(call int) partlogtest.Fault {
+		if call == 0 {
+			return partlogtest.Fault{Err: unavailable}
+		}
+		return partlogtest.Fault{}
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	f.stores[1].Flush(ctx)
+	settled := false
+	for _, record := range f.log.Records() {
+		settled = settled || strings.Contains(string(record), `"settled":true`)
+	}
+	c.Assert(settled, qt.IsTrue)
+	c.Assert(f.log.Calls() < 20, qt.IsTrue, qt.Commentf("%d calls", f.log.Calls()))
+	c.Assert(ctx.Err(), qt.IsNil)
+}
+
 // unavailable is the error of a call that was not sent because the log is unavailable.
 var unavailable = errors.Join(partlog.ErrNotApplied, partlog.ErrUnavailable)
--- a/internal/programs/programs.go
+++ b/internal/programs/programs.go
@@ -120,16 +120,14 @@
 }
 
 // Flush settles the pools without running turns and blocks until all waiting records are written or the context ends.
+// Settlements that could not be written are repeated.
 func (s *Store) Flush(ctx context.Context) {
+	var tasks sync.WaitGroup
 	for _, p := range s.allPartitions() {
 		p.mu.Lock()
 		p.settleIdle()
-		p.sendSettlements()
 		p.mu.Unlock()
+		tasks.Go(func() { p.flush(ctx) })
 	}
-	for _, p := range s.allPartitions() {
-		for p.isSending() && ctx.Err() == nil {
-			time.Sleep(time.Millisecond)
-		}
-	}
+	tasks.Wait()
 }
--- a/internal/programs/send.go
+++ b/internal/programs/send.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"github.com/comfreylink/comfreylink/internal/partlog"
@@ -21,6 +22,7 @@
 	}
 	p.sending++
 	go func() {
+		defer p.endSend()
 		w := p.store.Writes.Begin()
 		granted, err := p.send(b)
 		w.End(err)
@@ -38,6 +40,13 @@
 	return l
 }
 
+// endSend ends a batch that was counted in sending, after what follows from its result is done.
+func (p *partition) endSend() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sending--
+}
+
 // send writes a batch of this instance, which the caller has counted in sending. Settlements that could not be written wait
 // for the next batch.
 func (p *partition) send(b batch) (granted []grant, err error) {
@@ -46,7 +55,6 @@
 	granted, err = p.store.write(ctx, p, b)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.sending--
 	if err != nil && len(b.settlements) > 0 {
 		p.settlements = append(b.settlements, p.settlements...)
 		p.scheduleSendAfter(writeTimeout)
@@ -118,5 +126,34 @@
 		return
 	}
 	p.sending++
-	go func() { _, _ = p.send(b) }()
+	go func() {
+		defer p.endSend()
+		_, _ = p.send(b)
+	}()
+}
+
+// flush writes the waiting settlements, and those of the reservations in progress, until there are none or the context ends.
+func (p *partition) flush(ctx context.Context) {
+	for {
+		p.mu.Lock()
+		p.sendSettlements()
+		p.mu.Unlock()
+		for p.isSending() {
+			if ctx.Err() != nil {
+				return
+			}
+			time.Sleep(time.Millisecond)
+		}
+		p.mu.Lock()
+		waiting := len(p.settlements) > 0
+		p.mu.Unlock()
+		if !waiting {
+			return
+		}
+		select {
+		case <-time.After(throttledPause + rand.N(throttledPause)):
+		case <-ctx.Done():
+			return
+		}
+	}
 }
