Guard the clock of the retention tests

The race detector reported that a store's idle timer reads the clock while TestBudgetOfProgramLongerThanLogRetention moves it.

--- a/internal/programs/retention_test.go
+++ b/internal/programs/retention_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -26,6 +27,7 @@
 type conversation struct {
 	*qt.C
 	log   *partlogtest.Log
+	mu    sync.Mutex // held while now changes, and by timers of the stores that read it
 	now   time.Time
 	chain []call.ID
 }
@@ -34,12 +36,24 @@
 	return &conversation{C: qt.New(t), log: partlogtest.New(), now: time.Unix(1_800_000_000, 0)}
 }
 
+// advance moves the clock forward.
+func (v *conversation) advance(d time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.now = v.now.Add(d)
+}
+
 // newStore returns a store whose clock is that of the conversation plus an offset.
 func (v *conversation) newStore(offset time.Duration) *programs.Store {
 	return programs.New(programs.Config{
 		Log: v.log, LogRetention: logRetention, Programs: partlog.Keyspace{Name: "programs", Topics: 1, Parts: 1},
 		Index: partlog.Keyspace{Name: "turns", Topics: 1, Parts: 1},
-		Now:   func() time.Time { return v.now.Add(offset).Add(time.Nanosecond) }, Logger: zap.NewNop(),
+		Now: func() time.Time {
+			v.mu.Lock()
+			defer v.mu.Unlock()
+			return v.now.Add(offset).Add(time.Nanosecond)
+		},
+		Logger: zap.NewNop(),
 	})
 }
 
@@ -72,7 +86,7 @@
 	for i := range 10 {
 		v.add(stores[i%2])
 		for range 4 {
-			v.now = v.now.Add(5 * time.Second)
+			v.advance(5 * time.Second)
 			for _, s := range stores {
 				s.DropOld(v.now, turnRetention)
 			}
@@ -151,7 +165,7 @@
 		end[p] = v.log.End(p)
 	}
 	v.history = append(v.history, checkpoint{v.now, end})
-	v.now = v.now.Add(d)
+	v.advance(d)
 	for v.now.Sub(v.history[0].at) >= logRetention {
 		for _, p := range parts {
 			v.log.ForgetBefore(p, v.history[0].end[p])
@@ -217,7 +231,7 @@
 	r.Settle(80)
 	s.Flush(context.Background())
 	for range 58 {
-		v.now = v.now.Add(5 * time.Second)
+		v.advance(5 * time.Second)
 		s.DropOld(v.now, turnRetention)
 	}
 	_, err = reserve(s, "b", 100, 80)
