Refuse invalid records of other instances

A leader applied what other instances sent to its own ledger without the checks that readers of the log make: a settlement with negative tokens or without a program, a reservation whose tokens overflow the sum, or a turn that readers take for a reservation. The leader's ledger then differed from those of the readers, and a budget could be exceeded.

Such a message is refused as a whole with an error. The test failed before and passes now.

--- a/internal/programs/leader.go
+++ b/internal/programs/leader.go
@@ -170,21 +170,51 @@
 // maxLeaderTimeout bounds how long another instance may make this one work on a call.
 const maxLeaderTimeout = 5 * time.Second
 
-// serveRecord writes a batch of another instance.
-func (s *Store) serveRecord(ctx context.Context, a recordParams) (any, error) {
-	timeout := min(max(time.Duration(a.TimeoutMs)*time.Millisecond, 0), maxLeaderTimeout)
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	b := batch{turns: a.Turns}
+// maxWireTokens bounds the tokens in a message, so that sums of them don't overflow.
+const maxWireTokens ids.Tokens = 1 << 50
+
+// batch returns the records of a message. It refuses records that the readers of the log would skip or take for something
+// else, because the ledgers of instances would differ from then on.
+func (a recordParams) batch() (b batch, err error) {
 	for _, r := range a.Reservations {
+		if r.Turn == "" || r.Program == "" || r.Least < 0 || r.Tokens < r.Least || max(r.Tokens, r.Budget) > maxWireTokens {
+			return b, errors.New("reservation without turn or program, or with invalid tokens")
+		}
 		b.reservations = append(b.reservations, reservation{
 			key:  account.Key{Workspace: r.Workspace, Program: r.Program},
-			turn: r.Turn, budget: r.Budget, tokens: max(r.Tokens, 0), least: max(r.Least, 0),
+			turn: r.Turn, budget: r.Budget, tokens: r.Tokens, least: r.Least,
 		})
 	}
 	for _, w := range a.Settlements {
+		if err := w.check(); err != nil {
+			return b, err
+		}
+		if !w.Settled || w.Tokens > maxWireTokens {
+			return b, errors.New("settlement that does not settle, or with invalid tokens")
+		}
 		b.settlements = append(b.settlements, w.record())
 	}
+	for _, t := range a.Turns {
+		if !isTurn(t) {
+			return b, errors.New("turn without a first line")
+		}
+		if _, err := decodeTurn(t); err != nil {
+			return b, err
+		}
+	}
+	b.turns = a.Turns
+	return b, nil
+}
+
+// serveRecord writes a batch of another instance.
+func (s *Store) serveRecord(ctx context.Context, a recordParams) (any, error) {
+	timeout := min(max(time.Duration(a.TimeoutMs)*time.Millisecond, 0), maxLeaderTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	b, err := a.batch()
+	if err != nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "invalid record: " + err.Error()}
+	}
 	p, err := s.ledPartition(a.Partition)
 	if err != nil {
 		return nil, err
--- a/internal/programs/leader_faults_test.go
+++ b/internal/programs/leader_faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"strings"
@@ -80,5 +81,24 @@
 	c.Assert(ctx.Err(), qt.IsNil)
 }
 
+// Guards against records of another instance that this one counts and the readers of the log skip or count as something
+// else, so that their ledgers differ.
+func TestInvalidRecordsAreRefused(t *testing.T) {
+	for _, params := range []string{
+		`"settlements":[{"workspace":"w","program":"p","turn":"t","tokens":-50,"settled":true}]`,
+		`"settlements":[{"workspace":"w","program":"","turn":"t","tokens":1,"settled":true}]`,
+		`"settlements":[{"workspace":"w","program":"p","turn":"t","tokens":1}]`,
+		`"reservations":[{"workspace":"w","program":"p","turn":"","tokens":1,"least":1,"budget":10}]`,
+		`"reservations":[{"workspace":"w","program":"p","turn":"t","tokens":9223372036854775807,"least":1,"budget":10}]`,
+		`"turns":["e30="]`,     // {}: no line end, so readers take it for a reservation
+		`"turns":["eyJ9Cg=="]`, // malformed first line
+	} {
+		c := qt.New(t)
+		s := newFleet(1).stores[0]
+		_, err := s.Methods()["record"](context.Background(), json.RawMessage(`{"partition":{"Topic":"records-00","Part":0},"timeoutMs":900,`+params+`}`))
+		c.Check(err, qt.ErrorMatches, ".*invalid record.*", qt.Commentf("%s", params))
+	}
+}
+
 // unavailable is the error of a call that was not sent because the log is unavailable.
 var unavailable = errors.Join(partlog.ErrNotApplied, partlog.ErrUnavailable)
--- a/internal/programs/record.go
+++ b/internal/programs/record.go
@@ -65,10 +65,14 @@
 	if err := json.Unmarshal(data, &w); err != nil {
 		return r, err
 	}
+	return w.record(), w.check()
+}
+
+func (w wireAccount) check() error {
 	if w.Turn == "" || w.Program == "" || w.Tokens < 0 {
-		return r, errors.New("reservation or settlement without turn or program, or with negative tokens")
+		return errors.New("reservation or settlement without turn or program, or with negative tokens")
 	}
-	return w.record(), nil
+	return nil
 }
 
 // isTurn reports whether a record is a turn's. Reservations and settlements consist of one line.
