Write to a partition while old turns are searched

A search for a turn that was dropped from memory reads the partition from its beginning, and held the lock that the partition's writer needs after a conflict. A leader could not write for the length of that read, which may take seconds, and a request with an unknown turn is enough to start it.

The search has a lock of its own. The test failed before (a reservation failed after 1.2 s) and passes now.

--- a/internal/programs/leader_faults_test.go
+++ b/internal/programs/leader_faults_test.go
@@ -14,6 +14,7 @@
 	"github.com/comfreylink/comfreylink/internal/partlog"
 	"github.com/comfreylink/comfreylink/internal/partlog/partlogtest"
 	"github.com/comfreylink/comfreylink/internal/programs"
+	"github.com/comfreylink/comfreylink/pkg/ids"
 )
 
 // Guards against a turn that is refused although the budget allows it: the settlement of the turn before it reaches the
@@ -100,5 +101,52 @@
 	}
 }
 
+// slowFirstPage is a log whose reads from the beginning of a partition don't return while blocked is open.
+type slowFirstPage struct {
+	*partlogtest.Log
+	began   chan struct{}
+	blocked chan struct{}
+}
+
+// Read implements partlog.Log.
+func (l slowFirstPage) Read(ctx context.Context, p partlog.Partition, from ids.Offset, wait time.Duration) (partlog.Page, error) {
+	if from == 0 && strings.HasPrefix(p.Topic, "programs") {
+		select {
+		case l.began <- struct{}{}:
+			<-l.blocked
+		default:
+		}
+	}
+	return l.Log.Read(ctx, p, from, wait)
+}
+
+// Guards against a search for an old turn, which reads a partition from its beginning, that stops the writes to the
+// partition meanwhile.
+func TestSearchDoesNotStopWrites(t *testing.T) {
+	c := qt.New(t)
+	log := slowFirstPage{Log: partlogtest.New(), began: make(chan struct{}), blocked: make(chan struct{})}
+	s, other := newStore(log), newStore(log.Log)
+	ctx, cancel := oneSecond()
+	defer cancel()
+	c.Assert(s.Put(ctx, programs.Turn{ID: "t", Program: program}), qt.IsNil)
+	_, err := reserve(s, "r0", 100, 10)
+	c.Assert(err, qt.IsNil)
+	s.DropOld(time.Now().Add(time.Hour), time.Minute)
+	searched := make(chan error)
+	go func() {
+		_, err := s.Chain(ctx, time.Now(), program, "unknown")
+		searched <- err
+	}()
+	<-log.began
+	_, err = reserve(other, "r1", 100, 10) // the next append of s conflicts
+	c.Check(err, qt.IsNil)
+	began := time.Now()
+	_, err = reserve(s, "r2", 100, 40)
+	c.Check(err, qt.IsNil)
+	c.Check(time.Since(began) < 500*time.Millisecond, qt.IsTrue)
+	close(log.blocked)
+	c.Assert(<-searched, qt.ErrorIs, programs.ErrTurnNotFound)
+}
+
 // unavailable is the error of a call that was not sent because the log is unavailable.
 var unavailable = errors.Join(partlog.ErrNotApplied, partlog.ErrUnavailable)
--- a/internal/programs/partition.go
+++ b/internal/programs/partition.go
@@ -44,7 +44,8 @@
 	writing     bool      // the writer goroutine runs
 	wroteAt     time.Time // when the last append was started
 
-	readLock sync.Mutex // held during a read
+	readLock    sync.Mutex // held during a read
+	restoreLock sync.Mutex // held while dropped turns are read again
 }
 
 // isSending reports whether batches of this instance are not written yet.
@@ -150,10 +151,11 @@
 }
 
 // restoreTurns reads all retained turns of the partition again if some of them were dropped from memory: one that was
-// dropped may still be continued, for instance if the clocks of instances are far apart.
+// dropped may still be continued, for instance if the clocks of instances are far apart. It does not hold readLock, because
+// the partition's writer needs that to go on after a conflict.
 func (p *partition) restoreTurns(ctx context.Context) error {
-	p.readLock.Lock()
-	defer p.readLock.Unlock()
+	p.restoreLock.Lock()
+	defer p.restoreLock.Unlock()
 	p.mu.Lock()
 	needed := p.turnsDropped
 	p.turnsDropped = false
