--- a/internal/programs/leader.go
+++ b/internal/programs/leader.go
@@ -20,8 +20,9 @@
 
 // Leaders calls the instances that lead partitions.
 type Leaders interface {
-	// Do calls a method of a partition's leader, or local if that is this instance or no leader answers.
-	Do(ctx context.Context, p partlog.Partition, method string, params, result any, local func() error) error
+	// Do calls a method of a partition's leader, or local if that is this instance or no leader answers. unanswered reports
+	// whether the method may have taken effect at a leader that did not answer, whatever the error is.
+	Do(ctx context.Context, p partlog.Partition, method string, params, result any, local func() error) (unanswered bool, err error)
 	// Rank returns the place of this instance in the order in which instances lead a partition, from 0.
 	Rank(p partlog.Partition) int
 	// Near returns the partitions whose leader is in the zone of this instance.
@@ -117,6 +118,12 @@
 	}
 }
 
+// errLeaderUnanswered is the error of a write that failed after a leader that did not answer may have applied it. It does
+// not wrap the errors of the later attempts, which may wrap partlog.ErrNotApplied.
+func errLeaderUnanswered(later error) error {
+	return errors.Join(partlog.ErrOutcomeUnknown, fmt.Errorf("a leader did not answer, and then: %s", later.Error()))
+}
+
 // write writes a batch through the partition's leader, or through the own writer if there are no leaders.
 func (s *Store) write(ctx context.Context, p *partition, b batch) (granted []grant, err error) {
 	if s.Leaders == nil {
@@ -135,7 +142,7 @@
 		params.Settlements = append(params.Settlements, toWireAccount(r))
 	}
 	var result recordResult
-	err = s.Leaders.Do(ctx, p.id, methodRecord, params, &result, func() error {
+	unanswered, err := s.Leaders.Do(ctx, p.id, methodRecord, params, &result, func() error {
 		granted, err := p.submit(ctx, b)
 		result = recordResult{Granted: granted}
 		return err
@@ -146,6 +153,9 @@
 	if err == nil && len(result.Granted) != len(b.reservations) {
 		err = errors.Join(errLeader, partlog.ErrOutcomeUnknown)
 	}
+	if err != nil && unanswered {
+		err = errLeaderUnanswered(err)
+	}
 	return result.Granted, err
 }
 
@@ -160,21 +170,51 @@
 // maxLeaderTimeout bounds how long another instance may make this one work on a call.
 const maxLeaderTimeout = 5 * time.Second
 
-// serveRecord writes a batch of another instance.
-func (s *Store) serveRecord(ctx context.Context, a recordParams) (any, error) {
-	timeout := min(max(time.Duration(a.TimeoutMs)*time.Millisecond, 0), maxLeaderTimeout)
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	b := batch{turns: a.Turns}
+// maxWireTokens bounds the tokens in a message, so that sums of them don't overflow.
+const maxWireTokens ids.Tokens = 1 << 50
+
+// batch returns the records of a message. It refuses records that the readers of the log would skip or take for something
+// else, because the ledgers of instances would differ from then on.
+func (a recordParams) batch() (b batch, err error) {
 	for _, r := range a.Reservations {
+		if r.Turn == "" || r.Program == "" || r.Least < 0 || r.Tokens < r.Least || max(r.Tokens, r.Budget) > maxWireTokens {
+			return b, errors.New("reservation without turn or program, or with invalid tokens")
+		}
 		b.reservations = append(b.reservations, reservation{
 			key:  account.Key{Workspace: r.Workspace, Program: r.Program},
-			turn: r.Turn, budget: r.Budget, tokens: max(r.Tokens, 0), least: max(r.Least, 0),
+			turn: r.Turn, budget: r.Budget, tokens: r.Tokens, least: r.Least,
 		})
 	}
 	for _, w := range a.Settlements {
+		if err := w.check(); err != nil {
+			return b, err
+		}
+		if !w.Settled || w.Tokens > maxWireTokens {
+			return b, errors.New("settlement that does not settle, or with invalid tokens")
+		}
 		b.settlements = append(b.settlements, w.record())
 	}
+	for _, t := range a.Turns {
+		if !isTurn(t) {
+			return b, errors.New("turn without a first line")
+		}
+		if _, err := decodeTurn(t); err != nil {
+			return b, err
+		}
+	}
+	b.turns = a.Turns
+	return b, nil
+}
+
+// serveRecord writes a batch of another instance.
+func (s *Store) serveRecord(ctx context.Context, a recordParams) (any, error) {
+	timeout := min(max(time.Duration(a.TimeoutMs)*time.Millisecond, 0), maxLeaderTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	b, err := a.batch()
+	if err != nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "invalid record: " + err.Error()}
+	}
 	p, err := s.ledPartition(a.Partition)
 	if err != nil {
 		return nil, err
