Bound the time for which a cold target is left alone

Cause: while a cold target's limit had no owner, an instance left the target alone until the lease of the last one ended, up to 4 s, also after its cold time; a service without other targets refused its requests (TestColdWorkerIsNotOverrun failed twice so). Change: the time is at most 640 ms and ends with the cold time.

--- a/internal/follower/cold.go
+++ b/internal/follower/cold.go
@@ -30,10 +30,10 @@
 
 // ColdRefused records that a cold target did not get a request, because the owner of its limit did not grant one or the target
 // refused it, and returns how long to leave the target alone. share, from 0 to 1, should differ between calls.
-func (f *Follower) ColdRefused(t call.Target, retry time.Duration, share float64) time.Duration {
+func (f *Follower) ColdRefused(now time.Time, t call.Target, retry time.Duration, share float64) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.cold.Refused(t.ID, retry, share)
+	return f.cold.Refused(now, t.ID, retry, share)
 }
 
 // ColdGranted records that a request to a cold target was granted.
--- a/internal/gateway/cold.go
+++ b/internal/gateway/cold.go
@@ -56,8 +56,9 @@
 
 // holdCold keeps the requests of this instance from a cold target for a while, and returns for how long.
 func (e *exchange) holdCold(p waitqueue.Placement, retry time.Duration) time.Duration {
-	hold := e.follower.ColdRefused(p.Target, retry, rand.Float64())
-	p.Hold(e.now().Add(hold))
+	now := e.now()
+	hold := e.follower.ColdRefused(now, p.Target, retry, rand.Float64())
+	p.Hold(now.Add(hold))
 	return hold
 }
 
--- a/internal/grants/cold_test.go
+++ b/internal/grants/cold_test.go
@@ -74,7 +74,7 @@
 	d := p.limiter.TakeCold(ctx, coldName)
 	p.waitWhileFrozen()
 	if !d.OK {
-		return known.Refused("t", d.Retry, random.Float64())
+		return known.Refused(time.Now(), "t", d.Retry, random.Float64())
 	}
 	known.Granted("t")
 	time.Sleep(time.Duration(random.IntN(100)) * time.Millisecond) // until its connection is open
--- a/pkg/cold/cold.go
+++ b/pkg/cold/cold.go
@@ -71,14 +71,17 @@
 
 // Refused returns how long the target is left alone after a request for it was not granted, or after it refused one itself. retry
 // is the owner's estimate of when it can grant one. The time doubles with each refusal: the more instances compete, the less often
-// each has to ask. share, from 0 to 1, differs between instances, so that they do not ask at the same time.
-func (t *Targets) Refused(id ids.TargetID, retry time.Duration, share float64) time.Duration {
+// each has to ask. share, from 0 to 1, differs between instances, so that they do not ask at the same time. The time ends with
+// the target's cold time, and is at most maxHold, also if the target's limit has no owner and retry is the end of a lease: the
+// requests of a service without other targets wait for it.
+func (t *Targets) Refused(now time.Time, id ids.TargetID, retry time.Duration, share float64) time.Duration {
 	s := t.byID[id]
 	if s == nil {
-		return max(retry, minHold)
+		return minHold
 	}
 	s.hold = min(max(2*s.hold, minHold), maxHold)
-	return max(retry, time.Duration((0.5+share)*float64(s.hold)))
+	hold := max(retry, time.Duration((0.5+share)*float64(s.hold)))
+	return max(min(hold, maxHold, s.until.Sub(now)), 0)
 }
 
 // Granted records that a request for the target was granted.
--- a/pkg/cold/cold_test.go
+++ b/pkg/cold/cold_test.go
@@ -37,6 +37,20 @@
 	c.Assert(s.Count(start.Add(9*time.Second)), qt.Equals, 0)
 }
 
+// Guards against a target that is left alone after its cold time, or for the whole time of a lease while its limit has no
+// owner: a service without other targets would refuse its requests.
+func TestHoldIsBounded(t *testing.T) {
+	c := qt.New(t)
+	s := cold.New()
+	s.Observe(start, "t", 1, 5*time.Second)
+	for range 10 {
+		hold := s.Refused(start, "t", 4*time.Second, 1)
+		c.Assert(hold > 0 && hold < 700*time.Millisecond, qt.IsTrue, qt.Commentf("%s", hold))
+	}
+	c.Assert(s.Refused(start.Add(4950*time.Millisecond), "t", time.Second, 1), qt.Equals, 50*time.Millisecond)
+	c.Assert(s.Refused(start.Add(6*time.Second), "t", time.Second, 1), qt.Equals, time.Duration(0))
+}
+
 // ask is an instance that has a request for the cold target from a time on.
 type ask struct {
 	at       time.Time
@@ -89,7 +103,7 @@
 				granted++
 				known[a.instance].Granted("t")
 			} else {
-				next = max(next, known[a.instance].Refused("t", g.Retry, random.Float64()))
+				next = max(next, known[a.instance].Refused(a.at, "t", g.Retry, random.Float64()))
 			}
 			heap.Push(&queue, ask{a.at.Add(next), a.instance})
 		}
