--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -83,14 +83,14 @@
 // New returns a follower that has read nothing. It calls onChange after the configuration or the targets have changed.
 func New(s Source, bounds settings.Bounds, logger *zap.Logger, now func() time.Time, onChange func(now time.Time)) *Follower {
 	return &Follower{
-		source: s, logger: logger, now: now, configWait: configWait(bounds),
+		source: s, logger: logger, now: now, configWait: configWait(bounds, s.Zones),
 		targetsInterval: bounds.Removal / readsPerRemoval, registry: registry.New(), zones: evacuation.New(), cold: cold.New(), onChange: onChange,
 	}
 }
 
 // configWait returns how long a read of the configuration and the evacuations waits for new records.
-func configWait(b settings.Bounds) time.Duration {
-	if b.Evacuate > 0 {
+func configWait(b settings.Bounds, zones settings.Zones) time.Duration {
+	if b.Evacuate > 0 && len(zones) > 0 {
 		return min(b.Revoke, b.Evacuate) / readsPerRevoke
 	}
 	return b.Revoke / readsPerRevoke
