Bound the settlements and reservations of one append

Only turns counted for the size of an append and of a leader's queue. After an outage of the log, the settlements of an instance were sent as one batch that could exceed the 2 MiB which the log takes, and were then refused for ever; so were many reservations with long names. They count now, and an instance sends at most 512 KiB of settlements at once.

--- a/internal/programs/leader_faults_test.go
+++ b/internal/programs/leader_faults_test.go
@@ -6,14 +6,17 @@
 	"errors"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
 
 	"github.com/comfreylink/comfreylink/internal/partlog"
 	"github.com/comfreylink/comfreylink/internal/partlog/partlogtest"
 	"github.com/comfreylink/comfreylink/internal/programs"
+	"github.com/comfreylink/comfreylink/pkg/account"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 )
 
@@ -148,5 +151,49 @@
 	c.Assert(<-searched, qt.ErrorIs, programs.ErrTurnNotFound)
 }
 
+// smallAppends is a log that takes at most 2 MiB in one append, as the platform's does.
+type smallAppends struct{ *partlogtest.Log }
+
+// Append implements partlog.Log.
+func (l smallAppends) Append(ctx context.Context, p partlog.Partition, at ids.Offset, records ...[]byte) (ids.Offset, error) {
+	size := 0
+	for _, r := range records {
+		size += len(r)
+	}
+	if size > 2<<20 {
+		return 0, errors.New("the append is too large")
+	}
+	return l.Log.Append(ctx, p, at, records...)
+}
+
+// Guards against reservations and settlements that together exceed what the log takes at once, for instance after an
+// outage, and are refused for ever.
+func TestManyReservationsFitIntoAppends(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(2)
+	for i := range f.stores {
+		f.stores[i] = programs.New(programs.Config{
+			Log: smallAppends{f.log}, Programs: partlog.Keyspace{Name: "records", Topics: 1, Parts: 1}, Leaders: member{f, i},
+			WriteInterval: 20 * time.Millisecond, Now: time.Now, Logger: zap.NewNop(),
+		})
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	const count = 600
+	var tasks sync.WaitGroup
+	for i := range count {
+		tasks.Go(func() {
+			key := account.Key{Workspace: "w", Program: ids.ProgramID(fmt.Sprint(i, strings.Repeat("p", 4000)))}
+			r, err := f.stores[1].Reserve(ctx, programs.ReserveRequest{Key: key, Turn: fmt.Sprint("t", i), Budget: 100, Tokens: 10})
+			if c.Check(err, qt.IsNil) {
+				r.Settle(1)
+			}
+		})
+	}
+	tasks.Wait()
+	f.stores[1].Flush(ctx)
+	c.Assert(len(f.log.Records()), qt.Equals, 2*count)
+}
+
 // unavailable is the error of a call that was not sent because the log is unavailable.
 var unavailable = errors.Join(partlog.ErrNotApplied, partlog.ErrUnavailable)
--- a/internal/programs/programs.go
+++ b/internal/programs/programs.go
@@ -120,7 +120,7 @@
 }
 
 // Flush settles the pools without running turns and blocks until all waiting records are written or the context ends.
-// Settlements that could not be written are repeated.
+// Settlements that could not be written are repeated a few times.
 func (s *Store) Flush(ctx context.Context) {
 	var tasks sync.WaitGroup
 	for _, p := range s.allPartitions() {
--- a/internal/programs/send.go
+++ b/internal/programs/send.go
@@ -34,9 +34,22 @@
 	}()
 }
 
-// takeSettlements removes the settlements that wait. The caller holds the lock.
+// maxSettlementBytes bounds the settlements of one batch. After an outage of the log, more than one append can take may wait.
+const maxSettlementBytes = maxAppendBytes / 2
+
+// takeSettlements removes the settlements that wait, at most maxSettlementBytes of them. The caller holds the lock.
 func (p *partition) takeSettlements() (l []account.Record) {
-	l, p.settlements = p.settlements, nil
+	bytes, n := 0, 0
+	for n < len(p.settlements) && bytes < maxSettlementBytes {
+		bytes += accountSize(p.settlements[n].Key, p.settlements[n].Turn)
+		n++
+	}
+	l, p.settlements = p.settlements[:n:n], p.settlements[n:]
+	if len(p.settlements) == 0 {
+		p.settlements = nil
+	} else {
+		p.scheduleSendAfter(settleDelay)
+	}
 	return l
 }
 
@@ -132,10 +145,15 @@
 	}()
 }
 
-// flush writes the waiting settlements, and those of the reservations in progress, until there are none or the context ends.
+// flushTries is the number of times that a planned stop tries to write settlements without success.
+const flushTries = 3
+
+// flush writes the waiting settlements, and those of the reservations in progress, until there are none, the context ends or
+// writes have failed flushTries times.
 func (p *partition) flush(ctx context.Context) {
-	for {
+	for failures := 0; failures < flushTries; {
 		p.mu.Lock()
+		before := len(p.settlements)
 		p.sendSettlements()
 		p.mu.Unlock()
 		for p.isSending() {
@@ -145,11 +163,15 @@
 			time.Sleep(time.Millisecond)
 		}
 		p.mu.Lock()
-		waiting := len(p.settlements) > 0
+		after := len(p.settlements)
 		p.mu.Unlock()
-		if !waiting {
+		switch {
+		case after == 0:
 			return
+		case after < before:
+			continue
 		}
+		failures++
 		select {
 		case <-time.After(throttledPause + rand.N(throttledPause)):
 		case <-ctx.Done():
--- a/internal/programs/writer.go
+++ b/internal/programs/writer.go
@@ -44,7 +44,22 @@
 	turns        [][]byte // encoded turns
 }
 
+// accountRecordBytes is more than the size of a reservation or a settlement in the log without the names in it.
+const accountRecordBytes = 160
+
+// accountSize returns about the size of a reservation or a settlement in the log.
+func accountSize(k account.Key, turn string) int {
+	return accountRecordBytes + len(k.Workspace) + len(k.Program) + len(turn)
+}
+
+// size returns about the size of the batch's records in the log.
 func (b batch) size() (bytes int) {
+	for _, r := range b.reservations {
+		bytes += accountSize(r.key, r.turn)
+	}
+	for _, r := range b.settlements {
+		bytes += accountSize(r.Key, r.Turn)
+	}
 	for _, t := range b.turns {
 		bytes += len(t)
 	}
