Ask a leader more than once whether it is there

A leader was asked once, 0.2 s after a call began. One that froze later, for instance while the log was slow, held its callers until their deadline, and turns were lost to them that another instance could write. It is asked every 0.2 s now. The test failed before (2 s, deadline exceeded) and passes now. Instances that failed are also forgotten after the pause; the map of them grew with each instance that ever failed.

--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync"
 	"time"
 
@@ -22,7 +23,7 @@
 const (
 	// maxLeaders is the number of instances that are tried for one call before this instance acts itself.
 	maxLeaders = 2
-	// quietTime is how long a leader may take for a call before it is asked whether it is still there, and aliveTimeout how
+	// quietTime is the interval at which a leader that has not answered a call is asked whether it is there, and aliveTimeout how
 	// long it has for that answer. A slow log delays calls, and must not be taken for a leader that is gone.
 	quietTime    = 200 * time.Millisecond
 	aliveTimeout = 100 * time.Millisecond
@@ -122,17 +123,30 @@
 	return near
 }
 
-// call calls a method of a member. If the answer takes longer than quietTime and the member is gone, it ends early.
-func (r *Recorder) call(ctx context.Context, m Member, method string, params, result any) error {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	quiet := time.AfterFunc(quietTime, func() {
+// watch asks a member now and every quietTime whether it is still there, until the context ends, and cancels it if the member is not.
+func (r *Recorder) watch(ctx context.Context, m Member, cancel context.CancelCauseFunc) {
+	ticker := time.NewTicker(quietTime)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
 		aliveCtx, stop := context.WithTimeout(ctx, aliveTimeout)
-		defer stop()
-		if err := r.Client.Call(aliveCtx, m.Address, methodAlive, struct{}{}, &struct{}{}); err != nil {
+		err := r.Client.Call(aliveCtx, m.Address, methodAlive, struct{}{}, &struct{}{})
+		stop()
+		if err != nil {
 			cancel(err)
+			return
 		}
-	})
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		}
+	}
+}
+
+// call calls a method of a member. It ends early if the member is gone.
+func (r *Recorder) call(ctx context.Context, m Member, method string, params, result any) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	quiet := time.AfterFunc(quietTime, func() { r.watch(ctx, m, cancel) })
 	defer quiet.Stop()
 	return r.Client.Call(ctx, m.Address, method, params, result)
 }
@@ -146,7 +160,9 @@
 
 func (r *Recorder) recordFailure(m Member, p partlog.Partition, err error) {
 	r.mu.Lock()
-	r.failed[m.Instance] = r.Now()
+	now := r.Now()
+	maps.DeleteFunc(r.failed, func(_ ids.InstanceID, at time.Time) bool { return now.Sub(at) >= failedPause })
+	r.failed[m.Instance] = now
 	r.mu.Unlock()
 	events.Log(r.Logger, events.LeaderFailed, zap.String("stream", p.Topic), zap.Int("part", p.Part),
 		zap.String("leader", string(m.Instance)), zap.Error(err))
--- a/internal/recorder/recorder_test.go
+++ b/internal/recorder/recorder_test.go
@@ -62,6 +62,28 @@
 	}
 }
 
+// freezing is alive for 300 ms and then silent.
+func freezing() func(ctx context.Context, method string) error {
+	began := time.Now()
+	return func(ctx context.Context, method string) error {
+		if method != "m" && time.Since(began) < 300*time.Millisecond {
+			return nil
+		}
+		return silent(ctx, method)
+	}
+}
+
+// Guards against a leader that freezes after it has said that it is there, and then holds its callers until their deadline.
+func TestLeaderFreezesDuringCall(t *testing.T) {
+	c := qt.New(t)
+	p := &peers{calls: make(map[string]int), answer: map[string]func(context.Context, string) error{"a": freezing()}}
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	_, err := newRecorder(p).Do(ctx, part, "m", nil, nil, nil)
+	c.Assert(err, qt.IsNil)
+	c.Assert(p.calls["b"], qt.Equals, 1)
+}
+
 func newRecorder(p *peers) *recorder.Recorder {
 	members := []recorder.Member{{Candidate: leader.Candidate{Instance: "self"}, Address: "self"}}
 	for _, id := range []ids.InstanceID{"a", "b", "c"} {
