--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -62,11 +62,12 @@
 	Config
 	mu     sync.Mutex
 	failed map[ids.InstanceID]time.Time // instances that did not answer, and when
+	orders map[partlog.Partition]order
 }
 
 // New returns a recorder.
 func New(c Config) *Recorder {
-	return &Recorder{Config: c, failed: make(map[ids.InstanceID]time.Time)}
+	return &Recorder{Config: c, failed: make(map[ids.InstanceID]time.Time), orders: make(map[partlog.Partition]order)}
 }
 
 // Methods returns the methods that other instances call.
--- a/internal/recorder/recorder_test.go
+++ b/internal/recorder/recorder_test.go
@@ -152,3 +152,20 @@
 	c.Assert(err, qt.IsNotNil)
 	c.Assert(p.calls, qt.DeepEquals, map[string]int{"a": 1})
 }
+
+// Guards against an instance that orders all instances of a large fleet several times for each turn, which took a large part of
+// the time of a small one, and against one that keeps calling a leader that is about to stop.
+func TestOrderIsComputedSeldom(t *testing.T) {
+	c := qt.New(t)
+	now, asked, members := time.Unix(1, 0), 0, []recorder.Member{{Candidate: leader.Candidate{Instance: "a", Weight: 1}, Zone: "z"}}
+	r := recorder.New(recorder.Config{
+		Self: "self", Zone: "z", Now: func() time.Time { return now },
+		Members: func() []recorder.Member { asked++; return members },
+	})
+	for range 50 {
+		c.Assert(r.Near([]partlog.Partition{part}), qt.HasLen, 1)
+	}
+	c.Assert(asked, qt.Equals, 1)
+	members, now = nil, now.Add(200*time.Millisecond)
+	c.Assert(r.Near([]partlog.Partition{part}), qt.HasLen, 0)
+}
