--- a/internal/recorder/recorder_test.go
+++ b/internal/recorder/recorder_test.go
@@ -62,6 +62,28 @@
 	}
 }
 
+// freezing is alive for 300 ms and then silent.
+func freezing() func(ctx context.Context, method string) error {
+	began := time.Now()
+	return func(ctx context.Context, method string) error {
+		if method != "m" && time.Since(began) < 300*time.Millisecond {
+			return nil
+		}
+		return silent(ctx, method)
+	}
+}
+
+// Guards against a leader that freezes after it has said that it is there, and then holds its callers until their deadline.
+func TestLeaderFreezesDuringCall(t *testing.T) {
+	c := qt.New(t)
+	p := &peers{calls: make(map[string]int), answer: map[string]func(context.Context, string) error{"a": freezing()}}
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	_, err := newRecorder(p).Do(ctx, part, "m", nil, nil, nil)
+	c.Assert(err, qt.IsNil)
+	c.Assert(p.calls["b"], qt.Equals, 1)
+}
+
 func newRecorder(p *peers) *recorder.Recorder {
 	members := []recorder.Member{{Candidate: leader.Candidate{Instance: "self"}, Address: "self"}}
 	for _, id := range []ids.InstanceID{"a", "b", "c"} {
@@ -130,3 +152,20 @@
 	c.Assert(err, qt.IsNotNil)
 	c.Assert(p.calls, qt.DeepEquals, map[string]int{"a": 1})
 }
+
+// Guards against an instance that orders all instances of a large fleet several times for each turn, which took a large part of
+// the time of a small one, and against one that keeps calling a leader that is about to stop.
+func TestOrderIsComputedSeldom(t *testing.T) {
+	c := qt.New(t)
+	now, asked, members := time.Unix(1, 0), 0, []recorder.Member{{Candidate: leader.Candidate{Instance: "a", Weight: 1}, Zone: "z"}}
+	r := recorder.New(recorder.Config{
+		Self: "self", Zone: "z", Now: func() time.Time { return now },
+		Members: func() []recorder.Member { asked++; return members },
+	})
+	for range 50 {
+		c.Assert(r.Near([]partlog.Partition{part}), qt.HasLen, 1)
+	}
+	c.Assert(asked, qt.Equals, 1)
+	members, now = nil, now.Add(200*time.Millisecond)
+	c.Assert(r.Near([]partlog.Partition{part}), qt.HasLen, 0)
+}
