Let a shard's next owner take over the debt of tokens granted ahead

Cause: an owner grants tokens up to 1.5 s ahead, and the bucket of the next owner began empty at the time of the release, or of the start of the next run on the instance.

Change: a release states for each shard until when its tokens are in use, and the next owner's buckets begin with that debt. A run that follows another one on its instance without a release takes 1.5 s from its start, the longest time that a token is granted ahead.

--- a/internal/grants/handover_test.go
+++ b/internal/grants/handover_test.go
@@ -1,10 +1,14 @@
 package grants_test
 
 import (
+	"context"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	qt "github.com/frankban/quicktest"
+
 	"github.com/comfreylink/comfreylink/pkg/quota"
 )
 
@@ -79,3 +83,21 @@
 		}
 	}
 }
+
+// Guards against a leaving instance that refuses its own callers although other instances own its shards or may claim them.
+func TestLeavingInstanceAsksOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newSimFleet(1, quota.Limit{Rate: 100, Burst: 7}, 3)
+		defer f.close()
+		time.Sleep(warmUp)
+		d := f.all()[0].process.limiter.Take(context.Background(), hotWorkspace, 0, 0)
+		c.Assert(d.OK, qt.IsTrue)
+		owner := f.instances[d.Granter].process
+		go owner.leave()
+		time.Sleep(1200 * time.Millisecond) // until all have read the release
+		d = owner.limiter.Take(context.Background(), hotWorkspace, 0, maxTokenWait)
+		c.Assert(d.OK, qt.IsTrue, qt.Commentf("%+v", d))
+		c.Assert(d.Granter, qt.Not(qt.Equals), owner.id)
+	})
+}
--- a/internal/reports/reports.go
+++ b/internal/reports/reports.go
@@ -156,7 +156,7 @@
 		if r.Leaving() {
 			l.Leases.Leave()
 		}
-		lease = l.Leases.NewReport(r.Now())
+		lease = l.NewReport(r.Now())
 		r.logGranted(l)
 	})
 	return r.append(ctx, partlog.AnyOffset, lease)
--- a/internal/reports/wire.go
+++ b/internal/reports/wire.go
@@ -1,6 +1,9 @@
 package reports
 
 import (
+	"slices"
+	"time"
+
 	"github.com/comfreylink/comfreylink/pkg/ids"
 	"github.com/comfreylink/comfreylink/pkg/quota"
 )
@@ -21,10 +24,12 @@
 	CPU float64 `json:"cpu,omitempty"`
 	// ReachesLog is false if the instance reaches the log only through others.
 	ReachesLog bool `json:"reachesLog"`
-	// Owned and Released are pairs of a shard and the offset of its claim.
+	// Owned and Released are pairs of a shard and the offset of its claim. DebtsMs holds the debt of each released shard in the
+	// same order, if any shard has one.
 	Owned    [][2]int64    `json:"owned,omitempty"`
 	Claimed  []quota.Shard `json:"claimed,omitempty"`
 	Released [][2]int64    `json:"released,omitempty"`
+	DebtsMs  []int64       `json:"debtsMs,omitempty"`
 	Deaths   []wireDeath   `json:"deaths,omitempty"`
 	// Survived are requests that were suspected and have been completed.
 	Survived []ids.Fingerprint `json:"survived,omitempty"`
@@ -39,13 +44,24 @@
 func (w *wireReport) setLease(r quota.Report) {
 	w.Seq, w.Read, w.Leaving, w.Claimed = r.Seq, r.Read, r.Leaving, r.Claimed
 	w.Owned, w.Released = toPairs(r.Owned), toPairs(r.Released)
+	if slices.ContainsFunc(r.Released, func(o quota.Owned) bool { return o.Debt > 0 }) {
+		for _, o := range r.Released {
+			w.DebtsMs = append(w.DebtsMs, ids.Millis(o.Debt))
+		}
+	}
 }
 
 func (w wireReport) lease() quota.Report {
-	return quota.Report{
+	r := quota.Report{
 		Run: quota.Run{Instance: w.Instance, ID: w.Run}, Seq: w.Seq, Read: w.Read, Leaving: w.Leaving,
 		Owned: fromPairs(w.Owned), Claimed: w.Claimed, Released: fromPairs(w.Released),
 	}
+	if len(w.DebtsMs) == len(r.Released) {
+		for i, ms := range w.DebtsMs {
+			r.Released[i].Debt = time.Duration(ms) * time.Millisecond
+		}
+	}
+	return r
 }
 
 func toPairs(l []quota.Owned) (pairs [][2]int64) {
--- a/pkg/quota/lease.go
+++ b/pkg/quota/lease.go
@@ -14,6 +14,9 @@
 	LeaseTime = 4 * time.Second
 	// claimMargin is added to LeaseTime before another instance claims, because clocks run at slightly different speeds.
 	claimMargin = 100 * time.Millisecond
+	// MaxAhead is the longest time that a token is granted ahead. A run that follows a killed one on its instance assumes that
+	// its buckets owe as much.
+	MaxAhead = 1500 * time.Millisecond
 	// noOffset is the offset of a partition of which nothing was read.
 	noOffset ids.Offset = -1
 )
@@ -28,6 +31,8 @@
 type Owned struct {
 	Shard   Shard
 	Claimed ids.Offset
+	// Debt is, of a released shard, how long after the report its tokens that were granted ahead are still used.
+	Debt time.Duration
 }
 
 // Report is the part of an instance's report that concerns leases. Its offset in the log orders it among all reports.
@@ -80,7 +85,7 @@
 	certain  bool
 	readAt   time.Time // when the run's last report was read
 	released time.Time // when its release was read; zero if it has not released the shard
-	// emptyAt is the latest time at which an earlier owner may have granted; known for the own shards.
+	// emptyAt is when the tokens of earlier owners have been used. It is known for the own shards and for released ones.
 	emptyAt time.Time
 }
 
@@ -90,7 +95,8 @@
 	leaving bool
 }
 
-// sentReport is an own report that was not read back. emptyAt holds, for the shards that it claims, when they became free.
+// sentReport is an own report that was not read back. emptyAt holds, for the shards that it claims, when the tokens of earlier
+// owners have been used.
 type sentReport struct {
 	at      time.Time
 	emptyAt map[Shard]time.Time
@@ -119,7 +125,7 @@
 			continue
 		}
 		if l.leaving {
-			r.Released = append(r.Released, Owned{Shard: s, Claimed: o.claimed})
+			r.Released = append(r.Released, Owned{Shard: s, Claimed: o.claimed, Debt: max(o.emptyAt.Sub(now), 0)})
 			continue
 		}
 		r.Owned = append(r.Owned, Owned{Shard: s, Claimed: o.claimed})
@@ -133,7 +139,7 @@
 	emptyAt := make(map[Shard]time.Time)
 	for _, s := range wanted {
 		if free, ok := l.FreeAt(s); ok && !now.Before(free) {
-			emptyAt[s] = free
+			emptyAt[s] = l.emptyAt(s, free)
 		}
 	}
 	if len(emptyAt) == 0 {
@@ -168,14 +174,27 @@
 	return free.Add(LeaseTime + claimMargin), true
 }
 
+// emptyAt returns when the tokens of earlier owners of a shard that is free since a time have been used. No token is granted
+// past the end of a lease, so only owners that end before it leave tokens behind.
+func (l *Leases) emptyAt(s Shard, free time.Time) time.Time {
+	o := l.owners[s]
+	switch {
+	case o.certain && !o.released.IsZero():
+		return o.emptyAt
+	case o.certain && o.run.Instance == l.self.Instance:
+		return l.began.Add(MaxAhead)
+	}
+	return free
+}
+
 // Owner returns the instance that owns a shard, as far as this one knows.
 func (l *Leases) Owner(s Shard) (id ids.InstanceID, ok bool) {
 	o := l.owners[s]
 	return o.run.Instance, o.run != Run{} && o.released.IsZero()
 }
 
-// Holds reports whether this run may grant from a shard now. The offset of its claim and the time at which the shard was
-// empty belong to its tokens.
+// Holds reports whether this run may grant from a shard now. The offset of its claim and the time at which the shard is
+// empty, which may be to come, belong to its tokens.
 func (l *Leases) Holds(now time.Time, s Shard) (claimed ids.Offset, emptyAt time.Time, ok bool) {
 	o := l.owners[s]
 	return o.claimed, o.emptyAt, o.run == l.self && !l.leaving && now.Before(l.validUntil)
@@ -197,6 +216,9 @@
 // Leave makes this run grant and claim nothing more. Its next report releases its shards.
 func (l *Leases) Leave() { l.leaving = true }
 
+// Leaving reports whether Leave was called.
+func (l *Leases) Leaving() bool { return l.leaving }
+
 // Next returns the offset of the next report to read; ok is false before the first one.
 func (l *Leases) Next() (next ids.Offset, ok bool) { return l.next, l.next != noOffset }
 
@@ -285,7 +307,10 @@
 		return
 	}
 	same := o.run == r.Run && o.claimed == x.Claimed
-	l.owners[x.Shard] = owner{run: r.Run, claimed: x.Claimed, certain: same && o.certain || r.Read >= l.history, readAt: now, released: now}
+	l.owners[x.Shard] = owner{
+		run: r.Run, claimed: x.Claimed, certain: same && o.certain || r.Read >= l.history, readAt: now,
+		released: now, emptyAt: now.Add(x.Debt),
+	}
 }
 
 // dropLost notes which shards a run does not own any more according to its report.
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -1,7 +1,7 @@
 // Package quota limits the request rates of workspaces across all instances. Each workspace's limit is divided into parts,
 // the more of them the larger its burst is. One instance at a time owns a part and grants requests from its token bucket;
 // leases in the log decide which one. What an owner has granted is not known to the next one, so the next one's bucket begins
-// empty.
+// empty, or with the debt of the tokens that the last one has granted ahead.
 //
 // All instances together grant at most Rate*d + Burst + Parts requests of a workspace in any time d. While the limit is changed
 // so that it has another number of parts, instances that know different limits may grant up to half more.
@@ -169,7 +169,7 @@
 	// Headroom is the fraction of the burst that must be left. The first request of a program asks for headroom, so that
 	// running programs find tokens for their next requests.
 	Headroom float64
-	// MaxWait is how long the request can wait for its token.
+	// MaxWait is how long the request can wait for its token. More than MaxAhead counts as MaxAhead.
 	MaxWait time.Duration
 }
 
@@ -191,7 +191,7 @@
 	reserve := min(a.Headroom*b.limit.Burst, b.limit.Burst-1)
 	if missing := 1 + reserve - b.level; missing > 0 {
 		wait := time.Duration(missing / b.limit.Rate * float64(time.Second))
-		if wait > a.MaxWait || !now.Add(wait).Before(l.Leases.ValidUntil()) {
+		if wait > min(a.MaxWait, MaxAhead) || !now.Add(wait).Before(l.Leases.ValidUntil()) {
 			return Grant{Retry: max(wait, minRetry), Level: b.level}, true
 		}
 		g = Grant{Tokens: 1, Wait: wait, Level: b.level, Bucket: b.id}
@@ -238,12 +238,35 @@
 		}
 		l.lastBucket++
 		b = &bucket{limit: c.part(), at: emptyAt, id: BucketID{Claimed: claimed, Seq: l.lastBucket}}
+		if debt := emptyAt.Sub(now); debt > 0 {
+			b.level, b.at = -b.limit.Rate*debt.Seconds(), now
+		}
 		l.buckets[key] = b
 	}
 	b.refill(now)
 	return b
 }
 
+// NewReport returns this run's next report, to be sent now. If the run is leaving, the report says for each of its shards how
+// long tokens that were granted ahead are still used, so that the next owner does not grant beside them.
+func (l *Limiter) NewReport(now time.Time) Report {
+	r := l.Leases.NewReport(now)
+	if len(r.Released) == 0 {
+		return r
+	}
+	debts := make(map[Owned]time.Duration)
+	for key, b := range l.buckets {
+		b.refill(now)
+		o := Owned{Shard: ShardOf(key.workspace, key.part), Claimed: b.id.Claimed}
+		debts[o] = max(debts[o], time.Duration(-b.level/b.limit.Rate*float64(time.Second)))
+	}
+	for i, o := range r.Released {
+		// A bucket whose rate was lowered may owe more time, but all that it granted is used within MaxAhead.
+		r.Released[i].Debt = min(max(o.Debt, debts[Owned{Shard: o.Shard, Claimed: o.Claimed}]), MaxAhead)
+	}
+	return r
+}
+
 // TakeUsage returns what was granted since the last call, and resets the counts.
 func (l *Limiter) TakeUsage(now time.Time) (usage []Usage) {
 	byWorkspace := make(map[ids.WorkspaceID]Usage)
