Confirm tokens that were granted ahead when they are due

Cause: the run that follows a killed one on its instance assumed a debt of 1.5 s, since it cannot know what the killed run has granted ahead. TestRestartedInstanceClaimsForItsOwnCallers failed: a request that cannot wait was refused a second after the start.

Change: a request that has waited for a token of another instance asks that instance whether the run that granted it still runs. The token of a run that was killed is not used, so the next run's buckets begin empty at its start, as before. The debt that a release states is repeated in the reports of the next owner until it is paid, so that its own next run knows it.

--- a/internal/grants/grants.go
+++ b/internal/grants/grants.go
@@ -32,8 +32,9 @@
 
 // Names of methods.
 const (
-	methodGrant  = "grant"
-	methodReturn = "return"
+	methodGrant   = "grant"
+	methodReturn  = "return"
+	methodConfirm = "confirm"
 )
 
 type grantParams struct {
@@ -181,6 +182,10 @@
 	select {
 	case <-time.After(wait):
 	case <-ctx.Done():
+		return d
+	}
+	if !g.confirm(ctx, p, d) {
+		return Decision{Unavailable: true, Retry: claimRetry, Granter: granter, Level: r.Level, part: p.Part}
 	}
 	if g.Now().After(expires) {
 		// The process was suspended. The token belongs to a time in which others may have used up the limit by now.
@@ -347,6 +352,9 @@
 			g.takeBack(p)
 			return struct{}{}, nil
 		}),
+		methodConfirm: rpc.Typed(func(ctx context.Context, p confirmParams) (any, error) {
+			return confirmResult{Valid: g.confirmFor(ctx, p)}, nil
+		}),
 	}
 }
 
--- a/internal/reports/wire.go
+++ b/internal/reports/wire.go
@@ -24,8 +24,8 @@
 	CPU float64 `json:"cpu,omitempty"`
 	// ReachesLog is false if the instance reaches the log only through others.
 	ReachesLog bool `json:"reachesLog"`
-	// Owned and Released are pairs of a shard and the offset of its claim. DebtsMs holds the debt of each released shard in the
-	// same order, if any shard has one.
+	// Owned and Released are pairs of a shard and the offset of its claim. DebtsMs holds the debts of these shards in the same
+	// order, if any shard has one.
 	Owned    [][2]int64    `json:"owned,omitempty"`
 	Claimed  []quota.Shard `json:"claimed,omitempty"`
 	Released [][2]int64    `json:"released,omitempty"`
@@ -44,8 +44,9 @@
 func (w *wireReport) setLease(r quota.Report) {
 	w.Seq, w.Read, w.Leaving, w.Claimed = r.Seq, r.Read, r.Leaving, r.Claimed
 	w.Owned, w.Released = toPairs(r.Owned), toPairs(r.Released)
-	if slices.ContainsFunc(r.Released, func(o quota.Owned) bool { return o.Debt > 0 }) {
-		for _, o := range r.Released {
+	shards := slices.Concat(r.Owned, r.Released)
+	if slices.ContainsFunc(shards, func(o quota.Owned) bool { return o.Debt > 0 }) {
+		for _, o := range shards {
 			w.DebtsMs = append(w.DebtsMs, ids.Millis(o.Debt))
 		}
 	}
@@ -56,10 +57,14 @@
 		Run: quota.Run{Instance: w.Instance, ID: w.Run}, Seq: w.Seq, Read: w.Read, Leaving: w.Leaving,
 		Owned: fromPairs(w.Owned), Claimed: w.Claimed, Released: fromPairs(w.Released),
 	}
-	if len(w.DebtsMs) == len(r.Released) {
-		for i, ms := range w.DebtsMs {
-			r.Released[i].Debt = time.Duration(ms) * time.Millisecond
-		}
+	if len(w.DebtsMs) != len(r.Owned)+len(r.Released) {
+		return r
+	}
+	for i := range r.Owned {
+		r.Owned[i].Debt = time.Duration(w.DebtsMs[i]) * time.Millisecond
+	}
+	for i := range r.Released {
+		r.Released[i].Debt = time.Duration(w.DebtsMs[len(r.Owned)+i]) * time.Millisecond
 	}
 	return r
 }
--- a/pkg/quota/handover_test.go
+++ b/pkg/quota/handover_test.go
@@ -72,3 +72,34 @@
 		c.Assert(o.Debt <= quota.MaxAhead, qt.IsTrue)
 	}
 }
+
+// Guards against a run that follows a killed one on its instance, and forgets the debt that the killed one had taken over shortly
+// before, however much of the log it has read.
+func TestRestartKeepsTheDebtThatWasTakenOver(t *testing.T) {
+	for name, from := range map[string]int{"all": 0, "after the release": 1, "after the claim": 2} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			l := &logOf{}
+			l.join(start, "b", "1")
+			l.append(start, quota.Report{
+				Run: quota.Run{Instance: "a", ID: "1"}, Seq: 1, Read: firstOffset,
+				Released: []quota.Owned{{Shard: shard, Claimed: firstOffset - 1, Debt: time.Second}},
+			})
+			c.Assert(l.claim(start, l.readers[0]), qt.IsTrue)
+			l.append(start, l.readers[0].NewReport(start))
+
+			now := start.Add(100 * time.Millisecond)
+			again := quota.NewLeases(now, quota.Run{Instance: "b", ID: "2"})
+			again.Begin(now, ids.Offset(firstOffset+from))
+			for _, r := range l.reports[from:] {
+				again.Apply(now, r)
+			}
+			claim, ok := again.NewClaim(now, []quota.Shard{shard})
+			c.Assert(ok, qt.IsTrue)
+			again.Apply(now, claim)
+			_, emptyAt, ok := again.Holds(now, shard)
+			c.Assert(ok, qt.IsTrue)
+			c.Assert(emptyAt.Before(start.Add(time.Second)), qt.IsFalse, qt.Commentf("empty after %v", emptyAt.Sub(start)))
+		})
+	}
+}
--- a/pkg/quota/lease.go
+++ b/pkg/quota/lease.go
@@ -14,8 +14,7 @@
 	LeaseTime = 4 * time.Second
 	// claimMargin is added to LeaseTime before another instance claims, because clocks run at slightly different speeds.
 	claimMargin = 100 * time.Millisecond
-	// MaxAhead is the longest time that a token is granted ahead. A run that follows a killed one on its instance assumes that
-	// its buckets owe as much.
+	// MaxAhead is the longest time that a token is granted ahead.
 	MaxAhead = 1500 * time.Millisecond
 	// noOffset is the offset of a partition of which nothing was read.
 	noOffset ids.Offset = -1
@@ -31,7 +30,8 @@
 type Owned struct {
 	Shard   Shard
 	Claimed ids.Offset
-	// Debt is, of a released shard, how long after the report its tokens that were granted ahead are still used.
+	// Debt is how long after the report tokens of earlier owners are still used, and those of the writer if it releases the
+	// shard.
 	Debt time.Duration
 }
 
@@ -85,7 +85,7 @@
 	certain  bool
 	readAt   time.Time // when the run's last report was read
 	released time.Time // when its release was read; zero if it has not released the shard
-	// emptyAt is when the tokens of earlier owners have been used. It is known for the own shards and for released ones.
+	// emptyAt is when the tokens of earlier owners have been used, and those of the run itself if it has released the shard.
 	emptyAt time.Time
 }
 
@@ -124,11 +124,12 @@
 		if o.run != l.self {
 			continue
 		}
+		owned := Owned{Shard: s, Claimed: o.claimed, Debt: max(o.emptyAt.Sub(now), 0)}
 		if l.leaving {
-			r.Released = append(r.Released, Owned{Shard: s, Claimed: o.claimed, Debt: max(o.emptyAt.Sub(now), 0)})
+			r.Released = append(r.Released, owned)
 			continue
 		}
-		r.Owned = append(r.Owned, Owned{Shard: s, Claimed: o.claimed})
+		r.Owned = append(r.Owned, owned)
 	}
 	return r
 }
@@ -175,14 +176,10 @@
 }
 
 // emptyAt returns when the tokens of earlier owners of a shard that is free since a time have been used. No token is granted
-// past the end of a lease, so only owners that end before it leave tokens behind.
+// past the end of a lease, and those that an earlier run on this instance granted ahead are not confirmed any more.
 func (l *Leases) emptyAt(s Shard, free time.Time) time.Time {
-	o := l.owners[s]
-	switch {
-	case o.certain && !o.released.IsZero():
+	if o := l.owners[s]; o.certain && o.emptyAt.After(free) {
 		return o.emptyAt
-	case o.certain && o.run.Instance == l.self.Instance:
-		return l.began.Add(MaxAhead)
 	}
 	return free
 }
@@ -261,7 +258,10 @@
 		if l.owners[s].run == l.self && r.Run != l.self {
 			lost = append(lost, s)
 		}
-		o := owner{run: r.Run, claimed: at, certain: true, readAt: now}
+		o := owner{run: r.Run, claimed: at, certain: true, readAt: now, emptyAt: l.owners[s].emptyAt}
+		if before, known := l.owners[s]; !before.certain && (known || l.history > 0) {
+			o.emptyAt = now.Add(MaxAhead) // the release that the claim followed may not have been read
+		}
 		if r.Run == l.self {
 			gained = append(gained, s)
 			o.emptyAt = now
@@ -297,7 +297,13 @@
 		return
 	}
 	same := o.run == r.Run && o.claimed == x.Claimed
-	l.owners[x.Shard] = owner{run: r.Run, claimed: x.Claimed, certain: same && o.certain || r.Read >= l.history, readAt: now}
+	emptyAt := now.Add(x.Debt)
+	if same {
+		emptyAt = o.emptyAt
+	}
+	l.owners[x.Shard] = owner{
+		run: r.Run, claimed: x.Claimed, certain: same && o.certain || r.Read >= l.history, readAt: now, emptyAt: emptyAt,
+	}
 }
 
 // applyReleased applies that a run has released a shard.
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -223,6 +223,12 @@
 	b.granted--
 }
 
+// Granted reports whether this run has made a bucket and not replaced it since, also if it does not own the part any more.
+func (l *Limiter) Granted(ws ids.WorkspaceID, part int, id BucketID) bool {
+	b := l.buckets[bucketKey{workspace: ws, part: part}]
+	return b != nil && b.id == id
+}
+
 // bucket returns the refilled bucket of a part that this instance owns, or nil.
 func (l *Limiter) bucket(now time.Time, ws ids.WorkspaceID, part int) *bucket {
 	claimed, emptyAt, ok := l.Leases.Holds(now, ShardOf(ws, part))
