--- a/internal/grants/grants.go
+++ b/internal/grants/grants.go
@@ -32,8 +32,9 @@
 
 // Names of methods.
 const (
-	methodGrant  = "grant"
-	methodReturn = "return"
+	methodGrant   = "grant"
+	methodReturn  = "return"
+	methodConfirm = "confirm"
 )
 
 type grantParams struct {
@@ -181,6 +182,10 @@
 	select {
 	case <-time.After(wait):
 	case <-ctx.Done():
+		return d
+	}
+	if !g.confirm(ctx, p, d) {
+		return Decision{Unavailable: true, Retry: claimRetry, Granter: granter, Level: r.Level, part: p.Part}
 	}
 	if g.Now().After(expires) {
 		// The process was suspended. The token belongs to a time in which others may have used up the limit by now.
@@ -258,14 +263,17 @@
 	g.Claim(ctx, s)
 }
 
-// route returns the owner of a shard, empty if none is known, whether this instance may claim the shard, and which other
-// instances to ask if the owner does not answer.
+// route returns the owner of a shard, whether this instance may claim the shard, and which other instances to ask if the owner
+// does not answer. The owner is empty if none is known, or if it is this instance and is leaving.
 func (g *RateLimiter) route(s quota.Shard) (owner ids.InstanceID, free bool, candidates []ids.InstanceID) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.Now()
 	leases := g.limiter.Leases
 	owner, _ = leases.Owner(s)
+	if owner == g.Self.Instance && leases.Leaving() {
+		return "", false, leases.Candidates(now, s, owner, claimCandidates)
+	}
 	at, ok := leases.FreeAt(s)
 	free = ok && !now.Before(at)
 	limit := passOnCandidates
@@ -344,6 +352,9 @@
 			g.takeBack(p)
 			return struct{}{}, nil
 		}),
+		methodConfirm: rpc.Typed(func(ctx context.Context, p confirmParams) (any, error) {
+			return confirmResult{Valid: g.confirmFor(ctx, p)}, nil
+		}),
 	}
 }
 
