--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	ucli "github.com/urfave/cli/v3"
@@ -21,6 +22,9 @@
 		return []ucli.Flag{
 			&ucli.StringFlag{Name: "settings", Usage: "settings `FILE`; by default the one that the platform provides"},
 			&ucli.DurationFlag{Name: "log-retention", Value: defaultLogRetention, Usage: "how long the platform's log keeps records, as a `DURATION`; 0s if it keeps all"},
+			&ucli.IntFlag{Name: "log-appends", Usage: "how many appends a second the platform's log takes from all gateways, in place of the setting callsPerSecond"},
+			&ucli.FloatFlag{Name: "cpu", Usage: "share of a core that the process may use, in place of the setting cpu"},
+			&ucli.StringFlag{Name: "zones", Usage: "the region of each zone as a JSON `OBJECT`, in place of the section [zones]"},
 			&ucli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
 		}
 	},
@@ -44,9 +48,34 @@
 		if s.Store.Retention = r.Duration("log-retention"); s.Store.Retention < 0 {
 			return &UsageError{Reason: "--log-retention is negative"}
 		}
+		if err := applyDeployment(&s, r); err != nil {
+			return err
+		}
 		if r.Bool("check") {
 			return nil
 		}
 		return r.runners.Gateway(ctx, path, s)
 	},
 }
+
+// applyDeployment puts what the command line says about the deployment in place of the settings.
+func applyDeployment(s *settings.Gateway, r *run) error {
+	if r.IsSet("log-appends") {
+		if s.Store.CallsPerSecond = r.Int("log-appends"); s.Store.CallsPerSecond < 0 {
+			return &UsageError{Reason: "--log-appends is negative"}
+		}
+	}
+	if r.IsSet("cpu") {
+		if s.Instance.CPU = r.Float("cpu"); s.Instance.CPU < 0 {
+			return &UsageError{Reason: "--cpu is negative"}
+		}
+	}
+	if r.IsSet("zones") {
+		zones := make(settings.Zones)
+		if err := json.Unmarshal([]byte(r.String("zones")), &zones); err != nil {
+			return &UsageError{Reason: "--zones is no JSON object of zones and regions: " + err.Error()}
+		}
+		s.Zones, s.Instance.Region = zones, zones[s.Instance.Zone]
+	}
+	return nil
+}
--- a/internal/settings/gateway_test.go
+++ b/internal/settings/gateway_test.go
@@ -33,6 +33,11 @@
 	qt.Assert(t, err, qt.IsNil)
 	template, err := os.ReadFile("../../deploy/daemon.ini")
 	qt.Assert(t, err, qt.IsNil)
+	deploy, err := os.ReadFile("../../deploy/system.toml")
+	qt.Assert(t, err, qt.IsNil)
+	// Settings that the deploy file gives on the command line, with their flags.
+	commandLine := map[string]string{"cpu": "cpu", "callsPerSecond": "log-appends", "region": "zones"}
+	given := 0
 	row := regexp.MustCompile("(?m)^## (\\[.*\\])$|^\\| `(.*?)` \\| (.*?) ?\\|")
 	text, keys, section := minimalGateway, 0, ""
 	for _, cells := range row.FindAllStringSubmatch(string(page), -1) {
@@ -41,16 +46,21 @@
 			continue
 		}
 		keys++
-		qt.Check(t, string(template), qt.Contains, "\n"+cells[2]+" = ")
+		if flag, ok := commandLine[cells[2]]; ok {
+			given++
+			qt.Check(t, string(deploy), qt.Contains, " --"+flag+" {{")
+			qt.Check(t, string(template), qt.Not(qt.Contains), "\n"+cells[2]+" = ")
+		} else {
+			qt.Check(t, string(template), qt.Contains, "\n"+cells[2]+" = ")
+		}
 		if cells[3] != "" && cells[3] != "none" {
 			text = strings.Replace(text, section, section+cells[2]+" = "+cells[3]+"\n", 1)
 		}
 	}
 	// The keys of [zones] are names of zones, so the page has no rows for them.
-	const zones = "\n[zones]\n{{#Zones}}{{@}} = {{.}}\n{{/Zones}}\n"
 	qt.Check(t, string(page), qt.Contains, "\n## [zones]\n")
-	qt.Assert(t, string(template), qt.Contains, zones)
-	qt.Assert(t, keys, qt.Equals, strings.Count(strings.Replace(string(template), zones, "", 1), " = "))
+	qt.Assert(t, given, qt.Equals, len(commandLine))
+	qt.Assert(t, keys, qt.Equals, strings.Count(string(template), " = ")+given)
 	documented, err := settings.ParseGateway("page", []byte(text))
 	qt.Assert(t, err, qt.IsNil)
 	defaults, err := settings.ParseGateway("minimal", []byte(minimalGateway))
--- a/review/platform/world.go
+++ b/review/platform/world.go
@@ -311,7 +311,6 @@
 		"{{Node}}", g.name, "{{Zone}}", g.zone, "{{Ip}}", g.ip, "{{Listen.Front}}", g.front, "{{Listen.Ready}}", g.ready,
 		"{{InternalPorts.1}}", relayPort, "{{Limits.MemoryMb}}", "154", "{{Bounds.GraceS}}", "8", "{{Bounds.RevokeMs}}", "5000",
 		"{{Bounds.DrainMs}}", "2000", "{{Provider.Address}}", store, "{{Provider.parts}}", "12",
-		"{{Region}}", "", "{{#Zones}}{{@}} = {{.}}\n{{/Zones}}\n", "", // a deployment without regions
 	).Replace(string(template))
 	if i := strings.Index(text, "{{"); i >= 0 {
 		return fmt.Errorf("the template has a placeholder that is not known here: %s", text[i:min(i+40, len(text))])
