Do not refuse requests for failed reports or for their maximum of tokens

Change: the expected run is the measured mean of the service; reports tell the gate only that writes succeed.

--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -19,7 +19,6 @@
 	"github.com/comfreylink/comfreylink/internal/httpwire"
 	"github.com/comfreylink/comfreylink/internal/partlog"
 	"github.com/comfreylink/comfreylink/internal/programs"
-	"github.com/comfreylink/comfreylink/internal/waitqueue"
 	"github.com/comfreylink/comfreylink/pkg/account"
 	"github.com/comfreylink/comfreylink/pkg/admission"
 	"github.com/comfreylink/comfreylink/pkg/ids"
@@ -273,7 +272,7 @@
 		return nil
 	}
 	a := e.recordGate.Decide(admission.Request{
-		Deadline: e.deadline, Run: waitqueue.UsualDecodeTime(e.req.MaxOutput), First: e.firstCall,
+		Deadline: e.deadline, Run: e.queues.MeanDuration(e.route.Backend(e.backendKey())), First: e.firstCall,
 	})
 	if a.Admitted {
 		return nil
--- a/internal/recordgate/recordgate.go
+++ b/internal/recordgate/recordgate.go
@@ -110,6 +110,16 @@
 	g.update(now)
 }
 
+// Succeeded records a write that was not announced by Begin.
+func (g *Gate) Succeeded(took time.Duration) {
+	if g == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.gate.Succeeded(g.Now(), took)
+}
+
 // GiveUp records that a write ends without success, after AttemptFailed got the error of each attempt.
 func (w *Write) GiveUp() {
 	if w == nil {
--- a/internal/recordgate/recordgate_test.go
+++ b/internal/recordgate/recordgate_test.go
@@ -50,3 +50,17 @@
 	})
 	c.Assert(logged.FilterMessage("admissionRefused").Len(), qt.Equals, 2)
 }
+
+// Guards against an outage that goes on for an instance whose requests are all refused, although its reports are written again.
+func TestReportsEndAnOutage(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	g := recordgate.New(recordgate.Config{Now: func() time.Time { return now }, Observer: &results{}, Logger: zap.NewNop()})
+	for range 3 {
+		g.Begin().End(partlog.ErrOutcomeUnknown)
+	}
+	request := admission.Request{Deadline: now.Add(5 * time.Second), Run: time.Second}
+	c.Assert(g.Decide(request).Admitted, qt.IsFalse)
+	g.Succeeded(10 * time.Millisecond)
+	c.Assert(g.Decide(request).Admitted, qt.IsTrue)
+}
--- a/internal/reports/reports.go
+++ b/internal/reports/reports.go
@@ -60,7 +60,7 @@
 	Now       func() time.Time
 	Logger    *zap.Logger
 	// Writes is notified of the reports that are written. They show the end of an outage of the log also at an instance that
-	// refuses all requests meanwhile.
+	// refuses all requests meanwhile. Reports that fail are no sign against the records of requests, which others may write.
 	Writes *recordgate.Gate
 }
 
@@ -180,9 +180,10 @@
 	if err == nil {
 		ctx, cancel := context.WithTimeout(pacedlog.WithKind(ctx, logpace.Lease), timeout)
 		defer cancel()
-		write := r.Writes.Begin()
-		first, err = r.Log.Append(ctx, partition, at, data)
-		write.End(err)
+		began := r.Now()
+		if first, err = r.Log.Append(ctx, partition, at, data); err == nil {
+			r.Writes.Succeeded(r.Now().Sub(began))
+		}
 	}
 	if err != nil {
 		r.mu.Lock()
--- a/internal/waitqueue/queue.go
+++ b/internal/waitqueue/queue.go
@@ -189,9 +189,17 @@
 	plainRate = 10
 )
 
-// UsualDecodeTime returns the usual time in which an engine generates tokens.
-func UsualDecodeTime(output ids.Tokens) time.Duration {
-	return time.Duration(float64(max(output, 0)) / engineDecodeRate * float64(time.Second))
+// MeanDuration returns the mean duration of a service's requests at targets; 0 before the first one has ended.
+func (q *Queues) MeanDuration(service call.ServiceName) time.Duration {
+	q.mu.Lock()
+	sq := q.queues[service]
+	q.mu.Unlock()
+	if sq == nil {
+		return 0
+	}
+	sq.mu.Lock()
+	defer sq.mu.Unlock()
+	return sq.queue.MeanDuration()
 }
 
 func (q *serviceQueue) update(now time.Time, targets []call.Target, s *call.Service) {
--- a/pkg/dispatch/queue.go
+++ b/pkg/dispatch/queue.go
@@ -211,6 +211,11 @@
 	q.suspects.dropOld(now)
 }
 
+// MeanDuration returns the mean duration of a call; 0 before the first one has completed.
+func (q *Queue) MeanDuration() time.Duration {
+	return time.Duration(q.meanSeconds * float64(time.Second))
+}
+
 // Len returns the number of waiting items.
 func (q *Queue) Len() int { return q.queued }
 
