Split the gateway package's long files by decision

The states of slowWatch are named, and the time between checks of a planned stop is a constant. No behavior changes.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -79,34 +79,9 @@
 const (
 	// topicsPerKeyspace spreads programs and turns over many partitions, so that two programs seldom share one.
 	topicsPerKeyspace = 32
-	// freshMargin is how much earlier than its bound a configuration counts as stale, because requests still travel to targets.
-	freshMargin = 700 * time.Millisecond
-	// maxReadyAge is the age of the configuration up to which the gateway reports itself ready for new callers.
-	maxReadyAge = 2500 * time.Millisecond
-	// leaveDelay is how long after SIGTERM callers are still accepted: the load balancer notices after two probes.
-	leaveDelay = 2500 * time.Millisecond
-	// answerMargin is how long before its exit the gateway answers the requests that it cannot finish.
-	answerMargin = 200 * time.Millisecond
-	// exitMargin is how long before the end of the grace period, when it would be killed, the gateway exits.
-	exitMargin = 400 * time.Millisecond
-	// announceTimeout bounds the report to the other instances that this one leaves.
-	announceTimeout = 500 * time.Millisecond
-	// queueTick is how often the queues are checked for requests that can be placed only because time has passed.
-	queueTick = 10 * time.Millisecond
-	// updateInterval is how often the targets are applied to the queues again, because some of them expire by time alone.
-	updateInterval = 500 * time.Millisecond
 	// recordInterval is the minimum time between two appends to a partition with the records of programs. It adds half of
 	// that to the end of a turn under load.
 	recordInterval = 25 * time.Millisecond
-	// standbyInterval is how often an instance reads the partitions that it may have to lead.
-	standbyInterval = time.Second
-	// cleanupInterval is how often old state is deleted.
-	cleanupInterval = 5 * time.Second
-	// Limits that apply before the first configuration is read.
-	initialHeaderBytes   = 16 << 10
-	initialBodyBytes     = 4 << 20
-	initialHeaderTimeout = 3 * time.Second
-	initialIdleTimeout   = 15 * time.Second
 )
 
 // Gateway is one instance of the gateway. Create it with New and call Run once.
@@ -205,25 +180,6 @@
 
 func (g *Gateway) now() time.Time { return g.Clock.Now() }
 
-func (g *Gateway) limits() httpwire.Limits {
-	t := g.follower.Table()
-	if t == nil {
-		return httpwire.Limits{HeaderBytes: initialHeaderBytes, BodyBytes: initialBodyBytes, HeaderTimeout: initialHeaderTimeout, IdleTimeout: initialIdleTimeout}
-	}
-	l := t.Config.Limits
-	return httpwire.Limits{
-		HeaderBytes: orDefault(l.HeaderBytes, initialHeaderBytes), BodyBytes: orDefault(l.BodyBytes, initialBodyBytes),
-		HeaderTimeout: orDefault(l.HeaderTimeout, initialHeaderTimeout), IdleTimeout: orDefault(l.IdleTimeout, initialIdleTimeout),
-	}
-}
-
-func orDefault[T int | time.Duration](v, d T) T {
-	if v <= 0 {
-		return d
-	}
-	return v
-}
-
 // followerChanged applies a new configuration or a new list of targets.
 func (g *Gateway) followerChanged(now time.Time) {
 	g.logEmptyZones(now)
@@ -294,20 +250,6 @@
 	return l
 }
 
-// standby keeps up with the partitions that this instance may have to lead.
-func (g *Gateway) standby(ctx context.Context) error {
-	ticker := time.NewTicker(standbyInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			g.programs.Standby(ctx)
-		}
-	}
-}
-
 // listen opens a listener that outlasts errors of single connections.
 func (g *Gateway) listen(address string) (net.Listener, error) {
 	l, err := net.Listen("tcp", address)
@@ -316,138 +258,3 @@
 	}
 	return httpwire.KeepAccepting(l, g.logFailure("accept")), nil
 }
-
-// errStopping is the cause that ends the contexts of requests that a planned stop cannot finish.
-var errStopping = errors.New("the gateway is stopping")
-
-// drain reports to the load balancer that the gateway is not ready, accepts callers until the balancer has noticed, and then
-// waits for the requests in progress. Those that do not end in time are answered before the exit.
-func (g *Gateway) drain(callerListener net.Listener) {
-	began := time.Now()
-	g.takeUntil.Store(g.now().Add(leaveDelay).UnixNano())
-	g.draining.Store(true)
-	go g.announceLeave()
-	g.updateReady(g.now())
-	events.Log(g.Logger, events.Draining, zap.Int("inProgress", g.server.Active()), zap.Duration("timeout", g.Settings.Instance.Grace))
-	g.server.DisableKeepAlive()
-	exitAt := began.Add(g.Settings.Instance.Grace - exitMargin)
-	cancelAt := exitAt.Add(-answerMargin)
-	for now := time.Now(); now.Before(exitAt); now = time.Now() {
-		if now.Sub(began) > leaveDelay || !now.Before(cancelAt) {
-			// A request accepted later could take longer than the time until the exit.
-			_ = callerListener.Close()
-			g.server.CloseIdle()
-			if g.server.Active() == 0 {
-				break
-			}
-		}
-		if !now.Before(cancelAt) {
-			g.server.CancelRunning(errStopping)
-		}
-		time.Sleep(min(20*time.Millisecond, exitAt.Sub(now)))
-	}
-	g.flush(exitAt)
-}
-
-// takesRequests reports whether a request that was read by now may be passed on. It may not late in a planned stop, because
-// it could take longer than the time until the exit.
-func (g *Gateway) takesRequests(now time.Time) bool {
-	until := g.takeUntil.Load()
-	return until == 0 || now.UnixNano() < until
-}
-
-// announceLeave reports to the other instances at once that this one no longer grants requests from workspaces' rate limits.
-func (g *Gateway) announceLeave() {
-	ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
-	defer cancel()
-	if _, err := g.reports.Write(ctx); err != nil {
-		events.Log(g.Logger, events.ReportFailed, zap.String("operation", "leave"), zap.Error(err))
-	}
-}
-
-// flush writes pending records and the last report. It stops trying half of exitMargin after exitAt, and half of that time is
-// left for the report.
-func (g *Gateway) flush(exitAt time.Time) {
-	ctx, cancel := context.WithDeadline(context.Background(), exitAt.Add(exitMargin/2))
-	defer cancel()
-	recordsCtx, cancelRecords := context.WithDeadline(ctx, exitAt.Add(exitMargin/4))
-	defer cancelRecords()
-	g.programs.Flush(recordsCtx)
-	_, err := g.reports.Write(ctx)
-	if err = errors.Join(err, g.reports.RecordCrashes(ctx)); err != nil {
-		events.Log(g.Logger, events.ReportFailed, zap.String("operation", "last"), zap.Error(err))
-	}
-}
-
-func (g *Gateway) probe(c *fasthttp.RequestCtx) {
-	if string(c.Path()) != g.ReadyPath {
-		c.SetStatusCode(fasthttp.StatusNotFound)
-		return
-	}
-	if !g.updateReady(g.now()) {
-		c.SetStatusCode(fasthttp.StatusServiceUnavailable)
-	}
-}
-
-// updateReady reports whether the gateway is ready for new callers, and logs each change.
-func (g *Gateway) updateReady(now time.Time) bool {
-	age, known := g.follower.Freshness(now)
-	reason := ""
-	switch {
-	case g.draining.Load():
-		reason = "draining"
-	case !known:
-		reason = "no configuration"
-	case !g.follower.TargetsKnown():
-		reason = "no list of targets"
-	case age > maxReadyAge:
-		reason = "stale configuration"
-	}
-	ready := reason == ""
-	if g.ready.Swap(ready) != ready {
-		events.Log(g.Logger, events.ReadinessChanged, zap.Bool("ready", ready), zap.String("reason", reason),
-			zap.Duration("configAge", age), zap.Int64("configVersion", g.configVersion()))
-	}
-	return ready
-}
-
-// tick does the periodic work: it places waiting requests, updates the queues' targets and deletes old state.
-func (g *Gateway) tick(ctx context.Context) error {
-	ticker := time.NewTicker(queueTick)
-	defer ticker.Stop()
-	lastCleanup, lastUpdate := g.now(), g.now()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-		now := g.now()
-		g.queues.Tick(now)
-		if now.Sub(lastUpdate) > updateInterval {
-			lastUpdate = now
-			g.updateReady(now)
-			// After an outage of the log a removed target may still be used for some time. No event reports the end of that time.
-			g.followerChanged(now)
-		}
-		if now.Sub(lastCleanup) > cleanupInterval {
-			lastCleanup = now
-			g.dropOld(now)
-		}
-	}
-}
-
-func (g *Gateway) dropOld(now time.Time) {
-	g.Client.CloseStale(now)
-	retention := time.Duration(0)
-	if t := g.follower.Table(); t != nil {
-		for _, r := range t.Config.Routes {
-			if r.Remembered {
-				retention = max(retention, r.Retention)
-			}
-		}
-	}
-	g.programs.DropOld(now, retention)
-	g.reports.DropOld(now)
-	g.dropIdlePrograms(now)
-}
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -1,10 +1,6 @@
 package gateway
 
-import (
-	"github.com/valyala/fasthttp"
-
-	"github.com/comfreylink/comfreylink/internal/httpwire"
-)
+import "github.com/comfreylink/comfreylink/internal/httpwire"
 
 const (
 	// answerMemoryShare is the share of the process's memory that the bodies of answers in progress may hold together, and
@@ -13,14 +9,10 @@
 	defaultAnswerMemory = 64 << 20
 )
 
-// newAnswerMemory returns the limit for the bodies of answers in a process with a memory limit, or 0 for none.
+// newAnswerMemory returns the limit for the bodies of answers. processBytes is the memory limit of the process; 0 for none.
 func newAnswerMemory(processBytes int64) *httpwire.MemoryLimit {
 	if processBytes == 0 {
 		return httpwire.NewMemoryLimit(defaultAnswerMemory)
 	}
 	return httpwire.NewMemoryLimit(int64(answerMemoryShare * float64(processBytes)))
 }
-
-func responseHeaders(h *fasthttp.ResponseHeader) []byte {
-	return httpwire.AppendHeaders(nil, h.All(), h.Peek("Connection"), nil)
-}
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -4,12 +4,42 @@
 	"context"
 	"time"
 
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
 	"github.com/comfreylink/comfreylink/internal/call"
+	"github.com/comfreylink/comfreylink/internal/events"
 	"github.com/comfreylink/comfreylink/internal/grants"
 	"github.com/comfreylink/comfreylink/pkg/account"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 )
 
+// admitByRate takes a token of the workspace's rate limit for the request. It returns nil if the request gets one, or if its
+// route is public and so has no limit.
+func (e *exchange) admitByRate() *refusal {
+	if e.workspace == nil {
+		return nil
+	}
+	admitted := e.admittedRequests(e.workspace.ID, e.req.Program)
+	if belongsToRunningProgram(e.req, e.route) {
+		admitted = max(admitted, 1)
+	}
+	d, reserve := e.takeQuota(e.ctx, e.workspace.ID, admitted, e.route.Priority, e.deadline)
+	if !d.OK {
+		events.Log(e.Logger, events.RateRefused, zap.String("requestId", string(e.req.ID)), zap.String("workspace", string(e.workspace.ID)),
+			zap.String("granter", string(d.Granter)), zap.Float64("tokens", d.Level), zap.Bool("unavailable", d.Unavailable), zap.Float64("rate", e.workspace.Rate),
+			zap.Float64("burst", e.workspace.Burst), zap.Float64("spare", reserve), zap.Int("programRequests", admitted))
+		if d.Unavailable {
+			return &refusal{status: fasthttp.StatusServiceUnavailable, code: codeRateUnavailable, retry: min(d.Retry, outageRetryDelay)}
+		}
+		return &refusal{status: fasthttp.StatusTooManyRequests, code: codeRate, retry: d.Retry}
+	}
+	e.quota = d
+	e.firstCall = admitted == 0 && e.req.Program != ""
+	e.countAdmitted(e.began, e.workspace.ID, e.req.Program)
+	return nil
+}
+
 // takeQuota takes one request from a workspace's rate limit, and waits a short time before it refuses. admitted is the number
 // of requests of the program so far. Running programs have precedence over first calls, which must leave a reserve: a
 // program that is refused midway has used its workspace's rate in vain.
--- a/internal/gateway/slow.go
+++ b/internal/gateway/slow.go
@@ -15,11 +15,11 @@
 )
 
 const (
-	// slowFactor and minSlow say when a target is far beyond the expected time: after this multiple of it, and not earlier
-	// than minSlow, because short times vary more.
+	// slowFactor and minSlow say when an attempt is too slow: its answer has not begun after slowFactor times the expected time,
+	// and at least minSlow, because short times vary more.
 	slowFactor = 4
 	minSlow    = 300 * time.Millisecond
-	// slowReserve is how many requests may be sent to a second target without earlier requests.
+	// slowReserve is how many second attempts are allowed before any requests have filled the budget.
 	slowReserve = 2
 	// reasonTooSlow is the reason of attempts that were given up for a second target.
 	reasonTooSlow = "tooSlow"
@@ -34,15 +34,17 @@
 	return retry.NewBudget(o)
 }
 
-// slowWatch closes the connection of an attempt whose answer does not begin in time. Its state changes once, to given up or to
-// answered.
+// slowWatch closes the connection of an attempt whose answer does not begin in time. Its state changes once, from watching to
+// one of the others. A nil slowWatch watches nothing.
 type slowWatch struct {
 	timer *time.Timer
 	state atomic.Int32
 }
 
+// States of a slowWatch.
 const (
-	slowAnswered = iota + 1
+	slowWatching int32 = iota
+	slowAnswered
 	slowGivenUp
 )
 
@@ -62,28 +64,29 @@
 	w := new(slowWatch)
 	attempts, latest := e.attempts, e.deadline.Add(-slowFactor/2*p.Expected)
 	w.timer = time.AfterFunc(max(slowFactor*p.Expected, minSlow), func() {
-		if e.maySecond(attempts, latest) && w.state.CompareAndSwap(0, slowGivenUp) {
+		if e.allowSecondAttempt(attempts, latest) && w.state.CompareAndSwap(slowWatching, slowGivenUp) {
 			conn.Close()
 		}
 	})
 	return w
 }
 
-// maySecond spends from the budget for a second attempt, which must begin before a time.
-func (e *exchange) maySecond(attempts int, latest time.Time) bool {
+// allowSecondAttempt reports whether a slow request may be sent to a second target, and spends from the budget for that. The
+// second attempt must begin before the latest time.
+func (e *exchange) allowSecondAttempt(attempts int, latest time.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	_, why := e.slowRetries.Decide(e.now(), retry.Failure{Idempotent: true, Sent: true, Attempts: attempts, Deadline: latest}, rand.New(rand.NewPCG(0, 0)))
 	return why == ""
 }
 
-// ended ends the watch and reports whether the attempt was given up.
-func (w *slowWatch) ended() bool {
+// stop ends the watch and reports whether the attempt was given up.
+func (w *slowWatch) stop() (givenUp bool) {
 	if w == nil {
 		return false
 	}
 	w.timer.Stop()
-	return !w.state.CompareAndSwap(0, slowAnswered)
+	return !w.state.CompareAndSwap(slowWatching, slowAnswered)
 }
 
 var errTooSlow = errors.New("the answer did not begin within a multiple of the expected time")
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -144,3 +144,8 @@
 	e.logAnswered(fasthttp.StatusOK)
 	return attemptResult{done: true, reason: "answered", outcome: dispatch.Completed, usage: usage}
 }
+
+// responseHeaders returns the headers of a target's answer that the caller gets.
+func responseHeaders(h *fasthttp.ResponseHeader) []byte {
+	return httpwire.AppendHeaders(nil, h.All(), h.Peek("Connection"), nil)
+}
