Rename internal/recorder to internal/leaders and its type to Client

The package records nothing: it finds and calls the leaders of partitions. Names of methods on the wire stay.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,9 +23,9 @@
 	"github.com/comfreylink/comfreylink/internal/follower"
 	"github.com/comfreylink/comfreylink/internal/grants"
 	"github.com/comfreylink/comfreylink/internal/httpwire"
+	"github.com/comfreylink/comfreylink/internal/leaders"
 	"github.com/comfreylink/comfreylink/internal/partlog"
 	"github.com/comfreylink/comfreylink/internal/programs"
-	"github.com/comfreylink/comfreylink/internal/recorder"
 	"github.com/comfreylink/comfreylink/internal/recordgate"
 	"github.com/comfreylink/comfreylink/internal/relay"
 	"github.com/comfreylink/comfreylink/internal/reports"
@@ -98,9 +98,9 @@
 	takeUntil atomic.Int64
 	ready     atomic.Bool
 
-	grants   *grants.RateLimiter
-	reports  *reports.Reports
-	recorder *recorder.Recorder // nil if each instance writes its own records
+	grants  *grants.RateLimiter
+	reports *reports.Reports
+	leaders *leaders.Client // nil if each instance writes its own records
 	// recordGate refuses requests whose records would not be written in time; nil if the log's limit is not known.
 	recordGate *recordgate.Gate
 
@@ -151,20 +151,20 @@
 		Index:    partlog.Keyspace{Name: "turns", Topics: topicsPerKeyspace, Parts: parts},
 	}
 	if n := g.Settings.Store.RecordPartitions; n > 0 {
-		g.recorder = recorder.New(recorder.Config{
-			Self: g.Settings.Instance.ID, Zone: g.Settings.Instance.Zone, Members: g.leaderCandidates, Client: g.RPC, Now: g.Clock.Now, Logger: g.Logger,
+		g.leaders = leaders.New(leaders.Config{
+			Self: g.Settings.Instance.ID, Zone: g.Settings.Instance.Zone, Members: g.leaderCandidates, Caller: g.RPC, Now: g.Clock.Now, Logger: g.Logger,
 		})
 		c.Programs = partlog.Keyspace{Name: "records", Topics: 1, Parts: n}
-		c.Leaders, c.WriteInterval = g.recorder, recordInterval
+		c.Leaders, c.WriteInterval = g.leaders, recordInterval
 	}
 	return c
 }
 
 // leaderCandidates returns the instances that may lead partitions. The bodies of turns must not leave the region, so each
 // region has leaders of its own.
-func (g *Gateway) leaderCandidates() []recorder.Member {
+func (g *Gateway) leaderCandidates() []leaders.Member {
 	region := g.Settings.Instance.Region
-	return slices.DeleteFunc(g.reports.Members(), func(m recorder.Member) bool {
+	return slices.DeleteFunc(g.reports.Members(), func(m leaders.Member) bool {
 		other, ok := g.Settings.Zones[m.Zone]
 		return ok && other != region
 	})
@@ -244,8 +244,8 @@
 // methods returns the methods that other instances call.
 func (g *Gateway) methods() []map[string]rpc.Method {
 	l := []map[string]rpc.Method{g.Log.Methods(), g.grants.Methods()}
-	if g.recorder != nil {
-		l = append(l, g.recorder.Methods(), g.programs.Methods())
+	if g.leaders != nil {
+		l = append(l, g.leaders.Methods(), g.programs.Methods())
 	}
 	return l
 }
--- a/internal/recorder/recorder_test.go
+++ b/internal/leaders/leaders_test.go
@@ -1,4 +1,4 @@
-package recorder_test
+package leaders_test
 
 import (
 	"context"
@@ -11,8 +11,8 @@
 	"github.com/sourcegraph/jsonrpc2"
 	"go.uber.org/zap"
 
+	"github.com/comfreylink/comfreylink/internal/leaders"
 	"github.com/comfreylink/comfreylink/internal/partlog"
-	"github.com/comfreylink/comfreylink/internal/recorder"
 	"github.com/comfreylink/comfreylink/internal/rpc"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 	"github.com/comfreylink/comfreylink/pkg/leader"
@@ -79,20 +79,20 @@
 	p := &peers{calls: make(map[string]int), answer: map[string]func(context.Context, string) error{"a": freezing()}}
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
-	_, err := newRecorder(p).Do(ctx, part, "m", nil, nil, nil)
+	_, err := newClient(p).Do(ctx, part, "m", nil, nil, nil)
 	c.Assert(err, qt.IsNil)
 	c.Assert(p.calls["b"], qt.Equals, 1)
 }
 
-func newRecorder(p *peers) *recorder.Recorder {
-	members := []recorder.Member{{Candidate: leader.Candidate{Instance: "self"}, Address: "self"}}
+func newClient(p *peers) *leaders.Client {
+	members := []leaders.Member{{Candidate: leader.Candidate{Instance: "self"}, Address: "self"}}
 	for _, id := range []ids.InstanceID{"a", "b", "c"} {
 		// Weights so far apart make the order a, b, c, self.
 		weight := map[ids.InstanceID]float64{"a": 1e9, "b": 1e4, "c": 1}[id]
-		members = append(members, recorder.Member{Candidate: leader.Candidate{Instance: id, Weight: weight}, Address: string(id)})
+		members = append(members, leaders.Member{Candidate: leader.Candidate{Instance: id, Weight: weight}, Address: string(id)})
 	}
-	return recorder.New(recorder.Config{
-		Self: "self", Members: func() []recorder.Member { return members }, Client: p, Now: time.Now, Logger: zap.NewNop(),
+	return leaders.New(leaders.Config{
+		Self: "self", Members: func() []leaders.Member { return members }, Caller: p, Now: time.Now, Logger: zap.NewNop(),
 	})
 }
 
@@ -100,7 +100,7 @@
 func TestNextLeader(t *testing.T) {
 	c := qt.New(t)
 	p := &peers{calls: make(map[string]int), answer: map[string]func(context.Context, string) error{"a": dead}}
-	r := newRecorder(p)
+	r := newClient(p)
 	for range 5 {
 		_, err := r.Do(context.Background(), part, "m", nil, nil, func() error { return errors.New("acted itself") })
 		c.Assert(err, qt.IsNil)
@@ -114,7 +114,7 @@
 	c := qt.New(t)
 	p := &peers{calls: make(map[string]int), answer: map[string]func(context.Context, string) error{"a": dead, "b": dead}}
 	local := 0
-	unanswered, err := newRecorder(p).Do(context.Background(), part, "m", nil, nil, func() error { local++; return nil })
+	unanswered, err := newClient(p).Do(context.Background(), part, "m", nil, nil, func() error { local++; return nil })
 	c.Assert(err, qt.IsNil)
 	c.Assert(unanswered, qt.IsFalse)
 	c.Assert(local, qt.Equals, 1)
@@ -126,7 +126,7 @@
 func TestSlowAndSilentLeaders(t *testing.T) {
 	c := qt.New(t)
 	p := &peers{calls: make(map[string]int), answer: map[string]func(context.Context, string) error{"a": slow}}
-	unanswered, err := newRecorder(p).Do(context.Background(), part, "m", nil, nil, nil)
+	unanswered, err := newClient(p).Do(context.Background(), part, "m", nil, nil, nil)
 	c.Assert(err, qt.IsNil)
 	c.Assert(unanswered, qt.IsFalse)
 	c.Assert(p.calls, qt.DeepEquals, map[string]int{"a": 1})
@@ -135,7 +135,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
 	began := time.Now()
-	unanswered, err = newRecorder(p).Do(ctx, part, "m", nil, nil, nil)
+	unanswered, err = newClient(p).Do(ctx, part, "m", nil, nil, nil)
 	c.Assert(err, qt.IsNil)
 	c.Assert(unanswered, qt.IsTrue)
 	c.Assert(time.Since(began) < time.Second, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
@@ -148,7 +148,7 @@
 	p := &peers{calls: make(map[string]int), answer: map[string]func(context.Context, string) error{
 		"a": func(context.Context, string) error { return &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams} },
 	}}
-	_, err := newRecorder(p).Do(context.Background(), part, "m", nil, nil, nil)
+	_, err := newClient(p).Do(context.Background(), part, "m", nil, nil, nil)
 	c.Assert(err, qt.IsNotNil)
 	c.Assert(p.calls, qt.DeepEquals, map[string]int{"a": 1})
 }
@@ -157,10 +157,10 @@
 // the time of a small one, and against one that keeps calling a leader that is about to stop.
 func TestOrderIsComputedSeldom(t *testing.T) {
 	c := qt.New(t)
-	now, asked, members := time.Unix(1, 0), 0, []recorder.Member{{Candidate: leader.Candidate{Instance: "a", Weight: 1}, Zone: "z"}}
-	r := recorder.New(recorder.Config{
+	now, asked, members := time.Unix(1, 0), 0, []leaders.Member{{Candidate: leader.Candidate{Instance: "a", Weight: 1}, Zone: "z"}}
+	r := leaders.New(leaders.Config{
 		Self: "self", Zone: "z", Now: func() time.Time { return now },
-		Members: func() []recorder.Member { asked++; return members },
+		Members: func() []leaders.Member { asked++; return members },
 	})
 	for range 50 {
 		c.Assert(r.Near([]partlog.Partition{part}), qt.HasLen, 1)
--- a/internal/recorder/order.go
+++ b/internal/leaders/order.go
@@ -1,4 +1,4 @@
-package recorder
+package leaders
 
 import (
 	"fmt"
@@ -11,9 +11,9 @@
 	"github.com/comfreylink/comfreylink/pkg/leader"
 )
 
-// orderTime is how long the order of a partition's leaders is kept. To compute it takes longer than the rest of a call in a
-// large fleet, and an order may be outdated anyway.
-const orderTime = 100 * time.Millisecond
+// orderTTL is how long the order of a partition's leaders is kept. In a large fleet, to compute it takes longer than the rest of
+// a call. An outdated order does no harm, since instances may know different leaders anyway.
+const orderTTL = 100 * time.Millisecond
 
 // order is the order of a partition's leaders, as it was at a time.
 type order struct {
@@ -22,26 +22,26 @@
 }
 
 // leaders returns the members in the order in which they may lead a partition. The caller must not change the list.
-func (r *Recorder) leaders(p partlog.Partition) []Member {
-	now := r.Now()
-	r.mu.Lock()
-	o, ok := r.orders[p]
-	r.mu.Unlock()
-	if ok && now.Sub(o.at) < orderTime {
+func (c *Client) leaders(p partlog.Partition) []Member {
+	now := c.Now()
+	c.mu.Lock()
+	o, ok := c.orders[p]
+	c.mu.Unlock()
+	if ok && now.Sub(o.at) < orderTTL {
 		return o.members
 	}
-	o = order{members: r.computeOrder(p), at: now}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.orders[p] = o
+	o = order{members: c.computeOrder(p), at: now}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.orders[p] = o
 	return o.members
 }
 
 // computeOrder returns the members in the order in which they may lead a partition. The partitions of a topic are dealt to the
 // zones in turn, and the members of the partition's zone come first, so that each zone has leaders of its own. Members
 // without a weight come last, whatever their zone.
-func (r *Recorder) computeOrder(p partlog.Partition) (list []Member) {
-	members := r.Members()
+func (c *Client) computeOrder(p partlog.Partition) (list []Member) {
+	members := c.Members()
 	byID := make(map[ids.InstanceID]Member, len(members))
 	zones := make(map[ids.Zone]bool)
 	for _, m := range members {
@@ -61,8 +61,8 @@
 		}
 	}
 	key := fmt.Sprintf("%s/%d", p.Topic, p.Part)
-	for _, c := range slices.Concat(leader.Order(near, key), leader.Order(far, key)) {
-		list = append(list, byID[c.Instance])
+	for _, candidate := range slices.Concat(leader.Order(near, key), leader.Order(far, key)) {
+		list = append(list, byID[candidate.Instance])
 	}
 	return list
 }
