--- a/internal/programs/find.go
+++ b/internal/programs/find.go
@@ -68,7 +68,7 @@
 	}()
 	all := s.Programs.Partitions()
 	l, missing := s.chainInMemory(id)
-	// A turn that is found may continue turns that the leaders asked so far don't have.
+	// Each list of leaders is asked twice: a turn that the first call finds may continue turns that only others have.
 	for _, step := range []struct {
 		partitions []partlog.Partition
 		memoryOnly bool
@@ -91,8 +91,8 @@
 	}
 }
 
-// fetchTurns asks the leaders of partitions for turns, and adds what they return to the memory. A leader that has no answer is
-// an error only if the turns are sought in its partition.
+// fetchTurns asks the leaders of partitions for turns, and adds what they return to the memory. A leader that does not answer is
+// an error only if it is to read its partition: what it has in memory is in its partition too.
 func (s *Store) fetchTurns(ctx context.Context, notBefore time.Time, partitions []partlog.Partition, wanted []call.ID, memoryOnly bool) error {
 	tasks, ctx := errgroup.WithContext(ctx)
 	for _, id := range partitions {
--- a/internal/programs/partition.go
+++ b/internal/programs/partition.go
@@ -106,11 +106,14 @@
 // the place of other calls, so these delays are longer and random.
 func retryDelay(cause error) time.Duration {
 	if errors.Is(cause, partlog.ErrThrottled) {
-		return throttledPause + rand.N(throttledPause)
+		return throttledDelay()
 	}
 	return retryPause
 }
 
+// throttledDelay returns the delay before a call is repeated that the log may have throttled.
+func throttledDelay() time.Duration { return throttledPause + rand.N(throttledPause) }
+
 // read reads the partition to its end. It does nothing if a read that began after notBefore has reached the end.
 func (p *partition) read(ctx context.Context, notBefore time.Time) error {
 	p.readLock.Lock()
--- a/internal/programs/send.go
+++ b/internal/programs/send.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"time"
 
 	"github.com/comfreylink/comfreylink/internal/partlog"
@@ -173,7 +172,7 @@
 		}
 		failures++
 		select {
-		case <-time.After(throttledPause + rand.N(throttledPause)):
+		case <-time.After(throttledDelay()):
 		case <-ctx.Done():
 			return
 		}
--- a/internal/programs/turns.go
+++ b/internal/programs/turns.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -90,7 +89,7 @@
 func (s *Store) putThroughLeader(ctx context.Context, p *partition, t *Turn) error {
 	copies := s.copiesOfOldTurns(t.Chain)
 	w := s.Writes.Begin()
-	for _, records := range append(chunk(copies), [][]byte{encodeTurn(*t)}) {
+	for _, records := range append(encodeInChunks(copies), [][]byte{encodeTurn(*t)}) {
 		if err := s.writeWithRetry(ctx, p, records, w); err != nil {
 			w.GiveUp()
 			return err
@@ -113,7 +112,7 @@
 		}
 		w.AttemptFailed(err)
 		select {
-		case <-time.After(throttledPause + rand.N(throttledPause)):
+		case <-time.After(throttledDelay()):
 		case <-ctx.Done():
 			return err
 		}
@@ -124,7 +123,7 @@
 // retained. The copies are in the partition of the program that continues the chain.
 func (s *Store) copyOldTurns(ctx context.Context, p *partition, chain []call.ID) error {
 	copies := s.copiesOfOldTurns(chain)
-	for _, records := range chunk(copies) {
+	for _, records := range encodeInChunks(copies) {
 		if _, err := s.appendWithRetry(ctx, p.id, records...); err != nil {
 			return err
 		}
@@ -150,8 +149,9 @@
 	return copies
 }
 
-// chunk encodes turns and divides them into lists of at most maxCopyBytes, or of one turn.
-func chunk(turns []*Turn) (chunks [][][]byte) {
+// encodeInChunks encodes turns and divides the records into chunks of at most maxCopyBytes each. A larger record is a chunk of its
+// own.
+func encodeInChunks(turns []*Turn) (chunks [][][]byte) {
 	size := 0
 	for _, t := range turns {
 		record := encodeTurn(*t)
