Use the usual terms in the pacing, admission, cold-target and dispatch code

Waits becomes LongPoll, a row of throttled answers a series, missing lateness, CostFor EffectiveCost, Known and Unknown CompareConnected and CompareOthers, Queues.Check CheckZones; share is jitter where it is a random factor. The rule for when all requests may leave the zone stands once. Comments are added to functions without one. No behavior changes.

--- a/internal/follower/cold.go
+++ b/internal/follower/cold.go
@@ -29,11 +29,11 @@
 }
 
 // ColdRefused records that a cold target did not get a request, because the owner of its limit did not grant one or the target
-// refused it, and returns how long to leave the target alone. share, from 0 to 1, should differ between calls.
-func (f *Follower) ColdRefused(now time.Time, t call.Target, retry time.Duration, share float64) time.Duration {
+// refused it, and returns for how long the target gets no requests. jitter is a random number from 0 to 1.
+func (f *Follower) ColdRefused(now time.Time, t call.Target, retry time.Duration, jitter float64) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.cold.Refused(now, t.ID, retry, share)
+	return f.cold.Refused(now, t.ID, retry, jitter)
 }
 
 // ColdGranted records that a request to a cold target was granted.
@@ -116,6 +116,7 @@
 	return 0
 }
 
+// service returns the configuration of t's service; nil if it is not known.
 func (f *Follower) service(t call.Target) *call.Service {
 	if table := f.table.Load(); table != nil {
 		return table.Service(t.Service)
--- a/internal/gateway/region.go
+++ b/internal/gateway/region.go
@@ -19,7 +19,7 @@
 		ofWorkspace = e.workspace.Regions
 	}
 	e.zoneList = region.Map(e.Settings.Zones).Zones(e.route.Regions, ofWorkspace)
-	if refused := e.queues.Check(e.route.Backend(e.backendKey()), dispatch.Item{Zones: e.zoneList}); refused != nil {
+	if refused := e.queues.CheckZones(e.route.Backend(e.backendKey()), dispatch.Item{Zones: e.zoneList}); refused != nil {
 		return zonesRefusal(refused)
 	}
 	return nil
--- a/internal/pacedlog/class.go
+++ b/internal/pacedlog/class.go
@@ -6,15 +6,16 @@
 	"github.com/comfreylink/comfreylink/pkg/logpace"
 )
 
-// decision is what a queued call is told.
+// decision is what becomes of a queued call.
 type decision int
 
 const (
-	proceed decision = iota
-	drop
+	proceed decision = iota // the call is made now
+	drop                    // the call is not made
 )
 
-// class makes the calls of one class as its pacer allows. Its methods need the lock of the Log.
+// class holds the waiting calls of one class, which are the appends or the reads, and releases them as its pacer allows. Its
+// methods need the lock of the Log.
 type class struct {
 	pacer    *logpace.Pacer
 	waiting  map[*logpace.Call]chan decision
@@ -35,56 +36,58 @@
 }
 
 // submit queues a call. The channel gets one decision each time that the call was queued.
-func (l *class) submit(now time.Time, c *logpace.Call) (decided chan decision, accepted bool) {
-	accepted, evicted := l.pacer.Submit(now, c)
+func (q *class) submit(now time.Time, c *logpace.Call) (decided chan decision, accepted bool) {
+	accepted, evicted := q.pacer.Submit(now, c)
 	if evicted != nil {
-		l.tell(evicted, drop)
+		q.tell(evicted, drop)
 	}
 	if accepted {
 		decided = make(chan decision, 1)
-		l.waiting[c] = decided
+		q.waiting[c] = decided
 	}
 	return decided, accepted
 }
 
-func (l *class) tell(c *logpace.Call, v decision) {
-	l.waiting[c] <- v
+// tell passes on the decision about a call to the goroutine that waits for it.
+func (q *class) tell(c *logpace.Call, v decision) {
+	q.waiting[c] <- v
 	if v == drop {
-		delete(l.waiting, c)
+		delete(q.waiting, c)
 	}
 }
 
 // cancel removes a call whose context has ended. It reports whether the call was still queued.
-func (l *class) cancel(c *logpace.Call) bool {
-	queued := l.pacer.Cancel(c)
+func (q *class) cancel(c *logpace.Call) bool {
+	queued := q.pacer.Cancel(c)
 	if queued {
-		delete(l.waiting, c)
+		delete(q.waiting, c)
 	}
 	return queued
 }
 
 // release lets the calls proceed that may be made now, and calls wake when the next one may be.
-func (l *class) release(now time.Time, wake func()) {
+func (q *class) release(now time.Time, wake func()) {
 	for {
-		c, expired, again := l.pacer.Next(now)
+		c, expired, again := q.pacer.Next(now)
 		for _, e := range expired {
-			l.tell(e, drop)
+			q.tell(e, drop)
 		}
 		if c == nil {
-			l.wakeAt(now, again, wake)
+			q.wakeAt(now, again, wake)
 			return
 		}
-		l.tell(c, proceed)
+		q.tell(c, proceed)
 	}
 }
 
-func (l *class) wakeAt(now, at time.Time, wake func()) {
-	if at.IsZero() || at.Equal(l.wakeTime) {
+// wakeAt makes wake be called at a time instead of the one that was set before. A zero time changes nothing.
+func (q *class) wakeAt(now, at time.Time, wake func()) {
+	if at.IsZero() || at.Equal(q.wakeTime) {
 		return
 	}
-	if l.timer != nil {
-		l.timer.Stop()
+	if q.timer != nil {
+		q.timer.Stop()
 	}
-	l.wakeTime = at
-	l.timer = time.AfterFunc(at.Sub(now), wake)
+	q.wakeTime = at
+	q.timer = time.AfterFunc(at.Sub(now), wake)
 }
--- a/internal/pacedlog/pacedlog.go
+++ b/internal/pacedlog/pacedlog.go
@@ -64,12 +64,12 @@
 	mu      sync.Mutex
 	refusal logpace.Refusal // of appends and reads together
 	appends *class
-	// reads are not limited until the log throttles one: its limit counts appends.
+	// reads begin at the whole limit, because the log counts only appends. Throttled reads lower their rate.
 	reads   *class
 	repeats repeats
 }
 
-// New returns a log whose rate is that of an instance among many.
+// New returns a paced log that begins at initialPart of the limit.
 func New(c Config) *Log {
 	l := &Log{Config: c, repeats: make(repeats)}
 	now := c.Now()
@@ -132,8 +132,8 @@
 }
 
 // do makes a call when the class's pacer allows it, and again as long as the pacer retries it.
-func (l *Log) do(ctx context.Context, class *class, hash callHash, waits bool, call func() error) error {
-	c := &logpace.Call{Kind: kindOf(ctx), Waits: waits}
+func (l *Log) do(ctx context.Context, class *class, hash callHash, longPoll bool, call func() error) error {
+	c := &logpace.Call{Kind: kindOf(ctx), LongPoll: longPoll}
 	decided, accepted := l.submit(ctx, class, hash, c)
 	if !accepted {
 		l.Observer.PacedCall(c.Kind.String(), string(Dropped))
--- a/internal/pacedlog/repeats.go
+++ b/internal/pacedlog/repeats.go
@@ -21,6 +21,7 @@
 // callHash identifies a call by its partition, offset and records.
 type callHash uint64
 
+// hashCall returns the identity of an append, or of a read if records is nil.
 func hashCall(p partlog.Partition, at ids.Offset, records [][]byte) callHash {
 	h := xxhash.New()
 	_, _ = h.WriteString(p.Topic)
@@ -49,7 +50,7 @@
 	failed bool
 }
 
-// mark marks a call that repeats one.
+// mark marks a call that repeats one which did not succeed.
 func (r repeats) mark(now time.Time, h callHash, c *logpace.Call) {
 	last, ok := r[h]
 	switch {
@@ -62,6 +63,7 @@
 	}
 }
 
+// add remembers a call that did not succeed. If there are too many, it forgets the old ones, or else all.
 func (r repeats) add(h callHash, e ending) {
 	if len(r) >= maxRepeats {
 		for old, last := range r {
--- a/internal/waitqueue/fleet_test.go
+++ b/internal/waitqueue/fleet_test.go
@@ -302,7 +302,7 @@
 func TestLoadExchangeShortensWaits(t *testing.T) {
 	c := qt.New(t)
 	all := modelOptions()
-	all.Known, all.Unknown = 0, 0
+	all.CompareConnected, all.CompareOthers = 0, 0
 	for _, rate := range []float64{180, 260} {
 		isolated, sharing := runFleet(1, rate, false, all), runFleet(1, rate, true, modelOptions())
 		t.Logf("%.0f programs a second without exchange, comparing all: %s", rate, isolated)
--- a/internal/waitqueue/queue.go
+++ b/internal/waitqueue/queue.go
@@ -13,27 +13,8 @@
 	"github.com/comfreylink/comfreylink/pkg/zonecost"
 )
 
-const (
-	// cleanupInterval is how often a queue deletes its records of idle programs and its cache hints.
-	cleanupInterval = 5 * time.Second
-	// overcommit is how many requests more than its slots a target may get, so that one is there as soon as a slot is free.
-	overcommit = 2
-)
-
-// Options are the settings of all queues.
-type Options struct {
-	Policy string
-	// RankMargin is how many slots of a target a request must leave free for each more urgent kind of requests.
-	RankMargin int
-	Now        func() time.Time
-	// Seed of random choices between targets. It must differ between instances.
-	Seed uint64
-	// Zone is the instance's zone, and ZonePrice how many milliseconds of delay one KiB between zones is worth.
-	Zone      ids.Zone
-	ZonePrice float64
-	// ZoneShareChanged is called when the share of a service's requests that may leave the zone has changed; nil for none.
-	ZoneShareChanged func(service call.ServiceName, c dispatch.ZoneChange)
-}
+// cleanupInterval is how often a queue deletes its records of idle programs and its cache hints.
+const cleanupInterval = 5 * time.Second
 
 // Queues holds the queues of all services. It is safe for concurrent use.
 type Queues struct {
@@ -75,20 +56,6 @@
 	RetryAfter time.Duration
 }
 
-// Reasons for refusals because no target of the service may get the request.
-const (
-	// ReasonNoTarget: the service has no targets.
-	ReasonNoTarget dispatch.Reason = "noTarget"
-	// ReasonEvacuated: all targets that the request might run at are in evacuated zones.
-	ReasonEvacuated dispatch.Reason = "evacuated"
-	// ReasonRegion: the service has no target in a zone where the request may run.
-	ReasonRegion dispatch.Reason = "region"
-)
-
-// noTargetRetry is the retry delay of a request that no target may get. Targets register, and evacuations are revoked, at
-// any time.
-const noTargetRetry = time.Second
-
 // waitResult ends a wait: either a placement or a refusal.
 type waitResult struct {
 	placement Placement
@@ -135,11 +102,9 @@
 }
 
 func newServiceQueue(o Options, s *call.Service, recordLoad func(LoadObservation)) *serviceQueue {
-	options := dispatchOptions(o, s)
-	options.Seed, options.Zone, options.ZonePrice = o.Seed, o.Zone, o.ZonePrice/1000
-	queue, err := dispatch.New(options)
+	queue, err := dispatch.New(dispatchOptions(o, s))
 	if err != nil {
-		panic(err) // the options are constants
+		panic(err) // the settings were checked when they were read
 	}
 	return &serviceQueue{
 		opt: o, name: s.Name, recordLoad: recordLoad, queue: queue, targets: make(map[ids.TargetID]call.Target),
@@ -147,53 +112,6 @@
 	}
 }
 
-// dispatchOptions returns the options of a service's queue.
-func dispatchOptions(o Options, s *call.Service) dispatch.Options {
-	options := dispatch.Options{Policy: o.Policy, RankMargin: o.RankMargin}
-	options.Ramp, options.Probation = 300*time.Millisecond, time.Second
-	options.ForeignHalfLife = foreignHalfLife
-	options.HintHalfLife = time.Minute
-	// Service already received hardly lowers a program's rank: a program that has got much of it is near its end.
-	options.Share.AttainedMax = 1
-	options.FirstCallMargin, options.Overcommit = overcommit, overcommit
-	options.ConnectSeconds, options.ConnectionKeep = connectSeconds, connectionKeep
-	options.Known, options.Unknown = comparedKnown, comparedUnknown
-	if s != nil && s.Engine != nil {
-		options.PrefillRate, options.DecodeRate = enginePrefillRate, engineDecodeRate
-	} else {
-		options.PrefillRate, options.DecodeRate = enginePrefillRate, plainRate
-	}
-	return options
-}
-
-const (
-	// connectSeconds is the cost of a new connection to a target, expressed as a longer duration of the call in seconds. A
-	// connection may hold a slot of the target, and targets accept a limited number of connections from all instances
-	// together.
-	connectSeconds = 0.04
-	// connectionKeep is how long an idle connection may still be reused.
-	connectionKeep = 4 * time.Second
-	// foreignHalfLife is about the duration of a call: later, a count of other instances' calls says little.
-	foreignHalfLife = 200 * time.Millisecond
-	// comparedKnown and comparedUnknown are how many targets are compared for a request, with an open connection and without
-	// one. More let instances that know the same choose the same target; docs/design/placement.md has the comparison.
-	comparedKnown, comparedUnknown = 3, 1
-)
-
-// Assumed speeds of a target until completed requests show its real speed.
-const (
-	// enginePrefillRate and engineDecodeRate are in tokens per second for one request.
-	enginePrefillRate = 150_000
-	engineDecodeRate  = 300
-	// plainRate is in requests per second for one slot, for services without engines.
-	plainRate = 10
-)
-
-// UsualDecodeTime returns the usual time in which an engine generates tokens.
-func UsualDecodeTime(output ids.Tokens) time.Duration {
-	return time.Duration(float64(max(output, 0)) / engineDecodeRate * float64(time.Second))
-}
-
 func (q *serviceQueue) update(now time.Time, targets []call.Target, s *call.Service) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -215,23 +133,6 @@
 	q.advance(now)
 }
 
-// Check returns the refusal of a request that would be refused at once because of the zones in which it may run; nil if it would
-// not be.
-func (q *Queues) Check(service call.ServiceName, item dispatch.Item) *Refusal {
-	q.mu.Lock()
-	sq := q.queues[service]
-	q.mu.Unlock()
-	if sq == nil {
-		return nil
-	}
-	sq.mu.Lock()
-	defer sq.mu.Unlock()
-	if r := sq.unservable(item); r != nil && r.Reason != ReasonNoTarget {
-		return r
-	}
-	return nil
-}
-
 // Wait enqueues a request and blocks until it gets a target, is refused, its deadline passes or the context ends.
 func (q *Queues) Wait(ctx context.Context, service call.ServiceName, item dispatch.Item) (p Placement, r *Refusal) {
 	q.mu.Lock()
@@ -277,40 +178,6 @@
 	return item.Ticket, result, nil
 }
 
-// unservable returns the refusal of a request that no target may get, whatever its load; nil if one may. The caller must
-// hold mu.
-func (q *serviceQueue) unservable(item dispatch.Item) *Refusal {
-	if len(q.targets) == 0 {
-		return &Refusal{Reason: ReasonNoTarget, RetryAfter: noTargetRetry}
-	}
-	reason := ReasonRegion
-	for _, t := range q.targets {
-		if !item.MayRunIn(t.Zone) {
-			continue
-		}
-		if !t.Evacuated {
-			return nil
-		}
-		reason = ReasonEvacuated
-	}
-	return &Refusal{Reason: reason, RetryAfter: noTargetRetry}
-}
-
-// refuseUnservable ends the waits of requests that no target may get any more because zones were evacuated. Requests whose
-// service has lost all targets wait on, since targets may only be late to renew their entries. The caller must hold mu.
-func (q *serviceQueue) refuseUnservable(now time.Time) {
-	if len(q.targets) == 0 {
-		return
-	}
-	for ticket, w := range q.waiting {
-		if r := q.unservable(w.item); r != nil {
-			delete(q.waiting, ticket)
-			q.queue.Cancel(now, ticket)
-			w.result <- waitResult{refusal: r}
-		}
-	}
-}
-
 func (q *serviceQueue) expire(now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	// unsureScore and downScore are the scores of failures since the last success at which first requests are refused, and all
-	// requests. A write that the log did not answer scores failureScore: one may be lost alone, the second one confirms it. A
-	// throttled one scores throttledScore, because a loaded log throttles some calls and accepts others.
+	// unsureScore is the score of the failures since the last success at which first requests are refused, downScore that at
+	// which all requests are. A write that failed scores failureScore: one answer may be lost by chance, and the second failure
+	// confirms the first. A throttled write scores throttledScore, because a loaded log throttles some calls and accepts others.
 	unsureScore    = 4
 	downScore      = 8
 	failureScore   = 4
@@ -25,8 +25,8 @@
 	minStall    = 300 * time.Millisecond
 	// usualWrite is the expected time of a write up to which the log is never the reason for a refusal.
 	usualWrite = 100 * time.Millisecond
-	// probeInterval is the time without news after which a request may be a probe. Reports are written once a second, so
-	// requests are probes only if an instance writes nothing else.
+	// probeInterval is the time without a success or a failure after which a request may be a probe. Reports are written once a
+	// second, so requests are probes only at an instance whose reports are not written either.
 	probeInterval = 1200 * time.Millisecond
 	// firstProbeInterval is the same for first requests of programs.
 	firstProbeInterval = 2 * probeInterval
@@ -93,31 +93,31 @@
 
 // Gate estimates from the writes of an instance whether the log will take further ones. It is not safe for concurrent use.
 type Gate struct {
-	random    *rand.Rand
-	write     latency
-	score     int       // of the failures since the last success
-	failedAt  time.Time // the first of these failures
-	newsAt    time.Time // time of the last success or failure
-	healthyAt time.Time // end of the last outage, or the start
-	down      bool      // an outage was found and no write has succeeded since
-	downAt    time.Time
-	waiting   int
-	oldestAt  time.Time // when the oldest waiting write began
-	succeeded time.Time // time of the last success, or the start
-	probedAt  time.Time
-	probeEnd  time.Time // until when the result of the last probe is awaited
+	random      *rand.Rand
+	write       latency
+	score       int       // of the failures since the last success
+	failedAt    time.Time // the first of these failures
+	lastResult  time.Time // time of the last success or failure, or the start
+	healthyAt   time.Time // end of the last outage, or the start
+	down        bool      // an outage was found and no write has succeeded since
+	downAt      time.Time
+	waiting     int
+	oldestAt    time.Time // when the oldest waiting write began
+	lastSuccess time.Time // time of the last success, or the start
+	probedAt    time.Time
+	probeEnd    time.Time // until when the result of the last probe is awaited
 }
 
 // New returns a gate that takes the log to be available.
 func New(now time.Time, random *rand.Rand) *Gate {
-	return &Gate{random: random, newsAt: now, healthyAt: now, succeeded: now}
+	return &Gate{random: random, lastResult: now, healthyAt: now, lastSuccess: now}
 }
 
 // Succeeded records a write that the log accepted, and how long it took with its time in queues and its retries.
 func (g *Gate) Succeeded(now time.Time, took time.Duration) {
 	recovered := g.down || g.stalled(now)
 	g.score, g.down = 0, false
-	g.newsAt, g.succeeded, g.probeEnd = now, now, time.Time{}
+	g.lastResult, g.lastSuccess, g.probeEnd = now, now, time.Time{}
 	if recovered {
 		// The write has waited for the end of the outage, so its time says nothing about the next one.
 		g.healthyAt = now
@@ -136,7 +136,7 @@
 	} else {
 		g.score += failureScore
 	}
-	g.newsAt, g.probeEnd = now, time.Time{}
+	g.lastResult, g.probeEnd = now, time.Time{}
 	if g.score >= downScore && !g.down {
 		g.down, g.downAt = true, g.failedAt
 	}
@@ -150,7 +150,7 @@
 // stalled reports whether a write waits for longer than writes usually take while none succeeds.
 func (g *Gate) stalled(now time.Time) bool {
 	limit := max(minStall, stallFactor*g.write.expected())
-	return g.waiting > 0 && now.Sub(g.oldestAt) >= limit && now.Sub(g.succeeded) >= limit
+	return g.waiting > 0 && now.Sub(g.oldestAt) >= limit && now.Sub(g.lastSuccess) >= limit
 }
 
 // expectedWrite returns the expected time of a write. What waited since before the end of an outage counts from that end.
@@ -165,7 +165,7 @@
 // Decide decides about a request.
 func (g *Gate) Decide(now time.Time, r Request) Answer {
 	if !g.down && g.stalled(now) {
-		g.down, g.downAt = true, later(g.oldestAt, g.succeeded)
+		g.down, g.downAt = true, later(g.oldestAt, g.lastSuccess)
 	}
 	a := Answer{Write: g.expectedWrite(now)}
 	switch {
@@ -175,7 +175,7 @@
 		a.Reason = Stalled
 	case g.score >= unsureScore && r.First:
 		a.Reason = Failing
-	case g.missing(now, r, a.Write) > 0:
+	case g.lateness(now, r, a.Write) > 0:
 		a.Reason = Slow
 	}
 	a.Probe = a.Reason != "" && g.probe(now, r)
@@ -186,9 +186,9 @@
 	return a
 }
 
-// missing returns how much later than its deadline the record of a request would be written, or 0. First requests of
+// lateness returns how much later than its deadline the record of a request would be written, or 0. First requests of
 // programs need twice the expected time, so that they are refused before others.
-func (g *Gate) missing(now time.Time, r Request, write time.Duration) time.Duration {
+func (g *Gate) lateness(now time.Time, r Request, write time.Duration) time.Duration {
 	if r.Deadline.IsZero() || write <= usualWrite {
 		return 0
 	}
@@ -204,7 +204,7 @@
 	if r.First {
 		interval = firstProbeInterval
 	}
-	quiet := now.Sub(later(g.newsAt, g.probedAt)) >= interval && !now.Before(g.probeEnd)
+	quiet := now.Sub(later(g.lastResult, g.probedAt)) >= interval && !now.Before(g.probeEnd)
 	suitable := r.Run <= maxProbeRun && (r.Deadline.IsZero() || r.Deadline.Sub(now) >= r.Run+probeSlack)
 	// Writes that wait are tried again and tell when the log accepts one.
 	if !quiet || !suitable || g.waiting > 0 {
@@ -217,7 +217,7 @@
 // retryAfter returns when the log is expected to take the record of a refused request. An outage is expected to last as long
 // again as it has lasted.
 func (g *Gate) retryAfter(now time.Time, r Request, a Answer) time.Duration {
-	expected := g.missing(now, r, a.Write)
+	expected := g.lateness(now, r, a.Write)
 	if a.Reason != Slow {
 		expected = now.Sub(g.downAt)
 		if !g.down {
--- a/pkg/admission/latency.go
+++ b/pkg/admission/latency.go
@@ -18,6 +18,7 @@
 	mean, deviation float64 // in seconds
 }
 
+// add applies how long a write took.
 func (l *latency) add(took time.Duration) {
 	s := took.Seconds()
 	if !l.known {
--- a/pkg/cold/cold.go
+++ b/pkg/cold/cold.go
@@ -1,5 +1,5 @@
-// Package cold keeps until when each target is cold, and how long an instance leaves a cold target alone that it was not granted
-// a request for. A cold target serves few requests a second and crashes well above that.
+// Package cold keeps which targets are cold and until when, and decides how long an instance sends no request to a cold target
+// after one was not granted. A cold target serves few requests a second and crashes well above that.
 package cold
 
 import (
@@ -11,10 +11,12 @@
 const (
 	// MaxLeft bounds how long a target can say that it stays cold. A longer time is a fault of the target.
 	MaxLeft = time.Hour
-	// minHold and maxHold bound the time for which a target is left alone. With hundreds of instances, one that asks every
+	// minHold and maxHold bound the time for which a target gets no requests. With hundreds of instances, one that asks every
 	// minHold would call the owner of the target's limit thousands of times a second.
 	minHold = 40 * time.Millisecond
 	maxHold = 640 * time.Millisecond
+	// holdDecrease divides the time after a request was granted. It is doubled by each refusal.
+	holdDecrease = 4
 )
 
 // Targets holds until when targets are cold. It is not safe for concurrent use.
@@ -23,7 +25,7 @@
 type state struct {
 	born  int64
 	until time.Time
-	hold  time.Duration // after the last refusal; 0 if none
+	hold  time.Duration // the hold after the last refusal, before the jitter; 0 if there was none
 }
 
 // New returns a set without cold targets.
@@ -69,24 +71,24 @@
 	return len(t.byID)
 }
 
-// Refused returns how long the target is left alone after a request for it was not granted, or after it refused one itself. retry
+// Refused returns how long the target gets no requests after one for it was not granted, or after it refused one itself. retry
 // is the owner's estimate of when it can grant one. The time doubles with each refusal: the more instances compete, the less often
-// each has to ask. share, from 0 to 1, differs between instances, so that they do not ask at the same time. The time ends with
+// each has to ask. jitter, from 0 to 1, is random, so that instances do not ask at the same time. The time ends with
 // the target's cold time, and is at most maxHold, also if the target's limit has no owner and retry is the end of a lease: the
 // requests of a service without other targets wait for it.
-func (t *Targets) Refused(now time.Time, id ids.TargetID, retry time.Duration, share float64) time.Duration {
+func (t *Targets) Refused(now time.Time, id ids.TargetID, retry time.Duration, jitter float64) time.Duration {
 	s := t.byID[id]
 	if s == nil {
 		return minHold
 	}
 	s.hold = min(max(2*s.hold, minHold), maxHold)
-	hold := max(retry, time.Duration((0.5+share)*float64(s.hold)))
+	hold := max(retry, time.Duration((0.5+jitter)*float64(s.hold)))
 	return max(min(hold, maxHold, s.until.Sub(now)), 0)
 }
 
 // Granted records that a request for the target was granted.
 func (t *Targets) Granted(id ids.TargetID) {
 	if s := t.byID[id]; s != nil {
-		s.hold /= 4
+		s.hold /= holdDecrease
 	}
 }
--- a/pkg/dispatch/bench_test.go
+++ b/pkg/dispatch/bench_test.go
@@ -19,7 +19,7 @@
 	o.Ramp, o.FirstCallMargin, o.ConnectSeconds, o.ConnectionKeep = 300*time.Millisecond, 2, 0.04, 4*time.Second
 	o.ForeignHalfLife = time.Second
 	b.Run("all", func(b *testing.B) { benchmarkPlacement(b, o) })
-	o.ForeignHalfLife, o.Known, o.Unknown, o.Overcommit = 200*time.Millisecond, 3, 1, 2
+	o.ForeignHalfLife, o.CompareConnected, o.CompareOthers, o.Overcommit = 200*time.Millisecond, 3, 1, 2
 	b.Run("gateway", func(b *testing.B) { benchmarkPlacement(b, o) })
 }
 
--- a/pkg/dispatch/fair.go
+++ b/pkg/dispatch/fair.go
@@ -85,24 +85,25 @@
 	return nil
 }
 
-// compared returns the targets that are compared for an item: all, or those of Options.Known and Options.Unknown.
+// compared returns the targets that are compared for an item: all, or those of Options.CompareConnected and
+// Options.CompareOthers.
 func (f *fair) compared(now time.Time, q *Queue, e *entry) []*target.Target {
 	all := q.targets.All()
-	known, unknown := q.opt.Known, q.opt.Unknown
-	if known+unknown == 0 {
+	connected, others := q.opt.CompareConnected, q.opt.CompareOthers
+	if connected+others == 0 {
 		return all
 	}
 	f.candidates = q.targets.Holders(f.candidates[:0], e.item.Parts)
 	f.shuffled = append(f.shuffled[:0], all...)
 	for i := range f.shuffled {
-		if known+unknown == 0 {
+		if connected+others == 0 {
 			break
 		}
 		j := i + f.random.IntN(len(f.shuffled)-i)
 		f.shuffled[i], f.shuffled[j] = f.shuffled[j], f.shuffled[i]
-		t, left := f.shuffled[i], &unknown
+		t, left := f.shuffled[i], &others
 		if t.Connected(now) {
-			left = &known
+			left = &connected
 		}
 		if *left > 0 && t.Usable(now) && q.fits(now, e, t) {
 			*left--
--- a/pkg/dispatch/options.go
+++ b/pkg/dispatch/options.go
@@ -28,11 +28,11 @@
 	FirstCallMargin int
 	// RankMargin is how many slots of its target an item must leave free for each more urgent kind of calls.
 	RankMargin int
-	// Known and Unknown are how many targets with an open connection and how many others the policy fair compares for an
-	// item, chosen at random, besides those that may have its prefix cached. If both are 0, it compares all targets. Set them
-	// if many dispatchers share the targets: each knows only some of the others' calls, and those that compare all targets
-	// all choose the same one.
-	Known, Unknown int
+	// CompareConnected and CompareOthers are how many targets with an open connection and how many others the policy fair
+	// compares for an item, chosen at random, besides those that may have its prefix cached. If both are 0, it compares all
+	// targets. Set them if many dispatchers share the targets: each knows only some of the others' calls, and those that
+	// compare all targets all choose the same one.
+	CompareConnected, CompareOthers int
 	// Seed of the random choices. It must differ between dispatchers.
 	Seed uint64
 	// ZonePrice is how much delay one KiB between zones is worth, in seconds; it may be infinite. At 0, items may always leave
@@ -90,8 +90,8 @@
 	if o.MaxInFlight < 1 || o.MaxQueued < 1 {
 		return errors.New("maxInFlight and maxQueued must be at least 1")
 	}
-	if min(o.Known, o.Unknown) < 0 {
-		return errors.New("known and unknown must not be negative")
+	if min(o.CompareConnected, o.CompareOthers) < 0 {
+		return errors.New("compareConnected and compareOthers must not be negative")
 	}
 	if !(o.ZonePrice >= 0) {
 		return errors.New("zonePrice must not be negative")
--- a/pkg/dispatch/replay_cases_test.go
+++ b/pkg/dispatch/replay_cases_test.go
@@ -74,7 +74,7 @@
 // fairMethod returns the policy fair as gateways use it.
 func fairMethod() method {
 	o := replayOptions(PolicyFair)
-	o.Known, o.Unknown = 3, 1
+	o.CompareConnected, o.CompareOthers = 3, 1
 	return method{"fair", o, func(q *Queue, random *rand.Rand) { q.policy.(*fair).random = random }}
 }
 
--- a/pkg/dispatch/targets_test.go
+++ b/pkg/dispatch/targets_test.go
@@ -140,7 +140,7 @@
 func TestFewComparedTargets(t *testing.T) {
 	c := qt.New(t)
 	o := options("fair", 2)
-	o.Known, o.Unknown = 1, 1
+	o.CompareConnected, o.CompareOthers = 1, 1
 	names := []ids.TargetID{}
 	for n := range 40 {
 		names = append(names, ids.TargetID(fmt.Sprint("t", n)))
--- a/pkg/dispatch/zone.go
+++ b/pkg/dispatch/zone.go
@@ -64,5 +64,5 @@
 	if t.Zone() == e.item.Zone {
 		return 0, zonecost.OwnZone
 	}
-	return q.zone.CostFor(e.item.Bytes), q.zone.Reason()
+	return q.zone.EffectiveCost(e.item.Bytes), q.zone.Reason()
 }
--- a/pkg/logpace/logpace.go
+++ b/pkg/logpace/logpace.go
@@ -80,8 +80,8 @@
 	Kind Kind
 	// Deadline is when the call's context ends; zero if it has no deadline.
 	Deadline time.Time
-	// Waits marks a read that waits for records. It takes a token, but does not count as in progress.
-	Waits bool
+	// LongPoll marks a read that waits for new records. It takes a token, but does not count as in progress.
+	LongPoll bool
 	// Retry marks a further attempt at a call that was throttled or dropped before. Calls of kinds after TurnEnd then need a
 	// part of the retry budget.
 	Retry bool
@@ -112,11 +112,11 @@
 	retries    *retry.Budget
 	queue      []*Call // in the order of arrival
 	inProgress int
-	row        row
+	series     throttledSeries
 }
 
-// row describes the throttled answers since the last other one.
-type row struct {
+// throttledSeries describes the consecutive throttled answers since the last other one.
+type throttledSeries struct {
 	begun      bool
 	rateBefore float64 // rate before the first one
 	refusals   int     // count of refusals of this instance alone before the first one
@@ -147,9 +147,9 @@
 	if !p.reachedInTime(now, c) {
 		return false, nil
 	}
-	last := -1
+	evictedIndex := -1
 	if len(p.queue) >= maxQueued {
-		if last = p.leastUrgent(); p.queue[last].Kind <= c.Kind {
+		if evictedIndex = p.leastUrgent(); p.queue[evictedIndex].Kind <= c.Kind {
 			return false, nil
 		}
 	}
@@ -158,9 +158,9 @@
 	if c.Retry && c.Kind > TurnEnd && !p.scheduleRetry(now, c, 1, c.NotBefore) {
 		return false, nil
 	}
-	if last >= 0 {
-		evicted = p.queue[last]
-		p.queue = slices.Delete(p.queue, last, last+1)
+	if evictedIndex >= 0 {
+		evicted = p.queue[evictedIndex]
+		p.queue = slices.Delete(p.queue, evictedIndex, evictedIndex+1)
 	}
 	p.queue = append(p.queue, c)
 	return true, evicted
@@ -235,15 +235,16 @@
 	p.queue = slices.Delete(p.queue, best, best+1)
 	c.sentAt = now
 	c.attempts++
-	if !c.Waits {
+	if !c.LongPoll {
 		p.inProgress++
 	}
 	return c, expired, time.Time{}
 }
 
+// hasSlot reports whether a call may be in progress beside those that are.
 func (p *Pacer) hasSlot(c *Call) bool {
 	switch {
-	case c.Waits:
+	case c.LongPoll:
 		return true
 	case c.Kind == Lease:
 		return p.inProgress < maxInProgress
@@ -265,7 +266,7 @@
 // Done records the outcome of a call that Next returned. A throttled call is queued again if the retry budget and its
 // deadline allow; others are left to the caller.
 func (p *Pacer) Done(now time.Time, c *Call, o Outcome) (r Result) {
-	if !c.Waits {
+	if !c.LongPoll {
 		p.inProgress--
 	}
 	if o == Failed {
@@ -274,11 +275,11 @@
 	throttled := o == Throttled
 	r.RefusalChanged = p.refusal.Answered(now, throttled, p.opt.Reads)
 	if !throttled {
-		p.endRow()
+		p.endSeries()
 		return r
 	}
-	if !p.row.begun {
-		p.row = row{begun: true, rateBefore: p.bucket.rate, refusals: p.refusal.count}
+	if !p.series.begun {
+		p.series = throttledSeries{begun: true, rateBefore: p.bucket.rate, refusals: p.refusal.count}
 	}
 	// A refusal of this instance alone is no sign of load, and a retry would be refused too.
 	if p.refusal.Alone() {
@@ -292,12 +293,12 @@
 	return r
 }
 
-// endRow ends a row of throttled answers. If they concerned this instance alone, half of the rate before them is restored.
-func (p *Pacer) endRow() {
-	if p.row.begun && p.refusal.count != p.row.refusals {
-		p.bucket.rate = max(p.bucket.rate, p.row.rateBefore/2)
+// endSeries ends a series of throttled answers. If they concerned this instance alone, half of the rate before them is restored.
+func (p *Pacer) endSeries() {
+	if p.series.begun && p.refusal.count != p.series.refusals {
+		p.bucket.rate = max(p.bucket.rate, p.series.rateBefore/2)
 	}
-	p.row = row{}
+	p.series = throttledSeries{}
 }
 
 // scheduleRetry spends a part of the retry budget and sets the time of a retry. It reports whether the call may be retried.
--- a/pkg/logpace/logpace_test.go
+++ b/pkg/logpace/logpace_test.go
@@ -78,7 +78,7 @@
 	sent := takeAll(p, epoch)
 	c.Assert(len(sent) < 100, qt.IsTrue)
 	p.Submit(epoch, &logpace.Call{Kind: logpace.Lease})
-	p.Submit(epoch, &logpace.Call{Waits: true})
+	p.Submit(epoch, &logpace.Call{LongPoll: true})
 	c.Assert(takeAll(p, epoch), qt.HasLen, 2)
 	p.Done(epoch, sent[0], logpace.Failed)
 	p.Done(epoch, sent[1], logpace.Failed)
--- a/pkg/logpace/rate.go
+++ b/pkg/logpace/rate.go
@@ -55,6 +55,7 @@
 	return b
 }
 
+// burst returns the largest number of tokens.
 func (b *bucket) burst() float64 { return max(minBurst, b.rate*burstTime.Seconds()) }
 
 // fill adds the tokens for the time since the last call. The rate grows if a call waited for a token meanwhile.
@@ -74,6 +75,7 @@
 	b.filled, b.short = now, false
 }
 
+// grow raises the rate for a time in which calls waited for tokens.
 func (b *bucket) grow(now time.Time, seconds float64) {
 	grown := b.rate + b.limit*increasePart*seconds
 	if now.Sub(b.throttledAt) > quietTime {
--- a/pkg/logpace/refusal.go
+++ b/pkg/logpace/refusal.go
@@ -14,14 +14,14 @@
 	refusalReads = 2
 )
 
-// Refusal tells a log that refuses this instance alone from one that throttles some calls of all instances. It gets the
+// Refusal detects whether the log throttles every call of this instance alone, and not some calls of all instances. It gets the
 // answers to all calls of the instance, of all pacers: a log that throttles appends for all goes on to answer reads.
 type Refusal struct {
-	inRow int
-	reads int       // those of inRow that were reads
-	since time.Time // time of the first throttled answer in the row
-	alone bool
-	count int // how often the log was found to refuse this instance alone
+	consecutive int
+	reads       int       // those of consecutive that were reads
+	since       time.Time // time of the first of these answers
+	alone       bool
+	count       int // how often the log was found to refuse this instance alone
 }
 
 // Answered records an answer. It reports whether Alone has changed.
@@ -31,14 +31,14 @@
 		*r = Refusal{count: r.count}
 		return was
 	}
-	if r.inRow == 0 {
+	if r.consecutive == 0 {
 		r.since = now
 	}
-	r.inRow++
+	r.consecutive++
 	if read {
 		r.reads++
 	}
-	r.alone = r.inRow >= refusalCalls && (now.Sub(r.since) >= refusalTime || r.reads >= refusalReads)
+	r.alone = r.consecutive >= refusalCalls && (now.Sub(r.since) >= refusalTime || r.reads >= refusalReads)
 	if r.alone && !was {
 		r.count++
 	}
--- a/pkg/zonecost/zonecost.go
+++ b/pkg/zonecost/zonecost.go
@@ -22,7 +22,7 @@
 	kib        = 1024
 )
 
-// Options are the settings of a decider.
+// Options are the settings of a Decider.
 type Options struct {
 	// Price is how much delay one KiB between zones is worth, in seconds. It may be infinite. If it is 0, requests may always
 	// leave.
@@ -62,9 +62,12 @@
 	return d.opt.Delay + d.opt.Price*max(float64(bytes), 1)/kib
 }
 
+// unrestricted reports whether all requests may leave the zone, because leaving has no price or the zone has no target.
+func (d *Decider) unrestricted() bool { return d.opt.Price == 0 || d.own.Targets == 0 }
+
 // Share returns the share of requests that may leave the zone.
 func (d *Decider) Share() float64 {
-	if d.opt.Price == 0 || d.own.Targets == 0 {
+	if d.unrestricted() {
 		return 1
 	}
 	return d.share
@@ -76,13 +79,13 @@
 	if draw >= d.Share() {
 		return false
 	}
-	return d.opt.Price == 0 || d.own.Targets == 0 || d.gain >= hysteresis*d.Cost(bytes)
+	return d.unrestricted() || d.gain >= hysteresis*d.Cost(bytes)
 }
 
 // Reason says why a request is sent to a zone.
 type Reason string
 
-// Reasons.
+// Reasons for the zone to which a request is sent.
 const (
 	// OwnZone: the zone is the dispatcher's own.
 	OwnZone Reason = ""
@@ -106,9 +109,9 @@
 	}
 }
 
-// CostFor returns the cost of another zone for a request as Cost does, or only the delay if the own zone has no target: then
-// even an infinite price does not keep the request from being served.
-func (d *Decider) CostFor(bytes int) float64 {
+// EffectiveCost returns the cost that is applied to a request which is sent to another zone. It is that of Cost, but only the
+// delay if the own zone has no target: then even an infinite price does not keep the request from being served.
+func (d *Decider) EffectiveCost(bytes int) float64 {
 	if d.own.Targets == 0 {
 		return d.opt.Delay
 	}
--- a/pkg/zonecost/zonecost_test.go
+++ b/pkg/zonecost/zonecost_test.go
@@ -109,12 +109,12 @@
 		now := start.Add(time.Duration(n) * time.Second)
 		c.Assert(free.Update(now, state(3*slots), state(0), bytes), qt.IsFalse)
 		never.Update(now, state(3*slots), state(0), bytes)
-		c.Assert(free.MayLeave(0.999, 1<<30) && free.CostFor(1<<30) == 0.003, qt.IsTrue)
+		c.Assert(free.MayLeave(0.999, 1<<30) && free.EffectiveCost(1<<30) == 0.003, qt.IsTrue)
 		c.Assert(never.MayLeave(0, 1), qt.IsFalse)
 		c.Assert(math.IsInf(never.Cost(0), 1), qt.IsTrue)
 	}
 	never.Update(start.Add(time.Hour), zonecost.State{}, state(0), bytes)
-	c.Assert(never.MayLeave(0.999, bytes) && never.CostFor(bytes) == 0.003, qt.IsTrue)
+	c.Assert(never.MayLeave(0.999, bytes) && never.EffectiveCost(bytes) == 0.003, qt.IsTrue)
 }
 
 // Guards against large requests that leave a zone although only small ones gain by it.
