Name the loading of crash records and the checks of a configuration for what they do

recall, RecallDeath and foldCrashes become loadCrashes, RestoreDeath and mergeCrashes; recordCrashes differed from RecordCrashes by one letter; reports.Uses becomes IsPartition; compared, which said whether a field is compared elsewhere, hasOwnSection. ErrPaced says that the instance is above its rate. No behavior changes.

--- a/internal/configcheck/compare.go
+++ b/internal/configcheck/compare.go
@@ -111,7 +111,7 @@
 	for i := range a.NumField() {
 		field, before, after := Field(a.Type().Field(i).Name), a.Field(i), b.Field(i)
 		switch {
-		case compared(field, a.Type()) || reflect.DeepEqual(before.Interface(), after.Interface()):
+		case hasOwnSection(field, a.Type()) || reflect.DeepEqual(before.Interface(), after.Interface()):
 		case field == keysField && a.Type() == reflect.TypeFor[call.Workspace]():
 			l = append(l, changedKeys(before.Interface().([]string), after.Interface().([]string))...)
 		case before.Kind() == reflect.Pointer && !before.IsNil() && !after.IsNil():
@@ -132,12 +132,13 @@
 // keysField is the field of call.Workspace that must not be shown.
 const keysField = "Keys"
 
-// compared reports whether a field of the configuration is compared as a section of its own.
-func compared(f Field, t reflect.Type) bool {
+// hasOwnSection reports whether a field of the configuration is compared as a section of its own.
+func hasOwnSection(f Field, t reflect.Type) bool {
 	sections := []Field{"Routes", "Services", "Workspaces", "Limits", ignoredField}
 	return t == reflect.TypeFor[call.Config]() && slices.Contains(sections, f)
 }
 
+// changedKeys compares two lists of keys and returns only the numbers of those that differ. Their order does not matter.
 func changedKeys(inForce, next []string) []FieldChange {
 	missing := func(from, in []string) (n int) {
 		for _, k := range from {
--- a/internal/configcheck/configcheck.go
+++ b/internal/configcheck/configcheck.go
@@ -93,6 +93,7 @@
 	return k.findings
 }
 
+// checker collects the findings of one check.
 type checker struct {
 	config   call.Config
 	table    *call.Table
@@ -115,7 +116,7 @@
 	}
 }
 
-// root reports a configuration with which nothing is served, such as an empty file.
+// root checks that there is something to serve, which an empty file does not have, and reports the values that were left out.
 func (k *checker) root() {
 	p := Place{Section: Root}
 	for _, reason := range k.config.Ignored {
@@ -140,6 +141,7 @@
 // names reports entries of one section that have no name or the name of an earlier one.
 type names map[string]int
 
+// check checks the name of one entry. consequence says what happens if it is the name of an earlier one.
 func (n names) check(k *checker, p Place, f Field, severity Severity, consequence string) {
 	first, ok := n[p.Name]
 	switch {
--- a/internal/configcheck/routes.go
+++ b/internal/configcheck/routes.go
@@ -45,6 +45,7 @@
 	}
 }
 
+// backends checks that requests of a route reach a service.
 func (k *checker) backends(p Place, r *call.Route) {
 	const field = "Backends"
 	total := 0
@@ -72,6 +73,7 @@
 // logRetentionShare is the part of the log's retention for which turns can be retained at most (docs/COMMANDS.md, gateway).
 const logRetentionShare = 0.75
 
+// times checks the durations of a route, and its priority.
 func (k *checker) times(p Place, r *call.Route) {
 	notNegative(k, p, "Timeout", r.Timeout)
 	notNegative(k, p, "Objective", r.Objective)
--- a/internal/partlog/partlog.go
+++ b/internal/partlog/partlog.go
@@ -48,7 +48,7 @@
 // ErrPaced is wrapped, together with ErrNotApplied and ErrThrottled, by errors of calls for which this instance was above the
 // rate that it may use of the log: the call was not sent, or was throttled and the rate lowered. It says nothing about whether
 // this instance reaches the log.
-var ErrPaced = errors.New("the calls of this instance to the log are paced")
+var ErrPaced = errors.New("this instance is above the rate at which it may call the log")
 
 // ErrUnavailable is wrapped, together with ErrNotApplied, by errors of calls that were not sent because the log is
 // considered unavailable. An immediate retry is useless.
--- a/internal/reports/crashes.go
+++ b/internal/reports/crashes.go
@@ -28,8 +28,8 @@
 	maxCrashRecords = 256
 	// renewInterval is how much later than the recorded ones a death of a target that has died before must be to be recorded.
 	renewInterval = 30 * time.Second
-	// maxRecalled is the number of records that a new run reads at most, as many as the requests that it can track.
-	maxRecalled = 10_000
+	// maxLoaded is the number of records that a new run reads at most. It is the number of requests that it can track.
+	maxLoaded = 10_000
 )
 
 // wireCrash is the encoding of what was known of a request that has crashed targets.
@@ -55,8 +55,8 @@
 	recorded map[ids.Fingerprint]recordedCrash
 	survived []ids.Fingerprint // completed requests that may have been recorded
 	wroteAt  time.Time
-	// recalled is set when the records of earlier runs were read. Only Run uses it.
-	recalled bool
+	// loaded is set when the records of earlier runs were read. Only Run uses it.
+	loaded bool
 }
 
 // recordedCrash is the content of a record: the number of deaths and the time of the last one.
@@ -73,6 +73,7 @@
 	return len(deaths) > c.deaths || lastDeath(deaths).Sub(c.last) >= renewInterval
 }
 
+// lastDeath returns the time of the newest death.
 func lastDeath(deaths []suspect.DatedDeath) (last time.Time) {
 	for _, d := range deaths {
 		if d.At.After(last) {
@@ -111,8 +112,8 @@
 	return l
 }
 
-// recordCrashes calls RecordCrashes if the last append is long enough ago.
-func (r *Reports) recordCrashes(ctx context.Context) error {
+// recordCrashesIfDue calls RecordCrashes unless the last append is less than crashInterval ago.
+func (r *Reports) recordCrashesIfDue(ctx context.Context) error {
 	r.mu.Lock()
 	wait := r.Now().Sub(r.crashes.wroteAt) < crashInterval
 	r.mu.Unlock()
@@ -159,10 +160,10 @@
 	}
 }
 
-// recall reads what earlier runs and other instances have recorded before this run began. It does nothing once that has
+// loadCrashes reads what earlier runs and other instances have recorded before this run began. It does nothing once that has
 // succeeded.
-func (r *Reports) recall(ctx context.Context) error {
-	if r.crashes.recalled {
+func (r *Reports) loadCrashes(ctx context.Context) error {
+	if r.crashes.loaded {
 		return nil
 	}
 	known := make(map[ids.Fingerprint][]wireCrash)
@@ -171,13 +172,13 @@
 		if err != nil {
 			return err
 		}
-		r.foldCrashes(known, page)
+		r.mergeCrashes(known, page)
 		if len(page.Records) == 0 {
 			break
 		}
-		next, end = max(page.Next(), page.End-maxRecalled), page.End
+		next, end = max(page.Next(), page.End-maxLoaded), page.End
 	}
-	r.crashes.recalled = true
+	r.crashes.loaded = true
 	now := r.Now()
 	for f, records := range known {
 		for _, w := range records {
@@ -185,15 +186,16 @@
 			age := max(now.Sub(time.UnixMilli(w.AtMs)), 0)
 			for _, d := range w.Deaths {
 				at := now.Add(-age - max(time.Duration(d.AgeMs), 0)*time.Millisecond)
-				r.suspects.tracker.RecallDeath(now, at, suspect.Death{Fingerprint: f, Target: d.Target, Born: d.Born})
+				r.suspects.tracker.RestoreDeath(now, at, suspect.Death{Fingerprint: f, Target: d.Target, Born: d.Born})
 			}
 		}
 	}
 	return nil
 }
 
-// foldCrashes adds the records of a page to those that are known of each request.
-func (r *Reports) foldCrashes(known map[ids.Fingerprint][]wireCrash, page partlog.Page) {
+// mergeCrashes adds the records of a page to those that are known of each request. A record that a request has survived removes
+// the earlier ones.
+func (r *Reports) mergeCrashes(known map[ids.Fingerprint][]wireCrash, page partlog.Page) {
 	for i, data := range page.Records {
 		var w wireCrash
 		if err := json.Unmarshal(data, &w); err != nil {
--- a/internal/reports/partition.go
+++ b/internal/reports/partition.go
@@ -2,5 +2,5 @@
 
 import "github.com/comfreylink/comfreylink/internal/partlog"
 
-// Uses reports whether a partition holds reports.
-func Uses(p partlog.Partition) bool { return p == partition }
+// IsPartition reports whether a partition is the one that holds reports.
+func IsPartition(p partlog.Partition) bool { return p == partition }
--- a/internal/reports/reports.go
+++ b/internal/reports/reports.go
@@ -93,13 +93,13 @@
 func (r *Reports) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		began := r.Now()
-		err := errors.Join(r.recall(ctx), r.claimWanted(ctx))
+		err := errors.Join(r.loadCrashes(ctx), r.claimWanted(ctx))
 		if at, writeErr := r.Write(ctx); writeErr == nil {
 			r.begin(at)
 		} else {
 			err = errors.Join(err, writeErr)
 		}
-		err = errors.Join(err, r.read(ctx), r.recordCrashes(ctx))
+		err = errors.Join(err, r.read(ctx), r.recordCrashesIfDue(ctx))
 		if err != nil {
 			events.Log(r.Logger, events.ReportFailed, zap.String("operation", "report"), zap.Error(err))
 		}
--- a/pkg/suspect/suspect.go
+++ b/pkg/suspect/suspect.go
@@ -69,8 +69,9 @@
 	return len(r.deaths)
 }
 
-// RecallDeath records a death that happened at an earlier time, unless it does not count any more.
-func (t *Tracker) RecallDeath(now, at time.Time, d Death) {
+// RestoreDeath records a death that was stored by an earlier run, with the time at which it happened. A death that is too old to
+// count is ignored.
+func (t *Tracker) RestoreDeath(now, at time.Time, d Death) {
 	if now.Sub(at) <= deathTTL {
 		t.ReportDeath(at, d)
 	}
--- a/pkg/suspect/suspect_test.go
+++ b/pkg/suspect/suspect_test.go
@@ -38,8 +38,8 @@
 	tr := suspect.New()
 	for born := range int64(3) {
 		c.Assert(tr.MustRefuse("f"), qt.IsFalse)
-		tr.RecallDeath(now, now.Add(-time.Minute), suspect.Death{Fingerprint: "f", Target: "a", Born: born})
-		tr.RecallDeath(now, now.Add(-time.Hour), suspect.Death{Fingerprint: "old", Target: "a", Born: born})
+		tr.RestoreDeath(now, now.Add(-time.Minute), suspect.Death{Fingerprint: "f", Target: "a", Born: born})
+		tr.RestoreDeath(now, now.Add(-time.Hour), suspect.Death{Fingerprint: "old", Target: "a", Born: born})
 	}
 	c.Assert(tr.MustRefuse("f"), qt.IsTrue)
 	c.Assert(tr.Suspected("old"), qt.IsFalse)
