--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -256,7 +256,7 @@
 		"requestId", "target", "granter", "unavailable", "retryAfter", "hold")
 	FigureIgnored = define(712, "figureIgnored", warn,
 		"A value that is malformed or absurd was left out; everything else from the same source was used.",
-		"Tell its author.",
+		"Correct the value at its source.",
 		"source", "target", "reason")
 	ZoneShareChanged = define(720, "zoneShareChanged", info,
 		"The share of a service's requests that may leave the instance's zone has changed. The loads are those of the own zone and of the others together.",
