Let requests leave a zone without room before they are refused

Cause: with a price of bytes between zones, requests waited for targets of their full zone until they were refused, because the share that may leave grows only with the expected times.

Change: a request that has waited 50 ms may leave whatever the share, if the cost is less than the time that it may still wait.

Measured: TestWaitingItemLeavesTheZone, which fails without the rule.

--- a/pkg/dispatch/item.go
+++ b/pkg/dispatch/item.go
@@ -148,7 +148,7 @@
 	if t.IdempotentOnly(now) && !e.item.Idempotent {
 		return false
 	}
-	return e.item.MayRunIn(t.Zone()) && !slices.Contains(e.item.Excluded, t.ID()) && q.mayUseZone(e, t) && !q.mustIsolate(now, e, t)
+	return e.item.MayRunIn(t.Zone()) && !slices.Contains(e.item.Excluded, t.ID()) && q.mayUseZone(now, e, t) && !q.mustIsolate(now, e, t)
 }
 
 // hasCapacityFor reports whether a target has the free capacity that an item needs.
--- a/pkg/dispatch/zone.go
+++ b/pkg/dispatch/zone.go
@@ -54,9 +54,17 @@
 	return own, others
 }
 
+// maxZoneWait is how long an item waits for a target of its own zone before it may leave the zone whatever the share. It is
+// less than the shortest time after which waiting items are refused: a refusal costs the caller more than the way.
+const maxZoneWait = 50 * time.Millisecond
+
 // mayUseZone reports whether an item may be sent to the zone of a target.
-func (q *Queue) mayUseZone(e *entry, t *target.Target) bool {
-	return t.Zone() == e.item.Zone || q.zone.MayLeave(e.zoneDraw, e.item.Bytes)
+func (q *Queue) mayUseZone(now time.Time, e *entry, t *target.Target) bool {
+	if t.Zone() == e.item.Zone || q.zone.MayLeave(e.zoneDraw, e.item.Bytes) {
+		return true
+	}
+	left := e.item.Deadline.Sub(now).Seconds()
+	return now.Sub(e.Arrived) >= maxZoneWait && q.zone.Cost(e.item.Bytes) < left
 }
 
 // zoneCost returns the cost of sending an item to the zone of a target, in seconds, and the reason for that zone.
--- a/pkg/dispatch/zone_test.go
+++ b/pkg/dispatch/zone_test.go
@@ -92,3 +92,17 @@
 	c.Check(sent(q, 6*second), qt.Equals, 0)
 	c.Check(q.Len(), qt.Equals, 0)
 }
+
+// Guards against items that are refused for lack of room in their zone although another zone has free targets, before the share
+// that may leave has grown, and against such items leaving when the way costs more than the time that they have.
+func TestWaitingItemLeavesTheZone(t *testing.T) {
+	c := qt.New(t)
+	for price, want := range map[float64]int{0.005: 1, 1: 0, math.Inf(1): 0} {
+		q := zoneQueue(c, price, options("fair", 4))
+		it := zoneItem(1)
+		it.Deadline = at(120 * time.Millisecond)
+		q.Enqueue(epoch, it)
+		c.Assert(q.Next(epoch), qt.HasLen, 0, qt.Commentf("price %v", price))
+		c.Assert(q.Next(at(60*time.Millisecond)), qt.HasLen, want, qt.Commentf("price %v", price))
+	}
+}
