--- a/internal/grants/confirm.go
+++ b/internal/grants/confirm.go
@@ -10,9 +10,7 @@
 
 // confirmParams name a token that was granted ahead and is due.
 type confirmParams struct {
-	Workspace ids.WorkspaceID `json:"workspace"`
-	Part      int             `json:"part"`
-	Bucket    quota.BucketID  `json:"bucket"`
+	tokenRef
 	// PassOn is set if the called instance may call the owner for the caller.
 	PassOn bool `json:"passOn,omitempty"`
 }
@@ -31,9 +29,10 @@
 	if d.Granter == g.Self.Instance {
 		return true
 	}
-	return g.callConfirm(ctx, d.Granter, confirmParams{Workspace: p.Workspace, Part: p.Part, Bucket: d.bucket, PassOn: p.PassOn}, confirmTimeout)
+	return g.callConfirm(ctx, d.Granter, confirmParams{tokenRef: tokenRef{Workspace: p.Workspace, Part: p.Part, Bucket: d.bucket}, PassOn: p.PassOn}, confirmTimeout)
 }
 
+// callConfirm asks an instance whether a token is valid. Without an answer it counts as invalid.
 func (g *RateLimiter) callConfirm(ctx context.Context, id ids.InstanceID, p confirmParams, timeout time.Duration) (valid bool) {
 	address, known := g.Address(id)
 	if !known {
--- a/internal/grants/grants.go
+++ b/internal/grants/grants.go
@@ -348,7 +348,7 @@
 			r.Loads = g.ownLoads()
 			return r, nil
 		}),
-		methodReturn: rpc.Typed(func(_ context.Context, p returnParams) (any, error) {
+		methodReturn: rpc.Typed(func(_ context.Context, p tokenRef) (any, error) {
 			g.takeBack(p)
 			return struct{}{}, nil
 		}),
--- a/internal/grants/return.go
+++ b/internal/grants/return.go
@@ -7,8 +7,8 @@
 	"github.com/comfreylink/comfreylink/pkg/quota"
 )
 
-// returnParams name a token that its request does not need.
-type returnParams struct {
+// tokenRef names a token that a run has granted. It is also the content of the call that returns a token.
+type tokenRef struct {
 	Workspace ids.WorkspaceID `json:"workspace"`
 	Part      int             `json:"part"`
 	Bucket    quota.BucketID  `json:"bucket"`
@@ -17,7 +17,7 @@
 // Return returns the token of a request that has not run and will not, to the owner that granted it. A token that was granted
 // ahead of need is kept for the workspace's next request at this instance, while it is young enough. Return does not block.
 func (g *RateLimiter) Return(ws ids.WorkspaceID, d Decision) {
-	switch p := (returnParams{Workspace: ws, Part: d.part, Bucket: d.bucket}); {
+	switch p := (tokenRef{Workspace: ws, Part: d.part, Bucket: d.bucket}); {
 	case d.bucket == quota.BucketID{}:
 		if d.Expires.After(g.Now()) {
 			g.addSpare(ws, 1, d.Expires)
@@ -30,7 +30,7 @@
 }
 
 // sendBack returns a token to its owner. If the owner does not answer, the token is lost.
-func (g *RateLimiter) sendBack(owner ids.InstanceID, p returnParams) {
+func (g *RateLimiter) sendBack(owner ids.InstanceID, p tokenRef) {
 	address, known := g.Address(owner)
 	if !known || !g.allow(owner) {
 		return
@@ -40,7 +40,7 @@
 	g.recordResult(owner, g.Client.Call(ctx, address, methodReturn, p, nil))
 }
 
-func (g *RateLimiter) takeBack(p returnParams) {
+func (g *RateLimiter) takeBack(p tokenRef) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.limiter.Return(g.Now(), p.Workspace, p.Part, p.Bucket)
