Name the recording of an evacuation and of a cold time for what they report

Zones.Begin becomes Evacuate; results named news say what has changed; the method versionInForce, which had the name of its type, readVersionInForce. No behavior changes.

--- a/internal/cli/checkplatform.go
+++ b/internal/cli/checkplatform.go
@@ -77,7 +77,7 @@
 	if err != nil {
 		return &statusError{code: checkErrors, err: err}
 	}
-	v, err := r.versionInForce(ctx, source)
+	v, err := r.readVersionInForce(ctx, source)
 	if err != nil {
 		return &statusError{code: checkErrors, err: err}
 	}
@@ -106,8 +106,8 @@
 	targets []call.Target // nil if not known
 }
 
-// versionInForce reads the version in force that the command line names.
-func (r *run) versionInForce(ctx context.Context, source ConfigSource) (v versionInForce, err error) {
+// readVersionInForce reads the version in force that the command line names.
+func (r *run) readVersionInForce(ctx context.Context, source ConfigSource) (v versionInForce, err error) {
 	var data []byte
 	switch {
 	case r.String("against") != "":
--- a/internal/follower/zones.go
+++ b/internal/follower/zones.go
@@ -64,7 +64,7 @@
 				zap.Int64("offset", int64(e.Offset)), zap.String("reason", err.Error()))
 		case len(e.Value) == 0:
 			changed = f.revoke(now, zone) || changed
-		case f.zones.Begin(zone):
+		case f.zones.Evacuate(zone):
 			changed = true
 			events.Log(f.logger, events.ZoneEvacuated, zap.String("zone", string(zone)), zap.Bool("known", f.knownZone(zone)))
 		}
--- a/pkg/cold/cold.go
+++ b/pkg/cold/cold.go
@@ -32,9 +32,9 @@
 func New() *Targets { return &Targets{byID: make(map[ids.TargetID]*state)} }
 
 // Observe records that the run of a target that started at born stays cold for the time left. It reports whether the target was
-// not known to be cold. An earlier, longer time is kept: entries and answers arrive in any order, and a target that is taken for
+// not known to be cold before. An earlier, longer time is kept: entries and answers arrive in any order, and a target that is taken for
 // cold too long only gets fewer requests.
-func (t *Targets) Observe(now time.Time, id ids.TargetID, born int64, left time.Duration) (news bool) {
+func (t *Targets) Observe(now time.Time, id ids.TargetID, born int64, left time.Duration) (began bool) {
 	if left <= 0 || left > MaxLeft {
 		return false
 	}
@@ -46,11 +46,11 @@
 	if s.born != born {
 		return false
 	}
-	news = !now.Before(s.until)
+	began = !now.Before(s.until)
 	if until := now.Add(left); until.After(s.until) {
 		s.until = until
 	}
-	return news
+	return began
 }
 
 // Left returns how long a run of a target stays cold; 0 if it is not.
--- a/pkg/evacuation/evacuation.go
+++ b/pkg/evacuation/evacuation.go
@@ -1,5 +1,5 @@
-// Package evacuation keeps which zones are evacuated, and brings targets of a zone back into use after its evacuation was
-// revoked. An evacuated zone gets no new requests; those that run there are not interrupted.
+// Package evacuation keeps which zones are evacuated, and decides when an instance uses the targets of a zone again after its
+// evacuation was revoked. An evacuated zone gets no new requests; those that run there are not interrupted.
 package evacuation
 
 import (
@@ -28,8 +28,8 @@
 	return &Zones{evacuated: make(map[ids.Zone]bool), revoked: make(map[ids.Zone]time.Time)}
 }
 
-// Begin records that a zone is evacuated. It reports whether that is news.
-func (z *Zones) Begin(zone ids.Zone) bool {
+// Evacuate records that a zone is evacuated. It reports whether the zone was not evacuated before.
+func (z *Zones) Evacuate(zone ids.Zone) (changed bool) {
 	z.seen = true
 	if z.evacuated[zone] {
 		return false
@@ -39,8 +39,8 @@
 	return true
 }
 
-// Revoke records that a zone is no longer evacuated. It reports whether that is news.
-func (z *Zones) Revoke(now time.Time, zone ids.Zone) bool {
+// Revoke records that a zone is no longer evacuated. It reports whether the zone was evacuated before.
+func (z *Zones) Revoke(now time.Time, zone ids.Zone) (changed bool) {
 	z.seen = true
 	if !z.evacuated[zone] {
 		return false
@@ -65,7 +65,7 @@
 func (z *Zones) All() []ids.Zone { return slices.Sorted(maps.Keys(z.evacuated)) }
 
 // Returning reports whether an instance does not use a target of a zone yet, because the evacuation was revoked only
-// recently. Each instance waits for another part of ReturnSpread before it uses a target, so that they come back one by one.
+// recently. Each instance waits for a different part of ReturnSpread before it uses a target, so that they do not all begin at once.
 func (z *Zones) Returning(now time.Time, zone ids.Zone, self ids.InstanceID, t ids.TargetID) bool {
 	at, ok := z.revoked[zone]
 	if !ok {
--- a/pkg/evacuation/evacuation_test.go
+++ b/pkg/evacuation/evacuation_test.go
@@ -19,9 +19,9 @@
 	c := qt.New(t)
 	z := evacuation.New()
 	c.Assert(z.Seen(), qt.IsFalse)
-	c.Assert(z.Begin("a"), qt.IsTrue)
-	c.Assert(z.Begin("a"), qt.IsFalse)
-	c.Assert(z.Begin("b"), qt.IsTrue)
+	c.Assert(z.Evacuate("a"), qt.IsTrue)
+	c.Assert(z.Evacuate("a"), qt.IsFalse)
+	c.Assert(z.Evacuate("b"), qt.IsTrue)
 	c.Assert(z.Missing([]ids.Zone{"b"}), qt.DeepEquals, []ids.Zone{"a"})
 	c.Assert(z.Revoke(start, "a"), qt.IsTrue)
 	c.Assert(z.Revoke(start, "a"), qt.IsFalse)
@@ -38,7 +38,7 @@
 	sets := make([]*evacuation.Zones, instances)
 	for i := range sets {
 		sets[i] = evacuation.New()
-		sets[i].Begin("a")
+		sets[i].Evacuate("a")
 		sets[i].Revoke(start, "a")
 	}
 	using := func(after time.Duration) (n int) {
@@ -63,9 +63,9 @@
 func TestSecondEvacuation(t *testing.T) {
 	c := qt.New(t)
 	z := evacuation.New()
-	z.Begin("a")
+	z.Evacuate("a")
 	z.Revoke(start, "a")
-	c.Assert(z.Begin("a"), qt.IsTrue)
+	c.Assert(z.Evacuate("a"), qt.IsTrue)
 	c.Assert(z.Evacuated("a"), qt.IsTrue)
 	c.Assert(z.Returning(start, "a", "g", "t"), qt.IsFalse, qt.Commentf("it is evacuated"))
 }
