--- a/internal/cli/check.go
+++ b/internal/cli/check.go
@@ -27,6 +27,7 @@
 			&ucli.StringFlag{Name: "platform", Usage: "`FILE` with a configuration of the users' platform"},
 			&ucli.StringFlag{Name: "against", Usage: "`FILE` with the configuration in force, to print the differences"},
 			&ucli.StringFlag{Name: "log", Usage: "`ADDRESS` of the platform's log, HOST:PORT, to read the configuration in force"},
+			&ucli.StringFlag{Name: "zones", Usage: "the region of each zone as a JSON `OBJECT`, to check with --log that allowed regions have targets"},
 			&ucli.DurationFlag{Name: "timeout", Value: defaultTimeout, Usage: "fail if the log takes longer than `TIME`"},
 			&ucli.DurationFlag{Name: "log-retention", Value: defaultLogRetention, Usage: "how long the platform's log keeps records, as a `DURATION`; 0s if it keeps all"},
 			&ucli.BoolFlag{Name: "fail-on-difference", Usage: "exit code 1 if anything differs from the version in force"},
--- a/internal/cli/checkplatform.go
+++ b/internal/cli/checkplatform.go
@@ -157,7 +157,11 @@
 	if err != nil {
 		return result, err
 	}
-	findings := configcheck.Check(next, configcheck.Options{LogRetention: r.Duration("log-retention"), Targets: inForce.targets})
+	options := configcheck.Options{LogRetention: r.Duration("log-retention"), Targets: inForce.targets}
+	if options.TargetRegions, err = targetRegions(r, inForce.targets); err != nil {
+		return result, err
+	}
+	findings := configcheck.Check(next, options)
 	if inForce.known {
 		changes := configcheck.Compare(inForce.config, next)
 		findings = append(findings, configcheck.CheckVersion(inForce.config, next, changes)...)
@@ -245,3 +249,19 @@
 	}
 	return place + ", " + field
 }
+
+// targetRegions returns the regions that have registered targets; nil if the targets or the regions of zones are not given.
+func targetRegions(r *run, targets []call.Target) (regions map[string]bool, err error) {
+	if targets == nil || !r.IsSet("zones") {
+		return nil, nil
+	}
+	zones, err := parseZones(r.String("zones"))
+	if err != nil {
+		return nil, err
+	}
+	regions = make(map[string]bool)
+	for _, t := range targets {
+		regions[zones[t.Zone]] = true
+	}
+	return regions, nil
+}
--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -71,11 +71,19 @@
 		}
 	}
 	if r.IsSet("zones") {
-		zones := make(settings.Zones)
-		if err := json.Unmarshal([]byte(r.String("zones")), &zones); err != nil {
-			return &UsageError{Reason: "--zones is no JSON object of zones and regions: " + err.Error()}
+		zones, err := parseZones(r.String("zones"))
+		if err != nil {
+			return err
 		}
 		s.Zones, s.Instance.Region = zones, zones[s.Instance.Zone]
 	}
 	return nil
 }
+
+// parseZones parses the region of each zone, a JSON object.
+func parseZones(text string) (zones settings.Zones, err error) {
+	if err := json.Unmarshal([]byte(text), &zones); err != nil {
+		return nil, &UsageError{Reason: "--zones is no JSON object of zones and regions: " + err.Error()}
+	}
+	return zones, nil
+}
--- a/internal/reports/partition.go
+++ b/internal/reports/partition.go
@@ -2,5 +2,5 @@
 
 import "github.com/comfreylink/comfreylink/internal/partlog"
 
-// IsPartition reports whether a partition is the one that holds reports.
-func IsPartition(p partlog.Partition) bool { return p == partition }
+// IsPartition reports whether a partition holds reports or what was known of requests that crash targets. Neither has bodies.
+func IsPartition(p partlog.Partition) bool { return p == partition || p == crashPartition }
