--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -22,7 +22,7 @@
 		return []ucli.Flag{
 			&ucli.StringFlag{Name: "settings", Usage: "settings `FILE`; by default the one that the platform provides"},
 			&ucli.DurationFlag{Name: "log-retention", Value: defaultLogRetention, Usage: "how long the platform's log keeps records, as a `DURATION`; 0s if it keeps all"},
-			&ucli.IntFlag{Name: "log-appends", Usage: "how many appends a second the platform's log takes from all gateways, in place of the setting callsPerSecond"},
+			&ucli.IntFlag{Name: "appends-per-second", Usage: "how many appends a second the platform's log takes from all gateways, in place of the setting callsPerSecond"},
 			&ucli.FloatFlag{Name: "cpu", Usage: "share of a core that the process may use, in place of the setting cpu"},
 			&ucli.StringFlag{Name: "zones", Usage: "the region of each zone as a JSON `OBJECT`, in place of the section [zones]"},
 			&ucli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
@@ -60,9 +60,9 @@
 
 // applyDeployment puts what the command line says about the deployment in place of the settings.
 func applyDeployment(s *settings.Gateway, r *run) error {
-	if r.IsSet("log-appends") {
-		if s.Store.CallsPerSecond = r.Int("log-appends"); s.Store.CallsPerSecond < 0 {
-			return &UsageError{Reason: "--log-appends is negative"}
+	if r.IsSet("appends-per-second") {
+		if s.Store.CallsPerSecond = r.Int("appends-per-second"); s.Store.CallsPerSecond < 0 {
+			return &UsageError{Reason: "--appends-per-second is negative"}
 		}
 	}
 	if r.IsSet("cpu") {
