Log the turn that a request continues, and where a missing turn was sought

The logs could not join the tries of one turn, nor check a 404 against the answer of the turn that it was about. requestAnswered now has previousTurn, the error of a refusal, and whether a begun answer was cut. turnNotFound (621) says which instance read which partition up to which offset, or which workspace owns the turn; a broken chain is logged with leaders too. No decision changes. Tests of internal/programs, leaders, gateway, httpwire and events pass.

--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -161,10 +161,10 @@
 		"Programs have ended because they were idle for the idle timeout of their templates.", noAction,
 		"programs", "idle")
 	RequestAnswered = define(610, "requestAnswered", info,
-		"The gateway answered a request. Reason says why it was refused or failed; run is notRun, ran or unknown.",
+		"The gateway answered a request. Reason says why it was refused or failed; run is notRun, ran or unknown. With cut, the answer had begun and its connection was closed before its end.",
 		"Follow the request by its id through the other events; see docs/OPERATIONS.md.",
 		"requestId", "programId", "sessionId", "workspace", "route", "configVersion", "status", "reason", "run", "target",
-		"attempts", "duration", "waited", "firstByte", "events", "cached", "retryAfter")
+		"attempts", "duration", "waited", "firstByte", "events", "cached", "retryAfter", "previousTurn", "cut", "error")
 	RequestSent = define(611, "requestSent", debug,
 		"The gateway sent a request to a target.", noAction,
 		"requestId", "target", "attempt", "waited", "cached", "left", "reused")
@@ -202,6 +202,10 @@
 	TurnsDropped = define(620, "turnsDropped", info,
 		"Turns that no other turn has needed for longer than keep were dropped from memory. They are read again if they are continued after all.", noAction,
 		"count", "kept", "keep")
+	TurnNotFound = define(621, "turnNotFound", info,
+		"A request continues a turn that is in no partition or belongs to another workspace, the owner, so it was answered that there is no such turn. Reads has the instance that read each partition and the offset up to which it had read.",
+		"If another event 610 has the turn's id as its requestId with status 200, report both.",
+		"turn", "programId", "workspace", "owner", "reads")
 	AdmissionRefused = define(630, "admissionRefused", info,
 		"Requests were refused as not run, because their records would not be written to the log in time. Reason is failing, stalled or slow; count is the number of requests since the last such event, first how many of them were first requests of programs. Write is the expected time of a write, retryAfter the last answer's.",
 		"Check the log service and the rate of calls to it (215).",
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -146,7 +146,7 @@
 func (g *Gateway) programsConfig() programs.Config {
 	parts := g.Settings.Store.Partitions
 	c := programs.Config{
-		Log: g.Source.Log, LogRetention: g.Settings.Store.Retention, Now: g.Clock.Now, Logger: g.Logger, Observer: g.Metrics, Writes: g.recordGate,
+		Self: g.Settings.Instance.ID, Log: g.Source.Log, LogRetention: g.Settings.Store.Retention, Now: g.Clock.Now, Logger: g.Logger, Observer: g.Metrics, Writes: g.recordGate,
 		Programs: partlog.Keyspace{Name: "programs", Topics: topicsPerKeyspace, Parts: parts},
 		Index:    partlog.Keyspace{Name: "turns", Topics: topicsPerKeyspace, Parts: parts},
 	}
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -91,7 +91,7 @@
 		e.x.Answer(status, headers, refusalBody(r, run, e.req.ID))
 	}
 	e.Metrics.Refused(string(r.code))
-	e.log(status, string(r.code), run, r.retry)
+	e.log(status, string(r.code), run, r.retry, r.err)
 }
 
 func (e *exchange) runState() RunState {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -88,9 +88,9 @@
 }
 
 // logAnswered logs an answer of a target that was passed on to the caller.
-func (e *exchange) logAnswered(status int) { e.log(status, "answered", ran, 0) }
+func (e *exchange) logAnswered(status int) { e.log(status, "answered", ran, 0, nil) }
 
-func (e *exchange) log(status int, reason string, run RunState, retry time.Duration) {
+func (e *exchange) log(status int, reason string, run RunState, retry time.Duration, err error) {
 	took := e.now().Sub(e.began)
 	fields := []zap.Field{
 		zap.String("requestId", string(e.req.ID)), zap.Int("status", status), zap.String("reason", reason),
@@ -105,6 +105,7 @@
 	add("sessionId", e.req.Session)
 	add("workspace", string(e.workspaceID()))
 	add("target", string(e.target))
+	add("previousTurn", string(e.req.Previous))
 	route := ""
 	if e.route != nil {
 		route = e.route.Name
@@ -119,6 +120,12 @@
 	if e.firstByte > 0 {
 		fields = append(fields, zap.Duration("firstByte", e.firstByte), zap.Int("events", e.events), zap.Int64("cached", int64(e.cached)))
 	}
+	if e.x.Started() && !e.x.Complete() {
+		fields = append(fields, zap.Bool("cut", true))
+	}
+	if err != nil {
+		fields = append(fields, zap.Error(err))
+	}
 	if retry > 0 {
 		fields = append(fields, zap.Duration("retryAfter", retry))
 	}
--- a/internal/httpwire/server.go
+++ b/internal/httpwire/server.go
@@ -276,6 +276,9 @@
 // Started reports whether at least a part of the answer was written.
 func (x *Exchange) Started() bool { return x.started }
 
+// Complete reports whether the whole answer was written.
+func (x *Exchange) Complete() bool { return x.complete }
+
 // writeTimeout bounds how long one write to a caller may block.
 const writeTimeout = 10 * time.Second
 
--- a/internal/programs/find.go
+++ b/internal/programs/find.go
@@ -7,9 +7,11 @@
 	"time"
 
 	"github.com/samber/oops"
+	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/comfreylink/comfreylink/internal/call"
+	"github.com/comfreylink/comfreylink/internal/events"
 	"github.com/comfreylink/comfreylink/internal/partlog"
 	"github.com/comfreylink/comfreylink/pkg/account"
 )
@@ -60,13 +62,14 @@
 
 // fetchChain returns a turn and the turns before it. It looks in memory, then asks the leaders of the zone and then all
 // leaders for what they have in memory. If turns are still missing, the leaders read their partitions.
-func (s *Store) fetchChain(ctx context.Context, notBefore time.Time, id call.ID) (l []*Turn, err error) {
+func (s *Store) fetchChain(ctx context.Context, notBefore time.Time, program account.Key, id call.ID) (l []*Turn, err error) {
 	defer func() {
 		if err != nil && !errors.Is(err, ErrTurnNotFound) {
 			err = oops.In("programs").With("turn", id).Wrapf(err, "fetch a turn")
 		}
 	}()
 	all := s.Programs.Partitions()
+	var reads []partitionRead
 	l, missing := s.chainInMemory(id)
 	// Each list of leaders is asked twice: a turn that the first call finds may continue turns that only others have.
 	for _, step := range []struct {
@@ -76,7 +79,7 @@
 		if len(missing) == 0 {
 			return l, nil
 		}
-		if err := s.fetchTurns(ctx, notBefore, step.partitions, missing, step.memoryOnly); err != nil {
+		if reads, err = s.fetchTurns(ctx, notBefore, step.partitions, missing, step.memoryOnly); err != nil {
 			return nil, err
 		}
 		l, missing = s.chainInMemory(id)
@@ -85,54 +88,65 @@
 	case len(missing) == 0:
 		return l, nil
 	case slices.Contains(missing, id):
+		s.logNotFound(program, id, zap.Any("reads", reads))
 		return nil, ErrTurnNotFound
 	default:
+		events.Log(s.Logger, events.ChainBroken, zap.String("requestId", string(id)), zap.String("turn", string(missing[0])))
 		return nil, errors.Join(partlog.ErrOutcomeUnknown, errors.New("a turn of the chain is missing"))
 	}
 }
 
+// readSoFar says how far this instance has read the partition.
+func (p *partition) readSoFar() partitionRead {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return partitionRead{Part: p.id.Part, Reader: p.store.Self, Next: p.next}
+}
+
 // fetchTurns asks the leaders of partitions for turns, and adds what they return to the memory. A leader that does not answer is
 // an error only if it is to read its partition: what it has in memory is in its partition too.
-func (s *Store) fetchTurns(ctx context.Context, notBefore time.Time, partitions []partlog.Partition, wanted []call.ID, memoryOnly bool) error {
+func (s *Store) fetchTurns(ctx context.Context, notBefore time.Time, partitions []partlog.Partition, wanted []call.ID, memoryOnly bool) (reads []partitionRead, err error) {
 	tasks, ctx := errgroup.WithContext(ctx)
-	for _, id := range partitions {
-		tasks.Go(func() error {
-			err := s.fetchFrom(ctx, notBefore, s.partitionOf(id), wanted, memoryOnly)
+	reads = make([]partitionRead, len(partitions))
+	for i, id := range partitions {
+		tasks.Go(func() (err error) {
+			reads[i], err = s.fetchFrom(ctx, notBefore, s.partitionOf(id), wanted, memoryOnly)
 			if memoryOnly {
 				return nil
 			}
 			return err
 		})
 	}
-	return tasks.Wait()
+	return reads, tasks.Wait()
 }
 
 // fetchFrom asks the leader of one partition for turns.
-func (s *Store) fetchFrom(ctx context.Context, notBefore time.Time, p *partition, wanted []call.ID, memoryOnly bool) error {
+func (s *Store) fetchFrom(ctx context.Context, notBefore time.Time, p *partition, wanted []call.ID, memoryOnly bool) (read partitionRead, err error) {
 	var result turnsResult
 	params := turnsParams{Partition: p.id, Turns: wanted, MemoryOnly: memoryOnly}
-	_, err := s.Leaders.Do(ctx, p.id, methodTurns, params, &result, func() error {
+	_, err = s.Leaders.Do(ctx, p.id, methodTurns, params, &result, func() error {
 		result = turnsResult{}
 		if memoryOnly {
 			return nil
 		}
 		_, err := p.findTurns(ctx, notBefore, wanted)
+		result.Read = p.readSoFar()
 		return err
 	})
 	if err == nil {
 		err = result.Failure.err()
 	}
 	if err != nil {
-		return err
+		return read, err
 	}
 	for _, data := range result.Turns {
 		t, err := decodeTurn(data)
 		if err != nil {
-			return err
+			return read, err
 		}
 		s.turns.add(t, p)
 	}
-	return nil
+	return result.Read, nil
 }
 
 // chainInMemory returns a turn and the turns before it, oldest first, and the ids of those that are not in memory.
@@ -151,3 +165,9 @@
 	}
 	return append(l, last), missing
 }
+
+// logNotFound logs that a program continues a turn that does not exist, or that another workspace has.
+func (s *Store) logNotFound(program account.Key, id call.ID, why zap.Field) {
+	events.Log(s.Logger, events.TurnNotFound, zap.String("turn", string(id)), zap.String("programId", string(program.Program)),
+		zap.String("workspace", string(program.Workspace)), why)
+}
--- a/internal/programs/messages.go
+++ b/internal/programs/messages.go
@@ -54,6 +54,15 @@
 type turnsResult struct {
 	Turns   [][]byte `json:"turns,omitempty"`
 	Failure failure  `json:"failure,omitempty"`
+	// Read says how far the partition was read; it is empty if only the memory was asked for.
+	Read partitionRead `json:"read,omitzero"`
+}
+
+// partitionRead says which instance has read a partition up to which offset.
+type partitionRead struct {
+	Part   int            `json:"part"`
+	Reader ids.InstanceID `json:"reader"`
+	Next   ids.Offset     `json:"next"`
 }
 
 // maxWireTokens bounds the tokens in a message, so that sums of them don't overflow.
--- a/internal/programs/methods.go
+++ b/internal/programs/methods.go
@@ -52,7 +52,7 @@
 		return turnsResult{Turns: encodeTurns(s.turnsInMemory(a.Turns))}, nil
 	}
 	turns, err := p.findTurns(ctx, s.Now(), a.Turns)
-	return turnsResult{Turns: encodeTurns(turns), Failure: toFailure(err)}, nil
+	return turnsResult{Turns: encodeTurns(turns), Failure: toFailure(err), Read: p.readSoFar()}, nil
 }
 
 // ledPartition returns a partition that another instance has named.
--- a/internal/programs/programs.go
+++ b/internal/programs/programs.go
@@ -35,7 +35,9 @@
 
 // Config holds a store's dependencies.
 type Config struct {
-	Log partlog.Log
+	// Self names this instance in log events.
+	Self ids.InstanceID
+	Log  partlog.Log
 	// LogRetention is how long the log keeps records; 0 if it keeps all.
 	LogRetention time.Duration
 	// Programs are the partitions with the records of programs. Index are the partitions that map turns to programs.
--- a/internal/programs/turns.go
+++ b/internal/programs/turns.go
@@ -203,9 +203,12 @@
 // workspace has no such turn.
 func (s *Store) Chain(ctx context.Context, notBefore time.Time, program account.Key, id call.ID) (l []*Turn, err error) {
 	if s.Leaders != nil {
-		l, err := s.fetchChain(ctx, notBefore, id)
-		if err == nil && l[len(l)-1].Program.Workspace != program.Workspace {
-			return nil, ErrTurnNotFound
+		l, err := s.fetchChain(ctx, notBefore, program, id)
+		if err == nil {
+			if owner := l[len(l)-1].Program.Workspace; owner != program.Workspace {
+				s.logNotFound(program, id, zap.String("owner", string(owner)))
+				return nil, ErrTurnNotFound
+			}
 		}
 		return l, err
 	}
