Do not rebuild all rate limits each half second

Cause: since zones can be evacuated, the gateway's tick called followerChanged every 500 ms, which rebuilds the limits of all workspaces and cold targets although they change only with the configuration and the list of targets. Change: the tick only applies the targets to the queues, since some expire by time alone.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -200,6 +200,16 @@
 	g.queues.Update(now, g.follower.Targets(now), table.Service)
 }
 
+// updateTargets applies the targets that may be used now to the queues.
+func (g *Gateway) updateTargets(now time.Time) {
+	g.logEmptyZones(now)
+	g.applying.Lock()
+	defer g.applying.Unlock()
+	if table := g.follower.Table(); table != nil {
+		g.queues.Update(now, g.follower.Targets(now), table.Service)
+	}
+}
+
 // Run serves until the context ends, and then finishes the accepted requests.
 func (g *Gateway) Run(ctx context.Context) (err error) {
 	defer func() { err = oops.In("gateway").Wrapf(err, "run") }()
--- a/internal/gateway/periodic.go
+++ b/internal/gateway/periodic.go
@@ -33,7 +33,7 @@
 			lastUpdate = now
 			g.updateReady(now)
 			// After an outage of the log a removed target may still be used for some time. No event reports the end of that time.
-			g.followerChanged(now)
+			g.updateTargets(now)
 		}
 		if now.Sub(lastCleanup) > cleanupInterval {
 			lastCleanup = now
