Judge the log's availability for each of its partitions

Instances logged 572 times in 2.3 s that they had lost the log, refused turns of programs whose partitions were well (accountUnavailable, logUnavailable), and refused to pass on calls of others. Cause: one circuit breaker for the log as a whole opened after two failures in a row, whatever partition they concerned; calls whose caller had gone counted as failures too. Evidence: TestOutageOfOnePartition failed before ("call 9: the log did not apply the call, the log is unavailable" for the partition that answers), and so did TestCancelledCallsAreNoOutage. Change: each partition has its own breaker; the log as a whole counts as lost after two failures in a row of partitions that were not known to be unavailable, and instances that failed to pass on a call are left out for that partition only. Events 210 and 211 name the partition.

--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -78,6 +78,13 @@
 		"Calls to the platform's log since the start, by path.",
 		"Compare with docs/CAPACITY.md if the log refuses calls because there are too many.",
 		"calls")
+	PartitionLost = define(210, "partitionLost", warn,
+		"One partition of the log does not answer this instance. Calls to it go through other instances if these reach it; calls to other partitions are not affected.",
+		"Check the partition at the log service.",
+		"stream", "part", "error")
+	PartitionRegained = define(211, "partitionRegained", info,
+		"A partition of the log answers again.", noAction,
+		"stream", "part", "duration")
 	LogRateLowered = define(215, "logRateLowered", warn,
 		"The log throttled calls of this instance, which makes fewer from now on. Class is append or read, from and to are rates in calls per second, count is how often the rate was lowered since the last such event, and queued is how many calls wait.",
 		"If it goes on, compare the appends of all instances (209) with the log's limit in the settings (callsPerSecond).",
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -12,25 +13,19 @@
 
 	"go.uber.org/zap"
 
-	"github.com/comfreylink/comfreylink/internal/events"
 	"github.com/comfreylink/comfreylink/internal/partlog"
 	"github.com/comfreylink/comfreylink/internal/rpc"
-	"github.com/comfreylink/comfreylink/pkg/breaker"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 )
 
 const (
 	// peerTries is the maximum number of other instances through which one call is tried.
 	peerTries = 3
-	// probeTimeout bounds a direct call to the log while it is considered unavailable.
+	// probeTimeout bounds a direct call to a partition while it is considered unavailable.
 	probeTimeout = 150 * time.Millisecond
 	// peerTimeout bounds a call through another instance. The time for which a read waits for records is added.
 	peerTimeout = 600 * time.Millisecond
-	// maxThrottledInRow is the number of consecutive throttled calls after which the log is considered unavailable. The
-	// log may throttle this instance alone, and then every call. When all instances together exceed its rate, it throttles
-	// only some calls.
-	maxThrottledInRow = 8
-	// failedPause is how long another instance is not called after it did not reach the log either or did not answer.
+	// failedPause is how long another instance is not called for a partition after it did not reach it either or did not answer.
 	failedPause = 2 * time.Second
 )
 
@@ -62,22 +57,24 @@
 // Log is the platform's log, called directly or through another instance. It is safe for concurrent use.
 type Log struct {
 	Config
-	mu             sync.Mutex
-	direct         breaker.Breaker              // of direct calls
-	throttledInRow int                          // consecutive throttled direct calls
-	lostAt         time.Time                    // when the log became unavailable
-	helper         ids.InstanceID               // the last instance that passed on a call
-	failed         map[ids.InstanceID]time.Time // instances that failed to pass on a call, and when
+	mu  sync.Mutex
+	all contact // to the log as a whole
+	// contacts are those to single partitions, since some may be unavailable while others answer.
+	contacts       map[partlog.Partition]*contact
+	throttledInRow int            // consecutive throttled direct calls
+	helper         ids.InstanceID // the last instance that passed on a call
+	failed         map[route]time.Time
 }
 
-// New returns a log that is considered available.
-func New(c Config) *Log { return &Log{Config: c, failed: make(map[ids.InstanceID]time.Time)} }
+// route is a way to a partition through another instance. Log.failed has those that failed, and when.
+type route struct {
+	peer      ids.InstanceID
+	partition partlog.Partition
+}
 
-// Reachable reports whether this instance reaches the log directly.
-func (l *Log) Reachable() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return !l.direct.Open()
+// New returns a log that is considered available.
+func New(c Config) *Log {
+	return &Log{Config: c, contacts: make(map[partlog.Partition]*contact), failed: make(map[route]time.Time)}
 }
 
 // Append implements partlog.Log.
@@ -112,15 +109,15 @@
 func (l *Log) call(ctx context.Context, p partlog.Partition, wait time.Duration, read bool,
 	do func(context.Context, partlog.Log) error,
 ) (err error) {
-	allowed, open := l.allowDirect()
+	allowed, probe := l.allowDirect(p)
 	err = errUnavailable
 	if allowed {
-		err = l.callDirect(ctx, wait, open, do)
+		err = l.callDirect(ctx, p, wait, probe, do)
 		if !errors.Is(err, partlog.ErrNotApplied) && !(read && errors.Is(err, partlog.ErrOutcomeUnknown)) {
 			return err
 		}
 		// Another try through another instance would only add to the load of a log that throttles.
-		if errors.Is(err, partlog.ErrThrottled) && l.Reachable() {
+		if errors.Is(err, partlog.ErrThrottled) && l.reaches(p) {
 			return err
 		}
 	}
@@ -133,7 +130,7 @@
 		peerErr := do(peerCtx, &peerLog{client: l.Client, address: peer.Address})
 		cancel()
 		helped := !errors.Is(peerErr, partlog.ErrNotApplied)
-		l.recordPeer(peer.Instance, helped)
+		l.recordPeer(route{peer.Instance, p}, helped)
 		if helped {
 			return peerErr
 		}
@@ -143,66 +140,23 @@
 
 var errUnavailable = errors.Join(partlog.ErrNotApplied, partlog.ErrUnavailable)
 
-// allowDirect reports whether a direct call may be made now, and whether the breaker is open.
-func (l *Log) allowDirect() (allowed, open bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.direct.Allow(l.Now()), l.direct.Open()
-}
-
-func (l *Log) callDirect(ctx context.Context, wait time.Duration, open bool, do func(context.Context, partlog.Log) error) error {
-	if open {
-		probe, cancel := context.WithTimeout(ctx, wait+probeTimeout)
-		defer cancel()
-		ctx = probe
-	}
-	err := do(ctx, l.Direct)
-	l.recordDirect(err)
-	return err
-}
-
-// recordDirect records the result of a direct call. Errors such as a conflict or a truncated partition are answers and
-// count as successes. Paced calls do not count: the pacer tells a log that refuses this instance from one that throttles all.
-func (l *Log) recordDirect(err error) {
-	if errors.Is(err, partlog.ErrPaced) {
-		return
-	}
-	failed := errors.Is(err, partlog.ErrNotApplied) || errors.Is(err, partlog.ErrOutcomeUnknown)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	now := l.Now()
-	if errors.Is(err, partlog.ErrThrottled) {
-		l.throttledInRow++
-		failed = l.throttledInRow >= maxThrottledInRow
-		if !failed {
-			return
-		}
-	} else {
-		l.throttledInRow = 0
-	}
-	switch {
-	case failed && l.direct.Failed(now):
-		l.lostAt = now
-		events.Log(l.Logger, events.LogContactLost, zap.String("operation", "direct"), zap.Error(err))
-	case !failed && l.direct.Succeeded():
-		events.Log(l.Logger, events.LogContactRegained, zap.Duration("duration", now.Sub(l.lostAt)))
-	}
-}
-
-func (l *Log) recordPeer(id ids.InstanceID, helped bool) {
+// recordPeer records whether another instance has passed on a call to a partition.
+func (l *Log) recordPeer(r route, helped bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if helped {
-		l.helper = id
-		delete(l.failed, id)
+		l.helper = r.peer
+		delete(l.failed, r)
 		return
 	}
-	l.failed[id] = l.Now()
+	now := l.Now()
+	maps.DeleteFunc(l.failed, func(_ route, at time.Time) bool { return now.Sub(at) >= failedPause })
+	l.failed[r] = now
 }
 
 // pickPeer returns an instance to call the log through. It prefers the last one that passed on a call, then instances
-// that reported to reach the log directly, then instances of the same zone. Instances that failed in the last
-// failedPause are left out.
+// that reported to reach the log directly, then instances of the same zone. Instances that failed for the partition in the
+// last failedPause are left out.
 func (l *Log) pickPeer(partition partlog.Partition) (peer Peer, ok bool) {
 	peers := l.Peers()
 	if l.MayPassOn != nil {
@@ -213,7 +167,7 @@
 	now := l.Now()
 	best, ties := 0, 0
 	for _, p := range peers {
-		if at, failed := l.failed[p.Instance]; failed && now.Sub(at) < failedPause {
+		if at, failed := l.failed[route{p.Instance, partition}]; failed && now.Sub(at) < failedPause {
 			continue
 		}
 		score := l.score(p)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -14,6 +14,7 @@
 	"github.com/comfreylink/comfreylink/internal/partlog/partlogtest"
 	"github.com/comfreylink/comfreylink/internal/relay"
 	"github.com/comfreylink/comfreylink/internal/rpc"
+	"github.com/comfreylink/comfreylink/pkg/ids"
 )
 
 var part = partlog.Partition{Topic: "t"}
@@ -138,3 +139,51 @@
 	c.Assert(me.log.Reachable(), qt.IsFalse)
 	c.Assert(len(shared.Records()) > 0, qt.IsTrue)
 }
+
+// someUnavailable is a log of which some partitions do not answer.
+type someUnavailable struct {
+	partlog.Log
+	down func(p partlog.Partition) bool
+}
+
+// Append implements partlog.Log.
+func (l someUnavailable) Append(ctx context.Context, p partlog.Partition, at ids.Offset, records ...[]byte) (ids.Offset, error) {
+	if l.down(p) {
+		return 0, partlog.ErrOutcomeUnknown
+	}
+	return l.Log.Append(ctx, p, at, records...)
+}
+
+// Guards against an outage of some partitions that makes instances refuse calls to the others, which the log serves.
+func TestOutageOfOnePartition(t *testing.T) {
+	c := qt.New(t)
+	down := partlog.Partition{Topic: "t", Part: 1}
+	log := someUnavailable{Log: partlogtest.New(), down: func(p partlog.Partition) bool { return p == down }}
+	l := relay.New(relay.Config{Direct: log, Peers: noPeers, Now: time.Now, Logger: zap.NewNop()})
+	failed := 0
+	for i := range 100 {
+		if _, err := l.Append(context.Background(), down, partlog.AnyOffset, []byte("x")); errors.Is(err, partlog.ErrOutcomeUnknown) {
+			failed++
+		}
+		if i%10 == 9 { // rarely enough that several calls to the other partition come in between
+			_, err := l.Append(context.Background(), part, partlog.AnyOffset, []byte("x"))
+			c.Assert(err, qt.IsNil, qt.Commentf("call %d", i))
+		}
+	}
+	c.Assert(l.Reachable(), qt.IsTrue)
+	c.Assert(failed <= 3, qt.IsTrue, qt.Commentf("%d calls to the unavailable partition", failed))
+}
+
+// Guards against callers that go away and are taken for an outage of the log.
+func TestCancelledCallsAreNoOutage(t *testing.T) {
+	c := qt.New(t)
+	log := someUnavailable{Log: partlogtest.New(), down: func(partlog.Partition) bool { return true }}
+	l := relay.New(relay.Config{Direct: log, Peers: noPeers, Now: time.Now, Logger: zap.NewNop()})
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	for range 5 {
+		_, err := l.Append(ctx, part, partlog.AnyOffset, []byte("x"))
+		c.Assert(errors.Is(err, partlog.ErrOutcomeUnknown), qt.IsTrue)
+	}
+	c.Assert(l.Reachable(), qt.IsTrue)
+}
--- a/internal/relay/rpc.go
+++ b/internal/relay/rpc.go
@@ -121,14 +121,18 @@
 	}
 }
 
-// serve returns a method that runs do while this instance reaches the log directly, and records its result.
-func serve[P any](l *Log, do func(context.Context, P) (any, error)) rpc.Method {
+func (p appendParams) partition() partlog.Partition { return p.Partition }
+func (p readParams) partition() partlog.Partition   { return p.Partition }
+func (p newestParams) partition() partlog.Partition { return p.Partition }
+
+// serve returns a method that runs do while this instance reaches the partition directly, and records its result.
+func serve[P interface{ partition() partlog.Partition }](l *Log, do func(context.Context, P) (any, error)) rpc.Method {
 	return rpc.Typed(func(ctx context.Context, p P) (any, error) {
-		if !l.Reachable() {
+		if !l.reaches(p.partition()) {
 			return nil, encodeError(errUnavailable)
 		}
 		result, err := do(ctx, p)
-		l.recordDirect(err)
+		l.recordDirect(p.partition(), err)
 		if err != nil {
 			return nil, encodeError(err)
 		}
--- a/pkg/breaker/breaker.go
+++ b/pkg/breaker/breaker.go
@@ -32,6 +32,9 @@
 	return true
 }
 
+// ProbeNext makes an open breaker allow the next call.
+func (b *Breaker) ProbeNext() { b.nextProbe = time.Time{} }
+
 // Succeeded records a call that was answered, and reports whether this closed the breaker.
 func (b *Breaker) Succeeded() (closed bool) {
 	closed = b.open
