Read the configuration without waiting after an outage of the log

Cause: each read of the configuration waits for new records for a fifth of the bound for withdrawn keys, about a second, and confirms only when it ends; the first read after the outage waited like any other. Change: the read after a failed one does not wait. Outages are kept for each topic, so that removed targets are kept for longer only after an outage of the targets' own partition.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -73,20 +73,20 @@
 	// zonesConfirmed is the same for the evacuations.
 	zonesConfirmed atomic.Int64
 
-	mu        sync.Mutex
-	registry  *registry.Registry
-	zones     *evacuation.Zones
-	cold      *cold.Targets
-	listed    bool                // the targets were read to the end once
-	logLostAt time.Time           // start of the current outage of the log; zero if there is none
-	onChange  func(now time.Time) // called without the lock after the table or the targets changed
+	mu       sync.Mutex
+	registry *registry.Registry
+	zones    *evacuation.Zones
+	cold     *cold.Targets
+	listed   bool                 // the targets were read to the end once
+	lostAt   map[string]time.Time // start of the current outage, by topic; the log's partitions may be unavailable one by one
+	onChange func(now time.Time)  // called without the lock after the table or the targets changed
 }
 
 // New returns a follower that has read nothing. It calls onChange after the configuration or the targets have changed.
 func New(s Source, bounds settings.Bounds, logger *zap.Logger, now func() time.Time, onChange func(now time.Time)) *Follower {
 	return &Follower{
 		source: s, logger: logger, now: now, configWait: configWait(bounds, s.Zones),
-		targetsInterval: bounds.Removal / readsPerRemoval, registry: registry.New(), zones: evacuation.New(), cold: cold.New(), onChange: onChange,
+		targetsInterval: bounds.Removal / readsPerRemoval, registry: registry.New(), zones: evacuation.New(), cold: cold.New(), lostAt: make(map[string]time.Time), onChange: onChange,
 	}
 }
 
@@ -152,19 +152,22 @@
 	return f.registry.IsLeaving(t.ID, t.Born)
 }
 
-// recordResult records whether a call to the log succeeded, and logs the start and the end of an outage.
-func (f *Follower) recordResult(operation string, err error) {
+// recordResult records whether a read of a topic succeeded, and logs the start and the end of an outage.
+func (f *Follower) recordResult(topic string, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.now()
+	lostAt, lost := f.lostAt[topic]
 	switch {
-	case err != nil && f.logLostAt.IsZero():
-		f.logLostAt = now
-		events.Log(f.logger, events.LogContactLost, zap.String("operation", operation), zap.Error(err))
-	case err == nil && !f.logLostAt.IsZero():
-		events.Log(f.logger, events.LogContactRegained, zap.Duration("duration", now.Sub(f.logLostAt)))
-		f.logLostAt = time.Time{}
-		f.registry.LogReturned(now)
+	case err != nil && !lost:
+		f.lostAt[topic] = now
+		events.Log(f.logger, events.LogContactLost, zap.String("operation", topic), zap.Error(err))
+	case err == nil && lost:
+		delete(f.lostAt, topic)
+		events.Log(f.logger, events.LogContactRegained, zap.String("stream", topic), zap.Duration("duration", now.Sub(lostAt)))
+		if topic == f.source.Targets.Topic {
+			f.registry.LogReturned(now)
+		}
 	}
 }
 
@@ -266,7 +269,8 @@
 }
 
 // follow reads a keyed partition until the context ends: first the newest record of each key, then the records that are
-// appended. With an interval, it reads once per interval; with 0, its reads wait for new records. If records were deleted
+// appended. With an interval, it reads once per interval; with 0, its reads wait for new records. After an error, the next read
+// does not wait: its answer ends the time in which what was read last may be out of date. If records were deleted
 // before it has read them, it starts with the newest records again. It passes what it read to apply, with the time when
 // the read was sent, whether the partition's end was reached, and whether the entries are complete.
 func (f *Follower) follow(ctx context.Context, p partlog.Partition, interval time.Duration,
@@ -275,18 +279,24 @@
 	// Keys and targets that are gone must stop being used in time, also while the log throttles calls.
 	ctx = pacedlog.WithKind(ctx, logpace.Lease)
 	next := ids.Offset(-1)
+	longPoll := time.Duration(0)
+	if interval == 0 {
+		longPoll = f.configWait
+	}
+	wait := longPoll
 	for ctx.Err() == nil {
 		sentAt := f.now()
 		var err error
 		if next < 0 {
 			next, err = f.readNewest(ctx, p, sentAt, apply)
 		} else {
-			next, err = f.readFrom(ctx, p, next, interval, sentAt, apply)
+			next, err = f.readFrom(ctx, p, next, wait, sentAt, apply)
 		}
 		f.recordResult(p.Topic, err)
 		pause := interval
+		wait = longPoll
 		if err != nil {
-			pause = retryPause
+			pause, wait = retryPause, 0
 		}
 		select {
 		case <-ctx.Done():
@@ -312,13 +322,9 @@
 
 // readFrom reads the records from an offset on and returns the offset to continue at, or -1 if the record at the offset
 // was deleted.
-func (f *Follower) readFrom(ctx context.Context, p partlog.Partition, from ids.Offset, interval time.Duration, sentAt time.Time,
+func (f *Follower) readFrom(ctx context.Context, p partlog.Partition, from ids.Offset, wait time.Duration, sentAt time.Time,
 	apply func(time.Time, bool, []partlog.Entry, bool),
 ) (next ids.Offset, err error) {
-	wait := time.Duration(0)
-	if interval == 0 {
-		wait = f.configWait
-	}
 	ctx, cancel := context.WithTimeout(ctx, wait+readTimeout)
 	defer cancel()
 	page, err := f.source.Log.Read(ctx, p, from, wait)
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -51,3 +52,55 @@
 	cancel()
 	c.Assert(<-ended, qt.IsNil)
 }
+
+// waitingLog is a log without records. While it is down, its reads fail; otherwise they return when their wait is over.
+type waitingLog struct {
+	partlog.Log
+	down atomic.Bool
+}
+
+// Newest implements partlog.Log.
+func (*waitingLog) Newest(context.Context, partlog.Partition) ([]partlog.Entry, ids.Offset, error) {
+	return []partlog.Entry{{Key: "config", Value: []byte("1")}}, 1, nil
+}
+
+// Read implements partlog.Log.
+func (l *waitingLog) Read(ctx context.Context, _ partlog.Partition, from ids.Offset, wait time.Duration) (partlog.Page, error) {
+	if l.down.Load() {
+		return partlog.Page{}, partlog.ErrNotApplied
+	}
+	select {
+	case <-time.After(wait):
+	case <-ctx.Done():
+	}
+	return partlog.Page{From: from, End: from}, ctx.Err()
+}
+
+// Guards against an instance that refuses requests because its configuration is old for as long after an outage of the log as a
+// read waits for new records.
+func TestFreshSoonAfterOutage(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	log := &waitingLog{}
+	const readWait = 2 * time.Second // a fifth of the bound
+	f := follower.New(follower.Source{
+		Log: log, ConfigKey: "config",
+		DecodeConfig: func([]byte) (call.Config, error) { return call.Config{Version: 1}, nil },
+	}, settings.Bounds{Revoke: 5 * readWait}, zap.NewNop(), time.Now, func(time.Time) {})
+	log.down.Store(true)
+	ended := make(chan error, 1)
+	go func() { ended <- f.FollowConfig(ctx) }()
+	time.Sleep(500 * time.Millisecond)
+	log.down.Store(false)
+	returned := time.Now()
+	fresh := func() bool {
+		age, ok := f.Freshness(time.Now())
+		return ok && age < time.Since(returned)
+	}
+	for last := returned.Add(readWait / 2); !fresh(); time.Sleep(time.Millisecond) {
+		c.Assert(time.Now().Before(last), qt.IsTrue, qt.Commentf("not fresh %v after the outage", time.Since(returned)))
+	}
+	cancel()
+	c.Assert(<-ended, qt.IsNil)
+}
