Let one parser decide where the head of a target's answer ends

What callers saw: a 200 with an empty body and Content-Length: 0, signed and framed as whole, for an answer of 30 bytes that the target broke off after its head. It needs two bytes more than the cut: a blank line or two before the status line, as a target leaves them behind the answer before on a kept connection.

Cause: two parsers read the head. peekHead took the first CR LF CR LF for its end and found the framing above it; fasthttp skips blank lines before the status line, ends heads at bare line feeds, and consumed another head. With blank lines first the framing was sought in nothing, so the answer had neither length nor chunks and ended with its connection. With bare line feeds the reverse: lines of the body counted as header lines, and a "Content-Length: 3" there cut the body to 3 bytes, framed as whole. fasthttp's errors for complete but malformed heads also counted as a crash of the target.

Why it works: peekHead alone ends a head, at its first blank line, and refuses heads that parsers end differently: a blank first line, a line that does not end with CR LF. fasthttp then has to consume exactly these bytes, or the answer is refused.

--- /dev/null
+++ b/internal/httpwire/answer.go
@@ -0,0 +1,89 @@
+package httpwire
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/valyala/fasthttp"
+)
+
+// ErrHeadTooLarge is returned for the head of an answer that does not fit into the buffer of its reader.
+var ErrHeadTooLarge = fmt.Errorf("head: %w", ErrTooLarge)
+
+// ReadAnswer reads the head of an answer and returns a reader of its body, which returns io.EOF only if the body is complete.
+// If only the end of the connection ends the body, h says that the connection closes.
+func ReadAnswer(br *bufio.Reader, h *fasthttp.ResponseHeader) (body io.Reader, err error) {
+	f, err := readHead(br, h)
+	if err != nil {
+		return nil, err
+	}
+	switch status := h.StatusCode(); {
+	case status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified:
+		return &fixedBody{br: br}, nil
+	case f.chunked:
+		return newChunkedBody(br), nil
+	case f.length >= 0:
+		return &fixedBody{br: br, left: f.length}, nil
+	}
+	h.SetConnectionClose()
+	return br, nil
+}
+
+// readHead reads one head into h. peekHead alone decides where it ends: fasthttp must have read exactly these bytes.
+func readHead(br *bufio.Reader, h *fasthttp.ResponseHeader) (f framing, err error) {
+	head, err := peekHead(br)
+	if err != nil {
+		return f, err
+	}
+	size, buffered := len(head), br.Buffered()
+	statusLine, fields, _ := bytes.Cut(head, []byte("\n"))
+	if !bytes.HasPrefix(statusLine, []byte("HTTP/1.")) {
+		return f, ErrFraming
+	}
+	f, err = parseFraming(fields)
+	if err != nil {
+		return f, err
+	}
+	if err := h.Read(br); err != nil {
+		return f, fmt.Errorf("%w: %w", ErrFraming, err)
+	}
+	if buffered-br.Buffered() != size {
+		return f, ErrFraming
+	}
+	return f, nil
+}
+
+// peekHead returns the next head without consuming it. It ends with the first blank line, which is not its first line, and all
+// its lines end with CR LF: parsers differ in what they take for the end of other heads.
+func peekHead(br *bufio.Reader) (head []byte, err error) {
+	line := 0 // where the line begins that is not complete yet
+	for need := 1; ; need = br.Buffered() + 1 {
+		if _, err := br.Peek(need); err != nil {
+			switch {
+			case errors.Is(err, io.EOF) && br.Buffered() > 0:
+				return nil, io.ErrUnexpectedEOF
+			case errors.Is(err, bufio.ErrBufferFull):
+				return nil, ErrHeadTooLarge
+			}
+			return nil, err
+		}
+		buffered, _ := br.Peek(br.Buffered())
+		for {
+			n := bytes.IndexByte(buffered[line:], '\n')
+			if n < 0 {
+				break
+			}
+			blank := n == 1
+			if n == 0 || buffered[line+n-1] != '\r' || blank && line == 0 {
+				return nil, ErrFraming
+			}
+			line += n + 1
+			if blank {
+				return buffered[:line], nil
+			}
+		}
+	}
+}
--- a/internal/httpwire/body.go
+++ b/internal/httpwire/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"io"
 	"net/http/httputil"
@@ -53,7 +54,10 @@
 		if err != nil {
 			return err
 		}
-		if len(line) <= 2 {
+		if !bytes.HasSuffix(line, []byte("\r\n")) {
+			return ErrFraming
+		}
+		if len(line) == len("\r\n") {
 			return nil
 		}
 	}
--- a/internal/httpwire/client.go
+++ b/internal/httpwire/client.go
@@ -194,30 +194,9 @@
 	return err
 }
 
-// ReadHead reads the head of the answer and returns a reader of its body, which returns io.EOF only if the body is complete.
+// ReadHead reads the head of the answer, as ReadAnswer does.
 func (c *Conn) ReadHead(h *fasthttp.ResponseHeader) (body io.Reader, err error) {
-	raw, err := peekHead(c.br)
-	if err != nil {
-		return nil, err
-	}
-	f, err := parseFraming(raw)
-	if err != nil {
-		return nil, err
-	}
-	if err := h.Read(c.br); err != nil {
-		return nil, err
-	}
-	switch {
-	case h.StatusCode() == fasthttp.StatusNoContent || h.StatusCode() == fasthttp.StatusNotModified:
-		return &fixedBody{br: c.br}, nil
-	case f.chunked:
-		return newChunkedBody(c.br), nil
-	case f.length >= 0:
-		return &fixedBody{br: c.br, left: f.length}, nil
-	default:
-		h.SetConnectionClose()
-		return c.br, nil
-	}
+	return ReadAnswer(c.br, h)
 }
 
 // Release keeps the connection for another exchange, or closes it if the answer does not allow reuse or enough connections
--- a/internal/httpwire/headers.go
+++ b/internal/httpwire/headers.go
@@ -4,10 +4,8 @@
 package httpwire
 
 import (
-	"bufio"
 	"bytes"
 	"errors"
-	"io"
 	"iter"
 	"strings"
 )
@@ -54,25 +52,6 @@
 	return false
 }
 
-// peekHead returns the header lines of the next message without consuming its head.
-func peekHead(br *bufio.Reader) (lines []byte, err error) {
-	for need := 1; ; need = br.Buffered() + 1 {
-		if _, err := br.Peek(need); err != nil {
-			if errors.Is(err, io.EOF) && br.Buffered() > 0 {
-				return nil, io.ErrUnexpectedEOF
-			}
-			return nil, err
-		}
-		buffered, _ := br.Peek(br.Buffered())
-		end := bytes.Index(buffered, []byte("\r\n\r\n"))
-		if end < 0 {
-			continue
-		}
-		_, lines, _ = bytes.Cut(buffered[:end], []byte("\n"))
-		return lines, nil
-	}
-}
-
 // framing says how to find the end of a body.
 type framing struct {
 	chunked bool
