Skip the informational answers before a target's answer

What callers saw: 502 answerBroken, run unknown, for a whole and signed answer that a target began with 100 Continue or 103 Early Hints; an unsafe request is lost that way although it has run. The refusal came from the gateway's check of the status. ReadHead by itself returned the informational answer as the answer, with an empty body or with the real answer as its body, both complete at the end of the connection; the store's client has no such check, and an informational answer with X-Not-Executed would have counted as a promise that the request has not run.

Why it works: the reader goes on to the final head, and a cut anywhere before its end is an error. 101 is refused, because no request asks for it.

--- a/internal/httpwire/answer.go
+++ b/internal/httpwire/answer.go
@@ -13,23 +13,33 @@
 // ErrHeadTooLarge is returned for the head of an answer that does not fit into the buffer of its reader.
 var ErrHeadTooLarge = fmt.Errorf("head: %w", ErrTooLarge)
 
+// maxInformational bounds the informational answers before an answer.
+const maxInformational = 100
+
 // ReadAnswer reads the head of an answer and returns a reader of its body, which returns io.EOF only if the body is complete.
-// If only the end of the connection ends the body, h says that the connection closes.
+// It skips informational answers. If only the end of the connection ends the body, h says that the connection closes.
 func ReadAnswer(br *bufio.Reader, h *fasthttp.ResponseHeader) (body io.Reader, err error) {
-	f, err := readHead(br, h)
-	if err != nil {
-		return nil, err
-	}
-	switch status := h.StatusCode(); {
-	case status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified:
-		return &fixedBody{br: br}, nil
-	case f.chunked:
-		return newChunkedBody(br), nil
-	case f.length >= 0:
-		return &fixedBody{br: br, left: f.length}, nil
+	for range maxInformational + 1 {
+		f, err := readHead(br, h)
+		if err != nil {
+			return nil, err
+		}
+		switch status := h.StatusCode(); {
+		case status < fasthttp.StatusContinue || status == fasthttp.StatusSwitchingProtocols:
+			return nil, ErrFraming
+		case status < fasthttp.StatusOK:
+			continue
+		case status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified:
+			return &fixedBody{br: br}, nil
+		case f.chunked:
+			return newChunkedBody(br), nil
+		case f.length >= 0:
+			return &fixedBody{br: br, left: f.length}, nil
+		}
+		h.SetConnectionClose()
+		return br, nil
 	}
-	h.SetConnectionClose()
-	return br, nil
+	return nil, ErrFraming
 }
 
 // readHead reads one head into h. peekHead alone decides where it ends: fasthttp must have read exactly these bytes.
--- a/internal/httpwire/httpwiretest/answers.go
+++ b/internal/httpwire/httpwiretest/answers.go
@@ -31,6 +31,7 @@
 		chunked = "Transfer-Encoding: chunked\r\n"
 	)
 	head := ok + fields
+	hints := "HTTP/1.1 103 Early Hints\r\n" + fields + "\r\n"
 	size := len(body)
 	length := fmt.Sprintf("Content-Length: %d\r\n", size)
 	half := size / 2
@@ -44,6 +45,9 @@
 		framed("length first", ok+length+fields+"\r\n"+body),
 		framed("chunks", head+chunked+"\r\n"+chunks),
 		{"no length", head + "\r\n" + body, len(head) + 2, body},
+		framed("continue", "HTTP/1.1 100 Continue\r\n\r\n"+head+length+"\r\n"+body),
+		framed("early hints", hints+head+chunked+"\r\n"+chunks),
+		{"early hints, no length", hints + head + "\r\n" + body, len(hints) + len(head) + 2, body},
 		empty("no content", "HTTP/1.1 204 No Content\r\n"+fields+"\r\n"),
 		empty("not modified", "HTTP/1.1 304 Not Modified\r\n"+fields+length+"\r\n"),
 		refused("bare line feeds", bare(head+length+"\r\n")+body),
@@ -59,6 +63,7 @@
 		refused("length and chunks", head+length+chunked+"\r\n"+chunks),
 		refused("two lengths", head+length+length+"\r\n"+body),
 		refused("other coding", head+"Transfer-Encoding: gzip, chunked\r\n\r\n"+chunks),
+		refused("switching protocols", "HTTP/1.1 101 Switching Protocols\r\n"+fields+"Upgrade: x\r\n\r\n"+body),
 		refused("trailer with a bare line feed", head+chunked+"\r\n"+strings.TrimSuffix(chunks, "\r\n")+"\n"),
 	}
 }
