Read answers on the product's own interface with the same parser

What callers saw: a success with a body that is not the answer's. A chunked answer in HTTP/1.0 was given out with the chunk framing as its body, and as whole wherever its connection ended. Heads with bare line feeds or a bare blank line ended at a place where other parsers see more header lines. 101 was passed on as an answer.

Cause: internal/targethttp left head and framing to fasthttp's Response, and internal/httpwire read the same bytes by other rules.

The new test before (internal/targethttp, TestAnswersCutAnywhere), each with error nil: chunks_in_HTTP/1.0 "HTTP/1.0 200 OK\r\nX-A: a\r\nTransfer-Encoding: chunked\r\n\r\n": body "" bare_blank_line "HTTP/1.1 200 OK\r\nX-A: a\r\n\nContent-Length: 3\r\n\r\n": body "Content-Length: 3\r\n\r\n" bare_line_feed_before_the_blank_line "...X-A: a\n\r\nContent-Length: 3\r\n\r\n": body "Content-Length: 3\r\n\r\n" bare_line_feeds,_head_ends_in_the_body "...\n\na: b\nContent-Length: 3\r\n\r\n": body "a: b\nContent-Length: 3\r\n\r\n" switching_protocols: body "" folded_line, space_before_the_colon, length_and_chunks, blank_line_first, blank_lines_first: answered, now refused as malformed All cuts of sound answers (length, chunks, no length, informational ones first, 204, 304) passed before.

Why it works: both interfaces call httpwire.ReadAnswer, which decides on the end of the head and on the framing. It knows HEAD now, and refuses chunks in HTTP/1.0. The header of an answer belongs to its exchange, so it needs no copy.

--- a/internal/httpwire/answer.go
+++ b/internal/httpwire/answer.go
@@ -17,8 +17,9 @@
 const maxInformational = 100
 
 // ReadAnswer reads the head of an answer and returns a reader of its body, which returns io.EOF only if the body is complete.
-// It skips informational answers. If only the end of the connection ends the body, h says that the connection closes.
-func ReadAnswer(br *bufio.Reader, h *fasthttp.ResponseHeader) (body io.Reader, err error) {
+// It skips informational answers. noBody says that the request was a HEAD request, whose answer has no body. If only the end of
+// the connection ends the body, h says that the connection closes.
+func ReadAnswer(br *bufio.Reader, h *fasthttp.ResponseHeader, noBody bool) (body io.Reader, err error) {
 	for range maxInformational + 1 {
 		f, err := readHead(br, h)
 		if err != nil {
@@ -29,7 +30,7 @@
 			return nil, ErrFraming
 		case status < fasthttp.StatusOK:
 			continue
-		case status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified:
+		case noBody || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified:
 			return &fixedBody{br: br}, nil
 		case f.chunked:
 			return newChunkedBody(br), nil
@@ -50,7 +51,8 @@
 	}
 	size, buffered := len(head), br.Buffered()
 	statusLine, fields, _ := bytes.Cut(head, []byte("\n"))
-	if !bytes.HasPrefix(statusLine, []byte("HTTP/1.")) {
+	old := bytes.HasPrefix(statusLine, []byte("HTTP/1.0 "))
+	if !old && !bytes.HasPrefix(statusLine, []byte("HTTP/1.1 ")) {
 		return f, ErrFraming
 	}
 	f, err = parseFraming(fields)
@@ -60,7 +62,8 @@
 	if err := h.Read(br); err != nil {
 		return f, fmt.Errorf("%w: %w", ErrFraming, err)
 	}
-	if buffered-br.Buffered() != size {
+	// HTTP/1.0 has no chunks, so other readers would take them for the body.
+	if buffered-br.Buffered() != size || old && f.chunked {
 		return f, ErrFraming
 	}
 	return f, nil
--- a/internal/httpwire/client.go
+++ b/internal/httpwire/client.go
@@ -194,9 +194,9 @@
 	return err
 }
 
-// ReadHead reads the head of the answer, as ReadAnswer does.
+// ReadHead reads the head of the answer to a request other than HEAD, as ReadAnswer does.
 func (c *Conn) ReadHead(h *fasthttp.ResponseHeader) (body io.Reader, err error) {
-	return ReadAnswer(c.br, h)
+	return ReadAnswer(c.br, h, false)
 }
 
 // Release keeps the connection for another exchange, or closes it if the answer does not allow reuse or enough connections
--- a/internal/httpwire/httpwiretest/answers.go
+++ b/internal/httpwire/httpwiretest/answers.go
@@ -63,6 +63,7 @@
 		refused("length and chunks", head+length+chunked+"\r\n"+chunks),
 		refused("two lengths", head+length+length+"\r\n"+body),
 		refused("other coding", head+"Transfer-Encoding: gzip, chunked\r\n\r\n"+chunks),
+		refused("chunks in HTTP/1.0", strings.Replace(head, "1.1", "1.0", 1)+chunked+"\r\n"+chunks),
 		refused("switching protocols", "HTTP/1.1 101 Switching Protocols\r\n"+fields+"Upgrade: x\r\n\r\n"+body),
 		refused("trailer with a bare line feed", head+chunked+"\r\n"+strings.TrimSuffix(chunks, "\r\n")+"\n"),
 	}
--- a/internal/targethttp/exchange.go
+++ b/internal/targethttp/exchange.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/comfreylink/comfreylink/internal/httpwire"
 )
 
 // maxErrorBody limits how much of the body of a refusal an Error keeps.
@@ -67,8 +69,6 @@
 // Bytes sends the request and returns the whole answer of at most limit bytes.
 func (c *Client) Bytes(ctx context.Context, address string, r Request, limit int64) (h Head, body []byte, err error) {
 	err = c.Do(ctx, address, r, limit, func(head Head, rd io.Reader) (err error) {
-		// fasthttp reuses the header after the exchange, so the caller gets a copy.
-		head.header = copyHeader(head.header)
 		h = head
 		body, err = io.ReadAll(rd)
 		return err
@@ -82,12 +82,6 @@
 	return strings.HasPrefix(p, "/") && strings.IndexFunc(p, func(r rune) bool { return r <= ' ' || r == 0x7f }) < 0
 }
 
-func copyHeader(h *fasthttp.ResponseHeader) *fasthttp.ResponseHeader {
-	c := &fasthttp.ResponseHeader{}
-	h.CopyTo(c)
-	return c
-}
-
 // exchange is one request and its answer.
 type exchange struct {
 	ctx     context.Context
@@ -137,23 +131,14 @@
 	}
 	br := pool.AcquireReader(x.conn.Conn)
 	defer pool.ReleaseReader(br)
-	resp := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseResponse(resp)
-	resp.StreamBody = true
-	resp.SkipBody = r.Method == fasthttp.MethodHead
-	if err := resp.ReadLimitBody(br, 0); err != nil {
+	var h fasthttp.ResponseHeader
+	raw, err := httpwire.ReadAnswer(br, &h, r.Method == fasthttp.MethodHead)
+	if err != nil {
 		return false, x.headFailure(err)
 	}
-	defer func() { _ = resp.CloseBodyStream() }()
-
-	x.status = resp.StatusCode()
-	body := &boundedReader{x: x, remaining: x.limit, r: resp.BodyStream()}
-	if body.r == nil {
-		body.ended = true
-	}
-	// An answer with neither a length nor chunks ends with its connection, which is then not used again.
-	endsWithConnection := body.r != nil && resp.Header.ContentLength() == contentLengthIdentity
-	if err := read(newHead(resp), body); err != nil {
+	x.status = h.StatusCode()
+	body := &boundedReader{x: x, remaining: x.limit, r: raw}
+	if err := read(newHead(&h), body); err != nil {
 		var e *Error
 		if errors.As(err, &e) {
 			return false, err
@@ -161,12 +146,9 @@
 		return false, x.fail(Aborted, err)
 	}
 	// Bytes after the answer would be read as the answer to the next request on this connection.
-	return x.atEnd(body) && br.Buffered() == 0 && !resp.ConnectionClose() && !endsWithConnection, nil
+	return x.atEnd(body) && br.Buffered() == 0 && !h.ConnectionClose(), nil
 }
 
-// contentLengthIdentity is fasthttp's value for an answer with neither a length nor chunks.
-const contentLengthIdentity = -2
-
 // atEnd reports whether the body has ended, and waits for its end mark if necessary: the reader of an event stream stops
 // at the last event, before that mark.
 func (x *exchange) atEnd(body *boundedReader) bool {
@@ -184,13 +166,10 @@
 // headFailure returns the error for an answer whose head could not be read. It omits the text of fasthttp's parse errors,
 // which quotes received bytes and so may contain a caller's data.
 func (x *exchange) headFailure(err error) *Error {
-	var small *fasthttp.ErrSmallBuffer
 	var network *net.OpError
 	switch {
-	case errors.As(err, &small):
+	case errors.Is(err, httpwire.ErrHeadTooLarge):
 		return x.fail(TooLarge, errors.New("headers exceed their limit"))
-	case errors.Is(err, fasthttp.ErrTimeout):
-		return x.fail(Cut, err)
 	case errors.As(err, &network):
 		return x.fail(Cut, network)
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
@@ -221,13 +200,13 @@
 	return bw.Flush()
 }
 
-func newHead(resp *fasthttp.Response) Head {
+func newHead(h *fasthttp.ResponseHeader) Head {
 	return Head{
-		Status:      resp.StatusCode(),
-		ContentType: string(resp.Header.ContentType()),
-		Closing:     resp.ConnectionClose(),
-		RetryAfter:  retryAfter(&resp.Header),
-		header:      &resp.Header,
+		Status:      h.StatusCode(),
+		ContentType: string(h.ContentType()),
+		Closing:     h.ConnectionClose(),
+		RetryAfter:  retryAfter(h),
+		header:      h,
 	}
 }
 
@@ -259,7 +238,7 @@
 	switch {
 	case b.remaining < 0:
 		return 0, b.x.fail(TooLarge, fmt.Errorf("answer exceeds %d bytes", b.x.limit))
-	case errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF):
+	case errors.Is(err, io.EOF):
 		b.ended = true
 		return n, io.EOF
 	case err != nil:
