Expect no body in a target's answer to HEAD

What callers saw: 504 for every HEAD request whose answer has a length, after the whole deadline, although the target had run it and answered.

Cause: ReadHead waited for the body that the length names. An answer to HEAD has the header lines of GET and no body.

The new test before: TestAnswerToHead (platform): got 504, want 200, after 3.3 s.

Why it works: a connection knows from the request that it has written last whether the answer has a body.

--- a/internal/httpwire/client.go
+++ b/internal/httpwire/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -70,6 +71,8 @@
 	idleSince   time.Time
 	// Reused is true if the connection has already carried an exchange.
 	Reused bool
+	// head is true if the last request was a HEAD request.
+	head bool
 }
 
 // Get returns a connection to an address. It reuses an idle connection that has been idle for no longer than maxIdle, or
@@ -190,13 +193,14 @@
 
 // Write sends a whole request. If it fails after the first byte, the server may nevertheless have received all of it.
 func (c *Conn) Write(b []byte) error {
+	c.head = bytes.HasPrefix(b, []byte("HEAD "))
 	_, err := c.conn.Write(b)
 	return err
 }
 
-// ReadHead reads the head of the answer to a request other than HEAD, as ReadAnswer does.
+// ReadHead reads the head of the answer to the request that was written last, as ReadAnswer does.
 func (c *Conn) ReadHead(h *fasthttp.ResponseHeader) (body io.Reader, err error) {
-	return ReadAnswer(c.br, h, false)
+	return ReadAnswer(c.br, h, c.head)
 }
 
 // Release keeps the connection for another exchange, or closes it if the answer does not allow reuse or enough connections
