--- a/internal/httpwire/client.go
+++ b/internal/httpwire/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -70,6 +71,8 @@
 	idleSince   time.Time
 	// Reused is true if the connection has already carried an exchange.
 	Reused bool
+	// head is true if the last request was a HEAD request.
+	head bool
 }
 
 // Get returns a connection to an address. It reuses an idle connection that has been idle for no longer than maxIdle, or
@@ -190,34 +193,14 @@
 
 // Write sends a whole request. If it fails after the first byte, the server may nevertheless have received all of it.
 func (c *Conn) Write(b []byte) error {
+	c.head = bytes.HasPrefix(b, []byte("HEAD "))
 	_, err := c.conn.Write(b)
 	return err
 }
 
-// ReadHead reads the head of the answer and returns a reader of its body, which returns io.EOF only if the body is complete.
+// ReadHead reads the head of the answer to the request that was written last, as ReadAnswer does.
 func (c *Conn) ReadHead(h *fasthttp.ResponseHeader) (body io.Reader, err error) {
-	raw, err := peekHead(c.br)
-	if err != nil {
-		return nil, err
-	}
-	f, err := parseFraming(raw)
-	if err != nil {
-		return nil, err
-	}
-	if err := h.Read(c.br); err != nil {
-		return nil, err
-	}
-	switch {
-	case h.StatusCode() == fasthttp.StatusNoContent || h.StatusCode() == fasthttp.StatusNotModified:
-		return &fixedBody{br: c.br}, nil
-	case f.chunked:
-		return newChunkedBody(c.br), nil
-	case f.length >= 0:
-		return &fixedBody{br: c.br, left: f.length}, nil
-	default:
-		h.SetConnectionClose()
-		return c.br, nil
-	}
+	return ReadAnswer(c.br, h, c.head)
 }
 
 // Release keeps the connection for another exchange, or closes it if the answer does not allow reuse or enough connections
