Let a wait for a partition's read end with its request

What callers saw: a turn's request, or a reservation, that waited for another one's read of the partition waited for the end of that read, however long it took, and was refused only then. Cause: read and restoreTurns held a sync.Mutex during calls to the log, whose waiters know no deadline. Now the lock's waiters give up with their context. Before: TestWaitForReadEndsWithContext, 'panic: test timed out after 5s', the waiter in sync.Mutex.Lock of partition.read.

--- /dev/null
+++ b/internal/programs/lock_test.go
@@ -0,0 +1,48 @@
+package programs_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/comfreylink/comfreylink/internal/partlog"
+	"github.com/comfreylink/comfreylink/internal/partlog/partlogtest"
+	"github.com/comfreylink/comfreylink/pkg/ids"
+)
+
+// slowReads is a log whose reads take 550 ms, or end with their context.
+type slowReads struct{ *partlogtest.Log }
+
+// Read implements partlog.Log.
+func (l slowReads) Read(ctx context.Context, p partlog.Partition, from ids.Offset, wait time.Duration) (partlog.Page, error) {
+	select {
+	case <-time.After(550 * time.Millisecond):
+		return l.Log.Read(ctx, p, from, wait)
+	case <-ctx.Done():
+		return partlog.Page{}, ctx.Err()
+	}
+}
+
+// Guards against a request that waits far beyond its own time because another one's read of the partition is slow.
+func TestWaitForReadEndsWithContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := newStore(slowReads{partlogtest.New()})
+		searched := make(chan error)
+		go func() {
+			_, err := s.Chain(context.Background(), time.Now(), program, "unknown")
+			searched <- err
+		}()
+		time.Sleep(10 * time.Millisecond)
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer cancel()
+		began := time.Now()
+		_, err := s.Chain(ctx, time.Now(), program, "unknown")
+		c.Check(err, qt.ErrorIs, context.DeadlineExceeded)
+		c.Check(time.Since(began) <= 100*time.Millisecond, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+		<-searched
+	})
+}
--- a/internal/programs/partition.go
+++ b/internal/programs/partition.go
@@ -44,8 +44,8 @@
 	writing     bool      // the writer goroutine runs
 	wroteAt     time.Time // when the last append was started
 
-	readLock    sync.Mutex // held during a read
-	restoreLock sync.Mutex // held while dropped turns are read again
+	readLock    lock // held during a read
+	restoreLock lock // held while dropped turns are read again
 }
 
 // isSending reports whether batches of this instance are not written yet.
@@ -116,8 +116,10 @@
 
 // read reads the partition to its end. It does nothing if a read that began after notBefore has reached the end.
 func (p *partition) read(ctx context.Context, notBefore time.Time) error {
-	p.readLock.Lock()
-	defer p.readLock.Unlock()
+	if err := p.readLock.acquire(ctx); err != nil {
+		return err
+	}
+	defer p.readLock.release()
 	for {
 		p.mu.Lock()
 		from, done := p.next, p.readAt.After(notBefore)
@@ -157,8 +159,10 @@
 // dropped may still be continued, for instance if the clocks of instances are far apart. It does not hold readLock, because
 // the partition's writer needs that to go on after a conflict.
 func (p *partition) restoreTurns(ctx context.Context) error {
-	p.restoreLock.Lock()
-	defer p.restoreLock.Unlock()
+	if err := p.restoreLock.acquire(ctx); err != nil {
+		return err
+	}
+	defer p.restoreLock.release()
 	p.mu.Lock()
 	needed := p.turnsDropped
 	p.turnsDropped = false
--- a/internal/programs/programs.go
+++ b/internal/programs/programs.go
@@ -94,7 +94,10 @@
 	defer s.mu.Unlock()
 	p := s.partitions[id]
 	if p == nil {
-		p = &partition{store: s, id: id, ledger: account.New(), pools: make(map[account.Key]*pool), elsewhere: make(map[account.Key]ids.Tokens)}
+		p = &partition{
+			store: s, id: id, ledger: account.New(), pools: make(map[account.Key]*pool), elsewhere: make(map[account.Key]ids.Tokens),
+			readLock: newLock(), restoreLock: newLock(),
+		}
 		s.partitions[id] = p
 	}
 	return p
