Read a dropped turn again wherever it was fetched and whenever it was dropped

What callers saw: 503 turnUnavailable in every try, or 404 noSuchTurn, for a turn that the log has. Cause: turns dropped from memory are read again from the partition that they were last added for. (a) A turn that a leader sends was added for the partition that was asked, though its record may be in any, so its own leader did not read its partition again. (b) The mark 'turns were dropped' was set after the drop and cleared before the second reading, and the lookup came after that reading, so a lookup in between, or a drop during the reading, made the turn count as missing. Now a turn that was fetched has no partition of its own, and the memory counts the drops of each partition under the lock of the drop. A turn is missing only if no drop came between the last reading and the lookup. Turns are dropped after twice their retention, so this takes a chain longer than that, or clocks that are a retention apart.

--- a/internal/programs/find.go
+++ b/internal/programs/find.go
@@ -22,21 +22,17 @@
 	if err := p.readWithRetry(ctx, notBefore); err != nil {
 		return nil, err
 	}
-	inMemory := func(id call.ID) bool { return p.store.turns.lookup(id) != nil }
-	if !slices.ContainsFunc(wanted, func(id call.ID) bool { return !inMemory(id) }) {
-		return p.store.turnsInMemory(wanted), nil
-	}
-	if err := p.restoreTurns(ctx); err != nil {
-		return nil, err
-	}
-	return p.store.turnsInMemory(wanted), nil
+	return p.restoreTurns(ctx, wanted)
 }
 
-// turnsInMemory returns the turns with the given ids and the turns before them, as far as they are in memory.
-func (s *Store) turnsInMemory(wanted []call.ID) (found []*Turn) {
+// turnsInMemory returns the turns with the given ids and the turns before them, as far as they are in memory. all reports
+// whether all with the given ids are.
+func (s *Store) turnsInMemory(wanted []call.ID) (found []*Turn, all bool) {
+	all = true
 	for _, id := range wanted {
 		t := s.turns.lookup(id)
 		if t == nil {
+			all = false
 			continue
 		}
 		for _, before := range t.Chain {
@@ -46,7 +42,7 @@
 		}
 		found = append(found, t)
 	}
-	return found
+	return found, all
 }
 
 // turnPartition returns the partition for a turn's record. It is one that is led in the zone of this instance, because
@@ -144,7 +140,7 @@
 		if err != nil {
 			return read, err
 		}
-		s.turns.add(t, p)
+		s.turns.addFetched(t)
 	}
 	return result.Read, nil
 }
--- a/internal/programs/methods.go
+++ b/internal/programs/methods.go
@@ -49,7 +49,8 @@
 		return nil, err
 	}
 	if a.MemoryOnly {
-		return turnsResult{Turns: encodeTurns(s.turnsInMemory(a.Turns))}, nil
+		found, _ := s.turnsInMemory(a.Turns)
+		return turnsResult{Turns: encodeTurns(found)}, nil
 	}
 	turns, err := p.findTurns(ctx, s.Now(), a.Turns)
 	return turnsResult{Turns: encodeTurns(turns), Failure: toFailure(err), Read: p.readSoFar()}, nil
--- a/internal/programs/partition.go
+++ b/internal/programs/partition.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/comfreylink/comfreylink/internal/call"
 	"github.com/comfreylink/comfreylink/internal/events"
 	"github.com/comfreylink/comfreylink/internal/partlog"
 	"github.com/comfreylink/comfreylink/pkg/account"
@@ -36,7 +37,7 @@
 	sending       int              // batches that are being written
 	sendScheduled bool             // a timer will send the settlements
 	idleScheduled bool             // a timer will check for idle pools
-	turnsDropped  bool             // turns were dropped from memory since the last read from the beginning
+	dropsRestored int              // drops of turns from memory that were made up for by a read from the beginning
 
 	// The writer, which writes the batches of this instance, and those of others if this instance leads the partition.
 	queue       []*submission
@@ -155,27 +156,46 @@
 	return page.Next() >= page.End
 }
 
-// restoreTurns reads all retained turns of the partition again if some of them were dropped from memory: one that was
+// restoreTurns returns the turns with the given ids and the turns before them, as far as they are in memory. It reads all
+// retained turns of the partition again if one of the wanted is not in memory and some of them were dropped: one that was
 // dropped may still be continued, for instance if the clocks of instances are far apart. It does not hold readLock, because
 // the partition's writer needs that to go on after a conflict.
-func (p *partition) restoreTurns(ctx context.Context) error {
+func (p *partition) restoreTurns(ctx context.Context, wanted []call.ID) (found []*Turn, err error) {
+	for {
+		p.mu.Lock()
+		restored := p.dropsRestored
+		p.mu.Unlock()
+		found, all := p.store.turnsInMemory(wanted)
+		// Turns may be dropped at any time, so a turn that is missing is not in the partition only if none were dropped between
+		// the last reading and the lookup.
+		if all || p.store.turns.dropsOf(p) == restored {
+			return found, nil
+		}
+		if err := p.restoreOnce(ctx); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// restoreOnce reads all retained turns of the partition if turns were dropped since that was done last.
+func (p *partition) restoreOnce(ctx context.Context) error {
 	if err := p.restoreLock.acquire(ctx); err != nil {
 		return err
 	}
 	defer p.restoreLock.release()
+	drops := p.store.turns.dropsOf(p)
 	p.mu.Lock()
-	needed := p.turnsDropped
-	p.turnsDropped = false
+	restored := p.dropsRestored
 	p.mu.Unlock()
-	if !needed {
+	if restored == drops {
 		return nil
 	}
 	if err := p.readTurns(ctx); err != nil {
-		p.mu.Lock()
-		p.turnsDropped = true
-		p.mu.Unlock()
 		return err
 	}
+	p.mu.Lock()
+	p.dropsRestored = drops
+	p.mu.Unlock()
 	return nil
 }
 
--- a/internal/programs/turns.go
+++ b/internal/programs/turns.go
@@ -264,11 +264,12 @@
 		}
 	}
 	for _, p := range places {
-		if err := p.restoreTurns(ctx); err != nil {
+		found, err := p.restoreTurns(ctx, []call.ID{id})
+		if err != nil {
 			return nil, err
 		}
-		if t := s.turns.lookup(id); t != nil {
-			return t, nil
+		if len(found) > 0 {
+			return found[len(found)-1], nil
 		}
 	}
 	// If the index has the turn, its instance ended between the two records, so no caller has received the end of the turn.
@@ -334,17 +335,10 @@
 		s.indexedSince = now
 	}
 	s.mu.Unlock()
-	dropped := s.turns.drop(now, keep)
-	if len(dropped) == 0 {
+	count := s.turns.drop(now, keep)
+	if count == 0 {
 		return
 	}
-	count := 0
-	for p, n := range dropped {
-		count += n
-		p.mu.Lock()
-		p.turnsDropped = true
-		p.mu.Unlock()
-	}
 	events.Log(s.Logger, events.TurnsDropped, zap.Int("count", count), zap.Int("kept", s.turns.count()), zap.Duration("keep", keep))
 }
 
