--- a/internal/programs/dropped_test.go
+++ b/internal/programs/dropped_test.go
@@ -33,7 +33,7 @@
 // memory and does not read its own partition again.
 func TestTurnFetchedFromAnotherLeaderIsReadAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newSimulation(t, 1, 2*simZones)
+		s := newSimulation(t, 1, 2*simZones, 0)
 		defer s.stop()
 		time.Sleep(2 * time.Second)
 		s.put(0, "t0")
@@ -61,7 +61,7 @@
 // Guards against a turn that is reported missing because it was dropped from memory while it was looked up or read again.
 func TestTurnDroppedDuringLookup(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newSimulation(t, 1, 2*simZones)
+		s := newSimulation(t, 1, 2*simZones, 0)
 		defer s.stop()
 		time.Sleep(2 * time.Second)
 		for i := range 3 * pageRecords { // several pages
--- a/internal/programs/simulation_test.go
+++ b/internal/programs/simulation_test.go
@@ -69,12 +69,14 @@
 	ended     chan struct{}
 }
 
-func newSimulation(t *testing.T, seed uint64, size int) *simulation {
+// newSimulation returns a fleet whose clocks differ by up to maxOffset.
+func newSimulation(t *testing.T, seed uint64, size int, maxOffset time.Duration) *simulation {
 	s := &simulation{
 		C: qt.New(t), log: partlogtest.New(), random: rand.New(rand.NewPCG(seed, 1)), ended: make(chan struct{}), logFails: make(map[int]bool),
 	}
 	for i := range size {
-		s.instances = append(s.instances, &simInstance{sim: s, index: i})
+		in := &simInstance{sim: s, index: i, offset: time.Duration(s.random.Int64N(int64(maxOffset) + 1))}
+		s.instances = append(s.instances, in)
 		s.start(i)
 	}
 	return s
@@ -94,7 +96,8 @@
 	defer s.mu.Unlock()
 	in := s.instances[i]
 	run := &simRun{instance: in, startedAt: time.Now(), ended: make(chan struct{})}
-	now := func() time.Time { return time.Now().Add(in.offset) }
+	offset := in.offset
+	now := func() time.Time { return time.Now().Add(offset) }
 	client := leaders.New(leaders.Config{
 		Self: in.id(), Zone: in.zone(), Members: run.members, Caller: run, Now: now, Logger: zap.NewNop(),
 	})
