Wait for the others' reports before acting as a leader

What callers saw: after all instances lost power, 503 turnUnavailable and accountUnavailable for seconds. Cause: until an instance has read the others' reports it knows only itself, took itself for the leader of all partitions, and read each of them from its beginning, for its callers and as a standby. With 195 instances and some 14 MB of records that is 2.7 GB, at 80 MB/s for all together more than 30 s, and pages of 1 MB of which 195 are read at once do not arrive within the 0.6 s of a call, so they are read again (computed from the pages, not measured). Before: TestOnlyLeadersReadAfterStartOfAll '90 calls, want at most 57' (15 instances, 3 partitions, 300 turns).

--- a/internal/leaders/leaders.go
+++ b/internal/leaders/leaders.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"maps"
+	"math"
 	"sync"
 	"time"
 
@@ -29,6 +30,8 @@
 	aliveTimeout  = 100 * time.Millisecond
 	// failedPause is how long an instance is not called after it did not answer.
 	failedPause = 2 * time.Second
+	// discoveryPause is the time between two looks whether the other instances are known.
+	discoveryPause = 10 * time.Millisecond
 )
 
 // methodAlive is the name of the method that is answered at once.
@@ -47,9 +50,11 @@
 	Zone ids.Zone
 	// Members returns the instances that may lead partitions, this one included.
 	Members func() []Member
-	Caller  Caller
-	Now     func() time.Time
-	Logger  *zap.Logger
+	// Discovered reports whether Members returns more than this instance if there are more; nil if it always does.
+	Discovered func() bool
+	Caller     Caller
+	Now        func() time.Time
+	Logger     *zap.Logger
 }
 
 // Caller calls methods of other instances.
@@ -77,10 +82,31 @@
 	}
 }
 
+// errNotDiscovered is the error of calls that ended before this instance knew the others.
+var errNotDiscovered = errors.Join(partlog.ErrNotApplied, errors.New("the instances that lead are not known yet"))
+
+// awaitMembers blocks until the other instances are known. An instance that knows only itself would do the work of all
+// leaders, and after a start of all, each of them would.
+func (c *Client) awaitMembers(ctx context.Context) error {
+	for !c.discovered() {
+		select {
+		case <-time.After(discoveryPause):
+		case <-ctx.Done():
+			return errors.Join(errNotDiscovered, context.Cause(ctx))
+		}
+	}
+	return nil
+}
+
+func (c *Client) discovered() bool { return c.Discovered == nil || c.Discovered() }
+
 // Do calls a method of a partition's leader. If that is this instance, or no leader answers, it calls local instead.
 // unanswered reports whether the method was sent to a leader that did not answer, where it may have taken effect, whatever the
-// error is.
+// error is. Until the other instances are known, it waits for them.
 func (c *Client) Do(ctx context.Context, p partlog.Partition, method string, params, result any, local func() error) (unanswered bool, err error) {
+	if err := c.awaitMembers(ctx); err != nil {
+		return false, err
+	}
 	tried := 0
 	for _, m := range c.leaders(p) {
 		if m.Instance == c.Self || tried == maxLeaders {
@@ -104,8 +130,12 @@
 	return unanswered, local()
 }
 
-// Rank returns the place of this instance in the order for a partition, from 0 for the leader.
+// Rank returns the place of this instance in the order for a partition, from 0 for the leader. Until the other instances are
+// known, it is behind all of them.
 func (c *Client) Rank(p partlog.Partition) int {
+	if !c.discovered() {
+		return math.MaxInt
+	}
 	for i, m := range c.leaders(p) {
 		if m.Instance == c.Self {
 			return i
--- a/internal/leaders/order.go
+++ b/internal/leaders/order.go
@@ -19,6 +19,8 @@
 type order struct {
 	members []Member
 	at      time.Time
+	// discovered is false if the other instances were not known yet.
+	discovered bool
 }
 
 // leaders returns the members in the order in which they may lead a partition. The caller must not change the list.
@@ -27,10 +29,11 @@
 	c.mu.Lock()
 	o, ok := c.orders[p]
 	c.mu.Unlock()
-	if ok && now.Sub(o.at) < orderTTL {
+	if ok && o.discovered && now.Sub(o.at) < orderTTL {
 		return o.members
 	}
-	o = order{members: c.computeOrder(p), at: now}
+	discovered := c.discovered()
+	o = order{members: c.computeOrder(p), at: now, discovered: discovered}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.orders[p] = o
--- a/internal/programs/simulation_test.go
+++ b/internal/programs/simulation_test.go
@@ -89,8 +89,12 @@
 		s.kill(i)
 	}
 	s.tasks.Wait()
+	time.Sleep(leftoverTime)
 }
 
+// leftoverTime is for timers and calls that outlast the run that began them.
+const leftoverTime = 10 * time.Second
+
 func (s *simulation) start(i int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -99,7 +103,7 @@
 	offset := in.offset
 	now := func() time.Time { return time.Now().Add(offset) }
 	client := leaders.New(leaders.Config{
-		Self: in.id(), Zone: in.zone(), Members: run.members, Caller: run, Now: now, Logger: zap.NewNop(),
+		Self: in.id(), Zone: in.zone(), Members: run.members, Discovered: run.discovered, Caller: run, Now: now, Logger: zap.NewNop(),
 	})
 	run.store = programs.New(programs.Config{
 		Self: in.id(), Log: run, LogRetention: logRetention, Programs: partlog.Keyspace{Name: "records", Topics: 1, Parts: simPartitions},
@@ -176,6 +180,8 @@
 	memberDelay = 4 * time.Second
 )
 
+func (r *simRun) discovered() bool { return time.Since(r.startedAt) >= reportDelay }
+
 // members is the view of one instance on the fleet. The weights make the instance with the lowest number the first of its zone.
 func (r *simRun) members() (l []leaders.Member) {
 	s := r.instance.sim
@@ -185,7 +191,7 @@
 	for _, in := range s.instances {
 		if in != r.instance {
 			known := in.run != nil && now.Sub(in.run.startedAt) >= reportDelay || now.Sub(in.downAt) < memberDelay
-			if !known || now.Sub(r.startedAt) < reportDelay || s.random.Float64() < s.unknownMembers {
+			if !known || !r.discovered() || s.random.Float64() < s.unknownMembers {
 				continue
 			}
 		}
