Ask four leaders before an instance acts for a partition itself

What callers saw: reservations and turns refused while the first two leaders of a partition are gone. Cause: each instance whose two leaders did not answer acted itself, and for that read the whole partition from its beginning: with 195 instances 195 readers of some MB at 80 MB/s for all of them together. With a sixth of all instances without power, the first two of some of six partitions are gone in one of six cases (computed, not measured). Now up to four leaders are asked; then one instance reads for all. TestWithoutLeaders asserts the same with four of five leaders dead: the fifth is not called. Before: TestTwoLeadersGone 'acted itself'.

--- a/internal/leaders/leaders.go
+++ b/internal/leaders/leaders.go
@@ -22,7 +22,7 @@
 const (
 	// maxLeaders is the number of instances that are tried for one call before this instance acts itself. To act, it may have
 	// to read a whole partition, so a few others come first.
-	maxLeaders = 2
+	maxLeaders = 4
 	// discoveryPause is the time between two looks whether the other instances are known.
 	discoveryPause = 10 * time.Millisecond
 )
--- a/internal/leaders/leaders_test.go
+++ b/internal/leaders/leaders_test.go
@@ -84,12 +84,15 @@
 	c.Assert(p.calls["b"], qt.Equals, 1)
 }
 
-func newClient(p *peers) *leaders.Client {
+func newClient(p *peers) *leaders.Client { return newClientOf(p, "a", "b", "c") }
+
+// newClientOf returns a client of members that lead in the given order, itself last.
+func newClientOf(p *peers, order ...ids.InstanceID) *leaders.Client {
 	members := []leaders.Member{{Candidate: leader.Candidate{Instance: "self"}, Address: "self"}}
-	for _, id := range []ids.InstanceID{"a", "b", "c"} {
-		// Weights so far apart make the order a, b, c, self.
-		weight := map[ids.InstanceID]float64{"a": 1e9, "b": 1e4, "c": 1}[id]
+	weight := 1e9
+	for _, id := range order {
 		members = append(members, leaders.Member{Candidate: leader.Candidate{Instance: id, Weight: weight}, Address: string(id)})
+		weight /= 1e5 // so far apart that the order is certain
 	}
 	return leaders.New(leaders.Config{
 		Self: "self", Members: func() []leaders.Member { return members }, Caller: p, Now: time.Now, Logger: zap.NewNop(),
@@ -109,16 +112,25 @@
 	c.Assert(r.Rank(part), qt.Equals, 3)
 }
 
-// Guards against a write that fails because two leaders are gone, and against one that tries all instances in turn.
+// Guards against a write that fails because several leaders are gone, and against one that tries all instances in turn.
 func TestWithoutLeaders(t *testing.T) {
 	c := qt.New(t)
-	p := &peers{calls: make(map[string]int), answer: map[string]func(context.Context, string) error{"a": dead, "b": dead}}
+	p := &peers{calls: make(map[string]int), answer: map[string]func(context.Context, string) error{"a": dead, "b": dead, "c": dead, "d": dead}}
 	local := 0
-	unanswered, err := newClient(p).Do(context.Background(), part, "m", nil, nil, func() error { local++; return nil })
+	unanswered, err := newClientOf(p, "a", "b", "c", "d", "e").Do(context.Background(), part, "m", nil, nil, func() error { local++; return nil })
 	c.Assert(err, qt.IsNil)
 	c.Assert(unanswered, qt.IsFalse)
 	c.Assert(local, qt.Equals, 1)
-	c.Assert(p.calls["c"], qt.Equals, 0)
+	c.Assert(p.calls, qt.DeepEquals, map[string]int{"a": 1, "b": 1, "c": 1, "d": 1})
+}
+
+// Guards against all instances that act themselves, and for that read a whole partition each, because two of a hundred are gone.
+func TestTwoLeadersGone(t *testing.T) {
+	c := qt.New(t)
+	p := &peers{calls: make(map[string]int), answer: map[string]func(context.Context, string) error{"a": dead, "b": dead}}
+	_, err := newClient(p).Do(context.Background(), part, "m", nil, nil, func() error { return errors.New("acted itself") })
+	c.Assert(err, qt.IsNil)
+	c.Assert(p.calls["c"], qt.Equals, 1)
 }
 
 // Guards against a slow log that makes instances abandon a leader that waits for it, and against a leader without power
