Write a turn to another partition if the first one is unavailable

Cause: the end of a turn was retried with the leader of one partition until its caller had left. Change: each retry goes to the next partition. A turn may be in any partition already, and one that is written twice counts once. Evidence: TestTurnIsWrittenToAnotherPartition failed before ("write a turn: the partition's leader could not use the log").

--- a/internal/programs/find.go
+++ b/internal/programs/find.go
@@ -56,6 +56,18 @@
 	return s.partitionOf(near[own.id.Part%len(near)])
 }
 
+// turnPartitions returns the partitions that may take a turn's record, the preferred one first.
+func (s *Store) turnPartitions(k account.Key) []*partition {
+	first := s.turnPartition(k)
+	places := []*partition{first}
+	for _, id := range s.Programs.Partitions() {
+		if id != first.id {
+			places = append(places, s.partitionOf(id))
+		}
+	}
+	return places
+}
+
 // fetchChain returns a turn and the turns before it. It looks in memory, then asks the leaders of the zone and then all
 // leaders for what they have in memory. If turns are still missing, the leaders read their partitions.
 func (s *Store) fetchChain(ctx context.Context, notBefore time.Time, program account.Key, id call.ID) (l []*Turn, err error) {
--- a/internal/programs/turns.go
+++ b/internal/programs/turns.go
@@ -59,7 +59,7 @@
 	defer func() { err = oops.In("programs").With("turn", t.ID).Wrapf(err, "write a turn") }()
 	t.At = s.Now()
 	if s.Leaders != nil {
-		return s.putThroughLeader(ctx, s.turnPartition(t.Program), &t)
+		return s.putThroughLeader(ctx, s.turnPartitions(t.Program), &t)
 	}
 	p := s.partition(t.Program)
 	tasks, ctx := errgroup.WithContext(ctx)
@@ -86,35 +86,36 @@
 
 // putThroughLeader blocks until a turn and the copies of old turns that it continues are in the log, and retries until the
 // context ends.
-func (s *Store) putThroughLeader(ctx context.Context, p *partition, t *Turn) error {
-	copies := s.copiesOfOldTurns(t.Chain)
+func (s *Store) putThroughLeader(ctx context.Context, places []*partition, t *Turn) error {
+	chunks := divideIntoChunks(s.copiesOfOldTurns(t.Chain))
 	w := s.Writes.Begin()
-	for _, records := range append(encodeInChunks(copies), [][]byte{encodeTurn(*t)}) {
-		if err := s.writeWithRetry(ctx, p, records, w); err != nil {
+	for _, turns := range append(chunks, []*Turn{t}) {
+		p, err := s.writeWithRetry(ctx, places, encodeTurns(turns), w)
+		if err != nil {
 			w.GiveUp()
 			return err
 		}
+		for _, written := range turns {
+			s.turns.add(written, p)
+		}
 	}
 	w.End(nil)
-	for _, c := range copies {
-		s.turns.add(c, p)
-	}
-	s.turns.add(t, p)
 	return nil
 }
 
-// writeWithRetry writes turns through the partition's leader and retries until the context ends.
-func (s *Store) writeWithRetry(ctx context.Context, p *partition, turns [][]byte, w *recordgate.Write) error {
-	for {
-		_, err := s.write(ctx, p, batch{turns: turns})
-		if err == nil {
-			return nil
+// writeWithRetry writes turns through the leader of one of the partitions, and returns that partition. It retries with the next
+// one until the context ends: a leader may be unable to use its partition while the others are well.
+func (s *Store) writeWithRetry(ctx context.Context, places []*partition, turns [][]byte, w *recordgate.Write) (p *partition, err error) {
+	for try := 0; ; try++ {
+		p = places[try%len(places)]
+		if _, err = s.write(ctx, p, batch{turns: turns}); err == nil {
+			return p, nil
 		}
 		w.AttemptFailed(err)
 		select {
 		case <-time.After(throttledDelay()):
 		case <-ctx.Done():
-			return err
+			return nil, err
 		}
 	}
 }
@@ -122,14 +123,13 @@
 // copyOldTurns writes the turns of a chain once more whose records the log would delete while a turn that continues them is
 // retained. The copies are in the partition of the program that continues the chain.
 func (s *Store) copyOldTurns(ctx context.Context, p *partition, chain []call.ID) error {
-	copies := s.copiesOfOldTurns(chain)
-	for _, records := range encodeInChunks(copies) {
-		if _, err := s.appendWithRetry(ctx, p.id, records...); err != nil {
+	for _, copies := range divideIntoChunks(s.copiesOfOldTurns(chain)) {
+		if _, err := s.appendWithRetry(ctx, p.id, encodeTurns(copies)...); err != nil {
 			return err
 		}
-	}
-	for _, t := range copies {
-		s.turns.add(t, p)
+		for _, t := range copies {
+			s.turns.add(t, p)
+		}
 	}
 	return nil
 }
@@ -149,18 +149,17 @@
 	return copies
 }
 
-// encodeInChunks encodes turns and divides the records into chunks of at most maxCopyBytes each. A larger record is a chunk of its
-// own.
-func encodeInChunks(turns []*Turn) (chunks [][][]byte) {
+// divideIntoChunks divides turns into chunks whose records have at most maxCopyBytes together. A larger turn is a chunk of its own.
+func divideIntoChunks(turns []*Turn) (chunks [][]*Turn) {
 	size := 0
 	for _, t := range turns {
-		record := encodeTurn(*t)
-		if len(chunks) == 0 || size+len(record) > maxCopyBytes {
+		bytes := len(encodeTurn(*t))
+		if len(chunks) == 0 || size+bytes > maxCopyBytes {
 			chunks, size = append(chunks, nil), 0
 		}
 		last := len(chunks) - 1
-		chunks[last] = append(chunks[last], record)
-		size += len(record)
+		chunks[last] = append(chunks[last], t)
+		size += bytes
 	}
 	return chunks
 }
