Count a turn's write as failed only after two partitions did not take it

Cause: one unavailable partition made the admission gate refuse requests of all programs, though their turns go to another partition.

--- a/internal/programs/turns.go
+++ b/internal/programs/turns.go
@@ -26,6 +26,8 @@
 	keepFactor = 2
 	// MaxInput is the maximum size of a turn's input in bytes. It lets a turn fit into one record of the log.
 	MaxInput = 128 << 10
+	// partitionsForOutage is how many partitions in a row must not take a turn for that to count as a failure of the log.
+	partitionsForOutage = 2
 	// maxCopyBytes bounds the turns that are copied with one append. The platform's log takes 2 MiB.
 	maxCopyBytes = 1 << 20
 )
@@ -111,7 +113,9 @@
 		if _, err = s.write(ctx, p, batch{turns: turns}); err == nil {
 			return p, nil
 		}
-		w.AttemptFailed(err)
+		if (try+1)%min(partitionsForOutage, len(places)) == 0 {
+			w.AttemptFailed(err)
+		}
 		select {
 		case <-time.After(throttledDelay()):
 		case <-ctx.Done():
