--- a/internal/programs/find.go
+++ b/internal/programs/find.go
@@ -22,21 +22,17 @@
 	if err := p.readWithRetry(ctx, notBefore); err != nil {
 		return nil, err
 	}
-	inMemory := func(id call.ID) bool { return p.store.turns.lookup(id) != nil }
-	if !slices.ContainsFunc(wanted, func(id call.ID) bool { return !inMemory(id) }) {
-		return p.store.turnsInMemory(wanted), nil
-	}
-	if err := p.restoreTurns(ctx); err != nil {
-		return nil, err
-	}
-	return p.store.turnsInMemory(wanted), nil
+	return p.restoreTurns(ctx, wanted)
 }
 
-// turnsInMemory returns the turns with the given ids and the turns before them, as far as they are in memory.
-func (s *Store) turnsInMemory(wanted []call.ID) (found []*Turn) {
+// turnsInMemory returns the turns with the given ids and the turns before them, as far as they are in memory. all reports
+// whether all with the given ids are.
+func (s *Store) turnsInMemory(wanted []call.ID) (found []*Turn, all bool) {
+	all = true
 	for _, id := range wanted {
 		t := s.turns.lookup(id)
 		if t == nil {
+			all = false
 			continue
 		}
 		for _, before := range t.Chain {
@@ -46,7 +42,7 @@
 		}
 		found = append(found, t)
 	}
-	return found
+	return found, all
 }
 
 // turnPartition returns the partition for a turn's record. It is one that is led in the zone of this instance, because
@@ -60,6 +56,18 @@
 	return s.partitionOf(near[own.id.Part%len(near)])
 }
 
+// turnPartitions returns the partitions that may take a turn's record, the preferred one first.
+func (s *Store) turnPartitions(k account.Key) []*partition {
+	first := s.turnPartition(k)
+	places := []*partition{first}
+	for _, id := range s.Programs.Partitions() {
+		if id != first.id {
+			places = append(places, s.partitionOf(id))
+		}
+	}
+	return places
+}
+
 // fetchChain returns a turn and the turns before it. It looks in memory, then asks the leaders of the zone and then all
 // leaders for what they have in memory. If turns are still missing, the leaders read their partitions.
 func (s *Store) fetchChain(ctx context.Context, notBefore time.Time, program account.Key, id call.ID) (l []*Turn, err error) {
@@ -144,7 +152,7 @@
 		if err != nil {
 			return read, err
 		}
-		s.turns.add(t, p)
+		s.turns.addFetched(t)
 	}
 	return result.Read, nil
 }
--- a/internal/programs/turns.go
+++ b/internal/programs/turns.go
@@ -26,6 +26,8 @@
 	keepFactor = 2
 	// MaxInput is the maximum size of a turn's input in bytes. It lets a turn fit into one record of the log.
 	MaxInput = 128 << 10
+	// partitionsForOutage is how many partitions in a row must not take a turn for that to count as a failure of the log.
+	partitionsForOutage = 2
 	// maxCopyBytes bounds the turns that are copied with one append. The platform's log takes 2 MiB.
 	maxCopyBytes = 1 << 20
 )
@@ -59,7 +61,7 @@
 	defer func() { err = oops.In("programs").With("turn", t.ID).Wrapf(err, "write a turn") }()
 	t.At = s.Now()
 	if s.Leaders != nil {
-		return s.putThroughLeader(ctx, s.turnPartition(t.Program), &t)
+		return s.putThroughLeader(ctx, s.turnPartitions(t.Program), &t)
 	}
 	p := s.partition(t.Program)
 	tasks, ctx := errgroup.WithContext(ctx)
@@ -86,35 +88,38 @@
 
 // putThroughLeader blocks until a turn and the copies of old turns that it continues are in the log, and retries until the
 // context ends.
-func (s *Store) putThroughLeader(ctx context.Context, p *partition, t *Turn) error {
-	copies := s.copiesOfOldTurns(t.Chain)
+func (s *Store) putThroughLeader(ctx context.Context, places []*partition, t *Turn) error {
+	chunks := divideIntoChunks(s.copiesOfOldTurns(t.Chain))
 	w := s.Writes.Begin()
-	for _, records := range append(encodeInChunks(copies), [][]byte{encodeTurn(*t)}) {
-		if err := s.writeWithRetry(ctx, p, records, w); err != nil {
+	for _, turns := range append(chunks, []*Turn{t}) {
+		p, err := s.writeWithRetry(ctx, places, encodeTurns(turns), w)
+		if err != nil {
 			w.GiveUp()
 			return err
 		}
+		for _, written := range turns {
+			s.turns.add(written, p)
+		}
 	}
 	w.End(nil)
-	for _, c := range copies {
-		s.turns.add(c, p)
-	}
-	s.turns.add(t, p)
 	return nil
 }
 
-// writeWithRetry writes turns through the partition's leader and retries until the context ends.
-func (s *Store) writeWithRetry(ctx context.Context, p *partition, turns [][]byte, w *recordgate.Write) error {
-	for {
-		_, err := s.write(ctx, p, batch{turns: turns})
-		if err == nil {
-			return nil
+// writeWithRetry writes turns through the leader of one of the partitions, and returns that partition. It retries with the next
+// one until the context ends: a leader may be unable to use its partition while the others are well.
+func (s *Store) writeWithRetry(ctx context.Context, places []*partition, turns [][]byte, w *recordgate.Write) (p *partition, err error) {
+	for try := 0; ; try++ {
+		p = places[try%len(places)]
+		if _, err = s.write(ctx, p, batch{turns: turns}); err == nil {
+			return p, nil
+		}
+		if (try+1)%min(partitionsForOutage, len(places)) == 0 {
+			w.AttemptFailed(err)
 		}
-		w.AttemptFailed(err)
 		select {
 		case <-time.After(throttledDelay()):
 		case <-ctx.Done():
-			return err
+			return nil, err
 		}
 	}
 }
@@ -122,14 +127,13 @@
 // copyOldTurns writes the turns of a chain once more whose records the log would delete while a turn that continues them is
 // retained. The copies are in the partition of the program that continues the chain.
 func (s *Store) copyOldTurns(ctx context.Context, p *partition, chain []call.ID) error {
-	copies := s.copiesOfOldTurns(chain)
-	for _, records := range encodeInChunks(copies) {
-		if _, err := s.appendWithRetry(ctx, p.id, records...); err != nil {
+	for _, copies := range divideIntoChunks(s.copiesOfOldTurns(chain)) {
+		if _, err := s.appendWithRetry(ctx, p.id, encodeTurns(copies)...); err != nil {
 			return err
 		}
-	}
-	for _, t := range copies {
-		s.turns.add(t, p)
+		for _, t := range copies {
+			s.turns.add(t, p)
+		}
 	}
 	return nil
 }
@@ -149,18 +153,17 @@
 	return copies
 }
 
-// encodeInChunks encodes turns and divides the records into chunks of at most maxCopyBytes each. A larger record is a chunk of its
-// own.
-func encodeInChunks(turns []*Turn) (chunks [][][]byte) {
+// divideIntoChunks divides turns into chunks whose records have at most maxCopyBytes together. A larger turn is a chunk of its own.
+func divideIntoChunks(turns []*Turn) (chunks [][]*Turn) {
 	size := 0
 	for _, t := range turns {
-		record := encodeTurn(*t)
-		if len(chunks) == 0 || size+len(record) > maxCopyBytes {
+		bytes := len(encodeTurn(*t))
+		if len(chunks) == 0 || size+bytes > maxCopyBytes {
 			chunks, size = append(chunks, nil), 0
 		}
 		last := len(chunks) - 1
-		chunks[last] = append(chunks[last], record)
-		size += len(record)
+		chunks[last] = append(chunks[last], t)
+		size += bytes
 	}
 	return chunks
 }
@@ -264,11 +267,12 @@
 		}
 	}
 	for _, p := range places {
-		if err := p.restoreTurns(ctx); err != nil {
+		found, err := p.restoreTurns(ctx, []call.ID{id})
+		if err != nil {
 			return nil, err
 		}
-		if t := s.turns.lookup(id); t != nil {
-			return t, nil
+		if len(found) > 0 {
+			return found[len(found)-1], nil
 		}
 	}
 	// If the index has the turn, its instance ended between the two records, so no caller has received the end of the turn.
@@ -334,17 +338,10 @@
 		s.indexedSince = now
 	}
 	s.mu.Unlock()
-	dropped := s.turns.drop(now, keep)
-	if len(dropped) == 0 {
+	count := s.turns.drop(now, keep)
+	if count == 0 {
 		return
 	}
-	count := 0
-	for p, n := range dropped {
-		count += n
-		p.mu.Lock()
-		p.turnsDropped = true
-		p.mu.Unlock()
-	}
 	events.Log(s.Logger, events.TurnsDropped, zap.Int("count", count), zap.Int("kept", s.turns.count()), zap.Duration("keep", keep))
 }
 
