Write messages between instances without holding their callers

What callers saw: a request hung beyond its deadline and got no answer while another instance was frozen, cut off or did not read, and a planned stop could not end it.

Cause: jsonrpc2 writes under a lock and without regard to the context of the call. The first writer blocked in the kernel, and each later call to that instance, `alive` included, waited for the lock. Nothing ended the write either.

A connection's messages are now queued, in bounded memory, and one goroutine writes them while there are any. A write that makes no progress for 3 s, and bytes that stay unacknowledged for as long (TCP_USER_TIMEOUT), close the connection. Messages that wait together are written together.

--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -15,8 +15,6 @@
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
-
-	"github.com/comfreylink/comfreylink/internal/frame"
 )
 
 // dialTimeout bounds the time to connect to another instance.
@@ -65,7 +63,7 @@
 	if err != nil {
 		return nil, err
 	}
-	conn = jsonrpc2.NewConn(context.Background(), jsonrpc2.NewBufferedStream(nc, frame.Codec{}), ignoreCalls{}, quiet)
+	conn = jsonrpc2.NewConn(context.Background(), newStream(nc), ignoreCalls{}, quiet)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.conns[address] = conn
@@ -148,7 +146,7 @@
 			return err
 		}
 		// A disconnected caller no longer waits for its response, so errors of sending to a closed connection are ignored.
-		conn := jsonrpc2.NewConn(context.Background(), jsonrpc2.NewBufferedStream(nc, frame.Codec{}),
+		conn := jsonrpc2.NewConn(context.Background(), newStream(nc),
 			jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle).SuppressErrClosed()), quiet)
 		s.mu.Lock()
 		s.conns[conn] = struct{}{}
