Answer each call of another instance, also in a stop and beyond the limits

What callers saw: records that a stopping leader had accepted were cut off with its connections, so that the other instances wrote them a second time through the next leader. A result above the size of a message was never answered, and its call held a request until its deadline. An instance worked on any number of calls of another one.

Evidence, before the change: TestStopFinishesCalls: got e"jsonrpc2: connection is closed" TestResultTooLarge: no answer within 2 s TestTooManyCallsAreRefused: "no call is refused" of 5,000

A result that is too large, or for which the caller does not read fast enough, becomes an error.

--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"slices"
 	"sync"
@@ -20,8 +21,8 @@
 	maxRetired = 3
 )
 
-// ErrUnreachable is wrapped by errors of calls that were not sent because there is no connection to the other instance, or
-// because it does not read fast enough.
+// ErrUnreachable is wrapped by errors of calls that have had no effect because there is no connection to the other instance,
+// or because it does not read fast enough or works on too many calls.
 var ErrUnreachable = errors.New("the instance is not reachable")
 
 // Client makes calls and keeps a connection to each instance that it has called. It is safe for concurrent use.
@@ -78,7 +79,7 @@
 }
 
 // Call calls a method of the instance at an address and decodes the response into result. The error is a *jsonrpc2.Error
-// if the other instance answered with an error, and wraps ErrUnreachable if nothing was sent.
+// if the other instance answered with an error, and wraps ErrUnreachable if the method was not begun.
 //
 // Calls share a connection. The end of one call does not end the others: a call that is cancelled says nothing about the
 // connection, and a connection that may have gone silent is only retired.
@@ -100,6 +101,10 @@
 	abandoned := err != nil && ctx.Err() != nil
 	silent := errors.Is(err, context.DeadlineExceeded) && conn.stream.received.Load() == received
 	c.release(conn, abandoned, silent)
+	var answered *jsonrpc2.Error
+	if errors.As(err, &answered) && answered.Code == codeBusy {
+		return fmt.Errorf("%w: %s", ErrUnreachable, answered.Message)
+	}
 	return err
 }
 
--- a/internal/rpc/stream.go
+++ b/internal/rpc/stream.go
@@ -18,8 +18,10 @@
 	// silenceTimeout bounds how long sent bytes may stay unacknowledged, and how long a write may make no progress. Then the
 	// connection is closed. An instance can become unreachable without a reset.
 	silenceTimeout = 3 * time.Second
-	// maxQueuedBytes bounds the messages that wait to be written to a connection. A single larger one may wait alone.
-	maxQueuedBytes = 8 << 20
+	// maxQueuedBytes bounds the messages that wait to be written to a connection. A single larger one may wait alone, and small
+	// ones may exceed the limit by as much again, so that an error can be returned instead of a large result.
+	maxQueuedBytes    = 8 << 20
+	smallMessageBytes = 1 << 10
 	// writeBytes is the size of one write, for which silenceTimeout applies.
 	writeBytes = 256 << 10
 )
@@ -77,7 +79,11 @@
 	if s.err != nil {
 		return s.err
 	}
-	if s.queuedBytes > 0 && s.queuedBytes+len(message) > maxQueuedBytes {
+	limit := maxQueuedBytes
+	if len(message) <= smallMessageBytes {
+		limit *= 2
+	}
+	if s.queuedBytes > 0 && s.queuedBytes+len(message) > limit {
 		return errQueueFull
 	}
 	s.queue = append(s.queue, message)
@@ -89,6 +95,13 @@
 	return nil
 }
 
+// written reports whether no message waits to be written.
+func (s *stream) written() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.queuedBytes == 0 || s.err != nil
+}
+
 // writeQueue writes the queue until it is empty or the connection fails.
 func (s *stream) writeQueue() {
 	for {
