Answer a request whose handler panics

What callers saw: the connection of a request that a target may have run was closed without an answer (LOST on kept connections).

Cause: a panic of the handler ended the goroutine of the connection, which closed it.

Evidence, TestPanicIsAnswered before the change: got e"unexpected EOF" instead of an answer.

The panic is now caught where the handler is called, and the caller gets 502, which promises nothing, unless another answer has begun; that one is left incomplete as before.

--- a/internal/httpwire/server.go
+++ b/internal/httpwire/server.go
@@ -101,10 +101,9 @@
 
 func (s *Server) serveConn(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
-	// A request that makes the handler panic must not end the process and with it all other requests.
 	defer func() {
 		if cause := recover(); cause != nil {
-			s.failed(fmt.Errorf("panic: %v\n%s", cause, debug.Stack()))
+			s.reportPanic(cause)
 		}
 	}()
 	br := bufio.NewReaderSize(conn, s.limits().HeaderBytes+1024)
@@ -141,7 +140,7 @@
 		defer close(watcherDone)
 		x.watchDisconnect(func() { cancel(nil) })
 	}()
-	s.handler.Serve(ctx, x)
+	s.handle(ctx, x)
 	if cap(x.out) > maxIdleBuffer {
 		x.out = nil
 	}
@@ -151,6 +150,26 @@
 	return x.complete && !x.closeAfter && !x.clientDisconnected.Load()
 }
 
+// handle runs the handler. A request that makes it panic must not end the process and with it all other requests. Its caller
+// gets the answer that promises nothing, unless another one has begun.
+func (s *Server) handle(ctx context.Context, x *Exchange) {
+	defer func() {
+		cause := recover()
+		if cause == nil {
+			return
+		}
+		s.reportPanic(cause)
+		if !x.started {
+			x.Answer(fasthttp.StatusBadGateway, nil, nil)
+		}
+	}()
+	s.handler.Serve(ctx, x)
+}
+
+func (s *Server) reportPanic(cause any) {
+	s.failed(fmt.Errorf("panic: %v\n%s", cause, debug.Stack()))
+}
+
 // waitIdle waits for the first byte of a request and reports whether it arrived before the timeout.
 func (s *Server) waitIdle(x *Exchange, idle time.Duration) bool {
 	if x.br.Buffered() > 0 {
--- a/internal/httpwire/server_test.go
+++ b/internal/httpwire/server_test.go
@@ -114,6 +114,38 @@
 	c.Assert(closed, qt.IsTrue)
 }
 
+// panics panics, after the head of an answer if begun is set.
+type panics struct{ begun bool }
+
+func (p panics) Serve(_ context.Context, x *httpwire.Exchange) {
+	if p.begun {
+		_ = x.WriteHead(fasthttp.StatusOK, nil, []byte("chunk"))
+	}
+	panic("a fault in the handler")
+}
+
+// Guards against a request that gets no answer because its handler panics, and against a begun answer that then looks complete.
+func TestPanicIsAnswered(t *testing.T) {
+	c := qt.New(t)
+	get := func(h httpwire.Handler) (status int, bodyErr error) {
+		address, _ := startServer(c, h)
+		conn, err := net.Dial("tcp", address)
+		c.Assert(err, qt.IsNil)
+		defer conn.Close()
+		_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		c.Assert(err, qt.IsNil)
+		r, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		c.Assert(err, qt.IsNil)
+		_, err = io.ReadAll(r.Body)
+		return r.StatusCode, err
+	}
+	status, err := get(panics{})
+	c.Assert(status, qt.Equals, http.StatusBadGateway)
+	c.Assert(err, qt.IsNil)
+	_, err = get(panics{begun: true})
+	c.Assert(err, qt.ErrorIs, io.ErrUnexpectedEOF)
+}
+
 // untilDisconnect writes the head and a first chunk, and then waits for the caller to disconnect.
 type untilDisconnect struct{ ended chan error }
 
