Pass on no request in a stop that it would cut off at once

What callers saw: with a grace period under 3.1 s, a request read after the requests in progress had been ended was passed on and answered 502 within milliseconds, or cut off by the exit.

Cause: requests were taken for 2.5 s whatever the grace period. Besides, that time began after the one by which the stop waits, so that a request could be taken in the moment in which none was counted as in progress.

Evidence, TestPlannedStopRefusesLateRequestsAlsoInShortGrace before the change: HTTP/1.1 502 Bad Gateway ... {"error":{"code":"stopping","run":"unknown","requestId":"late"}}, received by a target

Requests are now taken until the end of the stop is near at most, and that time ends before the stop counts those in progress.

--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -30,8 +30,10 @@
 // drain reports to the load balancer that the gateway is not ready, accepts callers until the balancer has noticed, and then
 // waits for the requests in progress. Those that do not end in time are answered before the exit.
 func (g *Gateway) drain(callerListener net.Listener) {
+	// takeUntil must have passed when the loop below finds that no request is in progress, so it is set before began.
+	takeFor := min(leaveDelay, g.Settings.Instance.Grace-exitMargin-answerMargin)
+	g.takeUntil.Store(g.now().Add(takeFor).UnixNano())
 	began := time.Now()
-	g.takeUntil.Store(g.now().Add(leaveDelay).UnixNano())
 	g.draining.Store(true)
 	go g.announceLeave()
 	g.updateReady(g.now())
@@ -40,7 +42,7 @@
 	exitAt := began.Add(g.Settings.Instance.Grace - exitMargin)
 	cancelAt := exitAt.Add(-answerMargin)
 	for now := time.Now(); now.Before(exitAt); now = time.Now() {
-		if now.Sub(began) > leaveDelay || !now.Before(cancelAt) {
+		if now.Sub(began) > takeFor {
 			// A request accepted later could take longer than the time until the exit.
 			_ = callerListener.Close()
 			g.server.CloseIdle()
