Count answers that are cut by their reason

The metric comfreylink.answer.cut shows how many there are and why, without the log at the level info.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -68,6 +68,7 @@
 type Metrics interface {
 	RequestDone(route, outcome string, status int, took time.Duration)
 	Refused(code string)
+	AnswerCut(reason string)
 	Waited(service string, took time.Duration)
 	FirstByte(route string, took time.Duration)
 	Attempt(service, outcome string)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -122,6 +122,7 @@
 	}
 	if e.x.Started() && !e.x.Complete() {
 		fields = append(fields, zap.Bool("cut", true))
+		e.Metrics.AnswerCut(reason)
 	}
 	if err != nil {
 		fields = append(fields, zap.Error(err))
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -60,7 +60,8 @@
 
 	request, waited, firstByte, store metric.Float64Histogram
 	recordWait, records               metric.Float64Histogram
-	refused, attempts, storeBytes     metric.Int64Counter
+	refused, cut, attempts            metric.Int64Counter
+	storeBytes                        metric.Int64Counter
 	storeThrottled, storePaced        metric.Int64Counter
 	admission                         metric.Int64Counter
 	zoneCost                          metric.Float64Histogram
@@ -101,6 +102,7 @@
 	m.recordWait = set.Seconds("comfreylink.records.wait", "Time that the oldest record of an append has waited for it.", waitBounds)
 	m.records = set.Histogram("comfreylink.records.append", "{record}", "Records of an append to a partition with the records of programs.", recordBounds)
 	m.refused = set.Counter("comfreylink.request.refused", "{request}", "Requests that were refused.")
+	m.cut = set.Counter("comfreylink.answer.cut", "{request}", "Answers that ended before they were complete, by the reason.")
 	m.attempts = set.Counter("comfreylink.attempt", "{attempt}", "Attempts at targets by how they ended.")
 	m.zoneSent = set.Counter("comfreylink.zone.sent", "{request}", "Requests sent to targets of a zone, by the reason for it.")
 	m.zoneCost = set.Seconds("comfreylink.zone.cost", "What leaving the instance's zone was taken to cost.", waitBounds)
@@ -141,6 +143,11 @@
 	instruments.Add(m.refused, 1, attrCode.String(code))
 }
 
+// AnswerCut counts an answer that ended before it was complete.
+func (m *Metrics) AnswerCut(reason string) {
+	instruments.Add(m.cut, 1, attrCode.String(reason))
+}
+
 // Waited records the time that a request waited in the queue of a service.
 func (m *Metrics) Waited(service string, took time.Duration) {
 	instruments.Record(m.waited, took, attrService.String(service))
