Write the record of a turn also without a leader that is stuck

What callers saw: streams on kept connections of instances without a disturbance were cut off at their deadline after their last event (turnNotKept), because another instance, the leader of a partition, was cut off from the log.

Cause: such a leader answers `alive`, so its callers wait for it. Its appends hang for 0.6 s each, and it reaches the log through another instance only after some of them have failed, about 1.2 s later. An answer that has less time left cannot be completed: its caller would hold a turn that may be lost.

After 0.25 s, or half of the time that is left, the instance writes the record itself as well, and the first success counts. Turns need no condition, and those that are written twice count once. A budget of a tenth of the turns keeps a log that is slow for everybody from getting more appends.

--- /dev/null
+++ b/internal/programs/hedge.go
@@ -0,0 +1,93 @@
+package programs
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/comfreylink/comfreylink/pkg/retry"
+)
+
+const (
+	// hedgeDelay is how long a turn's record waits for its partition's leader until this instance writes it as well. It is
+	// several times what an append takes.
+	hedgeDelay = 250 * time.Millisecond
+	// hedgeShare and hedgeReserve bound the records that are written in this way: with a log that is slow for everybody, more
+	// appends would make it slower.
+	hedgeShare   = 0.1
+	hedgeReserve = 10
+)
+
+// hedges decides which records this instance writes as well as the leader. It is safe for concurrent use.
+type hedges struct {
+	mu     sync.Mutex
+	budget *retry.Budget
+}
+
+func newHedges() *hedges {
+	return &hedges{budget: retry.NewBudget(retry.Options{Share: hedgeShare, Reserve: hedgeReserve, MaxAttempts: 2})}
+}
+
+// count counts a write.
+func (h *hedges) count() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.budget.Request()
+}
+
+// allow reports whether a write may be hedged now, and spends from the budget for that.
+func (h *hedges) allow(now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	_, why := h.budget.Decide(now, retry.Failure{Idempotent: true, Sent: true, Attempts: 1, Deadline: now.Add(hedgeDelay)}, rand.New(rand.NewPCG(0, 0)))
+	return why == ""
+}
+
+// hedgeDelayFor returns how long a write waits for the leader. If its deadline is near, half of the time is left for this
+// instance.
+func hedgeDelayFor(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return hedgeDelay
+	}
+	return min(hedgeDelay, time.Until(deadline)/2)
+}
+
+// writeTurns writes turns through the partition's leader. A leader may be alive and yet unable to write, for instance because it
+// is cut off from the log. So if it takes long, this instance writes the turns as well, and the first success counts. Turns need
+// no condition, and those that are written twice count once.
+func (s *Store) writeTurns(ctx context.Context, p *partition, turns [][]byte) (err error) {
+	b := batch{turns: turns}
+	if s.Leaders.Rank(p.id) == 0 {
+		_, err := s.write(ctx, p, b)
+		return err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan error, 2)
+	write := func(write func(context.Context, *partition, batch) ([]grant, error)) {
+		_, err := write(ctx, p, b)
+		results <- err
+	}
+	s.hedges.count()
+	go write(s.write)
+	running := 1
+	hedge := time.NewTimer(hedgeDelayFor(ctx))
+	defer hedge.Stop()
+	for running > 0 {
+		select {
+		case err = <-results:
+			if err == nil {
+				return nil
+			}
+			running--
+		case <-hedge.C:
+			if s.hedges.allow(s.Now()) {
+				running++
+				go write(func(ctx context.Context, p *partition, b batch) ([]grant, error) { return p.submit(ctx, b) })
+			}
+		}
+	}
+	return err
+}
--- a/internal/programs/programs.go
+++ b/internal/programs/programs.go
@@ -65,7 +65,8 @@
 // Store holds the state of the programs that this instance serves. It is safe for concurrent use.
 type Store struct {
 	Config
-	turns *turnMemory
+	turns  *turnMemory
+	hedges *hedges
 
 	mu         sync.Mutex
 	partitions map[partlog.Partition]*partition
@@ -79,7 +80,7 @@
 // New returns an empty store.
 func New(c Config) *Store {
 	return &Store{
-		Config: c, turns: newTurnMemory(), partitions: make(map[partlog.Partition]*partition),
+		Config: c, turns: newTurnMemory(), hedges: newHedges(), partitions: make(map[partlog.Partition]*partition),
 		indexes: make(map[partlog.Partition]*index), retention: time.Minute,
 	}
 }
--- a/internal/programs/turns.go
+++ b/internal/programs/turns.go
@@ -106,7 +106,7 @@
 // writeWithRetry writes turns through the partition's leader and retries until the context ends.
 func (s *Store) writeWithRetry(ctx context.Context, p *partition, turns [][]byte, w *recordgate.Write) error {
 	for {
-		_, err := s.write(ctx, p, batch{turns: turns})
+		err := s.writeTurns(ctx, p, turns)
 		if err == nil {
 			return nil
 		}
