--- a/internal/programs/turns.go
+++ b/internal/programs/turns.go
@@ -110,7 +110,7 @@
 func (s *Store) writeWithRetry(ctx context.Context, places []*partition, turns [][]byte, w *recordgate.Write) (p *partition, err error) {
 	for try := 0; ; try++ {
 		p = places[try%len(places)]
-		if _, err = s.write(ctx, p, batch{turns: turns}); err == nil {
+		if err = s.writeTurns(ctx, p, turns); err == nil {
 			return p, nil
 		}
 		if (try+1)%min(partitionsForOutage, len(places)) == 0 {
