Extend a shard's lease only by reports that name the shard

A workspace could get its part of a limit from two instances at once. A run that had claimed a shard and had not read the claim back wrote reports that do not name it. Once it read a part of what was new, these reports extended its lease for the shard. An instance that began to read after the claim had never seen the shard named, and claimed it 4.1 s later.

Every own report extended one lease of the run, for all its shards. Now a report extends the leases of the shards that it names or claims. A reader that has read for 4.1 s then has seen each owner named that can still grant.

--- /dev/null
+++ b/pkg/quota/claims_test.go
@@ -0,0 +1,145 @@
+package quota_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/comfreylink/comfreylink/pkg/ids"
+	"github.com/comfreylink/comfreylink/pkg/quota"
+)
+
+const (
+	// modelShards is the number of shards that the runs of the model compete for.
+	modelShards = 3
+	// maxLate is how much later than it was sent an append of the model takes effect.
+	maxLate = 9 * time.Second
+)
+
+// modelRun is one run of an instance of the model, with what it has read of the log.
+type modelRun struct {
+	run    quota.Run
+	leases *quota.Leases
+	read   ids.Offset
+	// stalled is until when the run reads nothing.
+	stalled time.Time
+}
+
+// modelLog is a log whose appends take effect at once, late or never.
+type modelLog struct {
+	random  *rand.Rand
+	records []quota.Report
+	late    []lateAppend
+}
+
+type lateAppend struct {
+	at     time.Time
+	report quota.Report
+}
+
+func (l *modelLog) append(now time.Time, r quota.Report, conditional bool) {
+	if conditional {
+		if r.Read == ids.Offset(len(l.records)) {
+			l.records = append(l.records, r)
+		}
+		return
+	}
+	switch l.random.IntN(6) {
+	case 0:
+		l.late = append(l.late, lateAppend{now.Add(time.Duration(l.random.Int64N(int64(maxLate)))), r})
+	case 1:
+	default:
+		l.records = append(l.records, r)
+	}
+}
+
+func (l *modelLog) deliver(now time.Time) {
+	kept := l.late[:0]
+	for _, a := range l.late {
+		if now.Before(a.at) {
+			kept = append(kept, a)
+			continue
+		}
+		l.records = append(l.records, a.report)
+	}
+	l.late = kept
+}
+
+// step lets a run read, report or claim.
+func (r *modelRun) step(now time.Time, l *modelLog) {
+	if _, ok := r.leases.Next(); !ok {
+		r.read = ids.Offset(max(0, len(l.records)-l.random.IntN(20)))
+		r.leases.Begin(now, r.read)
+	}
+	if !now.Before(r.stalled) && l.random.IntN(3) > 0 {
+		for ; r.read < ids.Offset(len(l.records)); r.read++ {
+			if l.random.IntN(40) == 0 {
+				break // the rest is read later
+			}
+			r.leases.Apply(now, l.records[r.read])
+		}
+	}
+	switch l.random.IntN(30) {
+	case 0:
+		r.stalled = now.Add(time.Duration(l.random.IntN(6000)) * time.Millisecond)
+	case 1:
+		r.read = ids.Offset(len(l.records))
+		r.leases.Begin(now, r.read) // the log forgets
+	case 2, 3, 4, 5, 6, 7, 8:
+		l.append(now, r.leases.NewReport(now), false)
+	case 9, 10, 11, 12, 13, 14, 15, 16:
+		var wanted []quota.Shard
+		for s := range quota.Shard(modelShards) {
+			if l.random.IntN(2) == 0 {
+				wanted = append(wanted, s)
+			}
+		}
+		if claim, ok := r.leases.NewClaim(now, wanted); ok {
+			l.append(now, claim, true)
+		}
+	case 17:
+		if l.random.IntN(20) == 0 {
+			r.leases.Leave()
+		}
+	}
+}
+
+// Guards against a shard that two runs grant from after appends that took effect seconds late, with runs that begin in the middle
+// of the log, stop reading, or read a part of what is new.
+func TestOneRunHoldsAShard(t *testing.T) {
+	for seed := range uint64(500) {
+		random := rand.New(rand.NewPCG(seed, 0))
+		l := &modelLog{random: random}
+		now := time.Unix(0, 0)
+		runs, started := make([]*modelRun, 5), 0
+		held := 0
+		for range 1500 {
+			now = now.Add(time.Duration(random.IntN(40)) * time.Millisecond)
+			l.deliver(now)
+			n := random.IntN(len(runs))
+			if runs[n] == nil || random.IntN(600) == 0 {
+				started++
+				run := quota.Run{Instance: ids.InstanceID(fmt.Sprint("i", n)), ID: fmt.Sprint(started)}
+				runs[n] = &modelRun{run: run, leases: quota.NewLeases(now, run)}
+			}
+			runs[n].step(now, l)
+			for s := range quota.Shard(modelShards) {
+				var holders []quota.Run
+				for _, r := range runs {
+					if r == nil {
+						continue
+					}
+					if _, _, ok := r.leases.Holds(now, s); ok {
+						holders = append(holders, r.run)
+					}
+				}
+				held += len(holders)
+				qt.Assert(t, len(holders) <= 1, qt.IsTrue, qt.Commentf("seed %d, %v: shard %d is held by %v", seed, now.Sub(time.Unix(0, 0)), s, holders))
+			}
+		}
+		qt.Check(t, held > 20, qt.IsTrue, qt.Commentf("seed %d: shards held at %d steps only", seed, held))
+	}
+}
--- a/pkg/quota/lease.go
+++ b/pkg/quota/lease.go
@@ -54,8 +54,8 @@
 
 // Leases decides which instance owns which shard. All instances apply the same reports in the order of the log.
 //
-// An owner grants for LeaseTime after it sent a report, once it has read that report back and found that it still owns the
-// shard. Another instance claims the shard only after it has read no report of the owner for longer than that, or if the
+// An owner grants for LeaseTime after it sent a report that names the shard, once it has read that report back and found that it
+// still owns the shard. Another instance claims the shard only after it has read no report of the owner for longer than that, or if the
 // owner has released it, or if the owner was an earlier run on the same instance. As a claim is appended only directly
 // behind what its writer has read, an owner's report that its claimant has not read makes the claim fail. So a shard never
 // has two instances that grant, whatever happens to instances, their clocks and the log. Only the speed of clocks matters.
@@ -71,10 +71,9 @@
 	owners  map[Shard]owner
 	members map[ids.InstanceID]member
 
-	seq        uint64
-	sent       map[uint64]sentReport // own reports that were not read back
-	validUntil time.Time             // when the own lease ends
-	leaving    bool
+	seq     uint64
+	sent    map[uint64]sentReport // own reports that were not read back
+	leaving bool
 }
 
 // owner is what is known of a shard's owner.
@@ -82,8 +81,10 @@
 	run     Run // zero if the last owner does not own the shard any more and the next one is not known
 	claimed ids.Offset
 	// certain is set if all reports since the run was the owner were read.
-	certain  bool
-	readAt   time.Time // when the run's last report was read
+	certain bool
+	readAt  time.Time // when the run's last report was read
+	// until is when the lease of this run ends, if it is the owner.
+	until    time.Time
 	released time.Time // when its release was read; zero if it has not released the shard
 	// emptyAt is when the tokens of earlier owners have been used, and those of the run itself if it has released the shard.
 	emptyAt time.Time
@@ -194,21 +195,25 @@
 // empty, which may be to come, belong to its tokens.
 func (l *Leases) Holds(now time.Time, s Shard) (claimed ids.Offset, emptyAt time.Time, ok bool) {
 	o := l.owners[s]
-	return o.claimed, o.emptyAt, o.run == l.self && !l.leaving && now.Before(l.validUntil)
+	return o.claimed, o.emptyAt, o.run == l.self && !l.leaving && now.Before(o.until)
 }
 
-// Held returns the number of shards that this run owns, and when its lease ends.
+// Held returns the number of shards that this run owns, and when the last of their leases ends.
 func (l *Leases) Held() (n int, validUntil time.Time) {
 	for _, o := range l.owners {
-		if o.run == l.self {
-			n++
+		if o.run != l.self {
+			continue
+		}
+		n++
+		if o.until.After(validUntil) {
+			validUntil = o.until
 		}
 	}
-	return n, l.validUntil
+	return n, validUntil
 }
 
-// ValidUntil returns when this run's lease ends.
-func (l *Leases) ValidUntil() time.Time { return l.validUntil }
+// ValidUntil returns when this run's lease of a shard that it owns ends.
+func (l *Leases) ValidUntil(s Shard) time.Time { return l.owners[s].until }
 
 // Leave makes this run grant and claim nothing more. Its next report releases its shards.
 func (l *Leases) Leave() { l.leaving = true }
@@ -243,7 +248,7 @@
 	at := l.next
 	l.next++
 	l.members[r.Run.Instance] = member{readAt: now, leaving: r.Leaving}
-	emptyAt := l.renew(r)
+	emptyAt, until := l.renew(r)
 	owned := make(map[Shard]bool)
 	for _, x := range r.Owned {
 		owned[x.Shard] = true
@@ -264,7 +269,7 @@
 		}
 		if r.Run == l.self {
 			gained = append(gained, s)
-			o.emptyAt = now
+			o.emptyAt, o.until = now, until
 			if t, ok := emptyAt[s]; ok {
 				o.emptyAt = t
 			}
@@ -274,20 +279,26 @@
 	return gained, lost
 }
 
-// renew extends the own lease if the report is an own one, and returns since when the shards that it claims were empty.
-func (l *Leases) renew(r Report) (emptyAt map[Shard]time.Time) {
+// renew extends the leases of the own shards that the report names if it is an own one. It returns since when the shards that it
+// claims were empty, and until when their leases last. A report that does not name a shard, because it was written before its
+// claim was read, does not extend its lease: others may not have read the claim.
+func (l *Leases) renew(r Report) (emptyAt map[Shard]time.Time, until time.Time) {
 	if r.Run != l.self {
-		return nil
+		return nil, until
 	}
 	sent, ok := l.sent[r.Seq]
 	if !ok {
-		return nil
+		return nil, until
 	}
 	delete(l.sent, r.Seq)
-	if end := sent.at.Add(LeaseTime); end.After(l.validUntil) {
-		l.validUntil = end
+	until = sent.at.Add(LeaseTime)
+	for _, x := range r.Owned {
+		if o := l.owners[x.Shard]; o.run == l.self && o.claimed == x.Claimed && until.After(o.until) {
+			o.until = until
+			l.owners[x.Shard] = o
+		}
 	}
-	return sent.emptyAt
+	return sent.emptyAt, until
 }
 
 // applyOwned applies that a run said that it owned a shard.
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -194,7 +194,7 @@
 	reserve := min(a.Headroom*b.limit.Burst, b.limit.Burst-1)
 	if missing := 1 + reserve - b.level; missing > 0 {
 		wait := time.Duration(missing / b.limit.Rate * float64(time.Second))
-		if wait > min(a.MaxWait, MaxAhead) || !now.Add(wait).Before(l.Leases.ValidUntil()) {
+		if wait > min(a.MaxWait, MaxAhead) || !now.Add(wait).Before(l.Leases.ValidUntil(ShardOf(a.Workspace, a.Part))) {
 			return Grant{Retry: max(wait, minRetry), Level: b.level}, true
 		}
 		g = Grant{Tokens: 1, Wait: wait, Level: b.level, Bucket: b.id}
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -178,7 +178,7 @@
 func TestWaitEndsWithTheLease(t *testing.T) {
 	c := qt.New(t)
 	limiter := newOwner(quota.Limit{Rate: 1, Burst: 1})
-	end := limiter.Leases.ValidUntil()
+	end := limiter.Leases.ValidUntil(quota.ShardOf("w", 0))
 	c.Assert(take(limiter, end.Add(-600*time.Millisecond), 0, 0, time.Second).Tokens, qt.Equals, 1)
 	g := take(limiter, end.Add(-500*time.Millisecond), 0, 0, time.Second)
 	c.Assert(g.Tokens, qt.Equals, 0)
