Let claims of shards succeed beside other reports

After a loss of all instances of the large deployment, requests of all workspaces were refused with 503 rateUnavailable for 6 s and more.

A claim was appended on the condition that nobody had reported since its writer had read. 195 instances append 125 to 195 reports a second to that partition, and each wants claims for its own callers. Nearly every claim conflicted, was tried four times at once, and each try delayed the appends of the others, the reports among them. The fewer claims succeeded, the more instances claimed the same shards. The overload kept itself going.

A claim is now valid unless a report of the owner or another valid claim lies between what its writer had read and the claim. All who have read all reports of the shard agree on that; the others take the owner for uncertain until a run that has read the claim names the shard. A claimant that does not know all reports of a shard still appends on the condition, and waits a random, growing time after a conflict.

Instances of builds before and after this commit must not run side by side.

--- a/internal/grants/fleet_test.go
+++ b/internal/grants/fleet_test.go
@@ -60,9 +60,14 @@
 	name      ids.WorkspaceID // of the limit
 	instances map[ids.InstanceID]*simInstance
 	limit     quota.Limit
-	lowered   time.Time // when the last instance has applied a lowered limit; zero if it was not lowered
-	runs      int
-	closed    bool
+	limits    map[ids.WorkspaceID]quota.Limit // of several workspaces, instead of name and limit; nil for one
+	// appendTime is how long the log takes for an append of a partition, one after the other, and hop the longest further delay
+	// of a call at an instance.
+	appendTime, hop time.Duration
+	turns           map[partlog.Partition]chan struct{}
+	lowered         time.Time // when the last instance has applied a lowered limit; zero if it was not lowered
+	runs            int
+	closed          bool
 }
 
 // simInstance is one machine. Its process is replaced at each restart.
@@ -96,7 +101,10 @@
 
 // newSimFleetOf returns a fleet that shares the limit with the given name.
 func newSimFleetOf(seed uint64, name ids.WorkspaceID, limit quota.Limit, count int) *simFleet {
-	f := &simFleet{log: partlogtest.New(), random: rand.New(rand.NewPCG(seed, 0)), name: name, instances: make(map[ids.InstanceID]*simInstance), limit: limit}
+	f := &simFleet{
+		log: partlogtest.New(), random: rand.New(rand.NewPCG(seed, 0)), name: name, instances: make(map[ids.InstanceID]*simInstance),
+		limit: limit, turns: make(map[partlog.Partition]chan struct{}),
+	}
 	for i := range count {
 		f.add(ids.InstanceID(fmt.Sprint("i", i)))
 	}
@@ -199,9 +207,36 @@
 }
 
 func (p *simProcess) configure(limit quota.Limit) {
-	p.limiter.View(func(l *quota.Limiter) {
-		l.Configure(p.limiter.Now(), map[ids.WorkspaceID]quota.Limit{p.fleet.name: limit})
-	})
+	limits := p.fleet.limits
+	if limits == nil {
+		limits = map[ids.WorkspaceID]quota.Limit{p.fleet.name: limit}
+	}
+	p.limiter.View(func(l *quota.Limiter) { l.Configure(p.limiter.Now(), limits) })
+}
+
+// append appends to the log, which takes appendTime for an append, also for one that it refuses because of its condition, and
+// makes those of a partition one after the other.
+func (f *simFleet) append(p partlog.Partition, at ids.Offset, records [][]byte) (first ids.Offset, err error) {
+	if f.appendTime > 0 {
+		f.mu.Lock()
+		turn := f.turns[p]
+		if turn == nil {
+			turn = make(chan struct{}, 1)
+			f.turns[p] = turn
+		}
+		f.mu.Unlock()
+		turn <- struct{}{}
+		defer func() { <-turn }()
+		time.Sleep(f.appendTime)
+	}
+	return f.log.Append(context.Background(), p, at, records...)
+}
+
+// work waits as long as an instance takes for a step of a call.
+func (f *simFleet) work() {
+	if f.hop > 0 {
+		time.Sleep(time.Duration(f.intN(int(f.hop))))
+	}
 }
 
 func (p *simProcess) isLeaving() bool {
@@ -322,6 +357,7 @@
 // state waits for the way to the log and returns what the log does. A killed process makes no more calls.
 func (p *simProcess) state(ctx context.Context) (s logState, err error) {
 	p.waitWhileFrozen()
+	p.fleet.work()
 	p.fleet.mu.Lock()
 	s = p.log
 	p.fleet.mu.Unlock()
@@ -368,7 +404,7 @@
 		<-ctx.Done()
 		return 0, errUnknownOutcome
 	}
-	first, err = p.fleet.log.Append(ctx, part, at, records...)
+	first, err = p.fleet.append(part, at, records)
 	if answerErr := p.answer(ctx, s); answerErr != nil {
 		return 0, answerErr
 	}
--- a/internal/reports/claims.go
+++ b/internal/reports/claims.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -46,36 +47,48 @@
 		return nil
 	}
 	slices.Sort(wanted)
-	for range claimTries {
+	for try := range claimTries {
 		if err := r.read(ctx); err != nil {
 			return err
 		}
-		conflict, err := r.tryClaim(ctx, wanted)
-		if err != nil {
+		claimed, err := r.tryClaim(ctx, wanted)
+		var conflict *partlog.ConflictError
+		switch {
+		case errors.As(err, &conflict):
+			pauseClaim(ctx, try)
+		case err != nil || !claimed:
 			return err
 		}
-		if !conflict {
-			return r.read(ctx)
-		}
 	}
-	return nil
+	return r.read(ctx)
 }
 
-// tryClaim appends a claim to the wanted shards that are free, provided that no report was appended since the last read. It
-// reports whether one was.
-func (r *Reports) tryClaim(ctx context.Context, wanted []quota.Shard) (conflict bool, err error) {
+// tryClaim appends a claim to wanted shards that are free; claimed is false if none is. The claim may be void, which is seen when
+// it is read.
+func (r *Reports) tryClaim(ctx context.Context, wanted []quota.Shard) (claimed bool, err error) {
 	var claim quota.Report
+	at := partlog.AnyOffset
 	free := false
-	r.Grants.View(func(l *quota.Limiter) { claim, free = l.Leases.NewClaim(r.Now(), wanted) })
+	r.Grants.View(func(l *quota.Limiter) {
+		var conditional bool
+		if claim, conditional, free = l.Leases.NewClaim(r.Now(), wanted); conditional {
+			at = claim.Read
+		}
+	})
 	if !free {
 		return false, nil
 	}
-	_, err = r.append(ctx, claim.Read, claim)
-	var c *partlog.ConflictError
-	if errors.As(err, &c) {
-		return true, nil
+	_, err = r.append(ctx, at, claim)
+	return err == nil, err
+}
+
+// pauseClaim waits a random time before the next try of a conditional claim, longer after each. Instances that try at once keep
+// each other from succeeding.
+func pauseClaim(ctx context.Context, try int) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(rand.N(claimInterval << try)):
 	}
-	return false, err
 }
 
 // applyLease applies the part of a report that concerns leases, and logs what it changes for this instance.
--- a/pkg/quota/claims_test.go
+++ b/pkg/quota/claims_test.go
@@ -97,8 +97,8 @@
 				wanted = append(wanted, s)
 			}
 		}
-		if claim, ok := r.leases.NewClaim(now, wanted); ok {
-			l.append(now, claim, true)
+		if claim, conditional, ok := r.leases.NewClaim(now, wanted); ok {
+			l.append(now, claim, conditional)
 		}
 	case 17:
 		if l.random.IntN(20) == 0 {
@@ -107,8 +107,8 @@
 	}
 }
 
-// Guards against a shard that two runs grant from after appends that took effect seconds late, with runs that begin in the middle
-// of the log, stop reading, or read a part of what is new.
+// Guards against a shard that two runs grant from after appends, claims among them, that took effect seconds late, with runs that
+// begin in the middle of the log, stop reading, or read a part of what is new.
 func TestOneRunHoldsAShard(t *testing.T) {
 	for seed := range uint64(500) {
 		random := rand.New(rand.NewPCG(seed, 0))
--- a/pkg/quota/lease.go
+++ b/pkg/quota/lease.go
@@ -45,8 +45,8 @@
 	// Leaving is set if the run is about to end. It claims nothing more.
 	Leaving bool
 	Owned   []Owned
-	// Claimed are shards that the run owns from this report on. Such a report is appended only if the run has read all
-	// reports before it.
+	// Claimed are shards that the run owns from this report on, but for those that a report after Read concerns. A claim of
+	// shards of which the run does not know all reports is appended only if the run has read all reports before it.
 	Claimed []Shard
 	// Released are shards that the run owned and from which it grants nothing more.
 	Released []Owned
@@ -55,10 +55,15 @@
 // Leases decides which instance owns which shard. All instances apply the same reports in the order of the log.
 //
 // An owner grants for LeaseTime after it sent a report that names the shard, once it has read that report back and found that it
-// still owns the shard. Another instance claims the shard only after it has read no report of the owner for longer than that, or if the
-// owner has released it, or if the owner was an earlier run on the same instance. As a claim is appended only directly
-// behind what its writer has read, an owner's report that its claimant has not read makes the claim fail. So a shard never
-// has two instances that grant, whatever happens to instances, their clocks and the log. Only the speed of clocks matters.
+// still owns the shard. Another instance claims the shard only after it has read no report of the owner for longer than that, or
+// if the owner has released it, or if the owner was an earlier run on the same instance. A report of the owner, or another claim,
+// that the claimant had not read makes the claim void. A claim of a shard of which the claimant knows all reports is void for all
+// readers if one of these lies between what the claimant had read and the claim. Any other claim is appended only directly behind
+// what the claimant has read. So a shard never has two instances that grant, whatever happens to instances, their clocks and the
+// log. Only the speed of clocks matters.
+//
+// A claim that a reader cannot judge, because it has not read all reports of the shard, makes the shard's owner uncertain for
+// that reader until a run that has read the claim says that it owns the shard.
 //
 // Leases is not safe for concurrent use.
 type Leases struct {
@@ -82,7 +87,11 @@
 	claimed ids.Offset
 	// certain is set if all reports since the run was the owner were read.
 	certain bool
-	readAt  time.Time // when the run's last report was read
+	// touched is the offset of the last report that confirmed or changed the owner: any report of the run, a claim or a release.
+	touched ids.Offset
+	// judged is the offset from which on statements are believed: after the last claim that could not be judged.
+	judged ids.Offset
+	readAt time.Time // when the run's last report was read
 	// until is when the lease of this run ends, if it is the owner.
 	until    time.Time
 	released time.Time // when its release was read; zero if it has not released the shard
@@ -135,24 +144,40 @@
 	return r
 }
 
-// NewClaim returns a report that claims those of the wanted shards that are free; ok is false if none is. It must be
-// appended only if the log ends where this run has read it.
-func (l *Leases) NewClaim(now time.Time, wanted []Shard) (r Report, ok bool) {
-	emptyAt := make(map[Shard]time.Time)
+// NewClaim returns a report that claims wanted shards that are free; ok is false if none is. These are the shards of which all
+// reports since the last owner's claim were read, or, if there are none, the others. The claim of the others is conditional: it
+// must be appended only if the log ends where this run has read it.
+func (l *Leases) NewClaim(now time.Time, wanted []Shard) (r Report, conditional, ok bool) {
+	certain, uncertain := make(map[Shard]time.Time), make(map[Shard]time.Time)
 	for _, s := range wanted {
-		if free, ok := l.FreeAt(s); ok && !now.Before(free) {
-			emptyAt[s] = l.emptyAt(s, free)
+		free, ok := l.FreeAt(s)
+		switch {
+		case !ok || now.Before(free):
+		case l.knows(s):
+			certain[s] = l.emptyAt(s, free)
+		default:
+			uncertain[s] = l.emptyAt(s, free)
 		}
 	}
+	emptyAt := certain
+	if len(certain) == 0 {
+		emptyAt, conditional = uncertain, true
+	}
 	if len(emptyAt) == 0 {
-		return r, false
+		return r, false, false
 	}
 	r = l.NewReport(now)
 	l.sent[r.Seq] = sentReport{at: now, emptyAt: emptyAt}
 	for s := range emptyAt {
 		r.Claimed = append(r.Claimed, s)
 	}
-	return r, true
+	return r, conditional, true
+}
+
+// knows reports whether all reports since a shard was claimed last were read.
+func (l *Leases) knows(s Shard) bool {
+	o, known := l.owners[s]
+	return o.certain || !known && l.history == 0
 }
 
 // FreeAt returns from when on this run may claim a shard; ok is false if it may not. No other instance grants from the shard
@@ -252,19 +277,28 @@
 	owned := make(map[Shard]bool)
 	for _, x := range r.Owned {
 		owned[x.Shard] = true
-		l.applyOwned(now, r, x)
+		l.applyOwned(now, at, r, x)
 	}
 	for _, x := range r.Released {
 		owned[x.Shard] = true
-		l.applyReleased(now, r, x)
+		l.applyReleased(now, at, r, x)
 	}
-	l.dropLost(now, r, owned)
+	l.dropLost(now, at, r, owned)
 	for _, s := range r.Claimed {
+		switch l.judge(at, r, s) {
+		case claimVoid:
+			continue
+		case claimUnknown:
+			o := l.owners[s]
+			o.certain, o.judged, o.touched, o.readAt = false, l.next, at, now
+			l.owners[s] = o
+			continue
+		}
 		if l.owners[s].run == l.self && r.Run != l.self {
 			lost = append(lost, s)
 		}
-		o := owner{run: r.Run, claimed: at, certain: true, readAt: now, emptyAt: l.owners[s].emptyAt}
-		if before, known := l.owners[s]; !before.certain && (known || l.history > 0) {
+		o := owner{run: r.Run, claimed: at, certain: true, touched: at, readAt: now, emptyAt: l.owners[s].emptyAt}
+		if !l.knows(s) {
 			o.emptyAt = now.Add(MaxAhead) // the release that the claim followed may not have been read
 		}
 		if r.Run == l.self {
@@ -279,6 +313,35 @@
 	return gained, lost
 }
 
+// verdict is what a reader knows of a claim.
+type verdict int
+
+const (
+	claimValid verdict = iota
+	claimVoid
+	claimUnknown
+)
+
+// judge decides whether a claim of a shard at an offset is valid. All who can judge it agree.
+func (l *Leases) judge(at ids.Offset, r Report, s Shard) verdict {
+	o, known := l.owners[s]
+	switch {
+	case r.Read == at: // nothing lies between
+		return claimValid
+	case r.Read < l.history || !l.knows(s):
+		return claimUnknown
+	case known && o.touched >= r.Read:
+		return claimVoid
+	default:
+		return claimValid
+	}
+}
+
+// believed reports whether a run that wrote a report about a shard had read the claims that this one has not or could not judge.
+func (l *Leases) believed(r Report, s Shard) bool {
+	return r.Read >= max(l.history, l.owners[s].judged)
+}
+
 // renew extends the leases of the own shards that the report names if it is an own one. It returns since when the shards that it
 // claims were empty, and until when their leases last. A report that does not name a shard, because it was written before its
 // claim was read, does not extend its lease: others may not have read the claim.
@@ -302,7 +365,7 @@
 }
 
 // applyOwned applies that a run said that it owned a shard.
-func (l *Leases) applyOwned(now time.Time, r Report, x Owned) {
+func (l *Leases) applyOwned(now time.Time, at ids.Offset, r Report, x Owned) {
 	o := l.owners[x.Shard]
 	if r.Run == l.self || x.Claimed < o.claimed || !o.released.IsZero() && x.Claimed == o.claimed {
 		return
@@ -313,35 +376,38 @@
 		emptyAt = o.emptyAt
 	}
 	l.owners[x.Shard] = owner{
-		run: r.Run, claimed: x.Claimed, certain: same && o.certain || r.Read >= l.history, readAt: now, emptyAt: emptyAt,
+		run: r.Run, claimed: x.Claimed, certain: same && o.certain || l.believed(r, x.Shard), touched: at, judged: o.judged,
+		readAt: now, emptyAt: emptyAt,
 	}
 }
 
 // applyReleased applies that a run has released a shard.
-func (l *Leases) applyReleased(now time.Time, r Report, x Owned) {
+func (l *Leases) applyReleased(now time.Time, at ids.Offset, r Report, x Owned) {
 	o := l.owners[x.Shard]
 	if x.Claimed < o.claimed || !o.released.IsZero() && x.Claimed == o.claimed {
 		return
 	}
 	same := o.run == r.Run && o.claimed == x.Claimed
 	l.owners[x.Shard] = owner{
-		run: r.Run, claimed: x.Claimed, certain: same && o.certain || r.Read >= l.history, readAt: now,
-		released: now, emptyAt: now.Add(x.Debt),
+		run: r.Run, claimed: x.Claimed, certain: same && o.certain || l.believed(r, x.Shard), touched: at, judged: o.judged,
+		readAt: now, released: now, emptyAt: now.Add(x.Debt),
 	}
 }
 
-// dropLost notes which shards a run does not own any more according to its report.
-func (l *Leases) dropLost(now time.Time, r Report, owned map[Shard]bool) {
-	if r.Run == l.self {
-		return
-	}
+// dropLost notes that a run's report confirms the shards that it owns, and which it does not own any more.
+func (l *Leases) dropLost(now time.Time, at ids.Offset, r Report, owned map[Shard]bool) {
 	for s, o := range l.owners {
 		if o.run != r.Run {
 			continue
 		}
-		o.readAt = now
+		if o.released.IsZero() {
+			o.touched = at
+		}
+		if r.Run != l.self {
+			o.readAt = now
+		}
 		// A report that was written before the run had read its own claim says nothing about it.
-		if !owned[s] && r.Read > o.claimed && o.released.IsZero() {
+		if r.Run != l.self && !owned[s] && r.Read > o.claimed && o.released.IsZero() {
 			o.run, o.certain = Run{}, false
 		}
 		l.owners[s] = o
