--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -24,7 +24,7 @@
 	for part := range quota.Parts {
 		shards = append(shards, quota.ShardOf("w", part))
 	}
-	claim, _ := leases.NewClaim(long.Add(time.Minute), shards)
+	claim, _, _ := leases.NewClaim(long.Add(time.Minute), shards)
 	leases.Apply(long.Add(time.Minute), claim)
 	leases.Apply(start, leases.NewReport(start.Add(time.Hour)))
 	l := quota.New(leases)
@@ -178,7 +178,7 @@
 func TestWaitEndsWithTheLease(t *testing.T) {
 	c := qt.New(t)
 	limiter := newOwner(quota.Limit{Rate: 1, Burst: 1})
-	end := limiter.Leases.ValidUntil()
+	end := limiter.Leases.ValidUntil(quota.ShardOf("w", 0))
 	c.Assert(take(limiter, end.Add(-600*time.Millisecond), 0, 0, time.Second).Tokens, qt.Equals, 1)
 	g := take(limiter, end.Add(-500*time.Millisecond), 0, 0, time.Second)
 	c.Assert(g.Tokens, qt.Equals, 0)
