Begin no answer whose record can't be written in time

What callers saw: a stream whose first event came within milliseconds of the deadline, because its reservation had waited for a leader that is stuck, was cut off after its last event.

Cause: an answer began as soon as the reservation was confirmed, however little time was left for the turn's record.

The answer of a turn now begins 0.1 s before its deadline at the latest; otherwise the caller gets 502, and its connection is kept.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"math"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -103,13 +104,21 @@
 	return attemptResult{}, false
 }
 
+// recordTime is how long before its deadline the answer of a turn may begin at the latest. Less time would hardly be enough for
+// the turn's record, without which a begun answer is cut off.
+const recordTime = 100 * time.Millisecond
+
 // awaitReservation blocks until the reservation of the turn's tokens is confirmed, because the caller must not get any tokens
 // before. If it fails, it returns the result of the attempt.
 func (e *exchange) awaitReservation() (res attemptResult, failed bool) {
 	if e.reservation == nil {
 		return res, false
 	}
-	ctx, cancel := context.WithTimeout(e.ctx, e.deadline.Sub(e.now()))
+	left := e.deadline.Sub(e.now())
+	if e.route.Remembered {
+		left -= recordTime
+	}
+	ctx, cancel := context.WithTimeout(e.ctx, left)
 	defer cancel()
 	if err := e.reservation.Wait(ctx); err != nil {
 		return attemptResult{
