Apply a raised limit for heads to open connections

What callers saw: a request on a kept connection was refused 431, which nobody repeats, although the configuration in force allowed its head: the connection had been opened under a lower limit, or before the first configuration.

Cause: the read buffer, which a head must fit into, was sized once for each connection.

Evidence, TestRaisedHeaderLimitOnKeptConnection before the change: 8000 bytes, got int(431) want int(200).

The buffer now grows with the limit before a head is read. TestStopWithinAnAnswer, which passed before, guards the end of an answer whose head was sent before a planned stop began.

--- a/internal/httpwire/server.go
+++ b/internal/httpwire/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -23,6 +24,9 @@
 	IdleTimeout   time.Duration
 }
 
+// bufferBytes returns the size of a connection's read buffer, which a head must fit into.
+func (l Limits) bufferBytes() int { return l.HeaderBytes + 1<<10 }
+
 // Handler answers requests. Serve returns when the exchange is answered or aborted.
 type Handler interface {
 	Serve(ctx context.Context, x *Exchange)
@@ -106,7 +110,7 @@
 			s.reportPanic(cause)
 		}
 	}()
-	br := bufio.NewReaderSize(conn, s.limits().HeaderBytes+1024)
+	br := bufio.NewReaderSize(conn, s.limits().bufferBytes())
 	x := &Exchange{conn: conn, br: br, server: s}
 	for s.waitIdle(x, s.limits().IdleTimeout) {
 		if !s.serveNext(x) {
@@ -206,6 +210,7 @@
 // readRequest reads the next request. It returns false if the connection must be closed.
 func (x *Exchange) readRequest() bool {
 	l := x.server.limits()
+	x.growBuffer(l.bufferBytes())
 	x.started, x.complete, x.closeAfter = false, false, false
 	x.Body = nil
 	x.Header.Reset()
@@ -236,6 +241,16 @@
 	return x.conn.SetReadDeadline(time.Time{}) == nil
 }
 
+// growBuffer makes the read buffer larger if the limit for heads was raised since the connection was opened.
+func (x *Exchange) growBuffer(size int) {
+	if x.br.Size() >= size {
+		return
+	}
+	// Peek can't fail for what is buffered.
+	buffered, _ := x.br.Peek(x.br.Buffered())
+	x.br = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(buffered), x.conn), size)
+}
+
 func (x *Exchange) readBody(f framing, limit int) (err error) {
 	switch {
 	case f.chunked:
--- a/internal/httpwire/server_test.go
+++ b/internal/httpwire/server_test.go
@@ -4,10 +4,12 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -203,3 +205,76 @@
 	c.Assert(<-e.seen, qt.Equals, "/a abcd")
 	awaitActive(c, s, 0)
 }
+
+// stepped writes the head of a chunked answer, and its end when next is closed. Later requests are answered whole.
+type stepped struct {
+	begun chan struct{}
+	next  chan struct{}
+}
+
+func (h *stepped) Serve(_ context.Context, x *httpwire.Exchange) {
+	if string(x.Header.RequestURI()) != "/stream" {
+		x.Answer(fasthttp.StatusOK, nil, nil)
+		return
+	}
+	_ = x.WriteHead(fasthttp.StatusOK, nil, []byte("first,"))
+	close(h.begun)
+	<-h.next
+	_ = x.WriteLast([]byte("last"))
+}
+
+// Guards against a connection that is closed without notice because a planned stop began between the head and the end of its
+// answer: the caller may have sent its next request on it.
+func TestStopWithinAnAnswer(t *testing.T) {
+	c := qt.New(t)
+	h := &stepped{begun: make(chan struct{}), next: make(chan struct{})}
+	address, s := startServer(c, h)
+	conn, err := net.Dial("tcp", address)
+	c.Assert(err, qt.IsNil)
+	defer conn.Close()
+	br := bufio.NewReader(conn)
+	_, err = io.WriteString(conn, "GET /stream HTTP/1.1\r\nHost: h\r\n\r\n")
+	c.Assert(err, qt.IsNil)
+	<-h.begun
+	s.DisableKeepAlive()
+	s.CloseIdle()
+	close(h.next)
+	r, err := http.ReadResponse(br, nil)
+	c.Assert(err, qt.IsNil)
+	body, err := io.ReadAll(r.Body)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(body), qt.Equals, "first,last")
+	c.Assert(r.Close, qt.IsFalse)
+	_, err = io.WriteString(conn, "GET /next HTTP/1.1\r\nHost: h\r\n\r\n")
+	c.Assert(err, qt.IsNil)
+	r, err = http.ReadResponse(br, nil)
+	c.Assert(err, qt.IsNil)
+	c.Assert(r.StatusCode, qt.Equals, http.StatusOK)
+	c.Assert(r.Close, qt.IsTrue)
+}
+
+// Guards against a request that is refused on a kept connection although the limit for its head was raised since.
+func TestRaisedHeaderLimitOnKeptConnection(t *testing.T) {
+	c := qt.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer l.Close()
+	var headerBytes atomic.Int64
+	headerBytes.Store(1024)
+	s := httpwire.NewServer(echo{seen: make(chan string, 2)}, func() httpwire.Limits {
+		return httpwire.Limits{HeaderBytes: int(headerBytes.Load()), BodyBytes: 1000, HeaderTimeout: time.Second, IdleTimeout: time.Second}
+	}, func(error) {})
+	go func() { _ = s.Serve(l) }()
+	conn, err := net.Dial("tcp", l.Addr().String())
+	c.Assert(err, qt.IsNil)
+	defer conn.Close()
+	br := bufio.NewReader(conn)
+	for _, size := range []int{10, 8000} {
+		_, err = fmt.Fprintf(conn, "GET / HTTP/1.1\r\nHost: h\r\nX: %s\r\n\r\n", strings.Repeat("x", size))
+		c.Assert(err, qt.IsNil)
+		r, err := http.ReadResponse(br, nil)
+		c.Assert(err, qt.IsNil)
+		c.Assert(r.StatusCode, qt.Equals, http.StatusOK, qt.Commentf("%d bytes", size))
+		headerBytes.Store(16 << 10)
+	}
+}
