End the work for a call of another instance at the call's deadline

What callers would see: while the log hangs, calls for a chain of turns whose callers have given up after 0.7 s would work for up to 5 s and hold the lock of the partition for those that still wait.

Evidence, TestMethodEndsAtDeadlineOfItsCall before the change: got nil want e"context deadline exceeded".

A call now says how long its caller waits, and the context of its method ends then.

--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -92,7 +92,7 @@
 		return errors.Join(ErrUnreachable, err)
 	}
 	received := conn.stream.received.Load()
-	waiter, err := conn.rpc.DispatchCall(ctx, method, params)
+	waiter, err := conn.rpc.DispatchCall(ctx, method, params, jsonrpc2.Meta(metaOf(ctx)))
 	if err != nil {
 		c.release(conn, false, false)
 		return errors.Join(ErrUnreachable, err)
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"io"
 	"log"
+	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
 )
@@ -18,7 +19,29 @@
 // codeBusy is the error code of a call that was not begun because too many are in progress.
 const codeBusy = -32000
 
-// Method handles the calls of one JSON-RPC method.
+// callMeta is sent with a call, beside its parameters.
+type callMeta struct {
+	// TimeoutMs is how long the caller waits; 0 if it does not say.
+	TimeoutMs int64 `json:"timeoutMs,omitempty"`
+}
+
+// metaOf returns what is sent with a call that has a context.
+func metaOf(ctx context.Context) (m callMeta) {
+	if deadline, ok := ctx.Deadline(); ok {
+		m.TimeoutMs = max(time.Until(deadline).Milliseconds(), 1)
+	}
+	return m
+}
+
+// context returns a context that ends when the caller no longer waits.
+func (m callMeta) context(ctx context.Context) (context.Context, context.CancelFunc) {
+	if m.TimeoutMs <= 0 {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, time.Duration(m.TimeoutMs)*time.Millisecond)
+}
+
+// Method handles the calls of one JSON-RPC method. Its context ends when the caller no longer waits or has disconnected.
 type Method func(ctx context.Context, params json.RawMessage) (result any, err error)
 
 // Typed returns a Method that decodes its parameters into a P and passes them to do.
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -185,5 +186,13 @@
 	case r.Params == nil:
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "no parameters"}
 	}
+	var meta callMeta
+	if r.Meta != nil {
+		if err := json.Unmarshal(*r.Meta, &meta); err != nil {
+			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidRequest, Message: err.Error()}
+		}
+	}
+	ctx, cancel := meta.context(ctx)
+	defer cancel()
 	return method(ctx, *r.Params)
 }
--- a/internal/rpc/server_test.go
+++ b/internal/rpc/server_test.go
@@ -100,3 +100,31 @@
 	}
 	eventually(c, func() bool { return l.open.Load() == 0 && runtime.NumGoroutine() <= before+1 })
 }
+
+// Guards against work for calls whose deadlines have passed, which holds up that for others.
+func TestMethodEndsAtDeadlineOfItsCall(t *testing.T) {
+	c := qt.New(t)
+	l := listen(c)
+	ended := make(chan error, 1)
+	server := rpc.NewServer(func(error) {}, map[string]rpc.Method{
+		"work": rpc.Typed(func(ctx context.Context, _ struct{}) (any, error) {
+			select {
+			case <-ctx.Done():
+			case <-time.After(2 * time.Second):
+			}
+			ended <- ctx.Err()
+			return struct{}{}, nil
+		}),
+		"wait": rpc.Typed(func(context.Context, struct{}) (any, error) {
+			time.Sleep(3 * time.Second)
+			return struct{}{}, nil
+		}),
+	})
+	go func() { _ = server.Serve(l) }()
+	client := newClient(c)
+	go func() { _ = client.Call(context.Background(), l.Addr().String(), "wait", struct{}{}, nil) }()
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	c.Assert(client.Call(ctx, l.Addr().String(), "work", struct{}{}, nil), qt.IsNotNil)
+	c.Assert(<-ended, qt.ErrorIs, context.DeadlineExceeded)
+}
