Let records be written until a stopping gateway exits

What callers saw: an answer was cut off in a planned stop although its target had finished, because the contexts of the requests in progress were ended 0.2 s before the exit while its record was being written.

Evidence, TestPlannedStopLetsRecordsBeWritten before the change: got e"unexpected EOF".

The end of a request's context in a stop no longer ends the write of its record; the exit or the request's deadline does.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -129,13 +129,28 @@
 	return res, false
 }
 
+// recordContext returns the context for the record of a turn that its target has finished. A planned stop does not end it: until
+// the process exits, the record may still be written.
+func (e *exchange) recordContext() (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(e.ctx), e.deadline.Sub(e.now()))
+	stopWatch := context.AfterFunc(e.ctx, func() {
+		if e.endCode() != codeStopping {
+			cancel()
+		}
+	})
+	return ctx, func() {
+		stopWatch()
+		cancel()
+	}
+}
+
 // endStream ends a complete stream. On routes that remember turns, the turn is stored before the caller sees the end.
 func (e *exchange) endStream() attemptResult {
 	usage := record.Usage{
 		Prompt: e.req.Prompt, Cached: e.cached, Completion: ids.Tokens(e.events) * e.tokensPerEvent(),
 	}
 	if e.route.Remembered {
-		ctx, cancel := context.WithTimeout(e.ctx, e.deadline.Sub(e.now()))
+		ctx, cancel := e.recordContext()
 		defer cancel()
 		err := e.programs.Put(ctx, programs.Turn{
 			ID: e.req.ID, Program: e.program(), Chain: e.chain, Input: bytes.Clone(e.x.Body), Output: e.output,
