--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"math"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -103,13 +104,21 @@
 	return attemptResult{}, false
 }
 
+// recordTime is how long before its deadline the answer of a turn may begin at the latest. Less time would hardly be enough for
+// the turn's record, without which a begun answer is cut off.
+const recordTime = 100 * time.Millisecond
+
 // awaitReservation blocks until the reservation of the turn's tokens is confirmed, because the caller must not get any tokens
 // before. If it fails, it returns the result of the attempt.
 func (e *exchange) awaitReservation() (res attemptResult, failed bool) {
 	if e.reservation == nil {
 		return res, false
 	}
-	ctx, cancel := context.WithTimeout(e.ctx, e.deadline.Sub(e.now()))
+	left := e.deadline.Sub(e.now())
+	if e.route.Remembered {
+		left -= recordTime
+	}
+	ctx, cancel := context.WithTimeout(e.ctx, left)
 	defer cancel()
 	if err := e.reservation.Wait(ctx); err != nil {
 		return attemptResult{
@@ -120,13 +129,28 @@
 	return res, false
 }
 
+// recordContext returns the context for the record of a turn that its target has finished. A planned stop does not end it: until
+// the process exits, the record may still be written.
+func (e *exchange) recordContext() (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(e.ctx), e.deadline.Sub(e.now()))
+	stopWatch := context.AfterFunc(e.ctx, func() {
+		if e.endCode() != codeStopping {
+			cancel()
+		}
+	})
+	return ctx, func() {
+		stopWatch()
+		cancel()
+	}
+}
+
 // endStream ends a complete stream. On routes that remember turns, the turn is stored before the caller sees the end.
 func (e *exchange) endStream() attemptResult {
 	usage := record.Usage{
 		Prompt: e.req.Prompt, Cached: e.cached, Completion: ids.Tokens(e.events) * e.tokensPerEvent(),
 	}
 	if e.route.Remembered {
-		ctx, cancel := context.WithTimeout(e.ctx, e.deadline.Sub(e.now()))
+		ctx, cancel := e.recordContext()
 		defer cancel()
 		err := e.programs.Put(ctx, programs.Turn{
 			ID: e.req.ID, Program: e.program(), Chain: e.chain, Input: bytes.Clone(e.x.Body), Output: e.output,
