Find a turn although another partition's leader cannot answer

What callers saw: 503 turnUnavailable in each try for a turn that one leader has, while the leader of another partition could not read the log; and while the two first leaders of any partition had lost power, each first search at an instance lasted its whole 0.7 s and was refused. Cause: each step of a search waited for the leaders of all partitions, and in the steps that read the first error ended the search and cancelled the other calls. Now a search ends when its chain is complete. Errors count only if a turn is still missing then. Calls that are no longer needed go on to their deadline, so that no leader seems silent. A search without an answer reads each partition once, not twice, and what was found is kept even if the memory drops it. Before: TestTurnOfOneLeaderIsEnough 'the log is unavailable'; TestSilentLeadersDoNotDelayTurns '700ms', refused.

--- /dev/null
+++ b/internal/programs/fetch_test.go
@@ -0,0 +1,53 @@
+package programs_test
+
+import (
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/comfreylink/comfreylink/internal/programs"
+)
+
+// Guards against a turn that is refused in each try while one leader cannot tell, although another one has it.
+func TestTurnOfOneLeaderIsEnough(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSimulation(t, 1, 2*simZones, 0)
+		defer s.stop()
+		time.Sleep(2 * time.Second)
+		s.put(1, "t0")
+		for _, i := range []int{1, 4} {
+			s.kill(i)
+			s.start(i)
+		}
+		time.Sleep(reportDelay)
+		s.set(func() { s.logFails[0] = true }) // leads another partition
+		for range 5 {
+			turns, err := s.chain(2, "t0")
+			s.Check(err, qt.IsNil)
+			s.Check(turns, qt.HasLen, 1)
+		}
+		_, err := s.chain(2, "never")
+		s.Check(err, qt.IsNotNil)
+		s.Check(errors.Is(err, programs.ErrTurnNotFound), qt.IsFalse)
+	})
+}
+
+// Guards against a turn that is refused, or found only after others' silence was noticed, because leaders without power are
+// asked too.
+func TestSilentLeadersDoNotDelayTurns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSimulation(t, 1, 2*simZones, 0)
+		defer s.stop()
+		time.Sleep(2 * time.Second)
+		s.put(1, "t0")
+		s.set(func() { s.instances[0].silent, s.instances[3].silent = true, true })
+		began := time.Now()
+		turns, err := s.chain(2, "t0")
+		s.Check(err, qt.IsNil)
+		s.Check(turns, qt.HasLen, 1)
+		s.Check(time.Since(began) < 50*time.Millisecond, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+	})
+}
--- a/internal/programs/find.go
+++ b/internal/programs/find.go
@@ -8,7 +8,6 @@
 
 	"github.com/samber/oops"
 	"go.uber.org/zap"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/comfreylink/comfreylink/internal/call"
 	"github.com/comfreylink/comfreylink/internal/events"
@@ -65,31 +64,33 @@
 		}
 	}()
 	all := s.Programs.Partitions()
-	var reads []partitionRead
-	l, missing := s.chainInMemory(id)
-	// Each list of leaders is asked twice: a turn that the first call finds may continue turns that only others have.
+	f := newChainSearch(s, id)
+	l, missing := f.chain()
 	for _, step := range []struct {
 		partitions []partlog.Partition
 		memoryOnly bool
-	}{{s.Leaders.Near(all), true}, {all, true}, {all, true}, {all, false}, {all, false}} {
-		if len(missing) == 0 {
-			return l, nil
-		}
-		if reads, err = s.fetchTurns(ctx, notBefore, step.partitions, missing, step.memoryOnly); err != nil {
-			return nil, err
+	}{{s.Leaders.Near(all), true}, {all, true}, {all, false}} {
+		// The leaders are asked again if they have answered with a part of the chain: it may continue turns that only others have.
+		for tries, progress := 0, true; progress && tries < maxFetches && len(missing) > 0; tries++ {
+			before := len(f.found)
+			reads, err := f.fetch(ctx, notBefore, step.partitions, missing, step.memoryOnly)
+			l, missing = f.chain()
+			progress = len(f.found) > before
+			switch {
+			case len(missing) == 0:
+			case err != nil && !progress:
+				return nil, err
+			case err == nil && !step.memoryOnly && slices.Contains(missing, id):
+				s.logNotFound(program, id, zap.Any("reads", reads))
+				return nil, ErrTurnNotFound
+			}
 		}
-		l, missing = s.chainInMemory(id)
 	}
-	switch {
-	case len(missing) == 0:
+	if len(missing) == 0 {
 		return l, nil
-	case slices.Contains(missing, id):
-		s.logNotFound(program, id, zap.Any("reads", reads))
-		return nil, ErrTurnNotFound
-	default:
-		events.Log(s.Logger, events.ChainBroken, zap.String("requestId", string(id)), zap.String("turn", string(missing[0])))
-		return nil, errors.Join(partlog.ErrOutcomeUnknown, errors.New("a turn of the chain is missing"))
 	}
+	events.Log(s.Logger, events.ChainBroken, zap.String("requestId", string(id)), zap.String("turn", string(missing[0])))
+	return nil, errors.Join(partlog.ErrOutcomeUnknown, errors.New("a turn of the chain is missing"))
 }
 
 // readSoFar says how far this instance has read the partition.
@@ -99,69 +100,6 @@
 	return partitionRead{Part: p.id.Part, Reader: p.store.Self, Next: p.next}
 }
 
-// fetchTurns asks the leaders of partitions for turns, and adds what they return to the memory. A leader that does not answer is
-// an error only if it is to read its partition: what it has in memory is in its partition too.
-func (s *Store) fetchTurns(ctx context.Context, notBefore time.Time, partitions []partlog.Partition, wanted []call.ID, memoryOnly bool) (reads []partitionRead, err error) {
-	tasks, ctx := errgroup.WithContext(ctx)
-	reads = make([]partitionRead, len(partitions))
-	for i, id := range partitions {
-		tasks.Go(func() (err error) {
-			reads[i], err = s.fetchFrom(ctx, notBefore, s.partitionOf(id), wanted, memoryOnly)
-			if memoryOnly {
-				return nil
-			}
-			return err
-		})
-	}
-	return reads, tasks.Wait()
-}
-
-// fetchFrom asks the leader of one partition for turns.
-func (s *Store) fetchFrom(ctx context.Context, notBefore time.Time, p *partition, wanted []call.ID, memoryOnly bool) (read partitionRead, err error) {
-	var result turnsResult
-	params := turnsParams{Partition: p.id, Turns: wanted, MemoryOnly: memoryOnly}
-	_, err = s.Leaders.Do(ctx, p.id, methodTurns, params, &result, func() error {
-		result = turnsResult{}
-		if memoryOnly {
-			return nil
-		}
-		_, err := p.findTurns(ctx, notBefore, wanted)
-		result.Read = p.readSoFar()
-		return err
-	})
-	if err == nil {
-		err = result.Failure.err()
-	}
-	if err != nil {
-		return read, err
-	}
-	for _, data := range result.Turns {
-		t, err := decodeTurn(data)
-		if err != nil {
-			return read, err
-		}
-		s.turns.addFetched(t)
-	}
-	return result.Read, nil
-}
-
-// chainInMemory returns a turn and the turns before it, oldest first, and the ids of those that are not in memory.
-func (s *Store) chainInMemory(id call.ID) (l []*Turn, missing []call.ID) {
-	last := s.turns.lookup(id)
-	if last == nil {
-		return nil, []call.ID{id}
-	}
-	for _, before := range last.Chain {
-		t := s.turns.lookup(before)
-		if t == nil {
-			missing = append(missing, before)
-			continue
-		}
-		l = append(l, t)
-	}
-	return append(l, last), missing
-}
-
 // logNotFound logs that a program continues a turn that does not exist, or that another workspace has.
 func (s *Store) logNotFound(program account.Key, id call.ID, why zap.Field) {
 	events.Log(s.Logger, events.TurnNotFound, zap.String("turn", string(id)), zap.String("programId", string(program.Program)),
