Look turns up during the faults of the test of answered turns

Two readers look up retained turns at random instances all the time, so that a lookup meets restarted leaders that cannot read the log.

--- a/internal/programs/simulation_test.go
+++ b/internal/programs/simulation_test.go
@@ -49,6 +49,8 @@
 	lostAppends, lostAnswers, unknownMembers float64
 	// logFails are the instances that cannot reach the log.
 	logFails map[int]bool
+	// over makes all calls to the log succeed, also of runs that have ended.
+	over bool
 }
 
 // simInstance is an instance, which may be restarted with an empty memory.
@@ -88,12 +90,14 @@
 	for i := range s.instances {
 		s.kill(i)
 	}
+	s.set(func() { s.lostAppends, s.lostAnswers = 0, 0 })
 	s.tasks.Wait()
+	s.set(func() { s.over = true })
 	time.Sleep(leftoverTime)
 }
 
-// leftoverTime is for timers and calls that outlast the run that began them.
-const leftoverTime = 10 * time.Second
+// leftoverTime is for what outlasts the run that began it, such as settlements that are repeated until they are written.
+const leftoverTime = time.Minute
 
 func (s *simulation) start(i int) {
 	s.mu.Lock()
@@ -146,6 +150,13 @@
 	return s.random.Float64() < chance
 }
 
+// chanceOf returns one of the chances of faults.
+func (s *simulation) chanceOf(p *float64) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return *p
+}
+
 func (s *simulation) intN(n int) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -268,7 +279,7 @@
 		return 0, err
 	}
 	s.checkpoint()
-	if !s.happens(s.lostAppends) {
+	if !s.happens(s.chanceOf(&s.lostAppends)) {
 		return s.log.Append(ctx, p, at, records...)
 	}
 	switch s.intN(3) {
@@ -301,6 +312,12 @@
 func (r *simRun) reachLog(ctx context.Context) error {
 	s := r.instance.sim
 	time.Sleep(logLatency)
+	s.mu.Lock()
+	over := s.over
+	s.mu.Unlock()
+	if over {
+		return ctx.Err()
+	}
 	select {
 	case <-r.ended:
 		return unavailable
--- a/internal/programs/soak_test.go
+++ b/internal/programs/soak_test.go
@@ -137,6 +137,21 @@
 	}
 }
 
+// runReader looks up retained turns until the simulation ends, also during faults.
+func (s *soak) runReader() {
+	for {
+		select {
+		case <-s.ended:
+			return
+		case <-time.After(time.Duration(20+s.intN(200)) * time.Millisecond):
+		}
+		turns, in := s.retained(), s.instances[s.intN(soakInstances)]
+		if store := s.store(in.index); store != nil && len(turns) > 0 {
+			_, _ = s.lookup(in, store, turns[s.intN(len(turns))])
+		}
+	}
+}
+
 // answer reserves a turn's tokens and writes the turn. A turn whose instance ends before the caller has the answer does not count.
 func (s *soak) answer(in *simInstance, store *programs.Store, t programs.Turn) (a answeredTurn, ok bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), putTime)
@@ -172,6 +187,10 @@
 			s.set(func() { s.instances[i].silent = true })
 		case 3:
 			s.set(func() { s.logFails[i] = true })
+			if s.happens(0.5) {
+				s.kill(i)
+				s.start(i)
+			}
 		case 4:
 			s.set(func() {
 				for i := range soakInstances {
@@ -245,6 +264,8 @@
 				for n := range soakPrograms {
 					s.tasks.Go(func() { s.runProgram(n) })
 				}
+				s.tasks.Go(s.runReader)
+				s.tasks.Go(s.runReader)
 				for range soakEpisodes {
 					time.Sleep(time.Duration(s.intN(20)) * time.Second)
 					s.disturb()
