Settle a reservation whose append had an unknown outcome before the log went away

What callers saw: 402, or a program that waits, in and after an outage of the log, for tokens that nobody had spent. Cause: the answer to an append was lost and the read that was to find out failed because the log was unavailable. The writer returned the error of that read, which says that nothing was applied, so the reservation, which the log had, was never settled. Now a commit that fails after an append of unknown outcome is of unknown outcome; through a leader too. Such a refusal has the short time to return, not that of an outage.

--- a/internal/programs/failure.go
+++ b/internal/programs/failure.go
@@ -55,3 +55,9 @@
 func errLeaderUnanswered(later error) error {
 	return errors.Join(partlog.ErrOutcomeUnknown, fmt.Errorf("a leader did not answer, and then: %s", later.Error()))
 }
+
+// errUnknownAppend is the error of a write that failed after an append whose outcome is unknown. It does not wrap the later
+// error, which may wrap partlog.ErrNotApplied.
+func errUnknownAppend(later error) error {
+	return errors.Join(partlog.ErrOutcomeUnknown, fmt.Errorf("the outcome of an append is unknown, and then: %s", later.Error()))
+}
--- a/internal/programs/writer.go
+++ b/internal/programs/writer.go
@@ -121,7 +121,13 @@
 // commit appends the reservations that fit into their budgets together with the settlements and turns, and sets what was
 // granted.
 func (p *partition) commit(ctx context.Context, batches []*submission) (err error) {
-	defer func() { err = oops.In("programs").Wrapf(err, "commit") }()
+	unknown := false // whether an append that failed may have taken effect or may still do so
+	defer func() {
+		if err != nil && unknown {
+			err = errUnknownAppend(err)
+		}
+		err = oops.In("programs").Wrapf(err, "commit")
+	}()
 	ctx = pacedlog.WithKind(ctx, kindOf(batches))
 	fresh := false
 	for {
@@ -148,6 +154,8 @@
 			continue
 		}
 		fresh = false
+		var conflict *partlog.ConflictError
+		unknown = unknown || !errors.As(err, &conflict)
 		if err := p.reread(ctx, err); err != nil {
 			return err
 		}
