Read a new leader's partition beside its writer

What callers saw: 502 turnNotKept for turns that ran while a partition's leader had just started and the log was slow. Cause: the writer of a partition made the first read of the whole partition itself when a reservation came, within the time of one write (1.2 s), and the turns that came meanwhile waited for it, though they need no read. If the read took longer, all batches of that append failed. Now a reservation waits for the first read before it joins the writer's queue.

--- a/internal/programs/dropped_test.go
+++ b/internal/programs/dropped_test.go
@@ -73,7 +73,7 @@
 		go func() {
 			defer close(ended)
 			for range 100 {
-				time.Sleep(logLatency / 4)
+				time.Sleep(usualLatency / 4)
 				leader.DropOld(time.Now().Add(time.Hour), turnRetention)
 			}
 		}()
--- a/internal/programs/partition.go
+++ b/internal/programs/partition.go
@@ -11,9 +11,11 @@
 
 	"github.com/comfreylink/comfreylink/internal/call"
 	"github.com/comfreylink/comfreylink/internal/events"
+	"github.com/comfreylink/comfreylink/internal/pacedlog"
 	"github.com/comfreylink/comfreylink/internal/partlog"
 	"github.com/comfreylink/comfreylink/pkg/account"
 	"github.com/comfreylink/comfreylink/pkg/ids"
+	"github.com/comfreylink/comfreylink/pkg/logpace"
 )
 
 // partition is one partition of the programs' log, with the ledger of its programs. Reservations are appended on the
@@ -76,6 +78,17 @@
 	return p.readWithRetry(ctx, p.store.Now())
 }
 
+// load reads the partition to its end if that was not done yet.
+func (p *partition) load(ctx context.Context) error {
+	p.mu.Lock()
+	loaded := p.loaded
+	p.mu.Unlock()
+	if loaded {
+		return nil
+	}
+	return p.readWithRetry(pacedlog.WithKind(ctx, logpace.Reservation), time.Time{})
+}
+
 // readWithRetry reads the partition to its end and retries after errors. It does nothing if a read that began after
 // notBefore has reached the end.
 func (p *partition) readWithRetry(ctx context.Context, notBefore time.Time) error {
--- a/internal/programs/simulation_test.go
+++ b/internal/programs/simulation_test.go
@@ -26,7 +26,7 @@
 const (
 	simPartitions = 3
 	simZones      = 3
-	logLatency    = 4 * time.Millisecond
+	usualLatency  = 4 * time.Millisecond // of the log
 	callLatency   = time.Millisecond
 	pageRecords   = 50
 )
@@ -48,7 +48,8 @@
 	// instance does not know.
 	lostAppends, lostAnswers, unknownMembers float64
 	// logFails are the instances that cannot reach the log.
-	logFails map[int]bool
+	logFails   map[int]bool
+	logLatency time.Duration
 	// over makes all calls to the log succeed, also of runs that have ended.
 	over bool
 }
@@ -75,6 +76,7 @@
 func newSimulation(t *testing.T, seed uint64, size int, maxOffset time.Duration) *simulation {
 	s := &simulation{
 		C: qt.New(t), log: partlogtest.New(), random: rand.New(rand.NewPCG(seed, 1)), ended: make(chan struct{}), logFails: make(map[int]bool),
+		logLatency: usualLatency,
 	}
 	for i := range size {
 		in := &simInstance{sim: s, index: i, offset: time.Duration(s.random.Int64N(int64(maxOffset) + 1))}
@@ -311,10 +313,10 @@
 // reachLog waits for as long as a call takes. It returns an error if the run has ended or cannot reach the log.
 func (r *simRun) reachLog(ctx context.Context) error {
 	s := r.instance.sim
-	time.Sleep(logLatency)
 	s.mu.Lock()
-	over := s.over
+	latency, over := s.logLatency, s.over
 	s.mu.Unlock()
+	time.Sleep(latency)
 	if over {
 		return ctx.Err()
 	}
--- a/internal/programs/writer.go
+++ b/internal/programs/writer.go
@@ -25,8 +25,14 @@
 // errQueueFull is the error of a batch that a partition's writer has no room for.
 var errQueueFull = errors.Join(partlog.ErrNotApplied, partlog.ErrThrottled, errors.New("too many records wait for the partition's writer"))
 
-// submit hands a batch to the partition's writer and blocks until it is written or has failed, or the context ends.
+// submit hands a batch to the partition's writer and blocks until it is written or has failed, or the context ends. The first
+// read of the partition, which reservations need, may be long and does not hold the writer up.
 func (p *partition) submit(ctx context.Context, b batch) (granted []grant, err error) {
+	if len(b.reservations) > 0 {
+		if err := p.load(ctx); err != nil {
+			return nil, errors.Join(partlog.ErrNotApplied, err)
+		}
+	}
 	s := &submission{batch: b, at: p.store.Now(), ctx: ctx, done: make(chan struct{})}
 	p.mu.Lock()
 	if p.queuedBytes+b.size() > maxQueuedBytes {
