Let the second reading of a partition go on when its request ends

What callers saw: 503 turnUnavailable in every try for a turn that was dropped from memory, while the log is slow. Cause: the reading of all retained turns ended with the request that began it, after 0.7 s, and the next request began it at the first record again. Now it goes on, for 10 s at most, and those who ask meanwhile wait for it within their own time.

--- a/internal/programs/dropped_test.go
+++ b/internal/programs/dropped_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -84,3 +85,25 @@
 		<-ended
 	})
 }
+
+// Guards against a turn that is refused in each try, because the second reading of its partition takes longer than a request
+// waits, and begins anew each time.
+func TestSlowSecondReadingGoesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSimulation(t, 1, simZones, 0)
+		defer s.stop()
+		time.Sleep(2 * time.Second)
+		for i := range 10 * pageRecords {
+			s.put(0, call.ID(fmt.Sprint("t", i)))
+		}
+		for i := range simZones {
+			s.store(i).DropOld(time.Now().Add(time.Hour), turnRetention)
+		}
+		s.set(func() { s.logLatency = 60 * usualLatency })
+		late, tries := call.ID(fmt.Sprint("t", 9*pageRecords)), 0
+		for err := errors.New("not tried"); err != nil && tries < 10; tries++ {
+			_, err = s.chain(0, late)
+		}
+		s.Check(tries <= 5, qt.IsTrue, qt.Commentf("%d tries", tries))
+	})
+}
--- a/internal/programs/partition.go
+++ b/internal/programs/partition.go
@@ -18,6 +18,9 @@
 	"github.com/comfreylink/comfreylink/pkg/logpace"
 )
 
+// restoreTimeout bounds a second reading of all retained turns of a partition.
+const restoreTimeout = 10 * time.Second
+
 // partition is one partition of the programs' log, with the ledger of its programs. Reservations are appended on the
 // condition that the partition ends at the offset up to which this instance has read it. If two instances decide at the
 // same time, one of the appends fails with a conflict, and its instance reads the partition before it decides again.
@@ -190,26 +193,39 @@
 	}
 }
 
-// restoreOnce reads all retained turns of the partition if turns were dropped since that was done last.
+// restoreOnce reads all retained turns of the partition if turns were dropped since that was done last. The reading goes on
+// when the context ends, so that those who ask again need not wait for all of it.
 func (p *partition) restoreOnce(ctx context.Context) error {
 	if err := p.restoreLock.acquire(ctx); err != nil {
 		return err
 	}
-	defer p.restoreLock.release()
 	drops := p.store.turns.dropsOf(p)
 	p.mu.Lock()
 	restored := p.dropsRestored
 	p.mu.Unlock()
 	if restored == drops {
+		p.restoreLock.release()
 		return nil
 	}
-	if err := p.readTurns(ctx); err != nil {
+	ended := make(chan error, 1)
+	go func() {
+		defer p.restoreLock.release()
+		readCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), restoreTimeout)
+		defer cancel()
+		err := p.readTurns(readCtx)
+		if err == nil {
+			p.mu.Lock()
+			p.dropsRestored = drops
+			p.mu.Unlock()
+		}
+		ended <- err
+	}()
+	select {
+	case err := <-ended:
 		return err
+	case <-ctx.Done():
+		return errors.Join(partlog.ErrNotApplied, context.Cause(ctx))
 	}
-	p.mu.Lock()
-	p.dropsRestored = drops
-	p.mu.Unlock()
-	return nil
 }
 
 // readTurns adds all retained turns of the partition to the memory. It changes nothing else.
