--- a/internal/programs/partition.go
+++ b/internal/programs/partition.go
@@ -11,11 +11,16 @@
 
 	"github.com/comfreylink/comfreylink/internal/call"
 	"github.com/comfreylink/comfreylink/internal/events"
+	"github.com/comfreylink/comfreylink/internal/pacedlog"
 	"github.com/comfreylink/comfreylink/internal/partlog"
 	"github.com/comfreylink/comfreylink/pkg/account"
 	"github.com/comfreylink/comfreylink/pkg/ids"
+	"github.com/comfreylink/comfreylink/pkg/logpace"
 )
 
+// restoreTimeout bounds a second reading of all retained turns of a partition.
+const restoreTimeout = 10 * time.Second
+
 // partition is one partition of the programs' log, with the ledger of its programs. Reservations are appended on the
 // condition that the partition ends at the offset up to which this instance has read it. If two instances decide at the
 // same time, one of the appends fails with a conflict, and its instance reads the partition before it decides again.
@@ -76,6 +81,17 @@
 	return p.readWithRetry(ctx, p.store.Now())
 }
 
+// load reads the partition to its end if that was not done yet.
+func (p *partition) load(ctx context.Context) error {
+	p.mu.Lock()
+	loaded := p.loaded
+	p.mu.Unlock()
+	if loaded {
+		return nil
+	}
+	return p.readWithRetry(pacedlog.WithKind(ctx, logpace.Reservation), time.Time{})
+}
+
 // readWithRetry reads the partition to its end and retries after errors. It does nothing if a read that began after
 // notBefore has reached the end.
 func (p *partition) readWithRetry(ctx context.Context, notBefore time.Time) error {
@@ -177,26 +193,39 @@
 	}
 }
 
-// restoreOnce reads all retained turns of the partition if turns were dropped since that was done last.
+// restoreOnce reads all retained turns of the partition if turns were dropped since that was done last. The reading goes on
+// when the context ends, so that those who ask again need not wait for all of it.
 func (p *partition) restoreOnce(ctx context.Context) error {
 	if err := p.restoreLock.acquire(ctx); err != nil {
 		return err
 	}
-	defer p.restoreLock.release()
 	drops := p.store.turns.dropsOf(p)
 	p.mu.Lock()
 	restored := p.dropsRestored
 	p.mu.Unlock()
 	if restored == drops {
+		p.restoreLock.release()
 		return nil
 	}
-	if err := p.readTurns(ctx); err != nil {
+	ended := make(chan error, 1)
+	go func() {
+		defer p.restoreLock.release()
+		readCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), restoreTimeout)
+		defer cancel()
+		err := p.readTurns(readCtx)
+		if err == nil {
+			p.mu.Lock()
+			p.dropsRestored = drops
+			p.mu.Unlock()
+		}
+		ended <- err
+	}()
+	select {
+	case err := <-ended:
 		return err
+	case <-ctx.Done():
+		return errors.Join(partlog.ErrNotApplied, context.Cause(ctx))
 	}
-	p.mu.Lock()
-	p.dropsRestored = drops
-	p.mu.Unlock()
-	return nil
 }
 
 // readTurns adds all retained turns of the partition to the memory. It changes nothing else.
