--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -32,7 +32,7 @@
 	codeTooLarge          Code = "turnTooLarge"
 	codeQuarantined       Code = "quarantined"
 	codeNoTarget          Code = "noTarget"
-	codeQueueWait         Code = "lineTooLong"
+	codeQueueWait         Code = "queueTimeout"
 	codeDeadline          Code = "deadline"
 	codeTargetFull        Code = "targetsFull"
 	codeBroken            Code = "answerBroken"
