Read enough reports at the start to know the owners of shards

After a loss of all 195 instances, the limits of most workspaces were unavailable for 4.1 s although every instance was back within 0.6 s: each claims its own shards at once only if it knows for certain that it owned them. A report tells that for certain only if its writer had read as far as the reader's history begins, and an owner writes what it had read a second before. A new run read 300 reports: up to 195 first reports of the others, and the rest of half a second of the time before the loss.

A new run now reads 1,000 reports. That is 2 s of reports, whose number does not grow with the fleet beyond 125 + 128 a second, and the first ones of 400 instances. It is about 0.25 MB instead of 0.07 MB for each start.

--- a/internal/grants/recovery_test.go
+++ b/internal/grants/recovery_test.go
@@ -213,7 +213,7 @@
 		// from is from when on after the disturbance no turn may be refused lostTries times.
 		from time.Duration
 	}{
-		{"loss of all", []fault{{at: 0, do: loseAll(none)}}, stableWindow},
+		{"loss of all", []fault{{at: 0, do: loseAll(none)}}, time.Second},
 		{"a tenth does not come back", []fault{{at: 0, do: loseAll(tenth)}}, stableWindow},
 		{"outage", []fault{{at: -7 * time.Second, do: logIs(logRefusing, 7*time.Second, everyone)}}, time.Second},
 		{"outage for a third", []fault{{at: -9 * time.Second, do: logIs(logRefusing, 9*time.Second, third)}}, time.Second},
--- a/internal/reports/crashes_test.go
+++ b/internal/reports/crashes_test.go
@@ -17,7 +17,7 @@
 
 // fillReports appends more reports than a new run reads.
 func fillReports(c *qt.C, log *partlogtest.Log) {
-	for range 400 {
+	for range 1200 {
 		_, err := log.Append(c.Context(), partlog.Partition{Topic: "reports"}, partlog.AnyOffset, []byte(`{"instance":"x"}`))
 		c.Assert(err, qt.IsNil)
 	}
--- a/internal/reports/reports.go
+++ b/internal/reports/reports.go
@@ -31,13 +31,15 @@
 	intervalPerInstance = 8 * time.Millisecond
 	// deathInterval is the time between reports while a target's death is still to be reported.
 	deathInterval = 200 * time.Millisecond
-	// backlogRecords is the number of reports before its own first one that a new run reads, which are those of a few
-	// seconds. All instances may start at once, and reading the whole history would be too much for the log.
-	backlogRecords = 300
+	// backlogRecords is the number of reports before its own first one that a new run reads. All instances may start at once,
+	// and reading the whole history would be too much for the log. But a shard's owner is known for certain only from a report
+	// whose writer had read as far as the history begins, which was a second before. So these are the first reports of 400
+	// instances and 2 s of reports: 1/intervalPerInstance and one of each shard's owner in a second.
+	backlogRecords = 1000
 	// backlogAge is the age above which the deaths in a report of the backlog are ignored.
 	backlogAge = 10 * time.Second
 	// claimInterval is the minimum time between two attempts to claim shards, and claimTries the number of tries of each. A
-	// try fails if another report comes first.
+	// conditional try fails if another report comes first.
 	claimInterval = 20 * time.Millisecond
 	claimTries    = 4
 	// timeout bounds one call to the log.
