Ask the next leader for a turn when the first is slow

What callers saw: the first search at each instance for a turn whose leader is frozen or cut off took 0.3 s or more, and 0.7 s, so 503, while the next one was silent too; each try may reach another instance, which pays the same again. Cause: the next leader, which has read the same partition, was asked only when the first was given up. Now a query, which changes nothing, is sent to the next leader too after 0.15 s, and to a further one only when one fails. The first call goes on until its deadline, so that a silent leader is still noticed. A log that is slow gets the reads of one more instance for a partition, which keeps up with it anyway.

--- a/internal/leaders/health_test.go
+++ b/internal/leaders/health_test.go
@@ -91,3 +91,35 @@
 		c.Check(p.calls["a"], qt.Equals, 2)
 	})
 }
+
+// query is the parameters of a method that changes nothing.
+type query struct{}
+
+func (query) ChangesNothing() bool { return true }
+
+// Guards against a query that waits for a slow leader although the next one has the answer, and against one that asks all.
+func TestQueryOfSlowLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		p := &peers{calls: make(map[string]int), answer: map[string]func(context.Context, string) error{"a": slow}}
+		r := newClient(p)
+		began := time.Now()
+		_, err := r.Do(context.Background(), part, "m", query{}, nil, nil)
+		c.Assert(err, qt.IsNil)
+		c.Check(time.Since(began) < 200*time.Millisecond, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+		time.Sleep(time.Second)
+		c.Check(p.calls, qt.DeepEquals, map[string]int{"a": 1, "b": 1})
+
+		p = &peers{calls: make(map[string]int), answer: map[string]func(context.Context, string) error{"a": slow, "b": slow}}
+		_, err = newClient(p).Do(context.Background(), part, "m", query{}, nil, nil)
+		c.Assert(err, qt.IsNil)
+		time.Sleep(time.Second)
+		c.Check(p.calls, qt.DeepEquals, map[string]int{"a": 1, "b": 1})
+
+		p = &peers{calls: make(map[string]int), answer: map[string]func(context.Context, string) error{"a": dead, "b": dead, "c": dead}}
+		local := 0
+		_, err = newClient(p).Do(context.Background(), part, "m", query{}, nil, func() error { local++; return nil })
+		c.Assert(err, qt.IsNil)
+		c.Check(local, qt.Equals, 1)
+	})
+}
--- a/internal/leaders/leaders.go
+++ b/internal/leaders/leaders.go
@@ -55,6 +55,11 @@
 	Call(ctx context.Context, address, method string, params, result any) error
 }
 
+// Query is implemented by the parameters of a method that changes nothing, so that several leaders may be asked at once.
+type Query interface {
+	ChangesNothing() bool
+}
+
 // Client calls the leaders of partitions. It is safe for concurrent use.
 type Client struct {
 	Config
@@ -100,6 +105,9 @@
 	if err := c.awaitMembers(ctx); err != nil {
 		return false, err
 	}
+	if q, ok := params.(Query); ok && q.ChangesNothing() {
+		return false, c.query(ctx, p, method, params, result, local)
+	}
 	tried := 0
 	for _, m := range c.leaders(p) {
 		if m.Instance == c.Self || tried == maxLeaders {
--- a/internal/programs/fetch.go
+++ b/internal/programs/fetch.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"time"
 
 	"github.com/comfreylink/comfreylink/internal/call"
@@ -95,19 +94,15 @@
 		deadline = time.Now().Add(maxLeaderTimeout)
 	}
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
+	context.AfterFunc(ctx, cancel)
 	answers := make(chan fetched, len(partitions))
-	var tasks sync.WaitGroup
 	for i, id := range partitions {
-		tasks.Go(func() {
+		go func() {
 			a := s.fetchFrom(ctx, notBefore, s.partitionOf(id), wanted, memoryOnly)
 			a.place = i
 			answers <- a
-		})
+		}()
 	}
-	go func() {
-		tasks.Wait()
-		cancel()
-	}()
 	return answers
 }
 
--- a/internal/programs/fetch_test.go
+++ b/internal/programs/fetch_test.go
@@ -29,6 +29,7 @@
 			s.Check(err, qt.IsNil)
 			s.Check(turns, qt.HasLen, 1)
 		}
+		s.set(func() { s.logFails[3] = true }) // the next leader of that partition
 		_, err := s.chain(2, "never")
 		s.Check(err, qt.IsNotNil)
 		s.Check(errors.Is(err, programs.ErrTurnNotFound), qt.IsFalse)
@@ -51,3 +52,29 @@
 		s.Check(time.Since(began) < 50*time.Millisecond, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
 	})
 }
+
+// Guards against a turn that is found only after its leader's silence was noticed, by each instance anew, or never while two
+// leaders of its partition are silent.
+func TestTurnOfSilentLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSimulation(t, 1, 3*simZones, 0)
+		defer s.stop()
+		time.Sleep(2 * time.Second)
+		s.put(0, "t0")
+		time.Sleep(2 * time.Second)
+		s.set(func() { s.instances[0].silent = true })
+		for _, i := range []int{1, 2, 4, 5} {
+			began := time.Now()
+			turns, err := s.chain(i, "t0")
+			s.Check(err, qt.IsNil)
+			s.Check(turns, qt.HasLen, 1)
+			s.Check(time.Since(began) < 200*time.Millisecond, qt.IsTrue, qt.Commentf("instance %d: %v", i, time.Since(began)))
+		}
+		s.set(func() { s.instances[3].silent = true })
+		tries := 0
+		for err := errors.New("not tried"); err != nil && tries < 5; tries++ {
+			_, err = s.chain(8, "t0")
+		}
+		s.Check(tries <= 2, qt.IsTrue, qt.Commentf("%d tries", tries))
+	})
+}
--- a/internal/programs/messages.go
+++ b/internal/programs/messages.go
@@ -50,6 +50,9 @@
 	MemoryOnly bool `json:"memoryOnly,omitempty"`
 }
 
+// ChangesNothing implements leaders.Query.
+func (turnsParams) ChangesNothing() bool { return true }
+
 // turnsResult has the turns that were asked for and are known, with the turns before them, encoded as in the log.
 type turnsResult struct {
 	Turns   [][]byte `json:"turns,omitempty"`
