Search a turn at the next leader when one cannot read the log

What callers saw: 503 turnUnavailable in each try for a turn whose leader the log refuses, until its report said so, although other instances reach the log. Cause: the leader's answer that it could not read was the result of the search in its partition. Now that answer is an error, after which a query goes on at the next leader, up to four. With the log away for all, a search makes up to four calls for a partition instead of one before it is refused. Before: TestTurnOfLeaderWithoutLog 'the partition's leader could not use the log'.

--- a/internal/programs/failure.go
+++ b/internal/programs/failure.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 
+	"github.com/sourcegraph/jsonrpc2"
+
 	"github.com/comfreylink/comfreylink/internal/partlog"
 )
 
@@ -50,6 +52,21 @@
 	}
 }
 
+// codeLogFailed is the code of an answer that says that the leader could not use the log. The message is the failure. Another
+// leader may be able to.
+const codeLogFailed = 1
+
+func (f failure) toAnswer() error { return &jsonrpc2.Error{Code: codeLogFailed, Message: string(f)} }
+
+// answeredFailure returns the error of a failure that a leader has answered with, and any other error as it is.
+func answeredFailure(err error) error {
+	var answered *jsonrpc2.Error
+	if errors.As(err, &answered) && answered.Code == codeLogFailed {
+		return failure(answered.Message).err()
+	}
+	return err
+}
+
 // errLeaderUnanswered is the error of a write that failed after a leader that did not answer may have applied it. It does
 // not wrap the errors of the later attempts, which may wrap partlog.ErrNotApplied.
 func errLeaderUnanswered(later error) error {
--- a/internal/programs/fetch.go
+++ b/internal/programs/fetch.go
@@ -118,10 +118,7 @@
 		}
 		return err
 	})
-	if a.err == nil {
-		a.err = result.Failure.err()
-	}
-	if a.err != nil {
+	if a.err = answeredFailure(a.err); a.err != nil {
 		return a
 	}
 	if result.Read != (partitionRead{}) {
--- a/internal/programs/fetch_test.go
+++ b/internal/programs/fetch_test.go
@@ -8,6 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/comfreylink/comfreylink/internal/partlog"
 	"github.com/comfreylink/comfreylink/internal/programs"
 )
 
@@ -78,3 +79,32 @@
 		s.Check(tries <= 2, qt.IsTrue, qt.Commentf("%d tries", tries))
 	})
 }
+
+// Guards against a turn that is refused while its leader is refused by the log, although the next one could read it.
+func TestTurnOfLeaderWithoutLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSimulation(t, 1, 2*simZones, 0)
+		defer s.stop()
+		time.Sleep(2 * time.Second)
+		s.put(0, "t0")
+		for _, i := range []int{0, 3} {
+			s.kill(i)
+			s.start(i)
+		}
+		time.Sleep(reportDelay)
+		s.set(func() { s.logFails[0], s.refused = true, true })
+		turns, err := s.chain(5, "t0")
+		s.Check(err, qt.IsNil)
+		s.Check(turns, qt.HasLen, 1)
+		_, err = s.chain(5, "never")
+		s.Check(err, qt.ErrorIs, programs.ErrTurnNotFound)
+		s.set(func() {
+			for i := range s.instances {
+				s.logFails[i] = true
+			}
+		})
+		_, err = s.chain(5, "never")
+		s.Check(err, qt.ErrorIs, partlog.ErrUnavailable)
+		s.Check(errors.Is(err, programs.ErrTurnNotFound), qt.IsFalse)
+	})
+}
--- a/internal/programs/messages.go
+++ b/internal/programs/messages.go
@@ -55,8 +55,7 @@
 
 // turnsResult has the turns that were asked for and are known, with the turns before them, encoded as in the log.
 type turnsResult struct {
-	Turns   [][]byte `json:"turns,omitempty"`
-	Failure failure  `json:"failure,omitempty"`
+	Turns [][]byte `json:"turns,omitempty"`
 	// Read says how far the partition was read; it is empty if only the memory was asked for.
 	Read partitionRead `json:"read,omitzero"`
 }
--- a/internal/programs/methods.go
+++ b/internal/programs/methods.go
@@ -53,7 +53,10 @@
 		return turnsResult{Turns: encodeTurns(found)}, nil
 	}
 	turns, err := p.findTurns(ctx, s.Now(), a.Turns)
-	return turnsResult{Turns: encodeTurns(turns), Failure: toFailure(err), Read: p.readSoFar()}, nil
+	if err != nil {
+		return nil, toFailure(err).toAnswer()
+	}
+	return turnsResult{Turns: encodeTurns(turns), Read: p.readSoFar()}, nil
 }
 
 // ledPartition returns a partition that another instance has named.
--- a/internal/programs/simulation_test.go
+++ b/internal/programs/simulation_test.go
@@ -48,7 +48,9 @@
 	// instance does not know.
 	lostAppends, lostAnswers, unknownMembers float64
 	// logFails are the instances that cannot reach the log.
-	logFails   map[int]bool
+	logFails map[int]bool
+	// refused makes them notice it at once.
+	refused    bool
 	logLatency time.Duration
 	// over makes all calls to the log succeed, also of runs that have ended.
 	over bool
@@ -260,6 +262,8 @@
 			return ctx.Err()
 		case lost:
 			return errors.New("connection closed")
+		case errors.As(a.err, new(*jsonrpc2.Error)):
+			return a.err
 		case a.err != nil:
 			return &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: a.err.Error()}
 		}
@@ -327,6 +331,9 @@
 	}
 	s.mu.Lock()
 	fails, kind := s.logFails[r.instance.index] || r.instance.silent, s.random.IntN(3)
+	if s.refused {
+		kind = 0
+	}
 	s.mu.Unlock()
 	switch {
 	case !fails:
