Learn which instances run from the newest reports of the backlog only

Since a new run reads 1,000 reports from before its start, it took instances that had been gone for seconds for members for 4 s, and tried them as leaders of record partitions and as owners-to-be of shards' claims. The newest 300 of these reports tell which other instances run, as before; all of them count for the owners of shards and for the deaths of targets.

TestInstanceThatIsGoneIsNoMember before: got: []ids.InstanceID{"a", "gone", "there"} want: []ids.InstanceID{"a", "there"}

--- a/internal/reports/peers_test.go
+++ b/internal/reports/peers_test.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/comfreylink/comfreylink/internal/grants"
+	"github.com/comfreylink/comfreylink/internal/partlog"
 	"github.com/comfreylink/comfreylink/internal/partlog/partlogtest"
 	"github.com/comfreylink/comfreylink/internal/relay"
 	"github.com/comfreylink/comfreylink/internal/reports"
@@ -51,3 +52,25 @@
 	leaving.Store(true)
 	eventually(c, func() bool { _, ok := weights()["b"]; return !ok })
 }
+
+// Guards against partitions that are led by an instance that was gone before this run began: its last report is among those from
+// which a new run learns the owners of shards.
+func TestInstanceThatIsGoneIsNoMember(t *testing.T) {
+	c := qt.New(t)
+	log := partlogtest.New()
+	write := func(id string, n int) {
+		for range n {
+			_, err := log.Append(c.Context(), partlog.Partition{Topic: "reports"}, partlog.AnyOffset, []byte(`{"instance":"`+id+`"}`))
+			c.Assert(err, qt.IsNil)
+		}
+	}
+	write("gone", 1)
+	write("there", 400)
+	a := start(c, log, "a")
+	eventually(c, func() bool { return len(a.Members()) > 1 })
+	var members []ids.InstanceID
+	for _, m := range a.Members() {
+		members = append(members, m.Instance)
+	}
+	c.Assert(members, qt.ContentEquals, []ids.InstanceID{"a", "there"})
+}
--- a/internal/reports/reports.go
+++ b/internal/reports/reports.go
@@ -36,6 +36,8 @@
 	// whose writer had read as far as the history begins, which was a second before. So these are the first reports of 400
 	// instances and 2 s of reports: 1/intervalPerInstance and one of each shard's owner in a second.
 	backlogRecords = 1000
+	// backlogPeers is how many of these reports tell which other instances run. The older ones may be of instances that are gone.
+	backlogPeers = 300
 	// backlogAge is the age above which the deaths in a report of the backlog are ignored.
 	backlogAge = 10 * time.Second
 	// claimInterval is the minimum time between two attempts to claim shards, and claimTries the number of tries of each. A
@@ -79,7 +81,8 @@
 	wakeup   chan struct{}
 	// reportedAt is when the newest report of another instance was read.
 	reportedAt time.Time
-	backlog    bool // whether the reports being read were written before the first one of this run
+	backlog    bool       // whether the reports being read were written before the first one of this run
+	first      ids.Offset // of the first report of this run; Run sets it before it reads any
 }
 
 // New returns Reports that know no other instance.
@@ -115,6 +118,7 @@
 	r.Grants.View(func(l *quota.Limiter) {
 		if _, ok := l.Leases.Next(); !ok {
 			l.Leases.Begin(r.Now(), max(at-backlogRecords, 0))
+			r.first = at
 		}
 	})
 }
@@ -246,19 +250,25 @@
 			r.Grants.View(func(l *quota.Limiter) { l.Leases.Skip() })
 			continue
 		}
-		r.apply(now, w)
+		r.applyLease(now, w.lease())
+		if w.Instance == r.Self.Instance {
+			continue
+		}
+		if page.From+ids.Offset(i) >= r.first-backlogPeers {
+			r.applyPeer(now, w)
+		}
+		r.applySuspects(now, w)
 	}
 }
 
-func (r *Reports) apply(now time.Time, w wireReport) {
-	r.applyLease(now, w.lease())
-	if w.Instance == r.Self.Instance {
-		return
-	}
+func (r *Reports) applyPeer(now time.Time, w wireReport) {
 	r.peers[w.Instance] = peer{reportedAt: now, leaving: w.Leaving, Peer: relay.Peer{
 		Instance: w.Instance, Address: w.Address, Zone: w.Zone, CPU: w.CPU, ReachesLog: w.ReachesLog,
 	}}
 	r.reportedAt = now
+}
+
+func (r *Reports) applySuspects(now time.Time, w wireReport) {
 	// The writer's clock may be apart from this one, so its times only tell old reports of the backlog apart.
 	if r.backlog && now.Sub(time.UnixMilli(w.AtMs)) > backlogAge {
 		return
