Probe an unavailable partition of the log with reads only

Cause: an instance that the log does not answer made each append that came 250 ms after the last probe directly. The outcome of such an append is unknown, so it is not tried through another instance. Its reports, one in 1.5 s, all failed in this way, and nobody learned that it could not lead. Change: an append to a partition that is considered unavailable goes through other instances first, and directly if none passes it on.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -105,13 +105,15 @@
 }
 
 // call makes a call directly or, if it was not applied, through another instance. A direct call with an unknown outcome is
-// repeated only if it is a read; after an append the caller must find out whether it took effect.
+// repeated only if it is a read; after an append the caller must find out whether it took effect. So an append to a partition
+// that is considered unavailable goes through other instances first, and only reads probe the partition.
 func (l *Log) call(ctx context.Context, p partlog.Partition, wait time.Duration, read bool,
 	do func(context.Context, partlog.Log) error,
 ) (err error) {
 	allowed, probe := l.allowDirect(p)
+	directFirst := allowed && (read || !probe)
 	err = errUnavailable
-	if allowed {
+	if directFirst {
 		err = l.callDirect(ctx, p, wait, probe, do)
 		if !errors.Is(err, partlog.ErrNotApplied) && !(read && errors.Is(err, partlog.ErrOutcomeUnknown)) {
 			return err
@@ -121,21 +123,33 @@
 			return err
 		}
 	}
+	helped, peerErr := l.callPeers(ctx, p, wait, do)
+	switch {
+	case helped:
+		return peerErr
+	case allowed && !directFirst && ctx.Err() == nil:
+		return l.callDirect(ctx, p, wait, probe, do)
+	}
+	return err
+}
+
+// callPeers makes a call through other instances, until one has passed it on. helped is false if none did.
+func (l *Log) callPeers(ctx context.Context, p partlog.Partition, wait time.Duration, do func(context.Context, partlog.Log) error) (helped bool, err error) {
 	for range peerTries {
 		peer, ok := l.pickPeer(p)
 		if !ok || ctx.Err() != nil {
-			return err
+			return false, nil
 		}
 		peerCtx, cancel := context.WithTimeout(ctx, wait+peerTimeout)
-		peerErr := do(peerCtx, &peerLog{client: l.Client, address: peer.Address})
+		err := do(peerCtx, &peerLog{client: l.Client, address: peer.Address})
 		cancel()
-		helped := !errors.Is(peerErr, partlog.ErrNotApplied)
+		helped := !errors.Is(err, partlog.ErrNotApplied)
 		l.recordPeer(route{peer.Instance, p}, helped)
 		if helped {
-			return peerErr
+			return true, err
 		}
 	}
-	return err
+	return false, nil
 }
 
 var errUnavailable = errors.Join(partlog.ErrNotApplied, partlog.ErrUnavailable)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -187,3 +187,25 @@
 	}
 	c.Assert(l.Reachable(), qt.IsTrue)
 }
+
+// Guards against an instance that the log does not answer, whose reports are rare and are all tried directly, so that no other
+// instance learns that it cannot lead.
+func TestRareAppendsGoThroughAnotherInstance(t *testing.T) {
+	c := qt.New(t)
+	shared := partlogtest.New()
+	helper := newInstance(c, shared, noPeers)
+	direct := partlogtest.New()
+	direct.SetFault(func(int) partlogtest.Fault { return partlogtest.Fault{Err: partlog.ErrOutcomeUnknown} })
+	me := newInstance(c, direct, func() []relay.Peer {
+		return []relay.Peer{{Instance: "helper", Address: helper.address, ReachesLog: true}}
+	})
+	for me.log.Reachable() {
+		_, err := me.log.Append(context.Background(), part, partlog.AnyOffset, []byte("x"))
+		c.Assert(errors.Is(err, partlog.ErrOutcomeUnknown), qt.IsTrue)
+	}
+	for range 3 {
+		time.Sleep(300 * time.Millisecond) // longer than the time between two probes
+		_, err := me.log.Append(context.Background(), part, partlog.AnyOffset, []byte("x"))
+		c.Assert(err, qt.IsNil)
+	}
+}
