Judge a claim alike after a repeated release

What callers would see: a workspace gets its part of a limit from two instances at once (QUOTA).

Cause: a run that leaves repeats its release in each report. Only the first one counted as a report that makes a claim void. A run whose history began after the first one took a repetition for it, and so a valid claim of another instance, which had read up to the repetition, for void. It saw the shard as released, and claimed it beside its owner.

Evidence, TestRepeatedReleaseBeforeAClaim before the change: got int(2) holders, want int(1).

Now each report of the last owner makes a claim void that had not read it, whatever the report says. All who know the owner have read these reports. A claim that comes at the same time as a repeated release is tried again.

--- a/pkg/quota/claims_test.go
+++ b/pkg/quota/claims_test.go
@@ -143,3 +143,41 @@
 		qt.Check(t, held > 20, qt.IsTrue, qt.Commentf("seed %d: shards held at %d steps only", seed, held))
 	}
 }
+
+// Guards against a run that takes a valid claim for void, and claims beside its owner, because it has read only a repetition of the
+// release before the claim.
+func TestRepeatedReleaseBeforeAClaim(t *testing.T) {
+	c := qt.New(t)
+	const s = quota.Shard(1)
+	newRun := func(id ids.InstanceID, from ids.Offset) *quota.Leases {
+		l := quota.NewLeases(start, quota.Run{Instance: id, ID: "1"})
+		l.Begin(start, from)
+		return l
+	}
+	leaving, next, fresh := newRun("leaving", 0), newRun("next", 0), newRun("fresh", 2)
+	claim, _, ok := leaving.NewClaim(start, []quota.Shard{s})
+	c.Assert(ok, qt.IsTrue)
+	leaving.Apply(start, claim)
+	next.Apply(start, claim)
+	leaving.Leave()
+	release := leaving.NewReport(start)
+	leaving.Apply(start, release)
+	next.Apply(start, release)
+	// The release is repeated before the claim of one who has read its first report.
+	claim, _, ok = next.NewClaim(start, []quota.Shard{s})
+	c.Assert(ok, qt.IsTrue)
+	for _, r := range []quota.Report{leaving.NewReport(start), claim} {
+		next.Apply(start, r)
+		fresh.Apply(start, r)
+	}
+	if claim, _, ok = fresh.NewClaim(start, []quota.Shard{s}); ok {
+		fresh.Apply(start, claim) // the other has not read it yet
+	}
+	held := 0
+	for _, l := range []*quota.Leases{next, fresh} {
+		if _, _, ok := l.Holds(start, s); ok {
+			held++
+		}
+	}
+	c.Assert(held, qt.Equals, 1)
+}
--- a/pkg/quota/lease.go
+++ b/pkg/quota/lease.go
@@ -87,7 +87,8 @@
 	claimed ids.Offset
 	// certain is set if all reports since the run was the owner were read.
 	certain bool
-	// touched is the offset of the last report that confirmed or changed the owner: any report of the run, a claim or a release.
+	// touched is the offset of the last report that confirmed or changed the owner: any report of the run, also after its release,
+	// which its reports repeat, or a claim.
 	touched ids.Offset
 	// judged is the offset from which on statements are believed: after the last claim that could not be judged.
 	judged ids.Offset
@@ -400,9 +401,7 @@
 		if o.run != r.Run {
 			continue
 		}
-		if o.released.IsZero() {
-			o.touched = at
-		}
+		o.touched = at
 		if r.Run != l.self {
 			o.readAt = now
 		}
