Find a claim void whose writer had not read the owner's claim

What callers would see: a workspace gets its part of a limit from two instances at once (QUOTA).

Cause: a claim that takes effect seconds late may name an offset from before the history of the owner that has claimed the shard since. The owner took it for one that it cannot judge, and its own shard for uncertain. From then on it judged no claim of the shard, so a valid claim after its lease had ended did not take the shard from it: its next report extended its lease again, until it read a report of the new owner.

Evidence, TestOwnerJudgesClaimsFromBeforeItsHistory before the change: the earlier owner still holds the shard (got true, want false).

Whoever knows the owner knows that a report of it lies behind what such a writer had read, so the claim is void, whatever the history. A run that owns a shard can now judge every claim of it.

--- a/pkg/quota/claims_test.go
+++ b/pkg/quota/claims_test.go
@@ -181,3 +181,41 @@
 	}
 	c.Assert(held, qt.Equals, 1)
 }
+
+// Guards against an owner that can't judge later claims, and so grants beside the next owner, because a claim from before its
+// history took effect after its own.
+func TestOwnerJudgesClaimsFromBeforeItsHistory(t *testing.T) {
+	c := qt.New(t)
+	const s = quota.Shard(1)
+	const history = 100
+	owner := quota.NewLeases(start, quota.Run{Instance: "owner", ID: "1"})
+	owner.Begin(start, history)
+	next := quota.NewLeases(start, quota.Run{Instance: "next", ID: "1"})
+	next.Begin(start, 0)
+	late := quota.NewLeases(start, quota.Run{Instance: "late", ID: "1"})
+	late.Begin(start, 0)
+	lateClaim, _, ok := late.NewClaim(start, []quota.Shard{s})
+	c.Assert(ok, qt.IsTrue)
+	for range history {
+		next.Skip()
+	}
+	now := start.Add(quota.LeaseTime + time.Second)
+	claim, _, ok := owner.NewClaim(now, []quota.Shard{s})
+	c.Assert(ok, qt.IsTrue)
+	for _, r := range []quota.Report{claim, lateClaim} {
+		owner.Apply(now, r)
+		next.Apply(now, r)
+	}
+	// The owner freezes, and another report lies between what the next owner had read and its claim.
+	now = now.Add(quota.LeaseTime + time.Second)
+	claim, _, ok = next.NewClaim(now, []quota.Shard{s})
+	c.Assert(ok, qt.IsTrue)
+	for _, r := range []quota.Report{{Run: quota.Run{Instance: "third", ID: "1"}}, claim, owner.NewReport(now)} {
+		owner.Apply(now, r)
+		next.Apply(now, r)
+	}
+	_, _, ok = next.Holds(now, s)
+	c.Assert(ok, qt.IsTrue)
+	_, _, ok = owner.Holds(now, s)
+	c.Assert(ok, qt.IsFalse)
+}
--- a/pkg/quota/lease.go
+++ b/pkg/quota/lease.go
@@ -325,14 +325,14 @@
 
 // judge decides whether a claim of a shard at an offset is valid. All who can judge it agree.
 func (l *Leases) judge(at ids.Offset, r Report, s Shard) verdict {
-	o, known := l.owners[s]
+	o := l.owners[s]
 	switch {
 	case r.Read == at: // nothing lies between
 		return claimValid
+	case o.certain && o.touched >= r.Read: // also if the writer had read less than is in the history
+		return claimVoid
 	case r.Read < l.history || !l.knows(s):
 		return claimUnknown
-	case known && o.touched >= r.Read:
-		return claimVoid
 	default:
 		return claimValid
 	}
