Count a cancelled request as no sign against a shard's owner

What callers would see: 503 rateUnavailable for up to 0.25 s for the requests of others, after two callers in a row have closed their connections while their requests waited for a grant from the same instance.

Cause: the breaker for an instance counted each call without an answer, also one that its own caller had ended.

Evidence, TestCancelledRequestsDoNotPauseTheOwner before the change: the owner is not called (got false, want true).

A call whose request was cancelled is no longer recorded, unless it was answered. A deadline that passes still counts.

--- a/internal/grants/grants.go
+++ b/internal/grants/grants.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -310,11 +311,13 @@
 	if !known || !g.allow(id) {
 		return r, false
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	p.Loads = g.ownLoads()
-	err := g.Client.Call(ctx, address, methodGrant, p, &r)
-	g.recordResult(id, err)
+	err := g.Client.Call(callCtx, address, methodGrant, p, &r)
+	if err == nil || !errors.Is(ctx.Err(), context.Canceled) { // a caller that goes away says nothing about the instance
+		g.recordResult(id, err)
+	}
 	g.applyLoads(r.Loads)
 	return r, err == nil
 }
