--- a/pkg/quota/claims_test.go
+++ b/pkg/quota/claims_test.go
@@ -143,3 +143,79 @@
 		qt.Check(t, held > 20, qt.IsTrue, qt.Commentf("seed %d: shards held at %d steps only", seed, held))
 	}
 }
+
+// Guards against a run that takes a valid claim for void, and claims beside its owner, because it has read only a repetition of the
+// release before the claim.
+func TestRepeatedReleaseBeforeAClaim(t *testing.T) {
+	c := qt.New(t)
+	const s = quota.Shard(1)
+	newRun := func(id ids.InstanceID, from ids.Offset) *quota.Leases {
+		l := quota.NewLeases(start, quota.Run{Instance: id, ID: "1"})
+		l.Begin(start, from)
+		return l
+	}
+	leaving, next, fresh := newRun("leaving", 0), newRun("next", 0), newRun("fresh", 2)
+	claim, _, ok := leaving.NewClaim(start, []quota.Shard{s})
+	c.Assert(ok, qt.IsTrue)
+	leaving.Apply(start, claim)
+	next.Apply(start, claim)
+	leaving.Leave()
+	release := leaving.NewReport(start)
+	leaving.Apply(start, release)
+	next.Apply(start, release)
+	// The release is repeated before the claim of one who has read its first report.
+	claim, _, ok = next.NewClaim(start, []quota.Shard{s})
+	c.Assert(ok, qt.IsTrue)
+	for _, r := range []quota.Report{leaving.NewReport(start), claim} {
+		next.Apply(start, r)
+		fresh.Apply(start, r)
+	}
+	if claim, _, ok = fresh.NewClaim(start, []quota.Shard{s}); ok {
+		fresh.Apply(start, claim) // the other has not read it yet
+	}
+	held := 0
+	for _, l := range []*quota.Leases{next, fresh} {
+		if _, _, ok := l.Holds(start, s); ok {
+			held++
+		}
+	}
+	c.Assert(held, qt.Equals, 1)
+}
+
+// Guards against an owner that can't judge later claims, and so grants beside the next owner, because a claim from before its
+// history took effect after its own.
+func TestOwnerJudgesClaimsFromBeforeItsHistory(t *testing.T) {
+	c := qt.New(t)
+	const s = quota.Shard(1)
+	const history = 100
+	owner := quota.NewLeases(start, quota.Run{Instance: "owner", ID: "1"})
+	owner.Begin(start, history)
+	next := quota.NewLeases(start, quota.Run{Instance: "next", ID: "1"})
+	next.Begin(start, 0)
+	late := quota.NewLeases(start, quota.Run{Instance: "late", ID: "1"})
+	late.Begin(start, 0)
+	lateClaim, _, ok := late.NewClaim(start, []quota.Shard{s})
+	c.Assert(ok, qt.IsTrue)
+	for range history {
+		next.Skip()
+	}
+	now := start.Add(quota.LeaseTime + time.Second)
+	claim, _, ok := owner.NewClaim(now, []quota.Shard{s})
+	c.Assert(ok, qt.IsTrue)
+	for _, r := range []quota.Report{claim, lateClaim} {
+		owner.Apply(now, r)
+		next.Apply(now, r)
+	}
+	// The owner freezes, and another report lies between what the next owner had read and its claim.
+	now = now.Add(quota.LeaseTime + time.Second)
+	claim, _, ok = next.NewClaim(now, []quota.Shard{s})
+	c.Assert(ok, qt.IsTrue)
+	for _, r := range []quota.Report{{Run: quota.Run{Instance: "third", ID: "1"}}, claim, owner.NewReport(now)} {
+		owner.Apply(now, r)
+		next.Apply(now, r)
+	}
+	_, _, ok = next.Holds(now, s)
+	c.Assert(ok, qt.IsTrue)
+	_, _, ok = owner.Holds(now, s)
+	c.Assert(ok, qt.IsFalse)
+}
--- a/pkg/quota/lease.go
+++ b/pkg/quota/lease.go
@@ -87,7 +87,8 @@
 	claimed ids.Offset
 	// certain is set if all reports since the run was the owner were read.
 	certain bool
-	// touched is the offset of the last report that confirmed or changed the owner: any report of the run, a claim or a release.
+	// touched is the offset of the last report that confirmed or changed the owner: any report of the run, also after its release,
+	// which its reports repeat, or a claim.
 	touched ids.Offset
 	// judged is the offset from which on statements are believed: after the last claim that could not be judged.
 	judged ids.Offset
@@ -324,14 +325,14 @@
 
 // judge decides whether a claim of a shard at an offset is valid. All who can judge it agree.
 func (l *Leases) judge(at ids.Offset, r Report, s Shard) verdict {
-	o, known := l.owners[s]
+	o := l.owners[s]
 	switch {
 	case r.Read == at: // nothing lies between
 		return claimValid
+	case o.certain && o.touched >= r.Read: // also if the writer had read less than is in the history
+		return claimVoid
 	case r.Read < l.history || !l.knows(s):
 		return claimUnknown
-	case known && o.touched >= r.Read:
-		return claimVoid
 	default:
 		return claimValid
 	}
@@ -400,9 +401,7 @@
 		if o.run != r.Run {
 			continue
 		}
-		if o.released.IsZero() {
-			o.touched = at
-		}
+		o.touched = at
 		if r.Run != l.self {
 			o.readAt = now
 		}
