Let the method in the test of deadlines fail when its time is over

TestMethodEndsAtDeadlineOfItsCall failed in 5 of 60 runs with -race ("got nil value but want non-nil"). Cause, a fault of the test: the time that a caller waits is sent in whole milliseconds, so the method may end up to 1 ms before its caller, and returned a success that arrived in time.

--- a/internal/rpc/server_test.go
+++ b/internal/rpc/server_test.go
@@ -113,7 +113,7 @@
 			case <-time.After(2 * time.Second):
 			}
 			ended <- ctx.Err()
-			return struct{}{}, nil
+			return nil, ctx.Err()
 		}),
 		"wait": rpc.Typed(func(context.Context, struct{}) (any, error) {
 			time.Sleep(3 * time.Second)
