Write the record of a turn to another partition when one is silent

What callers would see: streams that their targets have ended are cut (502 turnNotKept) while one partition of the log does not answer, though the others do.

Cause: a partition that is silent keeps the leader's call until its time is up, 1.2 s and up to as much again behind the append before, and the second write after 0.25 s went to the same partition.

Evidence, TestTurnIsWrittenToAnotherPartition before the change, partition 1 silent, 1 s for the write: write a turn: the log did not answer, so the outcome of the call is unknown

Now the second write goes to the next partition, which also helps against a stuck leader, as before. The leader of a partition itself does the same.

--- a/internal/programs/hedge.go
+++ b/internal/programs/hedge.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// hedgeDelay is how long a turn's record waits for its partition's leader until this instance writes it as well. It is
-	// several times what an append takes.
+	// hedgeDelay is how long a turn's record waits for its partition's leader until this instance writes it as well, to another
+	// partition. It is several times what an append takes.
 	hedgeDelay = 250 * time.Millisecond
 	// hedgeShare and hedgeReserve bound the records that are written in this way: with a log that is slow for everybody, more
 	// appends would make it slower.
@@ -54,40 +54,45 @@
 	return min(hedgeDelay, time.Until(deadline)/2)
 }
 
-// writeTurns writes turns through the partition's leader. A leader may be alive and yet unable to write, for instance because it
-// is cut off from the log. So if it takes long, this instance writes the turns as well, and the first success counts. Turns need
-// no condition, and those that are written twice count once.
-func (s *Store) writeTurns(ctx context.Context, p *partition, turns [][]byte) (err error) {
+// written is the result of a write of turns to a partition.
+type written struct {
+	partition *partition
+	err       error
+}
+
+// writeTurns writes turns through the leader of a partition, and returns the partition that has them. The leader may be alive and
+// yet unable to write, because it is cut off from the log or because this part of the log does not answer. So if it takes long, this
+// instance writes the turns to the partition spare as well, and the first success counts. Turns need no condition, may be in any
+// partition, and count once if they are written twice.
+func (s *Store) writeTurns(ctx context.Context, p, spare *partition, turns [][]byte) (*partition, error) {
 	b := batch{turns: turns}
-	if s.Leaders.Rank(p.id) == 0 {
-		_, err := s.write(ctx, p, b)
-		return err
-	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	results := make(chan error, 2)
-	write := func(write func(context.Context, *partition, batch) ([]grant, error)) {
+	results := make(chan written, 2)
+	write := func(p *partition, write func(context.Context, *partition, batch) ([]grant, error)) {
 		_, err := write(ctx, p, b)
-		results <- err
+		results <- written{p, err}
 	}
 	s.hedges.count()
-	go write(s.write)
+	go write(p, s.write)
 	running := 1
 	hedge := time.NewTimer(hedgeDelayFor(ctx))
 	defer hedge.Stop()
+	var last written
 	for running > 0 {
 		select {
-		case err = <-results:
-			if err == nil {
-				return nil
+		case last = <-results:
+			if last.err == nil {
+				return last.partition, nil
 			}
 			running--
 		case <-hedge.C:
-			if s.hedges.allow(s.Now()) {
+			// If this instance leads its only partition, a second write would wait behind the first one.
+			if (spare != p || s.Leaders.Rank(p.id) > 0) && s.hedges.allow(s.Now()) {
 				running++
-				go write(func(ctx context.Context, p *partition, b batch) ([]grant, error) { return p.submit(ctx, b) })
+				go write(spare, func(ctx context.Context, p *partition, b batch) ([]grant, error) { return p.submit(ctx, b) })
 			}
 		}
 	}
-	return err
+	return nil, last.err
 }
--- a/internal/programs/turns.go
+++ b/internal/programs/turns.go
@@ -109,8 +109,8 @@
 // one until the context ends: a leader may be unable to use its partition while the others are well.
 func (s *Store) writeWithRetry(ctx context.Context, places []*partition, turns [][]byte, w *recordgate.Write) (p *partition, err error) {
 	for try := 0; ; try++ {
-		p = places[try%len(places)]
-		if err = s.writeTurns(ctx, p, turns); err == nil {
+		p, err = s.writeTurns(ctx, places[try%len(places)], places[(try+1)%len(places)], turns)
+		if err == nil {
 			return p, nil
 		}
 		if (try+1)%min(partitionsForOutage, len(places)) == 0 {
