Do not take the end of a relayed call for an outage of the log

What callers would see: 503 from an instance that the log serves, and leaders that give up their partitions, while another instance is cut off from the log and calls it through this one.

Cause: since calls between instances end at their caller's deadline, a relayed call of which little time was left ended with an unknown outcome, and the instance that made it counted that against the log. Two in a row opened its breakers for the partition and for the whole log. Its own calls are not counted if their caller has left too little time; relayed ones were.

Relayed calls are now judged by the same rule.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -187,3 +187,26 @@
 	}
 	c.Assert(l.Reachable(), qt.IsTrue)
 }
+
+// Guards against an instance that takes the short time that others leave for calls through it for an outage of the log.
+func TestCallsThatOthersLeaveNoTimeForAreNoOutage(t *testing.T) {
+	c := qt.New(t)
+	slow := someUnavailable{Log: partlogtest.New(), down: func(partlog.Partition) bool { time.Sleep(30 * time.Millisecond); return true }}
+	helper := relay.New(relay.Config{Direct: slow, Peers: noPeers, Now: time.Now, Logger: zap.NewNop()})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = listener.Close() })
+	go func() { _ = rpc.NewServer(func(error) {}, helper.Methods()).Serve(listener) }()
+	direct := partlogtest.New()
+	direct.SetFault(notApplied)
+	me := newInstance(c, direct, func() []relay.Peer {
+		return []relay.Peer{{Instance: "helper", Address: listener.Addr().String(), ReachesLog: true}}
+	})
+	for range 5 {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+		_, _ = me.log.Append(ctx, part, partlog.AnyOffset, []byte("x"))
+		cancel()
+	}
+	time.Sleep(50 * time.Millisecond)
+	c.Assert(helper.Reachable(), qt.IsTrue)
+}
--- a/internal/relay/rpc.go
+++ b/internal/relay/rpc.go
@@ -131,8 +131,11 @@
 		if !l.reaches(p.partition()) {
 			return nil, encodeError(errUnavailable)
 		}
+		began := l.Now()
 		result, err := do(ctx, p)
-		l.recordDirect(p.partition(), err)
+		if !endedByCaller(ctx, l.Now().Sub(began)) {
+			l.recordDirect(p.partition(), err)
+		}
 		if err != nil {
 			return nil, encodeError(err)
 		}
