Grant a reservation once that its leader gets twice for one append

What callers would see: 402 for a turn although the budget has room for it, and for later turns of the program, whose budget keeps a reservation that nobody settles.

A reservation of the same name gets the same grant within one decision, as it does when it is in the log already.

--- a/internal/programs/decide.go
+++ b/internal/programs/decide.go
@@ -23,6 +23,12 @@
 	return false
 }
 
+// reservationID names a reservation in the log.
+type reservationID struct {
+	key  account.Key
+	turn string
+}
+
 // decision is what one append writes.
 type decision struct {
 	encoded     [][]byte         // all records in the order in which they are written
@@ -39,18 +45,14 @@
 // settledTokens returns by how much the settlements of the batches change what programs have spent and reserved. They are
 // appended together with the reservations, so these may use what they return. The caller holds the lock.
 func (p *partition) settledTokens(batches []*submission) map[account.Key]ids.Tokens {
-	type turn struct {
-		key account.Key
-		id  string
-	}
 	change := make(map[account.Key]ids.Tokens)
-	seen := make(map[turn]bool)
+	seen := make(map[reservationID]bool)
 	for _, s := range batches {
 		for _, r := range s.settlements {
-			if seen[turn{r.Key, r.Turn}] {
+			if seen[reservationID{r.Key, r.Turn}] {
 				continue
 			}
-			seen[turn{r.Key, r.Turn}] = true
+			seen[reservationID{r.Key, r.Turn}] = true
 			change[r.Key] += p.ledger.Change(r)
 		}
 	}
@@ -58,13 +60,15 @@
 }
 
 // decide grants the reservations that fit into their budgets, at least in part, and returns the records to append. A
-// reservation that is in the log already is granted as it is there.
+// reservation that is in the log already is granted as it is there, and one that comes twice, since its caller has repeated the
+// call, is granted once.
 func (p *partition) decide(batches []*submission) (d decision) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.store.Now()
 	pending := p.settledTokens(batches)
 	renewed := make(map[account.Key]bool)
+	decided := make(map[reservationID]grant)
 	// Settlements come before the reservations that use what they return.
 	for _, s := range batches {
 		for _, r := range s.settlements {
@@ -78,6 +82,11 @@
 				s.granted[i] = grant{tokens, p.ledger.Committed(r.key)}
 				continue
 			}
+			id := reservationID{r.key, r.turn}
+			if g, ok := decided[id]; ok {
+				s.granted[i] = g
+				continue
+			}
 			if !renewed[r.key] {
 				renewed[r.key] = true
 				for _, old := range p.renewals(r.key, now) {
@@ -90,6 +99,7 @@
 			}
 			pending[r.key] += tokens
 			s.granted[i] = grant{tokens, p.ledger.Committed(r.key) + pending[r.key]}
+			decided[id] = s.granted[i]
 			d.conditional = true
 			d.add(account.Record{Key: r.key, Turn: r.turn, Tokens: tokens, At: now})
 		}
