Do not pause an instance that relays calls because a read was cancelled

What callers would see: 503 or longer waits at an instance that is cut off from the log, for 2 s, after a request whose read was under way has ended.

Cause: a read through another instance that ends without an answer counts as not applied, also if its own caller has ended it, and the other instance is then not called for that partition for 2 s.

Evidence, TestCancelledReadDoesNotPauseTheHelper before the change: the log did not apply the call.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -126,10 +126,14 @@
 		if !ok || ctx.Err() != nil {
 			return err
 		}
+		began := l.Now()
 		peerCtx, cancel := context.WithTimeout(ctx, wait+peerTimeout)
 		peerErr := do(peerCtx, &peerLog{client: l.Client, address: peer.Address})
 		cancel()
 		helped := !errors.Is(peerErr, partlog.ErrNotApplied)
+		if !helped && endedByCaller(ctx, l.Now().Sub(began)) {
+			return peerErr
+		}
 		l.recordPeer(route{peer.Instance, p}, helped)
 		if helped {
 			return peerErr
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -210,3 +210,25 @@
 	time.Sleep(50 * time.Millisecond)
 	c.Assert(helper.Reachable(), qt.IsTrue)
 }
+
+// Guards against a read that its caller has cancelled and that is taken for a failure of the instance through which it was made.
+func TestCancelledReadDoesNotPauseTheHelper(t *testing.T) {
+	c := qt.New(t)
+	shared := partlogtest.New()
+	shared.SetFault(func(int) partlogtest.Fault {
+		time.Sleep(100 * time.Millisecond)
+		return partlogtest.Fault{}
+	})
+	helper := newInstance(c, shared, noPeers)
+	direct := partlogtest.New()
+	direct.SetFault(notApplied)
+	me := newInstance(c, direct, func() []relay.Peer {
+		return []relay.Peer{{Instance: "helper", Address: helper.address, ReachesLog: true}}
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	_, err := me.log.Read(ctx, part, 0, 0)
+	c.Assert(err, qt.IsNotNil)
+	_, err = me.log.Append(context.Background(), part, partlog.AnyOffset, []byte("x"))
+	c.Assert(err, qt.IsNil)
+}
