--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -133,17 +133,22 @@
 	return err
 }
 
-// callPeers makes a call through other instances, until one has passed it on. helped is false if none did.
+// callPeers makes a call through other instances, until one has passed it on or the caller has ended it. helped is false if none
+// did.
 func (l *Log) callPeers(ctx context.Context, p partlog.Partition, wait time.Duration, do func(context.Context, partlog.Log) error) (helped bool, err error) {
 	for range peerTries {
 		peer, ok := l.pickPeer(p)
 		if !ok || ctx.Err() != nil {
 			return false, nil
 		}
+		began := l.Now()
 		peerCtx, cancel := context.WithTimeout(ctx, wait+peerTimeout)
 		err := do(peerCtx, &peerLog{client: l.Client, address: peer.Address})
 		cancel()
 		helped := !errors.Is(err, partlog.ErrNotApplied)
+		if !helped && endedByCaller(ctx, l.Now().Sub(began)) {
+			return true, err
+		}
 		l.recordPeer(route{peer.Instance, p}, helped)
 		if helped {
 			return true, err
