Report again after 0.2 s until the other instances are known

What callers would see: an instance that has started while the log refuses its first report is ready, and refuses all turns for a second after the log is back. Cause: since an instance waits for the others' reports before it acts as a leader, it depends on its first report, which was repeated with the next regular one. Evidence: TestOthersAreKnownSoonAfterARefusedReport failed before (not known 0.6 s after the log is back), passes with -race.

--- a/internal/reports/peers_test.go
+++ b/internal/reports/peers_test.go
@@ -74,3 +74,31 @@
 	}
 	c.Assert(members, qt.ContentEquals, []ids.InstanceID{"a", "there"})
 }
+
+// Guards against an instance that refuses all turns for a second after its start because its first report was refused.
+func TestOthersAreKnownSoonAfterARefusedReport(t *testing.T) {
+	c := qt.New(t)
+	log := partlogtest.New()
+	var down atomic.Bool
+	down.Store(true)
+	log.SetFault(func(int) partlogtest.Fault {
+		if down.Load() {
+			return partlogtest.Fault{Err: partlog.ErrNotApplied}
+		}
+		return partlogtest.Fault{}
+	})
+	r := reports.New(reports.Config{
+		Self: relay.Peer{Instance: "a"}, RunID: "1", Log: log, Grants: grants.New(grants.Config{Self: quota.Run{Instance: "a", ID: "1"}, Now: time.Now}),
+		Reachable: func() bool { return true }, Leaving: func() bool { return false }, Now: time.Now, Logger: zap.NewNop(),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- r.Run(ctx) }()
+	time.Sleep(100 * time.Millisecond)
+	down.Store(false)
+	for returned := time.Now(); !r.Discovered(); time.Sleep(5 * time.Millisecond) {
+		c.Assert(time.Since(returned) < 600*time.Millisecond, qt.IsTrue)
+	}
+	cancel()
+	c.Assert(<-ended, qt.IsNil)
+}
--- a/internal/reports/reports.go
+++ b/internal/reports/reports.go
@@ -29,6 +29,8 @@
 	// other instance that owns no shards, so that one partition can take the reports of all.
 	interval            = time.Second
 	intervalPerInstance = 8 * time.Millisecond
+	// startInterval is the time between reports of a new run until it has read those of the others. It refuses turns until then.
+	startInterval = 200 * time.Millisecond
 	// deathInterval is the time between reports while a target's death is still to be reported.
 	deathInterval = 200 * time.Millisecond
 	// backlogRecords is the number of reports before its own first one that a new run reads. All instances may start at once,
@@ -127,7 +129,10 @@
 func (r *Reports) waitForNext(ctx context.Context, began time.Time) {
 	r.mu.Lock()
 	wait := max(interval, intervalPerInstance*time.Duration(len(r.peers)))
-	if len(r.suspects.deaths) > 0 {
+	switch {
+	case r.backlog:
+		wait = startInterval
+	case len(r.suspects.deaths) > 0:
 		wait = deathInterval
 	}
 	r.mu.Unlock()
