Apply the reports that an owner writes in the test of cold rates

Cause: the test applied reports of its own making that name no shard. Since a lease is extended only by reports that name the shard, these no longer extend it; a real report always names what its run owns. The test now applies the reports that NewReport returns, and its checks are as before.

--- a/pkg/cold/cold_test.go
+++ b/pkg/cold/cold_test.go
@@ -86,13 +86,10 @@
 			heap.Push(&queue, ask{start.Add(time.Duration(random.IntN(200)) * time.Millisecond), i})
 		}
 		asked, granted, report := 0, 0, start
-		seq := uint64(1)
 		for queue[0].at.Before(start.Add(seconds * time.Second)) {
 			a := heap.Pop(&queue).(ask)
 			for ; report.Before(a.at); report = report.Add(time.Second) {
-				seq++
-				leases.NewReport(report)
-				leases.Apply(report, quota.Report{Run: quota.Run{Instance: "owner", ID: "1"}, Seq: seq})
+				leases.Apply(report, leases.NewReport(report))
 			}
 			asked++
 			g, owned := limiter.Grant(a.at, quota.Ask{Workspace: name})
