--- a/internal/grants/fleet_log_test.go
+++ b/internal/grants/fleet_log_test.go
@@ -6,26 +6,56 @@
 
 import (
 	"context"
+	"errors"
+	"slices"
 	"time"
 
+	"go.uber.org/zap"
+
+	"github.com/comfreylink/comfreylink/internal/call"
+	"github.com/comfreylink/comfreylink/internal/follower"
 	"github.com/comfreylink/comfreylink/internal/partlog"
+	"github.com/comfreylink/comfreylink/internal/settings"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 )
 
-func (f *simFleet) append(p partlog.Partition, at ids.Offset, records [][]byte) (first ids.Offset, err error) {
-	if f.appendTime > 0 {
-		f.mu.Lock()
-		turn := f.turns[p]
-		if turn == nil {
-			turn = make(chan struct{}, 1)
-			f.turns[p] = turn
-		}
+// Bounds of the large deployment, and what the gateway derives from them.
+const (
+	simRevoke, simRemoval = 5 * time.Second, 4 * time.Second
+	freshMargin           = 700 * time.Millisecond
+	maxStartWait          = 1500 * time.Millisecond
+)
+
+const configKey = "config"
+
+func (f *simFleet) append(ctx context.Context, p partlog.Partition, at ids.Offset, records [][]byte) (first ids.Offset, err error) {
+	if f.appendTime == 0 {
+		return f.log.Append(context.Background(), p, at, records...)
+	}
+	f.mu.Lock()
+	now := time.Now()
+	end := f.appending[p]
+	if end.Before(now) {
+		end = now
+	}
+	if end.Sub(now) > maxAppendQueue {
 		f.mu.Unlock()
-		turn <- struct{}{}
-		defer func() { <-turn }()
-		time.Sleep(f.appendTime)
+		return 0, partlog.ErrNotApplied
+	}
+	end = end.Add(f.appendTime)
+	f.appending[p] = end
+	f.mu.Unlock()
+	done := make(chan struct{})
+	time.AfterFunc(end.Sub(now), func() {
+		defer close(done)
+		first, err = f.log.Append(context.Background(), p, at, records...)
+	})
+	select {
+	case <-done:
+		return first, err
+	case <-ctx.Done():
+		return 0, errUnknownOutcome
 	}
-	return f.log.Append(context.Background(), p, at, records...)
 }
 
 func (f *simFleet) send(ctx context.Context, bytes int) error {
@@ -48,11 +78,30 @@
 	}
 }
 
+func (p *simProcess) restore(ctx context.Context) {
+	const page = 1 << 20
+	if n := slices.Index(p.fleet.all(), p.simInstance); n >= restorers {
+		return
+	}
+	reads := partlog.ReadBackoff{Timeout: 600 * time.Millisecond, Pause: 40 * time.Millisecond}
+	for left := p.fleet.restoreBytes; left > 0 && ctx.Err() == nil; {
+		try, cancel := context.WithTimeout(ctx, min(reads.Next(), storeCallTimeout))
+		err := p.fleet.send(try, min(left, page))
+		cancel()
+		if err == nil {
+			left -= page
+		}
+		time.Sleep(reads.Record(err))
+	}
+}
+
 func (p *simProcess) state(ctx context.Context) (s logState, err error) {
 	p.waitWhileFrozen()
 	p.work(p.fleet.hop)
 	p.fleet.mu.Lock()
-	s = p.log
+	if s = p.log; s == logUp && p.fleet.slow {
+		s = logSlow
+	}
 	p.fleet.mu.Unlock()
 	delay := logDelay / 2
 	if s == logSlow {
@@ -85,7 +134,12 @@
 	return nil
 }
 
-func (p *simProcess) Append(ctx context.Context, part partlog.Partition, at ids.Offset, records ...[]byte) (first ids.Offset, err error) {
+// simStore is the log as the store's client of an instance calls it.
+type simStore struct{ *simProcess }
+
+func (p simStore) Append(ctx context.Context, part partlog.Partition, at ids.Offset, records ...[]byte) (first ids.Offset, err error) {
+	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+	defer cancel()
 	s, err := p.state(ctx)
 	if err != nil {
 		return 0, err
@@ -96,14 +150,16 @@
 		<-ctx.Done()
 		return 0, errUnknownOutcome
 	}
-	first, err = p.fleet.append(part, at, records)
+	first, err = p.fleet.append(ctx, part, at, records)
 	if answerErr := p.answer(ctx, s); answerErr != nil {
 		return 0, answerErr
 	}
 	return first, err
 }
 
-func (p *simProcess) Read(ctx context.Context, part partlog.Partition, from ids.Offset, wait time.Duration) (page partlog.Page, err error) {
+func (p simStore) Read(ctx context.Context, part partlog.Partition, from ids.Offset, wait time.Duration) (page partlog.Page, err error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+storeCallTimeout)
+	defer cancel()
 	s, err := p.state(ctx)
 	if err != nil {
 		return page, err
@@ -122,25 +178,59 @@
 	return page, err
 }
 
-func (p *simProcess) Newest(ctx context.Context, part partlog.Partition) ([]partlog.Entry, ids.Offset, error) {
+func (p simStore) Newest(ctx context.Context, part partlog.Partition) ([]partlog.Entry, ids.Offset, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+	defer cancel()
 	if _, err := p.state(ctx); err != nil {
 		return nil, 0, err
 	}
-	if err := p.fleet.send(ctx, p.fleet.configBytes); err != nil {
+	bytes := 0
+	switch part {
+	case configPartition:
+		bytes = p.fleet.configBytes
+	case targetsPartition:
+		bytes = p.fleet.targetsBytes
+	}
+	if err := p.fleet.send(ctx, bytes); err != nil {
 		return nil, 0, err
 	}
-	return p.fleet.log.Newest(ctx, part)
+	end := p.fleet.log.End(part)
+	if part == targetsPartition {
+		return nil, end, nil
+	}
+	return []partlog.Entry{{Key: configKey, Value: []byte{1}, Offset: end - 1}}, end, nil
 }
 
-func (p *simProcess) readConfig(ctx context.Context) {
-	reads := partlog.ReadBackoff{Timeout: time.Second, Pause: 100 * time.Millisecond}
-	for ctx.Err() == nil {
-		try, cancel := context.WithTimeout(ctx, reads.Next())
-		_, _, err := p.followed.Newest(try, configPartition)
-		cancel()
-		if err == nil {
-			return
-		}
-		time.Sleep(reads.Record(err))
+// newFollower returns the follower of a new run, which follows a configuration and targets without content.
+func (p *simProcess) newFollower(now func() time.Time) *follower.Follower {
+	return follower.New(follower.Source{
+		Log: p.followed, Config: configPartition, Targets: targetsPartition, ConfigKey: configKey,
+		DecodeKeyed:  func(record []byte) (string, []byte, bool) { return configKey, record, true },
+		DecodeConfig: func([]byte) (call.Config, error) { return call.Config{Version: 1}, nil },
+		DecodeTarget: func(string, []byte) (call.Target, error) { return call.Target{}, errors.New("no target") },
+	}, settings.Bounds{Revoke: simRevoke, Removal: simRemoval}, zap.NewNop(), now, func(time.Time) {})
+}
+
+// fresh reports whether the instance accepts keys, as the gateway decides it.
+func (p *simProcess) fresh() bool {
+	age, ok := p.follower.Freshness(p.limiter.Now())
+	return ok && age <= simRevoke-freshMargin
+}
+
+// awaitStart waits for the configuration and the targets of a new run, as the gateway does.
+func (p *simProcess) awaitStart() {
+	left := time.Until(p.began.Add(maxStartWait))
+	if left <= 0 {
+		return
+	}
+	select {
+	case <-p.follower.Started():
+	case <-time.After(left):
 	}
 }
+
+// uncounted ignores paced calls.
+type uncounted struct{}
+
+// PacedCall implements pacedlog.Observer.
+func (uncounted) PacedCall(string, string) {}
--- a/internal/grants/fleet_test.go
+++ b/internal/grants/fleet_test.go
@@ -18,8 +18,10 @@
 
 	"go.uber.org/zap"
 
+	"github.com/comfreylink/comfreylink/internal/follower"
 	"github.com/comfreylink/comfreylink/internal/grants"
 	"github.com/comfreylink/comfreylink/internal/logcache"
+	"github.com/comfreylink/comfreylink/internal/pacedlog"
 	"github.com/comfreylink/comfreylink/internal/partlog"
 	"github.com/comfreylink/comfreylink/internal/partlog/partlogtest"
 	"github.com/comfreylink/comfreylink/internal/relay"
@@ -33,6 +35,16 @@
 const (
 	networkDelay = time.Millisecond
 	logDelay     = 4 * time.Millisecond
+	// storeCallTimeout bounds a call to the log, as the store's client does.
+	storeCallTimeout = time.Second
+	// maxAppendQueue is the time that the appends to a partition may wait for. The log refuses those that would wait longer.
+	maxAppendQueue = 2 * time.Second
+	// slowAppendTime is how long a slow log takes for an append.
+	slowAppendTime = 100 * time.Millisecond
+	// simCallsPerSecond is the log's limit of calls.
+	simCallsPerSecond = 3200
+	// restorers is the number of instances that read the records of programs.
+	restorers = 12
 	// slowLogDelay is the delay of each way of a call to a slow log.
 	slowLogDelay = 150 * time.Millisecond
 	// maxLateAppend is how much later an append may take effect whose answer was lost.
@@ -45,6 +57,9 @@
 // configPartition holds the configuration, of which only the size matters.
 var configPartition = partlog.Partition{Topic: "config"}
 
+// targetsPartition holds the targets, of which only the size matters.
+var targetsPartition = partlog.Partition{Topic: "targets"}
+
 // simZones is the number of zones of a fleet.
 const simZones = 5
 
@@ -76,10 +91,15 @@
 	// appendTime is how long the log takes for an append of a partition, one after the other, and hop the longest further delay
 	// of a call at an instance.
 	appendTime, hop time.Duration
-	turns           map[partlog.Partition]chan struct{}
+	appending       map[partlog.Partition]time.Time // when the appends end that the log has accepted
 	// readRate is how many bytes a second the log sends to all readers together, one read after the other; 0 for no limit.
 	// configBytes is the size of the configuration, which each new run reads.
 	readRate, configBytes int
+	// targetsBytes is the size of the newest entries of the targets.
+	targetsBytes int
+	slow         bool // the log, for all
+	// restoreBytes is what each of restorers instances reads of the records of programs after its start.
+	restoreBytes int
 	// shareReads is set if instances know the log's rate and read through one of their zone.
 	shareReads   bool
 	sendingUntil time.Time
@@ -110,6 +130,10 @@
 	reports *reports.Reports
 	// followed is the log for the partitions that all instances follow.
 	followed *logcache.Log
+	// relayed calls the store directly or through other instances.
+	relayed  *relay.Log
+	follower *follower.Follower
+	began    time.Time
 	methods  map[string]rpc.Method
 	leaving  bool // guarded by fleet.mu
 	killed   chan struct{}
@@ -125,7 +149,7 @@
 func newSimFleetOf(seed uint64, name ids.WorkspaceID, limit quota.Limit, count int) *simFleet {
 	f := &simFleet{
 		log: partlogtest.New(), random: rand.New(rand.NewPCG(seed, 0)), name: name, instances: make(map[ids.InstanceID]*simInstance),
-		limit: limit, turns: make(map[partlog.Partition]chan struct{}),
+		limit: limit, appending: make(map[partlog.Partition]time.Time),
 	}
 	for i := range count {
 		f.add(ids.InstanceID(fmt.Sprint("i", i)))
@@ -201,7 +225,7 @@
 		return
 	}
 	f.runs++
-	p := &simProcess{simInstance: i, killed: make(chan struct{}), stopped: make(chan struct{})}
+	p := &simProcess{simInstance: i, began: time.Now(), killed: make(chan struct{}), stopped: make(chan struct{})}
 	offset := i.clockOffset
 	now := func() time.Time { return time.Now().Round(0).Add(offset) }
 	run, limit := fmt.Sprint("run", f.runs), f.limit
@@ -211,20 +235,26 @@
 		Address: func(id ids.InstanceID) (string, bool) { return p.reports.AddressOf(id) },
 		Claim:   func(ctx context.Context, s quota.Shard) { p.reports.Claim(ctx, s) },
 	})
+	paced := pacedlog.New(pacedlog.Config{Direct: simStore{p}, CallsPerSecond: simCallsPerSecond, Now: now, Observer: uncounted{}, Logger: zap.NewNop()})
+	p.relayed = relay.New(relay.Config{
+		Direct: paced, Client: p, Peers: func() []relay.Peer { return p.reports.Peers() }, Zone: i.zone, Now: now, Logger: zap.NewNop(),
+	})
 	readRate := 0
 	if f.shareReads {
 		readRate = f.readRate
 	}
 	p.followed = logcache.New(logcache.Config{
-		Self: i.id, Zone: i.zone, Log: p, Members: p.readers, Discovered: func() bool { return p.reports.PeersKnown() }, Caller: p,
-		ReadRate: readRate, Backlogs: map[partlog.Partition]ids.Offset{configPartition: 0, reports.Partition: 512}, Now: now, Logger: zap.NewNop(),
+		Self: i.id, Zone: i.zone, Log: p.relayed, Members: p.readers, Discovered: func() bool { return p.reports.PeersKnown() }, Caller: p,
+		ReadRate: readRate, Backlogs: map[partlog.Partition]ids.Offset{configPartition: 0, targetsPartition: 0, reports.Partition: 512}, Now: now, Logger: zap.NewNop(),
 	})
 	p.reports = reports.New(reports.Config{
-		Self: relay.Peer{Instance: i.id, Address: string(i.id), Zone: i.zone, CPU: 1}, RunID: run, Log: p, Followed: p.followed, Grants: p.limiter,
-		Reachable: func() bool { return true }, Leaving: p.isLeaving, Now: now, Logger: zap.NewNop(),
+		Self: relay.Peer{Instance: i.id, Address: string(i.id), Zone: i.zone, CPU: 1}, RunID: run, Log: p.relayed, Followed: p.followed, Grants: p.limiter,
+		Reachable: p.relayed.Reachable, Leaving: p.isLeaving, Now: now, Logger: zap.NewNop(),
 	})
+	p.follower = p.newFollower(now)
 	p.methods = p.limiter.Methods()
 	maps.Copy(p.methods, p.followed.Methods())
+	maps.Copy(p.methods, p.relayed.Methods())
 	p.configure(limit)
 	ctx, cancel := context.WithCancel(context.Background())
 	p.stop = cancel
@@ -233,13 +263,24 @@
 		_ = p.reports.Run(ctx)
 	}()
 	if f.configBytes > 0 {
-		go p.readConfig(ctx)
+		go func() { _ = p.follower.FollowConfig(ctx) }()
+		go func() { _ = p.follower.FollowTargets(ctx) }()
+		if f.restarted() {
+			go p.restore(ctx)
+		}
 	}
 	f.mu.Lock()
 	i.process = p
 	f.mu.Unlock()
 }
 
+// restarted reports whether instances have been started again, so that there are records of programs to read.
+func (f *simFleet) restarted() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.runs > len(f.instances)
+}
+
 // readers returns the instances that may read the log for others.
 func (p *simProcess) readers() (l []logcache.Member) {
 	for _, m := range p.reports.Members() {
@@ -257,7 +298,8 @@
 }
 
 // append appends to the log, which takes appendTime for an append, also for one that it refuses because of its condition, and
-// makes those of a partition one after the other.
+// makes those of a partition one after the other. One whose caller no longer waits takes its time and effect all the same.
+// restore reads the records of programs, page by page.
 // send waits until the log has sent a number of bytes to a reader. A reader that no longer waits has used up its share all the same.
 // work waits as long as an instance takes for a step of a call: usual at the longest, unless it is slow.
 func (i *simInstance) work(usual time.Duration) {
--- a/internal/grants/recovery_test.go
+++ b/internal/grants/recovery_test.go
@@ -101,6 +101,11 @@
 	if p == nil || isolated {
 		return 0, notReached
 	}
+	if t.fleet.configBytes > 0 {
+		if p.awaitStart(); !p.fresh() {
+			return outageRetryDelay, refused
+		}
+	}
 	for giveUpAt := time.Now().Add(maxTokenWait); ; {
 		d := p.limiter.Take(context.Background(), ws, 0, time.Until(giveUpAt))
 		switch {
@@ -196,6 +201,20 @@
 	}
 }
 
+// slowLog makes the log slow for all for a time.
+func slowLog(d time.Duration) func(f *simFleet) {
+	return func(f *simFleet) {
+		set := func(s logState, appendTime time.Duration) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.slow, f.appendTime = s == logSlow, appendTime
+		}
+		usual := f.appendTime
+		set(logSlow, slowAppendTime)
+		time.AfterFunc(d, func() { set(logUp, usual) })
+	}
+}
+
 // Guards against a large fleet whose instances keep each other from claiming shards, so that turns of running programs are
 // refused for seconds after the instances or the log are back: the incident LOST of akwaaba-mugs-large.
 func TestTurnsAreAdmittedAfterADisturbance(t *testing.T) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -14,7 +14,6 @@
 	"go.uber.org/zap"
 
 	"github.com/comfreylink/comfreylink/internal/partlog"
-	"github.com/comfreylink/comfreylink/internal/rpc"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 )
 
@@ -42,11 +41,16 @@
 	ReachesLog bool
 }
 
+// Caller calls methods of other instances.
+type Caller interface {
+	Call(ctx context.Context, address, method string, params, result any) error
+}
+
 // Config holds a log's dependencies.
 type Config struct {
 	// Direct calls the log without another instance.
 	Direct partlog.Log
-	Client *rpc.Client
+	Client Caller
 	// Peers returns the other instances.
 	Peers func() []Peer
 	// MayPassOn reports whether a call that concerns a partition may be made through another instance; nil allows all.
--- a/internal/relay/rpc.go
+++ b/internal/relay/rpc.go
@@ -59,7 +59,7 @@
 
 // peerLog is the platform's log, called through another instance.
 type peerLog struct {
-	client  *rpc.Client
+	client  Caller
 	address string
 }
 
