State in reportFailed how long calls were waited for and how many failed

Event 616 named only the operation and the error, so a log did not tell a report that the log left unanswered for its whole timeout from one that was refused at once, nor a single failure from a series.

It has the time of the operation (waited), that of the report's append and whether it was written (appendWaited, appended), and how often the operation has failed in a row (failures). When anything is sent is unchanged.

--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -196,9 +196,9 @@
 		"Compare tokens with rate and burst; raise the workspace's rate, or find the programs that use it up. With unavailable, look for the owner of the part (618, 619). A call with the outcome paused was not made, because the instance had not answered the last ones.",
 		"requestId", "workspace", "granter", "tokens", "unavailable", "rate", "burst", "spare", "programRequests", "maxWait", "retryAfter", "unanswered")
 	ReportFailed = define(616, "reportFailed", warn,
-		"This instance could not write its report of owned shards, crashed targets and completed suspected requests, or could not read the reports of the others. It adds what was not written to its next report, and continues to read where it stopped.",
-		"Check the log service.",
-		"operation", "error")
+		"This instance could not write its report of owned shards, crashed targets and completed suspected requests, or could not read the reports of the others. It adds what was not written to its next report, and continues to read where it stopped. Waited is how long all calls of the operation took, appendWaited how long the report's append did, and appended whether it was written. Failures is how often the operation has failed in a row.",
+		"Check the log service. If appendWaited is near 500ms and 209 shows unanswered appends to reports, see docs/OPERATIONS.md (one partition of the log is overloaded).",
+		"operation", "waited", "appendWaited", "appended", "failures", "error")
 	RateGranted = define(617, "rateGranted", info,
 		"This instance granted requests of a workspace since its last report, withReserve of them to requests that must leave a reserve (first requests of programs, and those of very long programs). Parts is how many parts of the limit it owns, tokens what their buckets hold, and lease how long it may grant without another report.",
 		"Add up granted over all instances to see what a workspace got.",
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -69,8 +69,9 @@
 func (g *Gateway) announceLeave() {
 	ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
 	defer cancel()
+	began := time.Now()
 	if _, err := g.reports.Write(ctx); err != nil {
-		events.Log(g.Logger, events.ReportFailed, zap.String("operation", "leave"), zap.Error(err))
+		events.Log(g.Logger, events.ReportFailed, zap.String("operation", "leave"), zap.Duration("waited", time.Since(began)), zap.Error(err))
 	}
 }
 
@@ -82,8 +83,9 @@
 	recordsCtx, cancelRecords := context.WithDeadline(ctx, exitAt.Add(exitMargin/4))
 	defer cancelRecords()
 	g.programs.Flush(recordsCtx)
+	began := time.Now()
 	_, err := g.reports.Write(ctx)
 	if err = errors.Join(err, g.reports.RecordCrashes(ctx)); err != nil {
-		events.Log(g.Logger, events.ReportFailed, zap.String("operation", "last"), zap.Error(err))
+		events.Log(g.Logger, events.ReportFailed, zap.String("operation", "last"), zap.Duration("waited", time.Since(began)), zap.Error(err))
 	}
 }
--- a/internal/reports/reports.go
+++ b/internal/reports/reports.go
@@ -93,6 +93,7 @@
 	backlog    bool                // whether the reports being read were written before this run began to read
 	discovered chan struct{}       // closed when they are read
 	end        ids.Offset          // of the reports when this run began to read; Run sets it before it reads any
+	failed     map[string]int      // failures in a row by operation; only Run uses it
 }
 
 // New returns Reports that know no other instance.
@@ -104,7 +105,7 @@
 		Config: c, suspects: newSuspects(), peers: make(map[ids.InstanceID]peer), wanted: make(map[quota.Shard]struct{}),
 		decided: make(chan struct{}), wakeup: make(chan struct{}, 1), backlog: true, discovered: make(chan struct{}),
 		reads:   partlog.ReadBackoff{Timeout: timeout, Pause: startInterval},
-		crashes: crashes{recorded: make(map[ids.Fingerprint]recordedCrash)},
+		crashes: crashes{recorded: make(map[ids.Fingerprint]recordedCrash)}, failed: make(map[string]int),
 	}
 }
 
@@ -114,7 +115,9 @@
 		began := r.Now()
 		err := errors.Join(r.loadCrashes(ctx), r.claimWanted(ctx))
 		var readErr error
+		writeBegan := r.Now()
 		at, writeErr := r.Write(ctx)
+		writeWaited := r.Now().Sub(writeBegan)
 		if writeErr == nil {
 			readErr = r.begin(ctx, at)
 		} else {
@@ -130,9 +133,7 @@
 			readErr = r.awaitOwn(ctx, at)
 		}
 		err = errors.Join(err, readErr, r.recordCrashesIfDue(ctx))
-		if err != nil {
-			events.Log(r.Logger, events.ReportFailed, zap.String("operation", "report"), zap.Error(err))
-		}
+		r.logResult(operationReport, began, err, zap.Duration("appendWaited", writeWaited), zap.Bool("appended", writeErr == nil))
 		sleep(ctx, r.reads.Record(readErr))
 		r.waitForNext(ctx, began)
 	}
@@ -163,9 +164,8 @@
 			return
 		case <-r.wakeup:
 		}
-		if err := r.claimWanted(ctx); err != nil {
-			events.Log(r.Logger, events.ReportFailed, zap.String("operation", "claim"), zap.Error(err))
-		}
+		claimBegan := r.Now()
+		r.logResult(operationClaim, claimBegan, r.claimWanted(ctx))
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/reports/reports_test.go
+++ b/internal/reports/reports_test.go
@@ -25,11 +25,15 @@
 
 // startAt does the same with a clock that is ahead.
 func startAt(c *qt.C, log partlog.Log, id ids.InstanceID, ahead time.Duration) *reports.Reports {
-	now := func() time.Time { return time.Now().Add(ahead) }
+	return startWith(c, log, id, func() time.Time { return time.Now().Add(ahead) }, zap.NewNop())
+}
+
+// startWith does the same with a clock and a logger.
+func startWith(c *qt.C, log partlog.Log, id ids.InstanceID, now func() time.Time, logger *zap.Logger) *reports.Reports {
 	r := reports.New(reports.Config{
 		Self: relay.Peer{Instance: id, Address: "address of " + string(id)}, RunID: "run of " + string(id), Log: log,
 		Grants:    grants.New(grants.Config{Self: quota.Run{Instance: id}, Now: now}),
-		Reachable: func() bool { return true }, Leaving: func() bool { return false }, Now: now, Logger: zap.NewNop(),
+		Reachable: func() bool { return true }, Leaving: func() bool { return false }, Now: now, Logger: logger,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
