Count calls to the platform's log by topic, kind and outcome

Event storeUsed (209) and the metrics counted calls and bytes since the start by path only. In an overload of one partition they told neither the topic nor whose calls it took, nor which calls were given up and after how long.

platform.Observer gets a partlog.Call: name, topic, time, bytes sent and received, and one of five outcomes. telemetry takes the kind from the context (pacedlog.KindOf). comfreylink.store.call.duration and comfreylink.store.io have topic and outcome as further attributes, the latter also the direction; comfreylink.store.throttled has the topic. Names of topics are bounded: those of a keyspace count as one, and those beyond the first 16 or longer than 64 bytes as other. Bytes of answers that were cut off now count as received.

Event 209 counts the calls since the last one in at most 24 rows of topic, call and kind. It is logged every 10 s, and every 2 s while more than a tenth of the calls are not answered or refused.

TestThrottledCallsAreCounted compared the counts made, failed and throttled; it now compares the whole row, so also topic, call and kind.

go test ./platform ./internal/telemetry ./internal/events ./internal/reports ./internal/gateway ./cmd/... passes, as does -race for telemetry, pacedlog and events. No fleet was run.

--- a/cmd/comfreylink/config.go
+++ b/cmd/comfreylink/config.go
@@ -52,4 +52,4 @@
 // noObserver ignores the calls to the store of a command, which has no metrics.
 type noObserver struct{}
 
-func (noObserver) StoreCall(string, time.Duration, int, error) {}
+func (noObserver) StoreCall(context.Context, partlog.Call) {}
--- a/cmd/comfreylink/gateway.go
+++ b/cmd/comfreylink/gateway.go
@@ -158,20 +158,21 @@
 	events.Log(logger, events.SettingsChanged, zap.String("file", path), zap.String("reason", "valid"))
 }
 
-// usageInterval is the interval of log events about calls to the store and about dropped log lines.
-const usageInterval = 10 * time.Second
-
+// logUsage logs calls to the store and dropped log lines until the context ends.
 func logUsage(ctx context.Context, ring *logring.Ring, metrics *telemetry.Metrics, logger *zap.Logger) {
-	ticker := time.NewTicker(usageInterval)
-	defer ticker.Stop()
 	var last int64
+	metrics.TakeStoreUse(time.Now())
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-time.After(telemetry.StoreUseCheckInterval):
+		}
+		use, due := metrics.TakeStoreUse(time.Now())
+		if !due {
+			continue
 		}
-		events.Log(logger, events.StoreUsed, zap.Any("calls", metrics.StoreCalls()))
+		events.Log(logger, events.StoreUsed, zap.Duration("interval", use.Interval), zap.Any("calls", use.Calls))
 		if n := ring.Dropped(); n > last {
 			events.Log(logger, events.LinesDropped, zap.Int64("count", n-last))
 			last = n
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -75,9 +75,9 @@
 		"If it happens often, report it with the fields of the event.",
 		"stream", "seq", "lastSeq", "kind", "writer", "offset")
 	StoreUsed = define(209, "storeUsed", info,
-		"Calls to the platform's log since the start, by path.",
-		"Compare with docs/CAPACITY.md if the log refuses calls because there are too many.",
-		"calls")
+		"Calls to the platform's log that ended in the interval since the last such event, by topic (turns and programs: by keyspace), call and kind, with their outcomes: answered, throttled (status 429), refused (status 503), unanswered (given up, or the connection was lost) and notSent (no connection). Calls without another kind count as reservation. unansweredMs is the time that the unanswered calls took together, in ms; sent and received are bytes of bodies. At most 24 rows, those with the most calls that were not answered first; the rest, and further topics, count as other. Logged every 10 s, and every 2 s while more than a tenth of the calls are not answered, or refused.",
+		"If one topic has most of the calls that are not answered, see docs/OPERATIONS.md (one partition of the log is overloaded). Compare with docs/CAPACITY.md if the log throttles calls.",
+		"interval", "calls")
 	PartitionLost = define(210, "partitionLost", warn,
 		"One partition of the log does not answer this instance. Calls to it go through other instances if these reach it; calls to other partitions are not affected.",
 		"Check the partition at the log service.",
--- a/internal/pacedlog/kind.go
+++ b/internal/pacedlog/kind.go
@@ -13,8 +13,8 @@
 	return context.WithValue(ctx, kindKey{}, k)
 }
 
-// kindOf returns the kind of a context's calls, which is logpace.Reservation by default.
-func kindOf(ctx context.Context) logpace.Kind {
+// KindOf returns the kind of a context's calls, which is logpace.Reservation by default.
+func KindOf(ctx context.Context) logpace.Kind {
 	k, _ := ctx.Value(kindKey{}).(logpace.Kind)
 	return k
 }
--- a/internal/pacedlog/pacedlog.go
+++ b/internal/pacedlog/pacedlog.go
@@ -133,7 +133,7 @@
 
 // do makes a call when the class's pacer allows it, and again as long as the pacer retries it.
 func (l *Log) do(ctx context.Context, class *class, hash callHash, longPoll bool, call func() error) error {
-	c := &logpace.Call{Kind: kindOf(ctx), LongPoll: longPoll}
+	c := &logpace.Call{Kind: KindOf(ctx), LongPoll: longPoll}
 	decided, accepted := l.submit(ctx, class, hash, c)
 	if !accepted {
 		l.Observer.PacedCall(c.Kind.String(), string(Dropped))
--- a/internal/partlog/partlog.go
+++ b/internal/partlog/partlog.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -132,3 +133,12 @@
 func (s Keyspace) partition(n int) Partition {
 	return Partition{Topic: fmt.Sprintf("%s-%02d", s.Name, n/s.Parts), Part: n % s.Parts}
 }
+
+// KeyspaceOf returns the name of the keyspace to which a topic belongs by its name, and the topic itself if it belongs to none.
+func KeyspaceOf(topic string) string {
+	name := strings.TrimRight(topic, "0123456789")
+	if space, ok := strings.CutSuffix(name, "-"); ok && len(topic) > len(name) {
+		return space
+	}
+	return topic
+}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -4,10 +4,7 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
-	"maps"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/samber/oops"
@@ -34,11 +31,14 @@
 	attrCode    = attribute.Key("comfreylink.refusal.code")
 	attrService = attribute.Key("comfreylink.service")
 	attrCall    = attribute.Key("comfreylink.store.call")
+	attrTopic   = attribute.Key("comfreylink.store.topic")
 	attrFailed  = attribute.Key("comfreylink.failed")
 	attrFirst   = attribute.Key("comfreylink.program.first")
 	attrKind    = attribute.Key("comfreylink.store.kind")
 	attrZone    = attribute.Key("comfreylink.zone")
 	attrReason  = attribute.Key("comfreylink.zone.reason")
+
+	attrDirection = attribute.Key("network.io.direction")
 )
 
 // Observed holds the functions that return the values of gauges when metrics are collected. They may be called at any
@@ -67,24 +67,7 @@
 	zoneCost                          metric.Float64Histogram
 	zoneSent                          metric.Int64Counter
 
-	mu    sync.Mutex
-	calls map[string]CallCount
-}
-
-// CallCount holds how often a call to the platform's log was made, failed and was throttled, and how many bytes it transferred.
-type CallCount struct {
-	Made   int `json:"made"`
-	Failed int `json:"failed"`
-	// Throttled calls are not among the failed ones.
-	Throttled int `json:"throttled"`
-	Bytes     int `json:"bytes"`
-}
-
-// StoreCalls returns the counts of all calls since the start, by path.
-func (m *Metrics) StoreCalls() map[string]CallCount {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return maps.Clone(m.calls)
+	use storeUse
 }
 
 // New creates the instruments; cleanup shuts down their provider.
@@ -94,11 +77,11 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	m = &Metrics{set: set, calls: make(map[string]CallCount)}
+	m = &Metrics{set: set, use: newStoreUse()}
 	m.request = set.Seconds("http.server.request.duration", "Time from a request to the end of its answer.", requestBounds)
 	m.waited = set.Seconds("comfreylink.line.wait", "Time that a request waits for a target.", waitBounds)
 	m.firstByte = set.Seconds("comfreylink.stream.first_event", "Time from a request to the first event of its stream.", requestBounds)
-	m.store = set.Seconds("comfreylink.store.call.duration", "Time of a call to the platform's log.", requestBounds)
+	m.store = set.Seconds("comfreylink.store.call.duration", "Time of a call to the platform's log, by topic and outcome.", requestBounds)
 	m.recordWait = set.Seconds("comfreylink.records.wait", "Time that the oldest record of an append has waited for it.", waitBounds)
 	m.records = set.Histogram("comfreylink.records.append", "{record}", "Records of an append to a partition with the records of programs.", recordBounds)
 	m.refused = set.Counter("comfreylink.request.refused", "{request}", "Requests that were refused.")
@@ -106,7 +89,7 @@
 	m.attempts = set.Counter("comfreylink.attempt", "{attempt}", "Attempts at targets by how they ended.")
 	m.zoneSent = set.Counter("comfreylink.zone.sent", "{request}", "Requests sent to targets of a zone, by the reason for it.")
 	m.zoneCost = set.Seconds("comfreylink.zone.cost", "What leaving the instance's zone was taken to cost.", waitBounds)
-	m.storeBytes = set.Counter("comfreylink.store.io", "By", "Bytes written to and read from the platform's log.")
+	m.storeBytes = set.Counter("comfreylink.store.io", "By", "Bytes sent to and received from the platform's log, by topic and outcome of the call.")
 	m.storeThrottled = set.Counter("comfreylink.store.throttled", "{call}", "Calls that the platform's log refused because there were too many.")
 	m.admission = set.Counter("comfreylink.admission", "{request}", "Decisions whether the record of a request will be written in time.")
 	m.storePaced = set.Counter("comfreylink.store.paced", "{call}", "Paced calls to the platform's log by kind and outcome.")
@@ -171,27 +154,21 @@
 	}
 }
 
-// StoreCall records a call to the platform's log.
-func (m *Metrics) StoreCall(call string, took time.Duration, bytes int, err error) {
-	m.mu.Lock()
-	count := m.calls[call]
-	count.Made++
-	count.Bytes += bytes
-	throttled := errors.Is(err, partlog.ErrThrottled)
-	switch {
-	case throttled:
-		count.Throttled++
-	case err != nil:
-		count.Failed++
+// StoreCall records a call to the platform's log, whose kind is that of the context. It implements platform.Observer.
+func (m *Metrics) StoreCall(ctx context.Context, call partlog.Call) {
+	call.Topic = m.use.add(call, pacedlog.KindOf(ctx).String())
+	common := []attribute.KeyValue{attrCall.String(call.Name), attrTopic.String(call.Topic)}
+	if call.Outcome == partlog.Throttled {
+		instruments.Add(m.storeThrottled, 1, common...)
+	}
+	common = append(common, attrOutcome.String(string(call.Outcome)), attrFailed.Bool(call.Outcome != partlog.Answered))
+	instruments.Record(m.store, call.Took, common...)
+	if call.Sent > 0 {
+		instruments.Add(m.storeBytes, int64(call.Sent), append(common, attrDirection.String("transmit"))...)
 	}
-	m.calls[call] = count
-	m.mu.Unlock()
-	if throttled {
-		instruments.Add(m.storeThrottled, 1, attrCall.String(call))
+	if call.Received > 0 {
+		instruments.Add(m.storeBytes, int64(call.Received), append(common, attrDirection.String("receive"))...)
 	}
-	attributes := []attribute.KeyValue{attrCall.String(call), attrFailed.Bool(err != nil)}
-	instruments.Record(m.store, took, attributes...)
-	instruments.Add(m.storeBytes, int64(bytes), attributes...)
 }
 
 // PacedCall counts a paced call to the platform's log. It implements pacedlog.Observer.
