Probe a partition with the smallest read, and repeat no read that is only late

Cause: an instance that takes the log for unavailable tried it with the next call, whatever it was, and gave it 0.15 s. A report that is appended behind a queue of 2 s is never answered in that time and takes its place in the queue all the same; the reads, which would have been answered, found the probe used up. A late read was also made again through up to three other instances, and two late reads made the whole log count as lost, so that appends were refused as well.

Now a probe is a read of an offset that no partition reaches, which the users' log answers with 16 bytes; it has 1 s, and the call that caused it waits 0.15 s for it. One in ten reads may be made again through another instance.

The fake of TestOutageOfOnePartition answered reads of the partition that is down; it refuses them now, so that probes fail too.

--- a/internal/hedge/budget.go
+++ b/internal/hedge/budget.go
@@ -21,8 +21,11 @@
 }
 
 // NewBudget returns a full budget.
-func NewBudget() *Budget {
-	return &Budget{budget: retry.NewBudget(retry.Options{Share: budgetShare, Reserve: budgetReserve, MaxAttempts: 2})}
+func NewBudget() *Budget { return NewBudgetOf(budgetReserve) }
+
+// NewBudgetOf returns a full budget for a tenth of the calls and reserve more.
+func NewBudgetOf(reserve float64) *Budget {
+	return &Budget{budget: retry.NewBudget(retry.Options{Share: budgetShare, Reserve: reserve, MaxAttempts: 2})}
 }
 
 // Count counts a call.
--- a/internal/partlog/partlog.go
+++ b/internal/partlog/partlog.go
@@ -106,6 +106,15 @@
 	}
 }
 
+// beyondEnd is an offset that no partition reaches.
+const beyondEnd ids.Offset = 1 << 50
+
+// End returns the offset after the last record of a partition. It is the smallest read: the log sends no record.
+func End(ctx context.Context, l Log, p Partition) (end ids.Offset, err error) {
+	page, err := l.Read(ctx, p, beyondEnd, 0)
+	return page.End, err
+}
+
 // AnyOffset makes an append unconditional.
 const AnyOffset ids.Offset = -1
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -13,6 +13,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/comfreylink/comfreylink/internal/hedge"
 	"github.com/comfreylink/comfreylink/internal/partlog"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 )
@@ -20,8 +21,12 @@
 const (
 	// peerTries is the maximum number of other instances through which one call is tried.
 	peerTries = 3
-	// probeTimeout bounds a direct call to a partition while it is considered unavailable.
-	probeTimeout = 150 * time.Millisecond
+	// probeTimeout bounds a probe of a partition that is considered unavailable, and probeWait is how long the call waits for it that
+	// caused it. A log that answers later is slow, but not unavailable.
+	probeTimeout = time.Second
+	probeWait    = 150 * time.Millisecond
+	// repeatReserve is the number of reads that may be made again without earlier ones; later it is one in ten.
+	repeatReserve = 2
 	// peerTimeout bounds a call through another instance. The time for which a read waits for records is added.
 	peerTimeout = 600 * time.Millisecond
 	// failedPause is how long another instance is not called for a partition after it did not answer, and refusedPause after it
@@ -70,6 +75,9 @@
 	throttledInRow int            // consecutive throttled direct calls
 	helper         ids.InstanceID // the last instance that passed on a call
 	failed         map[route]time.Time
+	// repeats bounds the reads that are made again because they were not answered: if the log is slow for all instances, these make it
+	// slower.
+	repeats *hedge.Budget
 }
 
 // route is a way to a partition through another instance. Log.failed has those that failed, and until when they are not tried.
@@ -80,7 +88,7 @@
 
 // New returns a log that is considered available.
 func New(c Config) *Log {
-	return &Log{Config: c, contacts: make(map[partlog.Partition]*contact), failed: make(map[route]time.Time)}
+	return &Log{Config: c, contacts: make(map[partlog.Partition]*contact), failed: make(map[route]time.Time), repeats: hedge.NewBudgetOf(repeatReserve)}
 }
 
 // Append implements partlog.Log.
@@ -111,17 +119,16 @@
 }
 
 // call makes a call directly or, if it was not applied, through another instance. A direct call with an unknown outcome is
-// repeated only if it is a read; after an append the caller must find out whether it took effect. So an append to a partition
-// that is considered unavailable goes through other instances first, and only reads probe the partition.
+// repeated only if it is a read and the budget for that allows it; after an append the caller must find out whether it took effect. A
+// call to a partition that is considered unavailable goes through other instances, unless the answer to a probe comes first.
 func (l *Log) call(ctx context.Context, p partlog.Partition, wait time.Duration, read bool,
 	do func(context.Context, partlog.Log) error,
 ) (err error) {
-	allowed, probe := l.allowDirect(p)
-	directFirst := allowed && (read || !probe)
 	err = errUnavailable
-	if directFirst {
-		err = l.callDirect(ctx, p, wait, probe, do)
-		if !errors.Is(err, partlog.ErrNotApplied) && !(read && errors.Is(err, partlog.ErrOutcomeUnknown)) {
+	l.repeats.Count()
+	if l.reachesAfterProbe(ctx, p) {
+		err = l.callDirect(ctx, p, read, do)
+		if !errors.Is(err, partlog.ErrNotApplied) && !(read && errors.Is(err, partlog.ErrOutcomeUnknown) && l.repeats.Allow(l.Now())) {
 			return err
 		}
 		// Another try through another instance would only add to the load of a log that throttles.
@@ -129,12 +136,8 @@
 			return err
 		}
 	}
-	helped, peerErr := l.callPeers(ctx, p, wait, do)
-	switch {
-	case helped:
+	if helped, peerErr := l.callPeers(ctx, p, wait, do); helped {
 		return peerErr
-	case allowed && !directFirst && ctx.Err() == nil:
-		return l.callDirect(ctx, p, wait, probe, do)
 	}
 	return err
 }
@@ -159,6 +162,9 @@
 		if helped {
 			return true, err
 		}
+		if errors.Is(err, partlog.ErrOutcomeUnknown) && !l.repeats.Allow(l.Now()) {
+			return false, nil
+		}
 	}
 	return false, nil
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -154,6 +154,14 @@
 	return l.Log.Append(ctx, p, at, records...)
 }
 
+// Read implements partlog.Log.
+func (l someUnavailable) Read(ctx context.Context, p partlog.Partition, from ids.Offset, wait time.Duration) (partlog.Page, error) {
+	if l.down(p) {
+		return partlog.Page{}, partlog.ErrOutcomeUnknown
+	}
+	return l.Log.Read(ctx, p, from, wait)
+}
+
 // Guards against an outage of some partitions that makes instances refuse calls to the others, which the log serves.
 func TestOutageOfOnePartition(t *testing.T) {
 	c := qt.New(t)
--- a/internal/relay/rpc.go
+++ b/internal/relay/rpc.go
@@ -127,37 +127,20 @@
 	}
 }
 
-func (p appendParams) target() target { return target{partition: p.Partition} }
+func (p appendParams) target() partlog.Partition { return p.Partition }
+func (p readParams) target() partlog.Partition   { return p.Partition }
+func (p newestParams) target() partlog.Partition { return p.Partition }
 
-func (p readParams) target() target {
-	return target{p.Partition, true, time.Duration(p.WaitMs) * time.Millisecond}
-}
-
-func (p newestParams) target() target { return target{partition: p.Partition, read: true} }
-
-// target is what a call is about.
-type target struct {
-	partition partlog.Partition
-	read      bool
-	wait      time.Duration // for records
-}
-
-// serve returns a method that runs do if this instance reaches the partition directly, and records its result. Reads also probe a
+// serve returns a method that runs do if this instance reaches the partition directly, and records its result. It also probes a
 // partition that is considered unavailable: this instance may have no calls of its own to it that would.
-func serve[P interface{ target() target }](l *Log, do func(context.Context, P) (any, error)) rpc.Method {
+func serve[P interface{ target() partlog.Partition }](l *Log, do func(context.Context, P) (any, error)) rpc.Method {
 	return rpc.Typed(func(ctx context.Context, params P) (result any, err error) {
-		t := params.target()
-		probe := false
-		if !l.reaches(t.partition) {
-			allowed := false
-			if t.read {
-				allowed, probe = l.allowDirect(t.partition)
-			}
-			if !allowed {
-				return nil, encodeError(errUnavailable)
-			}
+		p := params.target()
+		if !l.reachesAfterProbe(ctx, p) {
+			return nil, encodeError(errUnavailable)
 		}
-		err = l.callDirect(ctx, t.partition, t.wait, probe, func(ctx context.Context, _ partlog.Log) (err error) {
+		_, isAppend := any(params).(appendParams)
+		err = l.callDirect(ctx, p, !isAppend, func(ctx context.Context, _ partlog.Log) (err error) {
 			result, err = do(ctx, params)
 			return err
 		})
