Back off in the reads that an instance makes for its zone

Cause: the instances that read for their zone gave each read 1 s and made it again 0.1 s later. Behind a queue of more than a second none of them is answered, and all others are refused for as long as the queue lasts.

Their reads use the backoff that all others have.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -309,7 +309,7 @@
 	// Keys and targets that are gone must stop being used in time, also while the log throttles calls.
 	ctx = pacedlog.WithKind(ctx, logpace.Lease)
 	next := ids.Offset(-1)
-	reads := partlog.ReadBackoff{Timeout: readTimeout, Pause: retryPause}
+	reads := partlog.Backoff{Timeout: readTimeout, Pause: retryPause}
 	longPoll := time.Duration(0)
 	if interval == 0 {
 		longPoll = f.configWait
--- a/internal/grants/fleet_log_test.go
+++ b/internal/grants/fleet_log_test.go
@@ -83,7 +83,7 @@
 	if n := slices.Index(p.fleet.all(), p.simInstance); n >= restorers {
 		return
 	}
-	reads := partlog.ReadBackoff{Timeout: 600 * time.Millisecond, Pause: 40 * time.Millisecond}
+	reads := partlog.Backoff{Timeout: 600 * time.Millisecond, Pause: 40 * time.Millisecond}
 	for left := p.fleet.restoreBytes; left > 0 && ctx.Err() == nil; {
 		try, cancel := context.WithTimeout(ctx, min(reads.Next(), storeCallTimeout))
 		err := p.fleet.send(try, min(left, page))
--- a/internal/logcache/logcache_test.go
+++ b/internal/logcache/logcache_test.go
@@ -220,7 +220,7 @@
 			for _, i := range f.instances {
 				i.silent.Store(i != asker)
 			}
-			reads := partlog.ReadBackoff{Timeout: 500 * time.Millisecond, Pause: 200 * time.Millisecond}
+			reads := partlog.Backoff{Timeout: 500 * time.Millisecond, Pause: 200 * time.Millisecond}
 			began := time.Now()
 			for err := errors.New("none yet"); err != nil; time.Sleep(reads.Record(err)) {
 				c.Assert(time.Since(began) < 3*time.Second, qt.IsTrue, qt.Commentf("the log was not read: %v", err))
--- a/internal/logcache/newest.go
+++ b/internal/logcache/newest.go
@@ -13,6 +13,7 @@
 type newestReads struct {
 	mu              sync.Mutex
 	running, queued *newestRead
+	reads           partlog.Backoff // only run uses it
 }
 
 // newestRead is one read and, once done is closed, its result.
@@ -31,14 +32,15 @@
 	l.mu.Lock()
 	n := l.newest[p]
 	if n == nil {
-		n = new(newestReads)
+		n = &newestReads{reads: partlog.Backoff{Timeout: readTimeout, Pause: retryPause}}
 		l.newest[p] = n
 	}
 	l.mu.Unlock()
 	r = n.next(func(r *newestRead) {
-		ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), n.reads.Next())
 		defer cancel()
 		r.entries, r.end, r.err = l.Log.Newest(ctx, p)
+		n.reads.Record(r.err)
 	})
 	select {
 	case <-r.done:
--- a/internal/logcache/tail.go
+++ b/internal/logcache/tail.go
@@ -129,6 +129,7 @@
 
 // follow reads the partition until nobody has asked for it for idleTimeout.
 func (t *tail) follow() {
+	reads := partlog.Backoff{Timeout: readTimeout, Pause: retryPause}
 	for {
 		sent := t.now()
 		t.mu.Lock()
@@ -143,14 +144,15 @@
 			wait = 0
 		}
 		t.mu.Unlock()
-		ctx, cancel := context.WithTimeout(context.Background(), wait+readTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), wait+reads.Next())
 		page, err := t.log.Read(ctx, t.p, next, wait)
 		cancel()
 		t.apply(sent, page, err)
 		pause := readInterval - t.now().Sub(sent)
+		failedPause := reads.Record(err)
 		switch {
 		case err != nil:
-			pause = retryPause
+			pause = failedPause
 		case page.Next() < page.End:
 			pause = 0
 		}
--- a/internal/programs/partition.go
+++ b/internal/programs/partition.go
@@ -50,9 +50,9 @@
 	writing     bool      // the writer goroutine runs
 	wroteAt     time.Time // when the last append was started
 
-	readLock    lock                // held during a read
-	reads       partlog.ReadBackoff // of the reads under readLock
-	restoreLock lock                // held while dropped turns are read again
+	readLock    lock            // held during a read
+	reads       partlog.Backoff // of the reads under readLock
+	restoreLock lock            // held while dropped turns are read again
 }
 
 // isSending reports whether batches of this instance are not written yet.
--- a/internal/programs/programs.go
+++ b/internal/programs/programs.go
@@ -99,7 +99,7 @@
 	if p == nil {
 		p = &partition{
 			store: s, id: id, ledger: account.New(), pools: make(map[account.Key]*pool), elsewhere: make(map[account.Key]ids.Tokens),
-			readLock: newLock(), restoreLock: newLock(), reads: partlog.ReadBackoff{Timeout: attemptTimeout, Pause: retryPause},
+			readLock: newLock(), restoreLock: newLock(), reads: partlog.Backoff{Timeout: attemptTimeout, Pause: retryPause},
 		}
 		s.partitions[id] = p
 	}
--- a/internal/reports/reports.go
+++ b/internal/reports/reports.go
@@ -88,12 +88,12 @@
 	wakeup   chan struct{}
 	// reportedAt is when the newest report of another instance was read.
 	reportedAt time.Time
-	reads      partlog.ReadBackoff // of the reports; only Run uses it
-	peersKnown bool                // whether the newest reports were read for the other instances in them
-	backlog    bool                // whether the reports being read were written before this run began to read
-	discovered chan struct{}       // closed when they are read
-	end        ids.Offset          // of the reports when this run began to read; Run sets it before it reads any
-	failed     map[string]int      // failures in a row by operation; only Run uses it
+	reads      partlog.Backoff // of the reports; only Run uses it
+	peersKnown bool            // whether the newest reports were read for the other instances in them
+	backlog    bool            // whether the reports being read were written before this run began to read
+	discovered chan struct{}   // closed when they are read
+	end        ids.Offset      // of the reports when this run began to read; Run sets it before it reads any
+	failed     map[string]int  // failures in a row by operation; only Run uses it
 }
 
 // New returns Reports that know no other instance.
@@ -104,7 +104,7 @@
 	return &Reports{
 		Config: c, suspects: newSuspects(), peers: make(map[ids.InstanceID]peer), wanted: make(map[quota.Shard]struct{}),
 		decided: make(chan struct{}), wakeup: make(chan struct{}, 1), backlog: true, discovered: make(chan struct{}),
-		reads:   partlog.ReadBackoff{Timeout: timeout, Pause: startInterval},
+		reads:   partlog.Backoff{Timeout: timeout, Pause: startInterval},
 		crashes: crashes{recorded: make(map[ids.Fingerprint]recordedCrash)}, failed: make(map[string]int),
 	}
 }
