--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/comfreylink/comfreylink/internal/alive"
 	"github.com/comfreylink/comfreylink/internal/boottime"
 	"github.com/comfreylink/comfreylink/internal/call"
 	"github.com/comfreylink/comfreylink/internal/events"
@@ -296,9 +297,9 @@
 
 // methods returns the methods that other instances call.
 func (g *Gateway) methods() []map[string]rpc.Method {
-	l := []map[string]rpc.Method{g.Log.Methods(), g.grants.Methods(), g.followed.Methods()}
+	l := []map[string]rpc.Method{alive.Methods(), g.Log.Methods(), g.grants.Methods(), g.followed.Methods()}
 	if g.leaders != nil {
-		l = append(l, g.leaders.Methods(), g.programs.Methods())
+		l = append(l, g.programs.Methods())
 	}
 	return l
 }
--- a/internal/leaders/health.go
+++ b/internal/leaders/health.go
@@ -7,16 +7,13 @@
 
 	"go.uber.org/zap"
 
+	"github.com/comfreylink/comfreylink/internal/alive"
 	"github.com/comfreylink/comfreylink/internal/events"
 	"github.com/comfreylink/comfreylink/internal/partlog"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 )
 
 const (
-	// aliveInterval is how often a leader that has not answered a call is asked whether it is alive, and aliveTimeout how long
-	// it has for that answer. A slow log delays answers to calls, which is no sign that the leader is gone.
-	aliveInterval = 200 * time.Millisecond
-	aliveTimeout  = 100 * time.Millisecond
 	// failedPause is how long an instance is not called after it did not answer. After that, it is asked whether it is alive,
 	// and called again once it has answered.
 	failedPause = 2 * time.Second
@@ -32,34 +29,13 @@
 
 // call calls a method of a member. The call ends early if the member does not answer that it is alive.
 func (c *Client) call(ctx context.Context, m Member, method string, params, result any) error {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	alive := time.AfterFunc(aliveInterval, func() { c.watch(ctx, m, cancel) })
-	defer alive.Stop()
+	ctx, stop := alive.Watch(ctx, c.Caller, m.Address, alive.Interval)
+	defer stop()
 	return c.Caller.Call(ctx, m.Address, method, params, result)
 }
 
-// watch asks a member now and every aliveInterval whether it is alive, until the context ends. If the member does not answer, it
-// cancels the context.
-func (c *Client) watch(ctx context.Context, m Member, cancel context.CancelCauseFunc) {
-	ticker := time.NewTicker(aliveInterval)
-	defer ticker.Stop()
-	for ctx.Err() == nil {
-		if err := c.askAlive(ctx, m); err != nil {
-			cancel(err)
-			return
-		}
-		select {
-		case <-ctx.Done():
-		case <-ticker.C:
-		}
-	}
-}
-
 func (c *Client) askAlive(ctx context.Context, m Member) error {
-	ctx, cancel := context.WithTimeout(ctx, aliveTimeout)
-	defer cancel()
-	return c.Caller.Call(ctx, m.Address, methodAlive, struct{}{}, &struct{}{})
+	return alive.Ask(ctx, c.Caller, m.Address)
 }
 
 // paused reports whether a member is not called because it did not answer. When its pause has passed, it is asked whether it is
--- a/internal/leaders/leaders.go
+++ b/internal/leaders/leaders.go
@@ -23,9 +23,6 @@
 // whole partition, so a few others come first.
 const maxLeaders = 4
 
-// methodAlive is the name of the method that is answered at once.
-const methodAlive = "alive"
-
 // Member is an instance that may lead partitions.
 type Member struct {
 	leader.Candidate
@@ -69,13 +66,6 @@
 	return &Client{Config: c, failed: make(map[ids.InstanceID]failure), orders: make(map[partlog.Partition]order)}
 }
 
-// Methods returns the methods that other instances call.
-func (c *Client) Methods() map[string]rpc.Method {
-	return map[string]rpc.Method{
-		methodAlive: rpc.Typed(func(context.Context, struct{}) (any, error) { return struct{}{}, nil }),
-	}
-}
-
 // errNotDiscovered is the error of calls that ended before this instance knew the others.
 var errNotDiscovered = errors.Join(partlog.ErrNotApplied, errors.New("the instances that lead are not known yet"))
 
