Read at a start through the instances that the log names, and append for a zone together

Cause: what all instances together ask of the log after a start was bounded by nothing. Nobody knows another instance then, so each read 300 reports (66 to 130 KB) directly, and the configuration and targets as well if that took longer than 0.6 s. Later each read directly whenever its readers were slow, refused, or no longer had a record. And each instance appends its own reports, 125 a second of a healthy fleet and 1,000 of a starting one, to a partition that takes 500 appends a second, 10 while the log is slow.

Now a keyed partition names the readers of each zone and the size of the fleet; a new run reads it first (about 1 KB) and everything else through these instances, which start with it. A reader that waits for a slow log is asked whether it is alive, and not given up. What is read directly although there are readers is bounded by a quarter of the log's rate for the whole fleet, less after reads without an answer. Pages have 256 KB in place of 1 MB, since small reads wait behind large ones.

--- a/cmd/comfreylink/gateway.go
+++ b/cmd/comfreylink/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/comfreylink/comfreylink/internal/follower"
 	"github.com/comfreylink/comfreylink/internal/gateway"
 	"github.com/comfreylink/comfreylink/internal/httpwire"
+	"github.com/comfreylink/comfreylink/internal/logcache"
 	"github.com/comfreylink/comfreylink/internal/logring"
 	"github.com/comfreylink/comfreylink/internal/pacedlog"
 	"github.com/comfreylink/comfreylink/internal/partlog"
@@ -73,7 +74,9 @@
 	})
 	g = gateway.New(gateway.Config{
 		Settings: s, Codec: platform.Codec{}, ReadyPath: platform.ReadyPath, Client: client, Clock: clock, Logger: logger,
-		Metrics: metrics, RunID: runID, Log: log, RPC: peers, Source: follower.Source{
+		Metrics: metrics, RunID: runID, Log: log, RPC: peers,
+		Readers: logcache.Directory{Partition: platform.ReadersPartition, Encode: platform.EncodeKeyed},
+		Source: follower.Source{
 			Log: log, Config: platform.ConfigPartition, Targets: platform.TargetsPartition, ConfigKey: platform.ConfigKey,
 			DecodeKeyed: platform.DecodeKeyed, DecodeConfig: platform.DecodeConfig, DecodeTarget: platform.DecodeTarget,
 			DecodeEvacuation: platform.DecodeEvacuation, Self: s.Instance.ID, Zones: s.Zones,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -52,8 +52,10 @@
 	Settings settings.Gateway
 	Source   follower.Source
 	// Log is the log of Source. Other instances may use it through this one.
-	Log   *relay.Log
-	Codec Codec
+	Log *relay.Log
+	// Readers is the directory of the instances that read the log for others.
+	Readers logcache.Directory
+	Codec   Codec
 	// RPC calls other instances.
 	RPC *rpc.Client
 	// ReadyPath is the path of the readiness probe.
@@ -85,9 +87,6 @@
 	// recordInterval is the minimum time between two appends to a partition with the records of programs. It adds half of
 	// that to the end of a turn under load.
 	recordInterval = 25 * time.Millisecond
-	// reportsBacklog is how many reports a reader keeps before the first one that it is asked for. Instances that start together
-	// begin to read at reports that are as far apart as their own first ones.
-	reportsBacklog = 512
 )
 
 // Gateway is one instance of the gateway. Create it with New and call Run once.
@@ -139,8 +138,8 @@
 	g.followed = logcache.New(logcache.Config{
 		Self: c.Settings.Instance.ID, Zone: c.Settings.Instance.Zone, Log: c.Source.Log, Members: g.zoneReaders,
 		Discovered: func() bool { return g.reports.PeersKnown() }, Caller: c.RPC, ReadRate: sharedReadRate(c.Settings), Now: c.Clock.Now,
-		Backlogs: map[partlog.Partition]ids.Offset{c.Source.Config: 0, c.Source.Targets: 0, reports.Partition: reportsBacklog},
-		Logger:   c.Logger,
+		Backlogs:  map[partlog.Partition]ids.Offset{c.Source.Config: 0, c.Source.Targets: 0, reports.Partition: reports.ReaderBacklog},
+		Discovery: reports.Partition, Directory: c.Readers, Logger: c.Logger,
 	})
 	source := c.Source
 	source.Log = g.followed
@@ -274,6 +273,7 @@
 	tasks, work := errgroup.WithContext(work)
 	tasks.Go(func() error { return g.follower.FollowConfig(work) })
 	tasks.Go(func() error { return g.follower.FollowTargets(work) })
+	tasks.Go(func() error { return g.followed.Run(work) })
 	tasks.Go(func() error { return g.reports.Run(work) })
 	tasks.Go(func() error { return g.tick(work) })
 	tasks.Go(func() error { return g.standby(work) })
--- a/internal/grants/fleet_log_test.go
+++ b/internal/grants/fleet_log_test.go
@@ -7,7 +7,9 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -26,7 +28,12 @@
 	maxStartWait          = 1500 * time.Millisecond
 )
 
-const configKey = "config"
+const (
+	configKey = "config"
+	// recordsTopic has the records of programs, of which only the size matters; a page of them has pageBytes.
+	recordsTopic = "records"
+	pageBytes    = 256 << 10
+)
 
 func (f *simFleet) append(ctx context.Context, p partlog.Partition, at ids.Offset, records [][]byte) (first ids.Offset, err error) {
 	if f.appendTime == 0 {
@@ -79,17 +86,18 @@
 }
 
 func (p *simProcess) restore(ctx context.Context) {
-	const page = 1 << 20
-	if n := slices.Index(p.fleet.all(), p.simInstance); n >= restorers {
+	n := slices.Index(p.fleet.all(), p.simInstance)
+	if n >= restorers {
 		return
 	}
 	reads := partlog.Backoff{Timeout: 600 * time.Millisecond, Pause: 40 * time.Millisecond}
+	part := partlog.Partition{Topic: recordsTopic, Part: n}
 	for left := p.fleet.restoreBytes; left > 0 && ctx.Err() == nil; {
-		try, cancel := context.WithTimeout(ctx, min(reads.Next(), storeCallTimeout))
-		err := p.fleet.send(try, min(left, page))
+		try, cancel := context.WithTimeout(ctx, reads.Next())
+		_, err := p.relayed.Read(try, part, 0, 0)
 		cancel()
 		if err == nil {
-			left -= page
+			left -= pageBytes
 		}
 		time.Sleep(reads.Record(err))
 	}
@@ -166,6 +174,9 @@
 	}
 	page, err = p.fleet.log.Read(ctx, part, from, wait)
 	bytes := 0
+	if part.Topic == recordsTopic && from == 0 {
+		bytes = pageBytes
+	}
 	for _, record := range page.Records {
 		bytes += len(record)
 	}
@@ -195,6 +206,9 @@
 		return nil, 0, err
 	}
 	end := p.fleet.log.End(part)
+	if part == directoryPartition {
+		return p.directory()
+	}
 	if part == targetsPartition {
 		return nil, end, nil
 	}
@@ -229,6 +243,19 @@
 	}
 }
 
+// encodeKeyed encodes a record of the directory, and directory returns the newest record of each of its keys.
+func encodeKeyed(key string, value []byte) []byte { return append([]byte(key+"="), value...) }
+
+func (p simStore) directory() (l []partlog.Entry, end ids.Offset, err error) {
+	page, err := p.fleet.log.Read(context.Background(), directoryPartition, 0, 0)
+	newest := make(map[string]partlog.Entry)
+	for i, record := range page.Records {
+		key, value, _ := strings.Cut(string(record), "=")
+		newest[key] = partlog.Entry{Key: key, Value: []byte(value), Offset: ids.Offset(i)}
+	}
+	return slices.Collect(maps.Values(newest)), page.End, err
+}
+
 // uncounted ignores paced calls.
 type uncounted struct{}
 
--- a/internal/grants/fleet_test.go
+++ b/internal/grants/fleet_test.go
@@ -18,6 +18,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/comfreylink/comfreylink/internal/alive"
 	"github.com/comfreylink/comfreylink/internal/follower"
 	"github.com/comfreylink/comfreylink/internal/grants"
 	"github.com/comfreylink/comfreylink/internal/logcache"
@@ -57,6 +58,9 @@
 // configPartition holds the configuration, of which only the size matters.
 var configPartition = partlog.Partition{Topic: "config"}
 
+// directoryPartition holds the readers of the zones.
+var directoryPartition = partlog.Partition{Topic: "readers"}
+
 // targetsPartition holds the targets, of which only the size matters.
 var targetsPartition = partlog.Partition{Topic: "targets"}
 
@@ -245,7 +249,8 @@
 	}
 	p.followed = logcache.New(logcache.Config{
 		Self: i.id, Zone: i.zone, Log: p.relayed, Members: p.readers, Discovered: func() bool { return p.reports.PeersKnown() }, Caller: p,
-		ReadRate: readRate, Backlogs: map[partlog.Partition]ids.Offset{configPartition: 0, targetsPartition: 0, reports.Partition: 512}, Now: now, Logger: zap.NewNop(),
+		Discovery: reports.Partition, Directory: logcache.Directory{Partition: directoryPartition, Encode: encodeKeyed},
+		ReadRate: readRate, Backlogs: map[partlog.Partition]ids.Offset{configPartition: 0, targetsPartition: 0, reports.Partition: reports.ReaderBacklog}, Now: now, Logger: zap.NewNop(),
 	})
 	p.reports = reports.New(reports.Config{
 		Self: relay.Peer{Instance: i.id, Address: string(i.id), Zone: i.zone, CPU: 1}, RunID: run, Log: p.relayed, Followed: p.followed, Grants: p.limiter,
@@ -255,6 +260,7 @@
 	p.methods = p.limiter.Methods()
 	maps.Copy(p.methods, p.followed.Methods())
 	maps.Copy(p.methods, p.relayed.Methods())
+	maps.Copy(p.methods, alive.Methods())
 	p.configure(limit)
 	ctx, cancel := context.WithCancel(context.Background())
 	p.stop = cancel
@@ -262,6 +268,7 @@
 		defer close(p.stopped)
 		_ = p.reports.Run(ctx)
 	}()
+	go func() { _ = p.followed.Run(ctx) }()
 	if f.configBytes > 0 {
 		go func() { _ = p.follower.FollowConfig(ctx) }()
 		go func() { _ = p.follower.FollowTargets(ctx) }()
--- a/internal/logcache/choose.go
+++ b/internal/logcache/choose.go
@@ -1,7 +1,6 @@
 package logcache
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/comfreylink/comfreylink/internal/partlog"
@@ -17,6 +16,8 @@
 	maxSendTime = 250 * time.Millisecond
 	// minZoneMembers is the least number of instances of a zone for which one of them reads.
 	minZoneMembers = 3
+	// maxCandidates is the number of instances of a zone that read for others, one in place of another.
+	maxCandidates = 3
 )
 
 // sendTime returns how long the log takes to send a record of recordBytes to each of a number of instances.
@@ -24,12 +25,8 @@
 	return time.Duration(instances) * recordBytes * time.Second / time.Duration(readRate)
 }
 
-// chooseReaders returns the instances of a zone that may read a partition for the others, in order. It returns none if all
-// instances should read it directly.
-func chooseReaders(members []Member, zone ids.Zone, p partlog.Partition, readRate int) (readers []Member) {
-	if sendTime(len(members), readRate) <= maxSendTime {
-		return nil
-	}
+// orderZone returns the instances of a zone that reach the log, in the order in which they read for the others.
+func orderZone(members []Member, zone ids.Zone) (order []Member) {
 	byID := make(map[ids.InstanceID]Member)
 	var candidates []leader.Candidate
 	for _, m := range members {
@@ -38,11 +35,26 @@
 			candidates = append(candidates, m.Candidate)
 		}
 	}
-	if len(candidates) < minZoneMembers {
+	for _, c := range leader.Order(candidates, readersOrder) {
+		order = append(order, byID[c.Instance])
+	}
+	return order
+}
+
+// zoneReaders returns the instances that read for the others of a zone. It returns none if all instances should read directly.
+func zoneReaders(members []Member, zone ids.Zone, readRate int) (readers []Member) {
+	if sendTime(len(members), readRate) <= maxSendTime {
 		return nil
 	}
-	for _, c := range leader.Order(candidates, fmt.Sprintf("read/%s/%d", p.Topic, p.Part)) {
-		readers = append(readers, byID[c.Instance])
+	order := orderZone(members, zone)
+	if len(order) < minZoneMembers {
+		return nil
 	}
-	return readers
+	return order[:maxCandidates]
+}
+
+// chooseReaders returns the instances of a zone that may read a partition for the others, in order. It returns none if all
+// instances should read it directly.
+func chooseReaders(members []Member, zone ids.Zone, p partlog.Partition, readRate int) (readers []Member) {
+	return rotate(zoneReaders(members, zone, readRate), p)
 }
--- a/internal/logcache/logcache.go
+++ b/internal/logcache/logcache.go
@@ -21,6 +21,7 @@
 
 	"github.com/comfreylink/comfreylink/internal/events"
 	"github.com/comfreylink/comfreylink/internal/partlog"
+	"github.com/comfreylink/comfreylink/internal/rpc"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 	"github.com/comfreylink/comfreylink/pkg/leader"
 )
@@ -28,19 +29,24 @@
 const (
 	// maxReaders is the number of readers that are asked before the log is read directly.
 	maxReaders = 2
-	// answerTimeout bounds a call to a reader, in addition to the time for which a read waits for records.
+	// answerTimeout is how long after the time for which a read waits for records a reader is asked whether it is alive. One that waits
+	// for a slow log is.
 	answerTimeout = 300 * time.Millisecond
-	// maxCandidates is the number of instances of a zone that read for others, one in place of another.
-	maxCandidates = 3
+	// maxAnswerTime bounds a call to a reader that is alive, in addition to the time for which the read waits.
+	maxAnswerTime = 5 * time.Second
 	// silentPause is how long a reader is not asked for a partition after it did not answer, and refusedPause after it answered that
 	// it cannot read the partition.
 	silentPause  = 2 * time.Second
 	refusedPause = 250 * time.Millisecond
 	// directInterval is the longest time between two direct reads of a partition while its readers answer that they cannot read it.
 	// If all instances read directly at the end of an outage, their reads would overload the log.
-	directInterval = time.Second
-	// discoveryTimeout is how long after its start a run waits to learn which other instances there are.
+	directInterval = 2 * time.Second
+	// discoveryTimeout is how long after its start a run waits to learn which other instances there are, if the directory does not say it.
 	discoveryTimeout = 600 * time.Millisecond
+	// startTime is how long after its start a run asks readers again soon that are not reachable. They may have been started with it.
+	startTime = 1500 * time.Millisecond
+	// startPause is how long it does not ask such a reader.
+	startPause = 50 * time.Millisecond
 	// orderTTL is how long the order of a partition's readers is kept.
 	orderTTL = 500 * time.Millisecond
 )
@@ -73,8 +79,12 @@
 	// Backlogs holds the partitions that are read through readers. The value is how many records before the first one that it is
 	// asked for a reader keeps: instances that start together begin to read at different records.
 	Backlogs map[partlog.Partition]ids.Offset
-	Now      func() time.Time
-	Logger   *zap.Logger
+	// Discovery is the partition from which Members is learned. Until that is done, it is read directly if the directory is empty.
+	Discovery partlog.Partition
+	// Directory tells new runs the readers; without Encode they learn them from the reports.
+	Directory Directory
+	Now       func() time.Time
+	Logger    *zap.Logger
 }
 
 // Log is a partlog.Log that reads some partitions through other instances. It is safe for concurrent use.
@@ -88,6 +98,12 @@
 	orders map[partlog.Partition]order
 	tails  map[partlog.Partition]*tail
 	newest map[partlog.Partition]*newestReads
+	// combiners append what other instances of the zone append through this one.
+	combiners map[partlog.Partition]*combiner
+
+	budget readBudget
+
+	directory directory
 }
 
 // readerOf is a reader and a partition.
@@ -96,10 +112,10 @@
 	partition partlog.Partition
 }
 
-// pause says until when a reader is not asked, and whether it answered that it cannot read the partition.
+// pause says until when a reader is not asked, and whether it answered that it cannot read the partition, or may be starting.
 type pause struct {
-	until   time.Time
-	refused bool
+	until             time.Time
+	refused, starting bool
 }
 
 // order is the order of a partition's readers, as it was at a time.
@@ -110,16 +126,20 @@
 
 // New returns a log of a run that begins now.
 func New(c Config) *Log {
-	return &Log{
+	l := &Log{
+		directory: directory{loaded: make(chan struct{})}, budget: readBudget{readRate: c.ReadRate, at: c.Now()},
 		Config: c, began: c.Now(), paused: make(map[readerOf]pause),
 		direct: make(map[partlog.Partition]time.Time), orders: make(map[partlog.Partition]order),
 		tails: make(map[partlog.Partition]*tail), newest: make(map[partlog.Partition]*newestReads),
+		combiners: make(map[partlog.Partition]*combiner),
 	}
-}
-
-// Append implements partlog.Log.
-func (l *Log) Append(ctx context.Context, p partlog.Partition, at ids.Offset, records ...[]byte) (first ids.Offset, err error) {
-	return l.Log.Append(ctx, p, at, records...)
+	if l.ReadRate == 0 {
+		l.Directory = Directory{}
+	}
+	if l.Directory.Encode == nil {
+		close(l.directory.loaded)
+	}
+	return l
 }
 
 // Read implements partlog.Log.
@@ -138,7 +158,13 @@
 	if done {
 		return page, err
 	}
-	return l.Log.Read(ctx, p, from, wait)
+	page, err = l.Log.Read(ctx, p, from, wait)
+	bytes := 0
+	for _, r := range page.Records {
+		bytes += len(r)
+	}
+	l.recordDirect(bytes, err)
+	return page, err
 }
 
 // Newest implements partlog.Log.
@@ -157,7 +183,19 @@
 	if done {
 		return entries, end, err
 	}
-	return l.Log.Newest(ctx, p)
+	entries, end, err = l.Log.Newest(ctx, p)
+	bytes := 0
+	for _, e := range entries {
+		bytes += len(e.Value)
+	}
+	l.recordDirect(bytes, err)
+	return entries, end, err
+}
+
+func (l *Log) recordDirect(bytes int, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.budget.record(bytes, err)
 }
 
 // errRefused is the error of a read that the readers have refused, because they cannot read the log.
@@ -165,20 +203,39 @@
 
 // askReaders asks readers of a partition until one answers. done is false if the partition is to be read directly.
 func (l *Log) askReaders(ctx context.Context, p partlog.Partition, ask func(m Member) error) (done bool, err error) {
-	readers, refused := l.readersToAsk(ctx, p)
-	for _, m := range readers {
-		if err = ask(m); err == nil || ctx.Err() != nil {
-			return true, unknownIfEnded(ctx, err)
+	for {
+		readers, state := l.readersToAsk(ctx, p)
+		for _, m := range readers {
+			if err = ask(m); err == nil {
+				return true, nil
+			}
+			notCached := errors.Is(err, errNotCached)
+			if !notCached {
+				state.refused = l.recordFailure(ctx, m, p, err) || state.refused
+				state.starting = state.starting || l.mayBeStarting(err)
+			}
+			if ctx.Err() != nil {
+				return true, unknownIfEnded(ctx, err)
+			}
+			if notCached {
+				break
+			}
 		}
-		if errors.Is(err, errNotCached) {
+		switch {
+		case !state.shared:
+			return false, nil
+		case state.starting && !state.refused:
+			select {
+			case <-time.After(startPause):
+				continue
+			case <-ctx.Done():
+				return true, unknownIfEnded(ctx, ctx.Err())
+			}
+		case l.mayReadDirectly(p, state.refused):
 			return false, nil
 		}
-		refused = l.recordFailure(m, p, err) || refused
-	}
-	if refused && !l.mayReadDirectly(p) {
 		return true, errRefused
 	}
-	return false, nil
 }
 
 // unknownIfEnded adds to the error of a read through a reader that the log did not answer if the read's time was over. The caller then
@@ -190,12 +247,19 @@
 	return errors.Join(partlog.ErrOutcomeUnknown, err)
 }
 
-// mayReadDirectly reports whether a partition may be read directly now although its readers cannot read it. Instances do that at
-// random times.
-func (l *Log) mayReadDirectly(p partlog.Partition) bool {
+// mayReadDirectly reports whether a partition may be read directly now although it has readers, which do not answer or have refused.
+// Instances whose readers refuse do that at random times.
+func (l *Log) mayReadDirectly(p partlog.Partition, refused bool) bool {
+	instances := l.instances()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.Now()
+	if !l.budget.allow(now, instances) {
+		return false
+	}
+	if !refused {
+		return true
+	}
 	at, ok := l.direct[p]
 	if ok && now.Before(at) {
 		return false
@@ -204,58 +268,108 @@
 	return ok && now.Sub(at) < directInterval
 }
 
-// readersToAsk returns the instances through which a partition should be read now. There are none if the partition is not shared, if
-// the fleet is small enough for direct reads, or if no reader is known. refused reports whether one is left out because it has just
-// answered that it cannot read the partition.
-func (l *Log) readersToAsk(ctx context.Context, p partlog.Partition) (readers []Member, refused bool) {
+// instances returns the number of instances, as far as it is known.
+func (l *Log) instances() int {
+	n := len(l.Members())
+	if !l.Discovered() {
+		select {
+		case <-l.directory.loaded:
+			n = max(n, l.directory.instances)
+		default:
+		}
+	}
+	return n
+}
+
+// readerState says how a partition is read.
+type readerState struct {
+	// shared is set if the partition has readers, refused if one of them has just answered that it cannot read the partition, and
+	// starting if one may not be reachable only because it has been started with this run.
+	shared, refused, starting bool
+}
+
+// readersToAsk returns the instances through which a partition should be read now.
+func (l *Log) readersToAsk(ctx context.Context, p partlog.Partition) (readers []Member, s readerState) {
 	if _, shared := l.Backlogs[p]; !shared || l.ReadRate == 0 {
-		return nil, false
+		return nil, s
 	}
-	l.awaitDiscovery(ctx)
+	l.awaitReaders(ctx, p)
 	now := l.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	o, ok := l.orders[p]
-	if !ok || now.Sub(o.at) >= orderTTL {
-		o = order{readers: chooseReaders(l.Members(), l.Zone, p, l.ReadRate), at: now}
-		l.orders[p] = o
-	}
-	for _, m := range o.readers[:min(len(o.readers), maxCandidates)] {
+	candidates := l.candidates(now, p)
+	s.shared = len(candidates) > 0
+	for _, m := range candidates {
 		if left := l.paused[readerOf{m.Instance, p}]; now.Before(left.until) {
-			refused = refused || left.refused
+			s.refused = s.refused || left.refused
+			s.starting = s.starting || left.starting
 			continue
 		}
 		if readers = append(readers, m); len(readers) == maxReaders || m.Instance == l.Self {
 			break
 		}
 	}
-	return readers, refused
+	return readers, s
 }
 
-// awaitDiscovery blocks until this run knows the others, but not longer than discoveryTimeout after its start.
-func (l *Log) awaitDiscovery(ctx context.Context) {
-	const poll = 5 * time.Millisecond
-	for !l.Discovered() && l.Now().Sub(l.began) < discoveryTimeout {
+// candidates returns the readers of a partition in order. The caller holds the lock.
+func (l *Log) candidates(now time.Time, p partlog.Partition) []Member {
+	if !l.Discovered() {
 		select {
-		case <-time.After(poll):
-		case <-ctx.Done():
-			return
+		case <-l.directory.loaded:
+			return l.directory.readersOf(l.Zone, p)
+		default:
+			return nil
 		}
 	}
+	o, ok := l.orders[p]
+	if !ok || now.Sub(o.at) >= orderTTL {
+		o = order{readers: chooseReaders(l.Members(), l.Zone, p, l.ReadRate), at: now}
+		l.orders[p] = o
+	}
+	return o.readers
 }
 
-// recordFailure records that a reader did not answer, or that it answered that it cannot read a partition, which refused reports.
-func (l *Log) recordFailure(m Member, p partlog.Partition, err error) (refused bool) {
-	refused = m.Instance == l.Self || isAnswer(err)
-	length := silentPause
-	if refused {
-		length = refusedPause
+// awaitReaders blocks until this run knows the readers of a partition, or until it is clear that it has to read directly to learn them.
+// If the directory is empty, all instances may have just been started for the first time, and the others report soon.
+func (l *Log) awaitReaders(ctx context.Context, p partlog.Partition) {
+	if l.Now().Sub(l.began) >= discoveryTimeout && l.Discovered() {
+		return
 	}
+	select {
+	case <-l.directory.loaded:
+	case <-ctx.Done():
+		return
+	}
+	if l.directory.instances > 0 || p == l.Discovery || l.Directory.Encode == nil && l.Discovered() {
+		return
+	}
+	left := l.began.Add(discoveryTimeout).Sub(l.Now())
+	if left <= 0 {
+		return
+	}
+	select {
+	case <-time.After(left):
+	case <-ctx.Done():
+	}
+}
+
+// recordFailure records that a reader did not answer, or that it answered that it cannot read a partition, which refused reports. One
+// that is alive and did not answer before the caller's time was over counts as refusing.
+func (l *Log) recordFailure(ctx context.Context, m Member, p partlog.Partition, err error) (refused bool) {
+	refused = m.Instance == l.Self || isAnswer(err) || ctx.Err() != nil
 	l.mu.Lock()
 	now := l.Now()
+	length := silentPause
+	switch {
+	case refused:
+		length = refusedPause
+	case l.mayBeStarting(err):
+		length = startPause
+	}
 	maps.DeleteFunc(l.paused, func(_ readerOf, old pause) bool { return now.Sub(old.until) > silentPause })
 	_, known := l.paused[readerOf{m.Instance, p}]
-	l.paused[readerOf{m.Instance, p}] = pause{now.Add(length), refused}
+	l.paused[readerOf{m.Instance, p}] = pause{now.Add(length), refused, l.mayBeStarting(err)}
 	l.mu.Unlock()
 	if !known {
 		events.Log(l.Logger, events.ReaderFailed, zap.String("stream", p.Topic), zap.Int("part", p.Part),
@@ -264,6 +378,11 @@
 	return refused
 }
 
+// mayBeStarting reports whether a reader may not be reachable only because it has been started with this run.
+func (l *Log) mayBeStarting(err error) bool {
+	return errors.Is(err, rpc.ErrUnreachable) && l.Now().Sub(l.began) < startTime
+}
+
 // isAnswer reports whether the error of a call is the answer of the called instance.
 func isAnswer(err error) bool {
 	var answered *jsonrpc2.Error
--- a/internal/logcache/rpc.go
+++ b/internal/logcache/rpc.go
@@ -13,6 +13,7 @@
 
 	"github.com/sourcegraph/jsonrpc2"
 
+	"github.com/comfreylink/comfreylink/internal/alive"
 	"github.com/comfreylink/comfreylink/internal/partlog"
 	"github.com/comfreylink/comfreylink/internal/rpc"
 	"github.com/comfreylink/comfreylink/pkg/ids"
@@ -22,10 +23,16 @@
 const (
 	methodRead   = "cachedRead"
 	methodNewest = "cachedNewest"
+	methodAppend = "combinedAppend"
 )
 
-// codeNotCached is the code of an answer that says that the reader does not have the records any more.
-const codeNotCached = 1
+// Codes of answers, in addition to those of JSON-RPC.
+const (
+	// codeNotCached: the reader does not have the records any more.
+	codeNotCached = 1
+	// codeNotApplied: the records were not appended and will not be.
+	codeNotApplied = 2
+)
 
 // maxUnpackedBytes bounds what a packed value of another instance may unpack to.
 const maxUnpackedBytes = 16 << 20
@@ -55,9 +62,21 @@
 	Entries []byte `json:"entries"`
 }
 
+type appendParams struct {
+	Partition partlog.Partition `json:"partition"`
+	Records   [][]byte          `json:"records"`
+	// TimeoutMs is how long the caller waits.
+	TimeoutMs int64 `json:"timeoutMs"`
+}
+
+type appendResult struct {
+	First ids.Offset `json:"first"`
+}
+
 // Methods returns the methods that other instances call. They read the log themselves and never through a third instance.
 func (l *Log) Methods() map[string]rpc.Method {
 	return map[string]rpc.Method{
+		methodAppend: rpc.Typed(l.serveAppend),
 		methodRead: rpc.Typed(func(ctx context.Context, p readParams) (any, error) {
 			if err := l.checkShared(p.Partition); err != nil {
 				return nil, err
@@ -152,8 +171,10 @@
 }
 
 func (l *Log) call(ctx context.Context, m Member, wait time.Duration, method string, params, result any) error {
-	ctx, cancel := context.WithTimeout(ctx, wait+answerTimeout)
+	ctx, cancel := context.WithTimeout(ctx, wait+maxAnswerTime)
 	defer cancel()
+	ctx, stop := alive.Watch(ctx, l.Caller, m.Address, wait+answerTimeout)
+	defer stop()
 	err := l.Caller.Call(ctx, m.Address, method, params, result)
 	var answered *jsonrpc2.Error
 	if errors.As(err, &answered) && answered.Code == codeNotCached {
--- a/internal/logcache/tail.go
+++ b/internal/logcache/tail.go
@@ -152,7 +152,7 @@
 		failedPause := reads.Record(err)
 		switch {
 		case err != nil:
-			pause = failedPause
+			pause = max(failedPause, retryPause)
 		case page.Next() < page.End:
 			pause = 0
 		}
--- a/internal/reports/reports.go
+++ b/internal/reports/reports.go
@@ -55,6 +55,10 @@
 	timeout = 500 * time.Millisecond
 )
 
+// ReaderBacklog is how many reports a reader keeps before the first one that it is asked for. That one is of the newest backlogPeers, and
+// instances that start together begin to read at reports that are as far apart as their own first ones.
+const ReaderBacklog = backlogRecords + 512
+
 // Config holds the dependencies of Reports.
 type Config struct {
 	// Self describes this instance to the others. ReachesLog is not used; each report takes it from Reachable.
