Report less often after a failed append, and read without an own report

Cause: a new run that had not read the others' reports appended its own each 0.2 s, with 0.5 s for the answer. 201 instances append 1,000 reports a second so; the partition takes 500. Once the queue was longer than 0.5 s, no report was answered in time, each was made again, and a run began to read only after an own report that was answered, or with a read of 1 MB. The same rate holds for an instance with a target's death to report, and for claims.

Evidence: the record shows 950 answered and 120 refused appends a second, 0.9 MB/s of reads, and 2,232 failed reports in 5 s, while all refusals name parts of limits of which no report was ever read.

Now the pause after a failed append of a report or claim doubles up to 3.2 s, a starting run writes once a second and reads five times, and reading begins at the end of the partition, which a read of 16 bytes tells, whether or not a report was written. Reports go through the reader of the zone, which appends all that wait in one call. So the sum of what all instances append does not grow with failures.

--- a/internal/reports/claims.go
+++ b/internal/reports/claims.go
@@ -38,9 +38,10 @@
 	clear(r.wanted)
 	decided := r.decided
 	r.decided = make(chan struct{})
+	wait := r.Now().Before(r.appendAfter)
 	r.mu.Unlock()
 	defer close(decided)
-	if len(wanted) == 0 {
+	if len(wanted) == 0 || wait {
 		return nil
 	}
 	slices.Sort(wanted)
--- a/internal/reports/reports.go
+++ b/internal/reports/reports.go
@@ -29,11 +29,14 @@
 	// other instance that owns no shards, so that one partition can take the reports of all.
 	interval            = time.Second
 	intervalPerInstance = 8 * time.Millisecond
-	// startInterval is the time between reports of a new run until it has read those of the others. It refuses turns until then.
+	// startInterval is the time between the tries of a new run to read the reports of the others. It refuses turns until then.
 	startInterval = 200 * time.Millisecond
-	// beginTries is the number of own reports that must fail before a new run reads the others' without one. The page that tells the
-	// end of the reports is large, and a single report may be refused because all instances have just started.
-	beginTries = 2
+	// startTime is how long after its start a run reads as often. All instances may be started together and report meanwhile.
+	startTime = time.Second
+	// appendPause is the longest pause after the first append that failed, and maxAppendFactor bounds how often it is doubled. While
+	// the appends of hundreds of instances fail because too many wait, they must become fewer than the partition takes.
+	appendPause     = 200 * time.Millisecond
+	maxAppendFactor = 16
 	// deathInterval is the time between reports while a target's death is still to be reported.
 	deathInterval = 200 * time.Millisecond
 	// backlogRecords is the number of reports from before the end of them that a new run reads first. All instances may start at once,
@@ -83,6 +86,8 @@
 type Reports struct {
 	Config
 
+	began time.Time
+
 	mu       sync.Mutex
 	suspects suspects
 	crashes  crashes
@@ -93,11 +98,15 @@
 	// reportedAt is when the newest report of another instance was read.
 	reportedAt time.Time
 	reads      partlog.Backoff // of the reports; only Run uses it
-	peersKnown bool            // whether the newest reports were read for the other instances in them
-	backlog    bool            // whether the reports being read were written before this run began to read
-	discovered chan struct{}   // closed when they are read
-	end        ids.Offset      // of the reports when this run began to read; Run sets it before it reads any
-	failed     map[string]int  // failures in a row by operation; only Run uses it
+	// appends is the backoff of the appends to the partition, and appendAfter the time before which none is made. wroteAt is when the
+	// last report was written.
+	appends              partlog.Backoff
+	appendAfter, wroteAt time.Time
+	peersKnown           bool           // whether the newest reports were read for the other instances in them
+	backlog              bool           // whether the reports being read were written before this run began to read
+	discovered           chan struct{}  // closed when they are read
+	end                  ids.Offset     // of the reports when this run began to read; Run sets it before it reads any
+	failed               map[string]int // failures in a row by operation; only Run uses it
 }
 
 // New returns Reports that know no other instance.
@@ -106,50 +115,60 @@
 		c.Followed = c.Log
 	}
 	return &Reports{
-		Config: c, suspects: newSuspects(), peers: make(map[ids.InstanceID]peer), wanted: make(map[quota.Shard]struct{}),
+		Config: c, began: c.Now(), suspects: newSuspects(), peers: make(map[ids.InstanceID]peer), wanted: make(map[quota.Shard]struct{}),
 		decided: make(chan struct{}), wakeup: make(chan struct{}, 1), backlog: true, discovered: make(chan struct{}),
 		reads:   partlog.Backoff{Timeout: timeout, Pause: startInterval},
+		appends: partlog.Backoff{Timeout: timeout, Pause: appendPause, MaxFactor: maxAppendFactor},
 		crashes: crashes{recorded: make(map[ids.Fingerprint]recordedCrash)}, failed: make(map[string]int),
 	}
 }
 
 // Run writes and reads reports until the context ends.
 func (r *Reports) Run(ctx context.Context) error {
-	for tries := 1; ctx.Err() == nil; tries++ {
+	for ctx.Err() == nil {
 		began := r.Now()
 		err := errors.Join(r.loadCrashes(ctx), r.claimWanted(ctx))
-		var readErr error
+		due := r.writeDue(began)
 		writeBegan := r.Now()
-		at, writeErr := r.Write(ctx)
-		writeWaited := r.Now().Sub(writeBegan)
-		if writeErr == nil {
-			readErr = r.begin(ctx, at)
-		} else {
-			err = errors.Join(err, writeErr)
-			if tries >= beginTries {
-				readErr = r.beginAtEnd(ctx)
-			}
+		var at ids.Offset
+		var writeErr error
+		if due {
+			at, writeErr = r.Write(ctx)
 		}
+		writeWaited := r.Now().Sub(writeBegan)
+		written := due && writeErr == nil
+		readErr := r.begin(ctx)
 		if readErr == nil {
 			readErr = r.read(ctx, r.Followed)
 		}
-		if readErr == nil && writeErr == nil {
+		if readErr == nil && written {
 			readErr = r.awaitOwn(ctx, at)
 		}
-		err = errors.Join(err, readErr, r.recordCrashesIfDue(ctx))
-		r.logResult(operationReport, began, err, zap.Duration("appendWaited", writeWaited), zap.Bool("appended", writeErr == nil))
+		err = errors.Join(err, writeErr, readErr, r.recordCrashesIfDue(ctx))
+		if due || err != nil {
+			r.logResult(operationReport, began, err, zap.Duration("appendWaited", writeWaited), zap.Bool("appended", written))
+		}
 		sleep(ctx, r.reads.Record(readErr))
 		r.waitForNext(ctx, began)
 	}
 	return nil
 }
 
+// writeDue reports whether a report is to be written now: not shortly after an append that failed, nor shortly after the last report while
+// this run is starting, when it reads more often than it writes.
+func (r *Reports) writeDue(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	starting := r.backlog || now.Sub(r.began) < startTime
+	return !now.Before(r.appendAfter) && !(starting && !r.wroteAt.IsZero() && now.Sub(r.wroteAt) < interval)
+}
+
 // waitForNext waits until the next report is due, and claims wanted shards meanwhile.
 func (r *Reports) waitForNext(ctx context.Context, began time.Time) {
 	r.mu.Lock()
 	wait := max(interval, intervalPerInstance*time.Duration(len(r.peers)))
 	switch {
-	case r.backlog:
+	case r.backlog || began.Sub(r.began) < startTime:
 		wait = startInterval
 	case len(r.suspects.deaths) > 0:
 		wait = deathInterval
@@ -207,12 +226,7 @@
 	}
 	data, err := json.Marshal(w)
 	if err == nil {
-		ctx, cancel := context.WithTimeout(pacedlog.WithKind(ctx, logpace.Lease), timeout)
-		defer cancel()
-		began := r.Now()
-		if first, err = r.Log.Append(ctx, Partition, partlog.AnyOffset, data); err == nil {
-			r.Writes.Succeeded(r.Now().Sub(began))
-		}
+		first, err = r.appendRecord(ctx, data)
 	}
 	if err != nil {
 		r.mu.Lock()
@@ -223,6 +237,30 @@
 	return first, err
 }
 
+// maxAppendTime bounds an append of a report. The lease that it extends ends meanwhile.
+const maxAppendTime = 2 * time.Second
+
+// appendRecord appends a record to the partition of the reports.
+func (r *Reports) appendRecord(ctx context.Context, data []byte) (first ids.Offset, err error) {
+	r.mu.Lock()
+	timeout := min(r.appends.Next(), maxAppendTime)
+	r.mu.Unlock()
+	ctx, cancel := context.WithTimeout(pacedlog.WithKind(ctx, logpace.Lease), timeout)
+	defer cancel()
+	began := r.Now()
+	first, err = r.Followed.Append(ctx, Partition, partlog.AnyOffset, data)
+	now := r.Now()
+	if err == nil {
+		r.Writes.Succeeded(now.Sub(began))
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.appendAfter = now.Add(r.appends.RecordAppend(err)); err == nil {
+		r.wroteAt = now
+	}
+	return first, err
+}
+
 // logGranted logs what this instance has granted since its last report, for each workspace.
 func (r *Reports) logGranted(l *quota.Limiter) {
 	_, validUntil := l.Leases.Held()
--- a/internal/reports/start.go
+++ b/internal/reports/start.go
@@ -5,16 +5,25 @@
 	"encoding/json"
 	"time"
 
+	"github.com/comfreylink/comfreylink/internal/pacedlog"
+	"github.com/comfreylink/comfreylink/internal/partlog"
 	"github.com/comfreylink/comfreylink/pkg/ids"
+	"github.com/comfreylink/comfreylink/pkg/logpace"
 	"github.com/comfreylink/comfreylink/pkg/quota"
 )
 
-// begin begins to read reports some time before the offset end, at which they ended a moment ago. All reports before that time were
-// sent before now. After an error it has not begun: a run that knows no other would read the whole backlog directly.
-func (r *Reports) begin(ctx context.Context, end ids.Offset) error {
+// begin begins to read reports some time before their end, if that was not done yet. All reports before the end were sent before now.
+// After an error it has not begun: a run that knows no other would read the whole backlog directly.
+func (r *Reports) begin(ctx context.Context) error {
 	if _, begun := r.next(); begun {
 		return nil
 	}
+	endCtx, cancel := context.WithTimeout(pacedlog.WithKind(ctx, logpace.Lease), r.reads.Next())
+	defer cancel()
+	end, err := partlog.End(endCtx, r.Log, Partition)
+	if err != nil {
+		return err
+	}
 	if err := r.discover(ctx, end); err != nil {
 		return err
 	}
@@ -28,7 +37,7 @@
 // discover learns from the reports just before an offset which other instances run. It reads only those, because the rest of the
 // backlog can then be read through another instance.
 func (r *Reports) discover(ctx context.Context, end ids.Offset) error {
-	page, err := r.readPage(ctx, r.Log, max(end-backlogPeers, 0))
+	page, err := r.readPage(ctx, r.Followed, max(end-backlogPeers, 0))
 	if err != nil {
 		return err
 	}
@@ -44,19 +53,6 @@
 	return nil
 }
 
-// beginAtEnd begins to read reports without an own one. The log may refuse this instance's appends and answer its reads, and the
-// instances through which it can append are known only from their reports.
-func (r *Reports) beginAtEnd(ctx context.Context) error {
-	if _, begun := r.next(); begun {
-		return nil
-	}
-	page, err := r.readPage(ctx, r.Log, 0)
-	if err != nil {
-		return err
-	}
-	return r.begin(ctx, page.End)
-}
-
 // next returns the offset of the next report to read; ok is false before reading has begun.
 func (r *Reports) next() (next ids.Offset, ok bool) {
 	r.Grants.View(func(l *quota.Limiter) { next, ok = l.Leases.Next() })
