Start without the directory if only its partition is unavailable, and give combined appends the priority of leases

A run waited for the directory for as long as the log did not answer that read, so an outage of that partition alone kept it from reading anything. It goes on as at a first start now if the log answers a small read of another partition. Appends and reads that an instance makes for its zone had the priority of reservations in the pacing of calls. An append without a deadline through another instance was withdrawn at once (TestAppendsOfAZoneAreCombined saw 20 appends in place of 2).

--- a/internal/gateway/region.go
+++ b/internal/gateway/region.go
@@ -39,7 +39,7 @@
 // each restricted route and workspace allows.
 func (g *Gateway) MayPassOn(p partlog.Partition, peer relay.Peer) bool {
 	table := g.follower.Table()
-	if p == g.Source.Config || p == g.Source.Targets || reports.IsPartition(p) {
+	if p == g.Source.Config || p == g.Source.Targets || p == g.Readers.Partition || reports.IsPartition(p) {
 		return true
 	}
 	if table == nil {
--- a/internal/logcache/combine.go
+++ b/internal/logcache/combine.go
@@ -40,7 +40,6 @@
 
 // submission is what one caller appends, and the result once done is closed.
 type submission struct {
-	ctx     context.Context
 	records [][]byte
 	done    chan struct{}
 	first   ids.Offset
@@ -64,7 +63,7 @@
 
 // append appends records with those of others. The outcome is unknown if ctx ends first.
 func (c *combiner) append(ctx context.Context, records [][]byte) (first ids.Offset, err error) {
-	s := &submission{ctx: ctx, records: records, done: make(chan struct{})}
+	s := &submission{records: records, done: make(chan struct{})}
 	c.mu.Lock()
 	n := len(records)
 	for _, w := range c.waiting {
@@ -115,7 +114,7 @@
 		for _, s := range batch {
 			records = append(records, s.records...)
 		}
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(batch[0].ctx), c.appends.Next())
+		ctx, cancel := context.WithTimeout(leaseContext(), c.appends.Next())
 		first, err := c.log.Append(ctx, c.p, partlog.AnyOffset, records...)
 		cancel()
 		for _, s := range batch {
@@ -177,7 +176,7 @@
 // appendThrough appends records through another instance.
 func (l *Log) appendThrough(ctx context.Context, m Member, p partlog.Partition, records [][]byte) (first ids.Offset, err error) {
 	var r appendResult
-	params := appendParams{Partition: p, Records: records}
+	params := appendParams{Partition: p, Records: records, TimeoutMs: maxAnswerTime.Milliseconds()}
 	if deadline, ok := ctx.Deadline(); ok {
 		params.TimeoutMs = time.Until(deadline).Milliseconds()
 	}
--- a/internal/logcache/directory.go
+++ b/internal/logcache/directory.go
@@ -11,9 +11,11 @@
 	"go.uber.org/zap"
 
 	"github.com/comfreylink/comfreylink/internal/events"
+	"github.com/comfreylink/comfreylink/internal/pacedlog"
 	"github.com/comfreylink/comfreylink/internal/partlog"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 	"github.com/comfreylink/comfreylink/pkg/leader"
+	"github.com/comfreylink/comfreylink/pkg/logpace"
 )
 
 // Directory is a keyed partition of the log that holds the readers of each zone, for new runs. After a loss of all instances nobody
@@ -57,7 +59,8 @@
 	instances int
 }
 
-// readDirectory reads the directory until that succeeds, or until the others are known without it.
+// readDirectory reads the directory until that succeeds, or until the others are known without it. If the log answers reads of another
+// partition only, the run goes on without the directory.
 func (l *Log) readDirectory(ctx context.Context) {
 	defer close(l.directory.loaded)
 	reads := partlog.Backoff{Timeout: directoryTimeout, Pause: directoryPause}
@@ -69,6 +72,12 @@
 			l.directory.apply(entries)
 			return
 		}
+		readCtx, cancel = context.WithTimeout(ctx, reads.Next())
+		_, endErr := partlog.End(readCtx, l.Log, l.Discovery)
+		cancel()
+		if endErr == nil {
+			return
+		}
 		select {
 		case <-time.After(reads.Record(err)):
 		case <-ctx.Done():
@@ -124,6 +133,7 @@
 	if l.Directory.Encode == nil {
 		return nil
 	}
+	ctx = pacedlog.WithKind(ctx, logpace.Lease)
 	l.readDirectory(ctx)
 	var last string
 	var lastAt time.Time
--- a/internal/logcache/logcache_test.go
+++ b/internal/logcache/logcache_test.go
@@ -41,6 +41,19 @@
 	silent, logDown, logRefuses atomic.Bool
 	lies                        atomic.Bool // about the age of its pages
 	reads, newest               atomic.Int64
+	appends                     *slowAppends // nil if appends take no time
+}
+
+// slowAppends makes each append take 100 ms and counts them.
+type slowAppends struct{ count atomic.Int64 }
+
+// Append implements partlog.Log.
+func (i *instance) Append(ctx context.Context, p partlog.Partition, at ids.Offset, records ...[]byte) (ids.Offset, error) {
+	if i.appends != nil {
+		i.appends.count.Add(1)
+		time.Sleep(100 * time.Millisecond)
+	}
+	return i.Log.Append(ctx, p, at, records...)
 }
 
 func newFleet(size int, log *partlogtest.Log) *fleet {
--- a/internal/logcache/newest.go
+++ b/internal/logcache/newest.go
@@ -37,7 +37,7 @@
 	}
 	l.mu.Unlock()
 	r = n.next(func(r *newestRead) {
-		ctx, cancel := context.WithTimeout(context.Background(), n.reads.Next())
+		ctx, cancel := context.WithTimeout(leaseContext(), n.reads.Next())
 		defer cancel()
 		r.entries, r.end, r.err = l.Log.Newest(ctx, p)
 		n.reads.Record(r.err)
--- a/internal/logcache/tail.go
+++ b/internal/logcache/tail.go
@@ -6,8 +6,10 @@
 	"sync"
 	"time"
 
+	"github.com/comfreylink/comfreylink/internal/pacedlog"
 	"github.com/comfreylink/comfreylink/internal/partlog"
 	"github.com/comfreylink/comfreylink/pkg/ids"
+	"github.com/comfreylink/comfreylink/pkg/logpace"
 )
 
 const (
@@ -30,6 +32,9 @@
 // errNotCached is the error of a read from a record that the reader does not have any more.
 var errNotCached = errors.New("the reader does not have the record")
 
+// leaseContext returns the context of calls to the log for a whole zone. What all instances follow has the priority of leases.
+func leaseContext() context.Context { return pacedlog.WithKind(context.Background(), logpace.Lease) }
+
 // tail holds the newest records of a partition, which this instance reads for others.
 type tail struct {
 	log     partlog.Log
@@ -144,7 +149,7 @@
 			wait = 0
 		}
 		t.mu.Unlock()
-		ctx, cancel := context.WithTimeout(context.Background(), wait+reads.Next())
+		ctx, cancel := context.WithTimeout(leaseContext(), wait+reads.Next())
 		page, err := t.log.Read(ctx, t.p, next, wait)
 		cancel()
 		t.apply(sent, page, err)
