Append reports through a zone's reader in small fleets too

What callers saw: 503 rateUnavailable while the log is only slow.

Cause: a slow log makes ten appends a second in a partition, and 24 instances report 24 times a second. The queue reaches 2 s, reports are given up, and leases end. Fleets of up to 76 instances appended directly, as they read directly.

The readers of a zone are in the directory whatever the size of the fleet; reads go through them only where the log would need more than 0.25 s to send one record to everybody.

--- a/internal/logcache/combine.go
+++ b/internal/logcache/combine.go
@@ -153,7 +153,7 @@
 	if at != partlog.AnyOffset {
 		return l.Log.Append(ctx, p, at, records...)
 	}
-	readers, state := l.readersToAsk(ctx, p)
+	readers, state := l.readersToAsk(ctx, p, true)
 	for _, m := range readers {
 		if m.Instance == l.Self {
 			return l.combinerOf(p).append(ctx, records)
--- a/internal/logcache/directory.go
+++ b/internal/logcache/directory.go
@@ -42,7 +42,7 @@
 type zoneRecord struct {
 	// Instances is the number of instances of all zones.
 	Instances int `json:"instances"`
-	// Readers is empty if all instances read directly.
+	// Readers is empty if the zone is too small.
 	Readers []wireReader `json:"readers,omitempty"`
 }
 
@@ -171,7 +171,7 @@
 		return ""
 	}
 	r := zoneRecord{Instances: len(members)}
-	for _, m := range zoneReaders(members, l.Zone, l.ReadRate) {
+	for _, m := range zoneReaders(members, l.Zone) {
 		r.Readers = append(r.Readers, wireReader{m.Instance, m.Address})
 	}
 	data, _ := json.Marshal(r) // the type can be encoded
--- a/internal/logcache/logcache.go
+++ b/internal/logcache/logcache.go
@@ -118,10 +118,11 @@
 	refused, starting bool
 }
 
-// order is the order of a partition's readers, as it was at a time.
+// order is the order of a partition's readers, and the number of instances, as it was at a time.
 type order struct {
-	readers []Member
-	at      time.Time
+	readers   []Member
+	instances int
+	at        time.Time
 }
 
 // New returns a log of a run that begins now.
@@ -204,7 +205,7 @@
 // askReaders asks readers of a partition until one answers. done is false if the partition is to be read directly.
 func (l *Log) askReaders(ctx context.Context, p partlog.Partition, ask func(m Member) error) (done bool, err error) {
 	for {
-		readers, state := l.readersToAsk(ctx, p)
+		readers, state := l.readersToAsk(ctx, p, false)
 		for _, m := range readers {
 			if err = ask(m); err == nil {
 				return true, nil
@@ -288,8 +289,8 @@
 	shared, refused, starting bool
 }
 
-// readersToAsk returns the instances through which a partition should be read now.
-func (l *Log) readersToAsk(ctx context.Context, p partlog.Partition) (readers []Member, s readerState) {
+// readersToAsk returns the instances through which a partition should be read now, or appended to.
+func (l *Log) readersToAsk(ctx context.Context, p partlog.Partition, appending bool) (readers []Member, s readerState) {
 	if _, shared := l.Backlogs[p]; !shared || l.ReadRate == 0 {
 		return nil, s
 	}
@@ -297,9 +298,12 @@
 	now := l.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	candidates := l.candidates(now, p)
-	s.shared = len(candidates) > 0
-	for _, m := range candidates {
+	o := l.orderOf(now, p)
+	if !appending && !sharesReads(o.instances, l.ReadRate) {
+		return nil, s
+	}
+	s.shared = len(o.readers) > 0
+	for _, m := range o.readers {
 		if left := l.paused[readerOf{m.Instance, p}]; now.Before(left.until) {
 			s.refused = s.refused || left.refused
 			s.starting = s.starting || left.starting
@@ -312,22 +316,23 @@
 	return readers, s
 }
 
-// candidates returns the readers of a partition in order. The caller holds the lock.
-func (l *Log) candidates(now time.Time, p partlog.Partition) []Member {
+// orderOf returns the readers of a partition in order. The caller holds the lock.
+func (l *Log) orderOf(now time.Time, p partlog.Partition) (o order) {
 	if !l.Discovered() {
 		select {
 		case <-l.directory.loaded:
-			return l.directory.readersOf(l.Zone, p)
+			return order{readers: l.directory.readersOf(l.Zone, p), instances: l.directory.instances}
 		default:
-			return nil
+			return order{}
 		}
 	}
 	o, ok := l.orders[p]
 	if !ok || now.Sub(o.at) >= orderTTL {
-		o = order{readers: chooseReaders(l.Members(), l.Zone, p, l.ReadRate), at: now}
+		members := l.Members()
+		o = order{readers: rotate(zoneReaders(members, l.Zone), p), instances: len(members), at: now}
 		l.orders[p] = o
 	}
-	return o.readers
+	return o
 }
 
 // awaitReaders blocks until this run knows the readers of a partition, or until it is clear that it has to read directly to learn them.
