--- /dev/null
+++ b/internal/programs/slowlog_test.go
@@ -0,0 +1,277 @@
+package programs_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sourcegraph/jsonrpc2"
+	"go.uber.org/zap"
+
+	"github.com/comfreylink/comfreylink/internal/call"
+	"github.com/comfreylink/comfreylink/internal/leaders"
+	"github.com/comfreylink/comfreylink/internal/partlog"
+	"github.com/comfreylink/comfreylink/internal/partlog/partlogtest"
+	"github.com/comfreylink/comfreylink/internal/programs"
+	"github.com/comfreylink/comfreylink/internal/recordgate"
+	"github.com/comfreylink/comfreylink/pkg/account"
+	"github.com/comfreylink/comfreylink/pkg/admission"
+	"github.com/comfreylink/comfreylink/pkg/ids"
+	"github.com/comfreylink/comfreylink/pkg/leader"
+)
+
+// queueLog is a log whose partitions make their appends one at a time. Appends that their callers have given up are made as well.
+type queueLog struct {
+	*partlogtest.Log
+	mu      sync.Mutex
+	slow    bool
+	free    map[partlog.Partition]time.Time // when the partition has made all its appends
+	appends int
+}
+
+const (
+	// Of an append and of the answer to any call, in a healthy and in a slow log.
+	healthyAppend, slowAppend = 2 * time.Millisecond, 100 * time.Millisecond
+	healthyAnswer, slowAnswer = 4 * time.Millisecond, 240 * time.Millisecond
+	// maxAppendQueue is the wait above which a partition refuses appends.
+	maxAppendQueue = 2 * time.Second
+)
+
+// answerTime returns how late answers are.
+func (l *queueLog) answerTime() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.slow {
+		return slowAnswer
+	}
+	return healthyAnswer
+}
+
+// enqueue returns when a partition has made an append that comes now; ok is false if it refuses the append.
+func (l *queueLog) enqueue(p partlog.Partition) (made time.Time, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	took, now := healthyAppend, time.Now()
+	if l.slow {
+		took = slowAppend
+	}
+	if l.free[p].Sub(now) > maxAppendQueue {
+		return made, false
+	}
+	if l.free[p].Before(now) {
+		l.free[p] = now
+	}
+	l.free[p] = l.free[p].Add(took)
+	l.appends++
+	return l.free[p], true
+}
+
+// Append implements partlog.Log.
+func (l *queueLog) Append(ctx context.Context, p partlog.Partition, at ids.Offset, records ...[]byte) (first ids.Offset, err error) {
+	answered := make(chan struct{})
+	go func() {
+		defer close(answered)
+		if made, ok := l.enqueue(p); ok {
+			time.Sleep(time.Until(made))
+			first, err = l.Log.Append(context.Background(), p, at, records...)
+		} else {
+			err = errors.Join(partlog.ErrNotApplied, errors.New("status 503"))
+		}
+		time.Sleep(l.answerTime())
+	}()
+	select {
+	case <-answered:
+		return first, err
+	case <-ctx.Done():
+		return 0, errors.Join(partlog.ErrOutcomeUnknown, ctx.Err())
+	}
+}
+
+// Read implements partlog.Log.
+func (l *queueLog) Read(ctx context.Context, p partlog.Partition, from ids.Offset, wait time.Duration) (partlog.Page, error) {
+	page, err := l.Log.Read(ctx, p, from, wait)
+	select {
+	case <-time.After(l.answerTime()):
+		return page, err
+	case <-ctx.Done():
+		return partlog.Page{}, errors.Join(partlog.ErrOutcomeUnknown, ctx.Err())
+	}
+}
+
+// slowFleet is a fleet on a log that is slow for a time. All instances know each other.
+type slowFleet struct {
+	log     *queueLog
+	random  *rand.Rand
+	stores  []*programs.Store
+	gates   []*recordgate.Gate
+	members []leaders.Member
+	tasks   sync.WaitGroup
+	mu      sync.Mutex
+	results []map[string]int // of the requests that began in each second
+}
+
+// slowCaller is the network of one instance.
+type slowCaller struct{ *slowFleet }
+
+// Call implements leaders.Caller.
+func (f slowCaller) Call(ctx context.Context, address, method string, params, result any) error {
+	time.Sleep(callLatency)
+	if method == "alive" {
+		return ctx.Err()
+	}
+	data, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+	var index int
+	if _, err := fmt.Sscan(address, &index); err != nil {
+		return err
+	}
+	answered := make(chan error, 1)
+	go func() {
+		answer, err := f.stores[index].Methods()[method](context.Background(), data)
+		if err == nil {
+			data, err = json.Marshal(answer)
+		}
+		answered <- err
+	}()
+	select {
+	case err := <-answered:
+		switch {
+		case errors.As(err, new(*jsonrpc2.Error)):
+			return err
+		case err != nil:
+			return &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: err.Error()}
+		}
+		return json.Unmarshal(data, result)
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Admission implements recordgate.Observer.
+func (slowCaller) Admission(string, bool) {}
+
+func newSlowFleet(size, partitions int, seed uint64) *slowFleet {
+	f := &slowFleet{
+		log:    &queueLog{Log: partlogtest.New(), free: make(map[partlog.Partition]time.Time)},
+		random: rand.New(rand.NewPCG(seed, 1)),
+	}
+	for i := range size {
+		f.members = append(f.members, leaders.Member{
+			Candidate: leader.Candidate{Instance: ids.InstanceID(fmt.Sprint("i", i)), Weight: 1}, Address: fmt.Sprint(i),
+			Zone: ids.Zone(fmt.Sprint("z", i%simZones)),
+		})
+	}
+	for _, m := range f.members {
+		client := leaders.New(leaders.Config{
+			Self: m.Instance, Zone: m.Zone, Members: func() []leaders.Member { return f.members }, Caller: slowCaller{f}, Now: time.Now,
+			Logger: zap.NewNop(),
+		})
+		gate := recordgate.New(recordgate.Config{Now: time.Now, Partitions: partitions, Observer: slowCaller{f}, Logger: zap.NewNop()})
+		f.gates = append(f.gates, gate)
+		f.stores = append(f.stores, programs.New(programs.Config{
+			Self: m.Instance, Log: f.log, LogRetention: logRetention, Programs: partlog.Keyspace{Name: "records", Topics: 1, Parts: partitions},
+			Leaders: client, Writes: gate, WriteInterval: 25 * time.Millisecond, Now: time.Now, Logger: zap.NewNop(),
+		}))
+	}
+	return f
+}
+
+// run plays requests for some seconds and returns when all have ended. The log is slow in the seconds for which slow is true.
+func (f *slowFleet) run(seconds, perSecond int, slow func(second int) bool) {
+	for second := range seconds {
+		f.log.mu.Lock()
+		f.log.slow = slow(second)
+		f.log.mu.Unlock()
+		f.results = append(f.results, make(map[string]int))
+		for _, s := range f.stores {
+			f.tasks.Go(func() { s.Standby(context.Background()) })
+		}
+		for i := range perSecond {
+			n := f.random.IntN(len(f.stores))
+			f.tasks.Go(func() {
+				began := time.Now()
+				result := f.request(n, fmt.Sprintf("%d-%d", second, i))
+				f.mu.Lock()
+				f.results[second][result]++
+				f.mu.Unlock()
+				if took := time.Since(began); took > requestTime {
+					panic(fmt.Sprintf("request took %v", took))
+				}
+			})
+			time.Sleep(time.Second / time.Duration(perSecond))
+		}
+	}
+	f.tasks.Wait()
+}
+
+const (
+	// requestTime is the time from a request to its deadline, targetTime what the target needs of it.
+	requestTime = 3 * time.Second
+	targetTime  = 300 * time.Millisecond
+)
+
+// request does what an instance does for the first request of a program, and returns how it ended.
+func (f *slowFleet) request(n int, name string) string {
+	s, now := f.stores[n], time.Now()
+	ctx, cancel := context.WithDeadline(context.Background(), now.Add(requestTime))
+	defer cancel()
+	key := account.Key{Workspace: "w", Program: ids.ProgramID(name)}
+	answer := f.gates[n].Decide(admission.Request{Deadline: now.Add(requestTime), Run: targetTime, First: true})
+	if !answer.Admitted {
+		return "refused: " + string(answer.Reason)
+	}
+	prepare, cancelPrepare := context.WithTimeout(ctx, prepareTime)
+	r, err := s.Reserve(prepare, programs.ReserveRequest{Key: key, Turn: name, Budget: 100, Tokens: 40})
+	cancelPrepare()
+	if err != nil {
+		return "refused: account"
+	}
+	defer r.Settle(1)
+	time.Sleep(targetTime)
+	if s.Put(ctx, programs.Turn{ID: call.ID(name), Program: key, Output: make([]byte, 4000)}) != nil {
+		return "late"
+	}
+	return served
+}
+
+const served = "served"
+
+// Guards against a slow log that becomes an outage: time-outs and second writes that a slow answer does not meet make several times
+// as many appends as there is capacity for.
+func TestSlowLogServes(t *testing.T) {
+	const seconds, perSecond, slowFrom, slowUntil = 12, 70, 3, 8
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				f := newSlowFleet(40, 6, seed)
+				f.run(seconds, perSecond, func(s int) bool { return s >= slowFrom && s < slowUntil })
+				total, ok := 0, 0
+				for second, results := range f.results {
+					t.Log(second, results)
+					switch {
+					case second >= slowFrom && second < slowUntil:
+						total += perSecond
+						ok += results[served]
+					case second > slowUntil || second > 0 && second < slowFrom-1:
+						c.Check(results[served], qt.Equals, perSecond, qt.Commentf("second %d: %v", second, slices.Collect(maps.Keys(results))))
+					}
+				}
+				c.Check(10*ok >= 9*total, qt.IsTrue, qt.Commentf("%d of %d served while the log was slow", ok, total))
+				t.Log(ok, "of", total, "served while slow,", f.log.appends, "appends")
+				time.Sleep(leftoverTime)
+			})
+		})
+	}
+}
