Estimate the time of a write by the longest of the last second

The first write of an instance counted two and a half times, as its mean deviation was taken to be half of it, and the estimate stayed until further writes came. In a slow log an instance with few writes expected 1.7 s and refused all first requests with 3 s to their deadline, which wrote nothing, so it went on after the log was fast again. Reports, which wait in a queue of their own, counted too.

The estimate is now the longest write of the last 0.5 to 1 s before the newest one, and is forgotten after 4 s. Reports only lower it.

--- a/internal/recordgate/recordgate.go
+++ b/internal/recordgate/recordgate.go
@@ -135,7 +135,8 @@
 	now := g.Now()
 	delete(g.waiting, w)
 	if err == nil {
-		g.succeeded(now, now.Sub(w.began))
+		clear(g.failing)
+		g.gate.Succeeded(now, now.Sub(w.began))
 	} else if g.manyFail(w) {
 		g.failed(now, err)
 	}
@@ -150,20 +151,15 @@
 	return len(g.failing) >= min(failedPartitions, g.Partitions/2+1)
 }
 
-// succeeded records a success. The caller holds the lock.
-func (g *Gate) succeeded(now time.Time, took time.Duration) {
-	clear(g.failing)
-	g.gate.Succeeded(now, took)
-}
-
-// Succeeded records a write that was not announced by Begin.
+// Succeeded records a write that was not announced by Begin and is no record of a request.
 func (g *Gate) Succeeded(took time.Duration) {
 	if g == nil {
 		return
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.succeeded(g.Now(), took)
+	clear(g.failing)
+	g.gate.SucceededElsewhere(g.Now(), took)
 }
 
 // GiveUp records that a write ends without success, after AttemptFailed got the error of each attempt.
--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -123,7 +123,13 @@
 		g.healthyAt = now
 		return
 	}
-	g.write.add(min(took, now.Sub(g.healthyAt)))
+	g.write.add(now, min(took, now.Sub(g.healthyAt)))
+}
+
+// SucceededElsewhere records a write that the log accepted and that is no record of a request. It ends an outage as any other. It may
+// have waited in a queue of its own, so it lowers the expected time of a write but does not raise it.
+func (g *Gate) SucceededElsewhere(now time.Time, took time.Duration) {
+	g.Succeeded(now, min(took, g.write.expected(now)))
 }
 
 // Failed records an attempt at a write that failed. The write may be tried again.
@@ -149,13 +155,13 @@
 
 // stalled reports whether a write waits for longer than writes usually take while none succeeds.
 func (g *Gate) stalled(now time.Time) bool {
-	limit := max(minStall, stallFactor*g.write.expected())
+	limit := max(minStall, stallFactor*g.write.expected(now))
 	return g.waiting > 0 && now.Sub(g.oldestAt) >= limit && now.Sub(g.lastSuccess) >= limit
 }
 
 // expectedWrite returns the expected time of a write. What waited since before the end of an outage counts from that end.
 func (g *Gate) expectedWrite(now time.Time) time.Duration {
-	expected := g.write.expected()
+	expected := g.write.expected(now)
 	if g.waiting > 0 {
 		expected = max(expected, min(now.Sub(g.oldestAt), now.Sub(g.healthyAt)))
 	}
@@ -186,8 +192,8 @@
 	return a
 }
 
-// lateness returns how much later than its deadline the record of a request would be written, or 0. First requests of
-// programs need twice the expected time, so that they are refused before others.
+// lateness returns how much later than its deadline the record of a request would be written, or 0. First requests of programs need
+// twice the expected time: their reservation is written before they are sent, and they are refused before others.
 func (g *Gate) lateness(now time.Time, r Request, write time.Duration) time.Duration {
 	if r.Deadline.IsZero() || write <= usualWrite {
 		return 0
--- a/pkg/admission/latency.go
+++ b/pkg/admission/latency.go
@@ -2,35 +2,36 @@
 
 import "time"
 
-const (
-	// meanGain and deviationGain are the weights of the newest write in the averages.
-	meanGain      = 1.0 / 8
-	deviationGain = 1.0 / 4
-	// deviations is how many mean deviations above the mean a write is expected to take.
-	deviations = 3
-)
+// estimateWindow is how long before the newest write the writes ended by which the next one is estimated, at least half of it.
+const estimateWindow = time.Second
 
-// latency estimates how long a write takes from the mean and the mean deviation of earlier ones.
-//
-// Source of the rule: Jacobson, "Congestion avoidance and control", 1988.
+// maxEstimateAge is how old an estimate may be. After that, nothing is known about the next write.
+const maxEstimateAge = 4 * time.Second
+
+// latency estimates how long a write takes as the longest of the latest ones. A log becomes slow and fast again within a second, and
+// a mean that follows it more slowly refuses what has the time.
 type latency struct {
-	known           bool
-	mean, deviation float64 // in seconds
+	// current is the longest of the writes since began, previous that of the writes in the half window before.
+	current, previous time.Duration
+	began             time.Time
+	at                time.Time // of the newest write
 }
 
 // add applies how long a write took.
-func (l *latency) add(took time.Duration) {
-	s := took.Seconds()
-	if !l.known {
-		l.known, l.mean, l.deviation = true, s, s/2
-		return
+func (l *latency) add(now time.Time, took time.Duration) {
+	switch age := now.Sub(l.began); {
+	case age >= estimateWindow:
+		l.current, l.previous, l.began = 0, 0, now
+	case age >= estimateWindow/2:
+		l.current, l.previous, l.began = 0, l.current, now
 	}
-	difference := s - l.mean
-	l.mean += meanGain * difference
-	l.deviation += deviationGain * (max(difference, -difference) - l.deviation)
+	l.current, l.at = max(l.current, took), now
 }
 
-// expected returns a time that few writes exceed, or 0 before the first write.
-func (l *latency) expected() time.Duration {
-	return time.Duration((l.mean + deviations*l.deviation) * float64(time.Second))
+// expected returns a time that few writes exceed, or 0 if nothing is known.
+func (l *latency) expected(now time.Time) time.Duration {
+	if now.Sub(l.at) > maxEstimateAge {
+		return 0
+	}
+	return max(l.current, l.previous)
 }
