Do not take a log that answers late for one that does not answer

An instance whose oldest write had waited for 0.3 s, with none succeeding meanwhile, refused all requests until the write ended, and did not count that write in its estimate, as it does with those that end an outage. In a slow log each write takes 0.35 to 0.7 s.

A write that waits for 0.1 s now makes the instance read nothing of its partition. If that is answered, the write may wait for six times as long before the log counts as down. A slow answer counts for 0.5 s for all partitions, so that a slow log is not asked more often.

--- a/internal/programs/firstwrite.go
+++ b/internal/programs/firstwrite.go
@@ -14,6 +14,10 @@
 	// slowLeaderFactor is how many times as long as a read of nothing a write must have taken for its leader to be the cause. An append
 	// waits for the one before it, and a conflict adds a read and another append.
 	slowLeaderFactor = 5
+	// askDelay is after how long a write takes longer than usual, so that the log is asked whether it is slow.
+	askDelay = 100 * time.Millisecond
+	// slowAnswerAge is how long an answer that took askDelay or longer is taken for the next one.
+	slowAnswerAge = 500 * time.Millisecond
 	// beyondEnd is an offset that no partition reaches. The log answers a read from there at once with no records.
 	beyondEnd ids.Offset = 1 << 53
 )
@@ -29,10 +33,13 @@
 	setFailed context.CancelFunc
 }
 
-func (s *Store) beginFirst(ctx context.Context) *firstWrite {
+// beginFirst begins a first attempt. If it takes longer than usual, the log is asked about the partition that would take the second one.
+func (s *Store) beginFirst(ctx context.Context, second *partition) *firstWrite {
 	f := &firstWrite{store: s, began: s.Now()}
 	f.ctx, f.end = context.WithCancel(ctx)
 	f.failed, f.setFailed = context.WithCancel(f.ctx)
+	unusual := time.AfterFunc(askDelay, func() { second.ask() })
+	context.AfterFunc(f.ctx, func() { unusual.Stop() })
 	return f
 }
 
@@ -85,8 +92,12 @@
 	err  error
 }
 
-// ask reads nothing of the partition, in order to learn how long the log takes to answer. There is one such read at a time.
+// ask reads nothing of the partition, in order to learn how long the log takes to answer. There is one such read at a time. A slow answer
+// about any partition counts for slowAnswerAge, so that a slow log is not asked more often.
 func (p *partition) ask() *answer {
+	if a := p.store.recentSlowAnswer(); a != nil {
+		return a
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.asked != nil {
@@ -98,6 +109,7 @@
 		began := p.store.Now()
 		_, a.err = partlog.ReadRetained(context.Background(), p.store.Log, p.id, beyondEnd, writeTimeout)
 		a.took = p.store.Now().Sub(began)
+		p.store.answered(a)
 		p.mu.Lock()
 		p.asked = nil
 		p.mu.Unlock()
@@ -105,3 +117,27 @@
 	}()
 	return a
 }
+
+// answered records an answer of the log.
+func (s *Store) answered(a *answer) {
+	if a.err != nil {
+		return
+	}
+	s.Writes.Answered(a.took)
+	if a.took < askDelay {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slowAnswer, s.slowAnswerAt = a, s.Now()
+}
+
+// recentSlowAnswer returns the last slow answer of the log if it still counts.
+func (s *Store) recentSlowAnswer() *answer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.slowAnswer == nil || s.Now().Sub(s.slowAnswerAt) > slowAnswerAge {
+		return nil
+	}
+	return s.slowAnswer
+}
--- a/internal/programs/hedge.go
+++ b/internal/programs/hedge.go
@@ -30,7 +30,7 @@
 // condition, may be in any partition, and count once if they are written twice.
 func (s *Store) writeTurns(ctx context.Context, p, spare *partition, turns [][]byte, w *recordgate.Write) (*partition, error) {
 	b, calls, callCtx := batch{turns: turns}, 0, hedge.KeepDeadline(ctx, writeTimeout)
-	first := s.beginFirst(ctx)
+	first := s.beginFirst(ctx, spare)
 	defer first.end()
 	s.turnHedges.Count()
 	o := hedge.First(ctx, hedgeDelayFor(ctx), func(failed error) func() (*partition, error) {
@@ -75,7 +75,7 @@
 		return s.writeThrough(ctx, s.Leaders.Do, p, b)
 	}
 	calls, callCtx := 0, hedge.KeepDeadline(ctx, writeTimeout)
-	first := s.beginFirst(ctx)
+	first := s.beginFirst(ctx, p)
 	defer first.end()
 	s.accountHedges.Count()
 	next := func() ([]grant, error) { return s.writeThrough(callCtx, s.Leaders.DoNext, p, b) }
--- a/internal/programs/programs.go
+++ b/internal/programs/programs.go
@@ -77,6 +77,9 @@
 	// indexedSince is when the indexes in memory were last cleared. After that, the partitions of the index are read again
 	// from the beginning.
 	indexedSince time.Time
+	// slowAnswer is the last slow answer of the log to a read of nothing.
+	slowAnswer   *answer
+	slowAnswerAt time.Time
 }
 
 // New returns an empty store.
--- a/internal/recordgate/recordgate.go
+++ b/internal/recordgate/recordgate.go
@@ -162,6 +162,16 @@
 	g.gate.SucceededElsewhere(g.Now(), took)
 }
 
+// Answered records that the log has answered a read of nothing, and how long that took.
+func (g *Gate) Answered(took time.Duration) {
+	if g == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.gate.Answered(g.Now(), took)
+}
+
 // GiveUp records that a write ends without success, after AttemptFailed got the error of each attempt.
 func (w *Write) GiveUp() {
 	if w == nil {
--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -23,6 +23,10 @@
 	// expected time of a write, and at least minStall.
 	stallFactor = 4
 	minStall    = 300 * time.Millisecond
+	// answerFactor is how many times as long as an answer of the log a write may wait until the log is taken not to take writes, and
+	// maxAnswerAge how old that answer may be. A write waits for the one before it, and a conflict adds a read and another one.
+	answerFactor = 6
+	maxAnswerAge = time.Second
 	// usualWrite is the expected time of a write up to which the log is never the reason for a refusal.
 	usualWrite = 100 * time.Millisecond
 	// probeInterval is the time without a success or a failure after which a request may be a probe. Reports are written once a
@@ -102,8 +106,10 @@
 	down        bool      // an outage was found and no write has succeeded since
 	downAt      time.Time
 	waiting     int
-	oldestAt    time.Time // when the oldest waiting write began
-	lastSuccess time.Time // time of the last success, or the start
+	oldestAt    time.Time     // when the oldest waiting write began
+	lastSuccess time.Time     // time of the last success, or the start
+	answer      time.Duration // how long the log took to answer a read at answeredAt
+	answeredAt  time.Time
 	probedAt    time.Time
 	probeEnd    time.Time // until when the result of the last probe is awaited
 }
@@ -153,9 +159,22 @@
 	g.waiting, g.oldestAt = count, now.Add(-oldest)
 }
 
-// stalled reports whether a write waits for longer than writes usually take while none succeeds.
+// Answered records that the log has answered a read, and how long that took. A log that answers late is not taken for one that does not
+// answer.
+func (g *Gate) Answered(now time.Time, took time.Duration) {
+	g.answer, g.answeredAt = took, now
+	if g.down && g.score == 0 && !g.stalled(now) {
+		g.down = false
+	}
+}
+
+// stalled reports whether a write waits for longer than writes usually take, and than the answers of the log explain, while none
+// succeeds.
 func (g *Gate) stalled(now time.Time) bool {
 	limit := max(minStall, stallFactor*g.write.expected(now))
+	if now.Sub(g.answeredAt) <= maxAnswerAge {
+		limit = max(limit, answerFactor*g.answer)
+	}
 	return g.waiting > 0 && now.Sub(g.oldestAt) >= limit && now.Sub(g.lastSuccess) >= limit
 }
 
--- a/pkg/admission/admission_test.go
+++ b/pkg/admission/admission_test.go
@@ -206,3 +206,19 @@
 	}
 	c.Assert(with(1500*time.Millisecond, true).Admitted, qt.IsTrue)
 }
+
+// Guards against a log that answers late and is taken for one that does not answer, and against one that answers reads only.
+func TestLateAnswersAreNoOutage(t *testing.T) {
+	c := qt.New(t)
+	g := admission.New(epoch, rand.New(rand.NewPCG(1, 1)))
+	r := admission.Request{Deadline: epoch.Add(time.Minute), Run: time.Second}
+	for at, want := range []bool{true, true, true, false, true, true, true, true, true, true, true, true, true, true, true, false} {
+		age := time.Duration(at) * 100 * time.Millisecond
+		now := epoch.Add(time.Second + age)
+		g.Waiting(now, 1, age)
+		if at%4 == 0 && at > 0 {
+			g.Answered(now, 240*time.Millisecond)
+		}
+		c.Check(g.Decide(now, r).Admitted, qt.Equals, want, qt.Commentf("waits for %v", age))
+	}
+}
