--- a/internal/programs/slowlog_test.go
+++ b/internal/programs/slowlog_test.go
@@ -31,37 +31,32 @@
 type queueLog struct {
 	*partlogtest.Log
 	mu      sync.Mutex
-	slow    bool
+	random  *rand.Rand
+	slow    int // the time of an append and of an answer in multiples of those of a healthy log
 	free    map[partlog.Partition]time.Time // when the partition has made all its appends
 	appends int
 }
 
 const (
-	// Of an append and of the answer to any call, in a healthy and in a slow log.
-	healthyAppend, slowAppend = 2 * time.Millisecond, 100 * time.Millisecond
-	healthyAnswer, slowAnswer = 4 * time.Millisecond, 240 * time.Millisecond
+	// appendTime is the time of an append in a healthy log, answerTime the mean time of the answer to any call.
+	appendTime = 2 * time.Millisecond
+	answerTime = 4 * time.Millisecond
 	// maxAppendQueue is the wait above which a partition refuses appends.
 	maxAppendQueue = 2 * time.Second
 )
 
-// answerTime returns how late answers are.
-func (l *queueLog) answerTime() time.Duration {
+// lateness returns how late an answer is.
+func (l *queueLog) lateness() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.slow {
-		return slowAnswer
-	}
-	return healthyAnswer
+	return time.Duration((0.8 + 0.4*l.random.Float64()) * float64(answerTime) * float64(l.slow))
 }
 
 // enqueue returns when a partition has made an append that comes now; ok is false if it refuses the append.
 func (l *queueLog) enqueue(p partlog.Partition) (made time.Time, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	took, now := healthyAppend, time.Now()
-	if l.slow {
-		took = slowAppend
-	}
+	took, now := appendTime*time.Duration(l.slow), time.Now()
 	if l.free[p].Sub(now) > maxAppendQueue {
 		return made, false
 	}
@@ -86,7 +81,7 @@
 			time.Sleep(time.Until(made))
 			a.first, a.err = l.Log.Append(context.Background(), p, at, records...)
 		}
-		time.Sleep(l.answerTime())
+		time.Sleep(l.lateness())
 		answered <- a
 	}()
 	select {
@@ -101,7 +96,7 @@
 func (l *queueLog) Read(ctx context.Context, p partlog.Partition, from ids.Offset, wait time.Duration) (partlog.Page, error) {
 	page, err := l.Log.Read(ctx, p, from, wait)
 	select {
-	case <-time.After(l.answerTime()):
+	case <-time.After(l.lateness()):
 		return page, err
 	case <-ctx.Done():
 		return partlog.Page{}, errors.Join(partlog.ErrOutcomeUnknown, ctx.Err())
@@ -164,7 +159,9 @@
 
 func newSlowFleet(size, partitions int, seed uint64) *slowFleet {
 	f := &slowFleet{
-		log:    &queueLog{Log: partlogtest.New(), free: make(map[partlog.Partition]time.Time)},
+		log: &queueLog{
+			Log: partlogtest.New(), free: make(map[partlog.Partition]time.Time), slow: 1, random: rand.New(rand.NewPCG(seed, 2)),
+		},
 		random: rand.New(rand.NewPCG(seed, 1)),
 	}
 	for i := range size {
@@ -188,9 +185,9 @@
 	return f
 }
 
-// run plays programs, some new ones in each second, and returns when all have ended. The log is slow in the seconds for which slow is
-// true.
-func (f *slowFleet) run(seconds, perSecond, turns int, slow func(second int) bool) {
+// run plays programs, some new ones in each second, and returns when all have ended. slow is how much slower than usual the
+// log is in a second.
+func (f *slowFleet) run(seconds, perSecond, turns int, slow func(second int) int) {
 	for second := range seconds {
 		f.log.mu.Lock()
 		f.log.slow = slow(second)
@@ -279,12 +276,17 @@
 // as many appends as there is capacity for.
 func TestSlowLogServes(t *testing.T) {
 	const seconds, perSecond, slowFrom, slowUntil = 12, 70, 3, 8
-	for _, test := range []struct{ instances, turns int }{{40, 1}, {40, 5}, {195, 1}} {
-		t.Run(fmt.Sprintf("%d instances, %d turns", test.instances, test.turns), func(t *testing.T) {
+	for _, test := range []struct{ instances, turns, slow int }{{40, 1, 50}, {40, 5, 50}, {40, 5, 90}, {195, 1, 60}} {
+		t.Run(fmt.Sprintf("%d instances, %d turns, %d times slower", test.instances, test.turns, test.slow), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				c := qt.New(t)
 				f := newSlowFleet(test.instances, 6, 1)
-				f.run(seconds, perSecond, test.turns, func(s int) bool { return s >= slowFrom && s < slowUntil })
+				f.run(seconds, perSecond, test.turns, func(s int) int {
+					if s >= slowFrom && s < slowUntil {
+						return test.slow
+					}
+					return 1
+				})
 				time.Sleep(leftoverTime)
 				ok, total := 0, 0
 				for second, results := range f.results {
