Let reservations wait for a slow log while their requests can still run

A request gave its reservation 0.7 s, and the reservation was tried for 1.2 s, whatever time the request had. In a log that is 90 times slower, a reservation takes 0.6 to 1.2 s.

A request now waits for its reservation and its earlier turns for as long as the gate lets a write wait before it takes the log not to take writes, 0.7 s at least, and not longer than it can still run and be recorded before its deadline. The reservation is tried until the deadline of the request.

--- a/internal/gateway/prepare.go
+++ b/internal/gateway/prepare.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -15,10 +14,11 @@
 
 // prepare loads the earlier turns that the request continues, and reserves its tokens in the program's budget.
 func (e *exchange) prepare() *refusal {
-	if r := e.checkRecordable(); r != nil {
+	request := admission.Request{Deadline: e.deadline, Run: e.queues.MeanDuration(e.route.Backend(e.backendKey())), First: e.firstCall}
+	if r := e.checkRecordable(request); r != nil {
 		return r
 	}
-	ctx, cancel := context.WithTimeout(e.ctx, e.prepareTimeout())
+	ctx, cancel := e.recordGate.Prepare(e.ctx, e.now(), request)
 	defer cancel()
 	if e.route.Remembered {
 		if r := e.loadChain(ctx); r != nil {
@@ -38,26 +38,17 @@
 
 // checkRecordable refuses a request whose result would probably not be recorded in the log before its deadline, so that no
 // target runs it for nothing.
-func (e *exchange) checkRecordable() *refusal {
+func (e *exchange) checkRecordable(request admission.Request) *refusal {
 	if !e.route.Remembered && !e.needsReservation() {
 		return nil
 	}
-	a := e.recordGate.Decide(admission.Request{
-		Deadline: e.deadline, Run: e.queues.MeanDuration(e.route.Backend(e.backendKey())), First: e.firstCall,
-	})
+	a := e.recordGate.Decide(request)
 	if a.Admitted {
 		return nil
 	}
 	return &refusal{status: fasthttp.StatusServiceUnavailable, code: codeLogUnavailable, retry: a.RetryAfter}
 }
 
-// maxPrepareTimeout bounds how long a request waits for the platform's log before it is sent.
-const maxPrepareTimeout = 700 * time.Millisecond
-
-func (e *exchange) prepareTimeout() time.Duration {
-	return min(maxPrepareTimeout, e.deadline.Sub(e.now()))
-}
-
 // loadChain puts the earlier turns of the chain before the request's body.
 func (e *exchange) loadChain(ctx context.Context) *refusal {
 	if len(e.x.Body) > programs.MaxInput {
@@ -88,6 +79,7 @@
 func (e *exchange) reserve(ctx context.Context) *refusal {
 	r, err := e.programs.Reserve(ctx, programs.ReserveRequest{
 		Key: e.program(), Turn: string(e.req.ID), Budget: e.req.Budget, Tokens: e.req.MaxOutput,
+		Deadline: e.deadline,
 	})
 	e.reservation = r
 	switch {
--- a/internal/programs/pool.go
+++ b/internal/programs/pool.go
@@ -31,6 +31,8 @@
 	Budget ids.Tokens
 	// Tokens is the maximum that the turn may generate.
 	Tokens ids.Tokens
+	// Deadline is when the turn's caller gives up; zero if that is not known. Until then the reservation is worth writing.
+	Deadline time.Time
 }
 
 // pool holds tokens that this instance has reserved for one or more turns of a program. It is guarded by its partition's
@@ -98,7 +100,7 @@
 	case <-r.pool.done:
 		return r.pool.err
 	case <-ctx.Done():
-		return ctx.Err()
+		return context.Cause(ctx)
 	}
 }
 
@@ -135,7 +137,7 @@
 			pl.tokens *= poolTurns
 		}
 		p.pools[a.Key] = pl
-		p.sendPool(pl)
+		p.sendPool(pl, a.Deadline)
 	} else {
 		// A pool with free tokens is in the log already, or its first turn was sent without waiting for that because the
 		// budget was ample. The same holds for this turn.
--- a/internal/programs/send.go
+++ b/internal/programs/send.go
@@ -13,8 +13,9 @@
 // collects what is written. Without a leader they are written at once.
 const settleDelay = 200 * time.Millisecond
 
-// sendPool writes the reservation of a new pool, together with the settlements that wait. The caller holds the lock.
-func (p *partition) sendPool(pl *pool) {
+// sendPool writes the reservation of a new pool, together with the settlements that wait. It tries until the deadline, or for
+// writeTimeout if that is longer. The caller holds the lock.
+func (p *partition) sendPool(pl *pool, deadline time.Time) {
 	b := batch{
 		reservations: []reservation{{key: pl.key, turn: pl.id, budget: pl.budget, tokens: pl.tokens, least: pl.firstTurnTokens}},
 		settlements:  p.takeSettlements(),
@@ -23,7 +24,7 @@
 	go func() {
 		defer p.endSend()
 		w := p.store.Writes.Begin(p.id)
-		granted, err := p.send(b)
+		granted, err := p.send(b, max(writeTimeout, deadline.Sub(p.store.Now())))
 		w.End(err)
 		if err != nil {
 			p.failPool(pl, err)
@@ -61,8 +62,8 @@
 
 // send writes a batch of this instance, which the caller has counted in sending. Settlements that could not be written wait
 // for the next batch.
-func (p *partition) send(b batch) (granted []grant, err error) {
-	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
+func (p *partition) send(b batch, timeout time.Duration) (granted []grant, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	granted, err = p.store.writeAccounts(ctx, p, b)
 	p.mu.Lock()
@@ -140,7 +141,7 @@
 	p.sending++
 	go func() {
 		defer p.endSend()
-		_, _ = p.send(b)
+		_, _ = p.send(b, writeTimeout)
 	}()
 }
 
--- a/internal/programs/slowlog_test.go
+++ b/internal/programs/slowlog_test.go
@@ -32,7 +32,7 @@
 	*partlogtest.Log
 	mu      sync.Mutex
 	random  *rand.Rand
-	slow    int // the time of an append and of an answer in multiples of those of a healthy log
+	slow    int                             // the time of an append and of an answer in multiples of those of a healthy log
 	free    map[partlog.Partition]time.Time // when the partition has made all its appends
 	appends int
 }
@@ -239,11 +239,12 @@
 	s, now := f.stores[n], time.Now()
 	ctx, cancel := context.WithDeadline(context.Background(), now.Add(requestTime))
 	defer cancel()
-	answer := f.gates[n].Decide(admission.Request{Deadline: now.Add(requestTime), Run: targetTime, First: previous == ""})
+	request := admission.Request{Deadline: now.Add(requestTime), Run: targetTime, First: previous == ""}
+	answer := f.gates[n].Decide(request)
 	if !answer.Admitted {
 		return "refused: " + string(answer.Reason)
 	}
-	prepare, cancelPrepare := context.WithTimeout(ctx, prepareTime)
+	prepare, cancelPrepare := f.gates[n].Prepare(ctx, now, request)
 	defer cancelPrepare()
 	var chain []call.ID
 	if previous != "" {
@@ -255,7 +256,9 @@
 			chain = append(chain, t.ID)
 		}
 	}
-	r, err := s.Reserve(prepare, programs.ReserveRequest{Key: key, Turn: string(name), Budget: 1000, Tokens: 40})
+	r, err := s.Reserve(prepare, programs.ReserveRequest{
+		Key: key, Turn: string(name), Budget: 1000, Tokens: 40, Deadline: request.Deadline,
+	})
 	if err != nil {
 		return "refused: account"
 	}
--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -168,18 +168,24 @@
 	}
 }
 
-// stalled reports whether a write waits for longer than writes usually take, and than the answers of the log explain, while none
-// succeeds.
-func (g *Gate) stalled(now time.Time) bool {
+// MaxWait returns how long a write may wait until the log is taken not to take writes.
+func (g *Gate) MaxWait(now time.Time) time.Duration {
 	limit := max(minStall, stallFactor*g.write.expected(now))
 	if now.Sub(g.answeredAt) <= maxAnswerAge {
 		limit = max(limit, answerFactor*g.answer)
 	}
+	return limit
+}
+
+// stalled reports whether a write waits for longer than writes usually take, and than the answers of the log explain, while none
+// succeeds.
+func (g *Gate) stalled(now time.Time) bool {
+	limit := g.MaxWait(now)
 	return g.waiting > 0 && now.Sub(g.oldestAt) >= limit && now.Sub(g.lastSuccess) >= limit
 }
 
-// expectedWrite returns the expected time of a write. What waited since before the end of an outage counts from that end.
-func (g *Gate) expectedWrite(now time.Time) time.Duration {
+// ExpectedWrite returns the expected time of a write. What waited since before the end of an outage counts from that end.
+func (g *Gate) ExpectedWrite(now time.Time) time.Duration {
 	expected := g.write.expected(now)
 	if g.waiting > 0 {
 		expected = max(expected, min(now.Sub(g.oldestAt), now.Sub(g.healthyAt)))
@@ -192,7 +198,7 @@
 	if !g.down && g.stalled(now) {
 		g.down, g.downAt = true, later(g.oldestAt, g.lastSuccess)
 	}
-	a := Answer{Write: g.expectedWrite(now)}
+	a := Answer{Write: g.ExpectedWrite(now)}
 	switch {
 	case g.down && g.score > 0:
 		a.Reason = Failing
