Give up an append only if the log answers faster than it

A leader gave an append up after 0.6 s, read the partition and appended again, and gave a batch up after 1.2 s, although its callers waited for longer. In a log that is 90 times slower, an append takes 0.5 to 0.6 s.

An append is now given up when it has taken five times as long as the log takes to answer a read of nothing, and 0.6 s at least. While a write waits, such a read is made at most every 0.5 s. A batch is tried until the last of its callers gives up.

--- a/internal/programs/firstwrite.go
+++ b/internal/programs/firstwrite.go
@@ -38,8 +38,7 @@
 	f := &firstWrite{store: s, began: s.Now()}
 	f.ctx, f.end = context.WithCancel(ctx)
 	f.failed, f.setFailed = context.WithCancel(f.ctx)
-	unusual := time.AfterFunc(askDelay, func() { second.ask() })
-	context.AfterFunc(f.ctx, func() { unusual.Stop() })
+	second.askWhile(f.ctx)
 	return f
 }
 
@@ -92,6 +91,19 @@
 	err  error
 }
 
+// askWhile asks the log from askDelay on, and as often as its answers count no longer, until the context ends.
+func (p *partition) askWhile(ctx context.Context) {
+	var again func()
+	again = func() {
+		if ctx.Err() == nil {
+			p.ask()
+			time.AfterFunc(slowAnswerAge, again)
+		}
+	}
+	first := time.AfterFunc(askDelay, again)
+	context.AfterFunc(ctx, func() { first.Stop() })
+}
+
 // ask reads nothing of the partition, in order to learn how long the log takes to answer. There is one such read at a time. A slow answer
 // about any partition counts for slowAnswerAge, so that a slow log is not asked more often.
 func (p *partition) ask() *answer {
--- a/internal/programs/writer.go
+++ b/internal/programs/writer.go
@@ -66,7 +66,7 @@
 		if len(batches) == 0 {
 			continue
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), p.timeFor(batches))
 		err := p.commit(ctx, batches)
 		cancel()
 		if err != nil {
@@ -80,6 +80,17 @@
 	}
 }
 
+// timeFor returns how long batches are worth writing: until nobody waits for them any more, and for writeTimeout at least.
+func (p *partition) timeFor(batches []*submission) time.Duration {
+	left := writeTimeout
+	for _, s := range batches {
+		if deadline, ok := s.ctx.Deadline(); ok {
+			left = max(left, time.Until(deadline))
+		}
+	}
+	return left
+}
+
 // waitForWrite waits until the next append may start, so that what arrives meanwhile is written with it.
 func (p *partition) waitForWrite() {
 	if p.store.WriteInterval == 0 {
@@ -176,7 +187,7 @@
 
 // append appends the records of a decision and applies them. Reservations need a conditional append, the others do not.
 func (p *partition) append(ctx context.Context, d decision) error {
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	ctx, cancel := p.attempt(ctx)
 	defer cancel()
 	at := partlog.AnyOffset
 	p.mu.Lock()
@@ -201,3 +212,33 @@
 	p.advance(first, len(d.encoded))
 	return nil
 }
+
+// attempt returns a context for an append. It ends after attemptTimeout, unless the log answers late: an append that is given up may
+// take effect all the same, and its repetition waits behind it.
+func (p *partition) attempt(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	began := p.store.Now()
+	end := time.AfterFunc(attemptTimeout, func() {
+		for ctx.Err() == nil {
+			answer := p.ask()
+			select {
+			case <-answer.done:
+			case <-ctx.Done():
+				return
+			}
+			left := slowLeaderFactor*answer.took - p.store.Now().Sub(began)
+			if answer.err != nil || left <= 0 {
+				cancel(context.DeadlineExceeded)
+			}
+			select {
+			case <-time.After(min(left, slowAnswerAge)):
+			case <-ctx.Done():
+			}
+		}
+	})
+	p.askWhile(ctx)
+	return ctx, func() {
+		end.Stop()
+		cancel(nil)
+	}
+}
