Name the time that a slow log needs in the retry delay of refused reservations

A request whose reservation or earlier turns were not there in time was refused with a retry delay of 250 ms, whatever a write took. In a slow log it came back before anything could be written. The delay is now the expected time of a write, between 0.25 and 2 s.

No run of a fleet shows the effect: the callers of the simulation do not come back.

--- a/internal/gateway/prepare.go
+++ b/internal/gateway/prepare.go
@@ -62,7 +62,7 @@
 		return &refusal{status: fasthttp.StatusNotFound, code: codeNoTurn}
 	}
 	if err != nil {
-		return &refusal{status: fasthttp.StatusServiceUnavailable, code: codeTurnUnavailable, retry: logRetryDelay(err), err: err}
+		return &refusal{status: fasthttp.StatusServiceUnavailable, code: codeTurnUnavailable, retry: logRetryDelay(err, e.recordGate.ExpectedWrite()), err: err}
 	}
 	var b bytes.Buffer
 	for _, t := range turns {
@@ -88,7 +88,7 @@
 	case errors.Is(err, programs.ErrBudgetExceeded):
 		return &refusal{status: fasthttp.StatusPaymentRequired, code: codeBudget}
 	default:
-		return &refusal{status: fasthttp.StatusServiceUnavailable, code: codeLedgerUnavailable, retry: logRetryDelay(err), err: err}
+		return &refusal{status: fasthttp.StatusServiceUnavailable, code: codeLedgerUnavailable, retry: logRetryDelay(err, e.recordGate.ExpectedWrite()), err: err}
 	}
 }
 
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -63,12 +63,16 @@
 // retry is of no use, and with a longer delay callers give up.
 const outageRetryDelay = 900 * time.Millisecond
 
-// logRetryDelay returns the retry delay for a request that failed because of an error of the log.
-func logRetryDelay(err error) time.Duration {
+// maxSlowRetryDelay bounds the retry delay while the log is slow: it may be fast again at any time.
+const maxSlowRetryDelay = 2 * time.Second
+
+// logRetryDelay returns the retry delay for a request that failed because of an error of the log, or did not wait any longer for it.
+// write is the expected time of a write: a slow log needs it at any instance.
+func logRetryDelay(err error, write time.Duration) time.Duration {
 	if errors.Is(err, partlog.ErrUnavailable) {
 		return outageRetryDelay
 	}
-	return shortRetryDelay
+	return min(max(shortRetryDelay, write), maxSlowRetryDelay)
 }
 
 // refusal is an answer made by the gateway itself. retry is the delay after which the caller should retry, 0 for none.
--- a/internal/programs/slowlog_test.go
+++ b/internal/programs/slowlog_test.go
@@ -199,7 +199,7 @@
 			f.tasks.Go(func() { s.Standby(context.Background()) })
 		}
 		for i := range perSecond {
-			f.tasks.Go(func() { f.program(ids.ProgramID(fmt.Sprintf("%d-%d", second, i)), turns) })
+			f.tasks.Go(func() { f.program(ids.ProgramID(fmt.Sprintf("%d-%d", second, i)), turns, requestTime) })
 			time.Sleep(time.Second / time.Duration(perSecond))
 		}
 	}
@@ -207,14 +207,14 @@
 }
 
 // program plays the turns of a program at any instances until one is not served.
-func (f *slowFleet) program(id ids.ProgramID, turns int) {
+func (f *slowFleet) program(id ids.ProgramID, turns int, patience time.Duration) {
 	var previous call.ID
 	for i := range turns {
 		f.mu.Lock()
 		n, results := f.random.IntN(len(f.stores)), f.results[len(f.results)-1]
 		f.mu.Unlock()
 		name := call.ID(fmt.Sprintf("%s-%d", id, i))
-		result := f.request(n, account.Key{Workspace: "w", Program: id}, name, previous)
+		result := f.request(n, account.Key{Workspace: "w", Program: id}, name, previous, time.Now().Add(patience))
 		f.mu.Lock()
 		results[result]++
 		f.mu.Unlock()
@@ -235,11 +235,11 @@
 )
 
 // request does what an instance does for a turn, and returns how it ended.
-func (f *slowFleet) request(n int, key account.Key, name, previous call.ID) string {
+func (f *slowFleet) request(n int, key account.Key, name, previous call.ID, deadline time.Time) string {
 	s, now := f.stores[n], time.Now()
-	ctx, cancel := context.WithDeadline(context.Background(), now.Add(requestTime))
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	request := admission.Request{Deadline: now.Add(requestTime), Run: targetTime, First: previous == ""}
+	request := admission.Request{Deadline: deadline, Run: targetTime, First: previous == ""}
 	answer := f.gates[n].Decide(request)
 	if !answer.Admitted {
 		return "refused: " + string(answer.Reason)
--- a/internal/recordgate/recordgate.go
+++ b/internal/recordgate/recordgate.go
@@ -172,6 +172,16 @@
 	g.gate.Answered(g.Now(), took)
 }
 
+// ExpectedWrite returns how long a write is expected to take, 0 if that is not known.
+func (g *Gate) ExpectedWrite() time.Duration {
+	if g == nil {
+		return 0
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.gate.ExpectedWrite(g.Now())
+}
+
 // GiveUp records that a write ends without success, after AttemptFailed got the error of each attempt.
 func (w *Write) GiveUp() {
 	if w == nil {
