Take a log that has not answered a read for 0.5 s not to answer

A leader whose link to the log was silent gave its appends up after 1.3 s instead of 0.6 s, because it waited for the answer to a read of nothing for 1.2 s, and went on through another instance that much later. TestKeptConnectionsBesideDisturbedInstance/log_silent failed in three of four runs with 4 to 7 cut answers. The read now has 0.5 s, so that it ends 0.6 s after the append began.

--- a/internal/programs/firstwrite.go
+++ b/internal/programs/firstwrite.go
@@ -16,6 +16,8 @@
 	slowLeaderFactor = 5
 	// askDelay is after how long a write takes longer than usual, so that the log is asked whether it is slow.
 	askDelay = 100 * time.Millisecond
+	// askTimeout is how long a log that works may take to answer. An append is not given up before it has passed.
+	askTimeout = attemptTimeout - askDelay
 	// slowAnswerAge is how long an answer that took askDelay or longer is taken for the next one.
 	slowAnswerAge = 500 * time.Millisecond
 	// beyondEnd is an offset that no partition reaches. The log answers a read from there at once with no records.
@@ -119,7 +121,7 @@
 	p.asked = a
 	go func() {
 		began := p.store.Now()
-		_, a.err = partlog.ReadRetained(context.Background(), p.store.Log, p.id, beyondEnd, writeTimeout)
+		_, a.err = partlog.ReadRetained(context.Background(), p.store.Log, p.id, beyondEnd, askTimeout)
 		a.took = p.store.Now().Sub(began)
 		p.store.answered(a)
 		p.mu.Lock()
