Make no appends of an own while the log is slow

While the log is slow, an instance whose turn or reservation took five times as long as an answer of the log still wrote it a second time by an append of its own. Such an append makes the conditional append of the partition's leader conflict, which then reads and appends again, so further writes take that long. When a leader was killed in a slow log, the partitions of the others were lost in this way too.

Now a turn goes to the leader of the next partition, which writes it with its next append, and a reservation to the next instance only if the leader fails.

--- a/internal/programs/firstwrite.go
+++ b/internal/programs/firstwrite.go
@@ -54,24 +54,26 @@
 }
 
 // awaitSlow blocks until the first attempt has failed, or has taken much longer than this instance waits for an answer of the log
-// about a partition. If the log is slow for this instance too, it is slow for the leader, and a second append would take its time
-// from the first one. The error wraps partlog.ErrNotApplied and means that there must be no second attempt.
-func (f *firstWrite) awaitSlow(p *partition, budget *hedge.Budget) error {
+// about a partition. If the log is slow for this instance too, it is slow for the leader. Then late is true, and an append of this
+// instance's own would take its time from the leaders' and conflict with them. The error wraps partlog.ErrNotApplied and means that there
+// must be no second attempt.
+func (f *firstWrite) awaitSlow(p *partition, budget *hedge.Budget) (late bool, err error) {
 	answer := p.ask()
 	select {
 	case <-answer.done:
 		if err := f.awaitAge(slowLeaderFactor * answer.took); err == nil && answer.err != nil {
-			return errors.Join(partlog.ErrNotApplied, answer.err)
+			return false, errors.Join(partlog.ErrNotApplied, answer.err)
 		}
+		late = answer.took >= askDelay
 	case <-f.failed.Done():
 	}
 	if f.ctx.Err() != nil {
-		return errors.Join(partlog.ErrNotApplied, context.Cause(f.ctx))
+		return late, errors.Join(partlog.ErrNotApplied, context.Cause(f.ctx))
 	}
 	if !budget.Allow(f.store.Now()) {
-		return errors.Join(partlog.ErrNotApplied, errors.New("too many records are written a second time"))
+		return late, errors.Join(partlog.ErrNotApplied, errors.New("too many records are written a second time"))
 	}
-	return nil
+	return late, nil
 }
 
 // awaitAge blocks until the first attempt has taken a time. The error is that it has failed before, or that no second one is wanted.
--- a/internal/programs/hedge.go
+++ b/internal/programs/hedge.go
@@ -26,8 +26,9 @@
 
 // writeTurns writes turns through the leader of a partition, and returns the partition that has them. The leader may be alive and
 // yet unable to write, because it is cut off from the log or because this part of the log does not answer. So if it takes long, and
-// not because the log does, this instance writes the turns to the partition spare as well, and the first success counts. Turns need no
-// condition, may be in any partition, and count once if they are written twice.
+// not because the log does, this instance writes the turns to the partition spare as well, and the first success counts. In a slow log
+// the leader of that partition does, with its next append. Turns need no condition, may be in any partition, and count once if they are
+// written twice.
 func (s *Store) writeTurns(ctx context.Context, p, spare *partition, turns [][]byte, w *recordgate.Write) (*partition, error) {
 	b, calls, callCtx := batch{turns: turns}, 0, hedge.KeepDeadline(ctx, writeTimeout)
 	first := s.beginFirst(ctx, spare)
@@ -49,11 +50,16 @@
 			return nil
 		}
 		return func() (*partition, error) {
-			if err := first.awaitSlow(spare, s.turnHedges); err != nil {
+			late, err := first.awaitSlow(spare, s.turnHedges)
+			if err != nil {
 				return nil, err
 			}
 			w.Try(spare.id)
-			_, err := spare.submit(callCtx, b)
+			if late {
+				_, err = s.writeThrough(callCtx, s.Leaders.Do, spare, b)
+			} else {
+				_, err = spare.submit(callCtx, b)
+			}
 			return spare, err
 		}
 	})
@@ -95,8 +101,11 @@
 			return nil
 		}
 		return func() ([]grant, error) {
-			if err := first.awaitSlow(p, s.accountHedges); err != nil {
+			switch late, err := first.awaitSlow(p, s.accountHedges); {
+			case err != nil:
 				return nil, err
+			case late && first.failed.Err() == nil:
+				return nil, errLogLate
 			}
 			return next()
 		}
@@ -110,6 +119,9 @@
 	return o.Result, nil
 }
 
+// errLogLate is the error of a second write that is not made because the log is slow.
+var errLogLate = errors.Join(partlog.ErrNotApplied, errors.New("the log is slow, so its partition's leader may be"))
+
 // mayApply reports whether a call that failed, or has not ended, may have an effect.
 func mayApply[T any](o hedge.Outcome[T]) bool {
 	for _, err := range o.Errors {
--- a/internal/programs/slowlog_test.go
+++ b/internal/programs/slowlog_test.go
@@ -21,6 +21,7 @@
 	"github.com/comfreylink/comfreylink/internal/partlog/partlogtest"
 	"github.com/comfreylink/comfreylink/internal/programs"
 	"github.com/comfreylink/comfreylink/internal/recordgate"
+	"github.com/comfreylink/comfreylink/internal/rpc"
 	"github.com/comfreylink/comfreylink/pkg/account"
 	"github.com/comfreylink/comfreylink/pkg/admission"
 	"github.com/comfreylink/comfreylink/pkg/ids"
@@ -110,9 +111,29 @@
 	stores  []*programs.Store
 	gates   []*recordgate.Gate
 	members []leaders.Member
+	clients []*leaders.Client
 	tasks   sync.WaitGroup
 	mu      sync.Mutex
 	results []map[string]int // of the requests that began in each second
+	killed  int              // the instance that has been killed; -1 before
+}
+
+// isKilled reports whether an instance has been killed.
+func (f *slowFleet) isKilled(n int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.killed == n
+}
+
+// killLeader kills the leader of a partition, which the others go on to take for its leader.
+func (f *slowFleet) killLeader(p partlog.Partition) {
+	for i, client := range f.clients {
+		if client.Rank(p) == 0 {
+			f.mu.Lock()
+			f.killed = i
+			f.mu.Unlock()
+		}
+	}
 }
 
 // slowCaller is the network of one instance.
@@ -121,6 +142,13 @@
 // Call implements leaders.Caller.
 func (f slowCaller) Call(ctx context.Context, address, method string, params, result any) error {
 	time.Sleep(callLatency)
+	var index int
+	if _, err := fmt.Sscan(address, &index); err != nil {
+		return err
+	}
+	if f.isKilled(index) {
+		return errors.Join(rpc.ErrUnreachable, errors.New("connection refused"))
+	}
 	if method == "alive" {
 		return ctx.Err()
 	}
@@ -128,10 +156,6 @@
 	if err != nil {
 		return err
 	}
-	var index int
-	if _, err := fmt.Sscan(address, &index); err != nil {
-		return err
-	}
 	answered := make(chan error, 1)
 	go func() {
 		answer, err := f.stores[index].Methods()[method](context.Background(), data)
@@ -162,7 +186,7 @@
 		log: &queueLog{
 			Log: partlogtest.New(), free: make(map[partlog.Partition]time.Time), slow: 1, random: rand.New(rand.NewPCG(seed, 2)),
 		},
-		random: rand.New(rand.NewPCG(seed, 1)),
+		random: rand.New(rand.NewPCG(seed, 1)), killed: -1,
 	}
 	for i := range size {
 		f.members = append(f.members, leaders.Member{
@@ -175,6 +199,7 @@
 			Self: m.Instance, Zone: m.Zone, Members: func() []leaders.Member { return f.members }, Caller: slowCaller{f}, Now: time.Now,
 			Logger: zap.NewNop(),
 		})
+		f.clients = append(f.clients, client)
 		gate := recordgate.New(recordgate.Config{Now: time.Now, Partitions: partitions, Observer: slowCaller{f}, Logger: zap.NewNop()})
 		f.gates = append(f.gates, gate)
 		f.stores = append(f.stores, programs.New(programs.Config{
@@ -185,9 +210,9 @@
 	return f
 }
 
-// run plays programs, some new ones in each second, and returns when all have ended. slow is how much slower than usual the
-// log is in a second.
-func (f *slowFleet) run(seconds, perSecond, turns int, slow func(second int) int) {
+// run plays programs, some new ones in each second, and returns when all have ended. The leader of a partition is
+// killed in the second killAt, and slow is how much slower than usual the log is in a second.
+func (f *slowFleet) run(seconds, perSecond, turns, killAt int, slow func(second int) int) {
 	for second := range seconds {
 		f.log.mu.Lock()
 		f.log.slow = slow(second)
@@ -195,8 +220,13 @@
 		f.mu.Lock()
 		f.results = append(f.results, make(map[string]int))
 		f.mu.Unlock()
-		for _, s := range f.stores {
-			f.tasks.Go(func() { s.Standby(context.Background()) })
+		if second == killAt {
+			f.killLeader(partlog.Keyspace{Name: "records", Topics: 1, Parts: 1}.Partitions()[0])
+		}
+		for i, s := range f.stores {
+			if !f.isKilled(i) {
+				f.tasks.Go(func() { s.Standby(context.Background()) })
+			}
 		}
 		for i := range perSecond {
 			f.tasks.Go(func() { f.program(ids.ProgramID(fmt.Sprintf("%d-%d", second, i)), turns, requestTime) })
@@ -212,6 +242,9 @@
 	for i := range turns {
 		f.mu.Lock()
 		n, results := f.random.IntN(len(f.stores)), f.results[len(f.results)-1]
+		if n == f.killed {
+			n = (n + 1) % len(f.stores)
+		}
 		f.mu.Unlock()
 		name := call.ID(fmt.Sprintf("%s-%d", id, i))
 		result := f.request(n, account.Key{Workspace: "w", Program: id}, name, previous, time.Now().Add(patience))
@@ -279,12 +312,12 @@
 // as many appends as there is capacity for.
 func TestSlowLogServes(t *testing.T) {
 	const seconds, perSecond, slowFrom, slowUntil = 11, 70, 2, 7
-	for _, test := range []struct{ instances, turns, slow int }{{40, 5, 50}, {40, 5, 90}, {195, 1, 60}} {
-		t.Run(fmt.Sprintf("%d instances, %d turns, %d times slower", test.instances, test.turns, test.slow), func(t *testing.T) {
+	for _, test := range []struct{ instances, turns, slow, killAt int }{{40, 5, 50, -1}, {40, 5, 90, -1}, {195, 1, 60, -1}, {40, 5, 50, 4}} {
+		t.Run(fmt.Sprintf("%d instances, %d turns, %d times slower, killed at %d", test.instances, test.turns, test.slow, test.killAt), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				c := qt.New(t)
 				f := newSlowFleet(test.instances, 6, 1)
-				f.run(seconds, perSecond, test.turns, func(s int) int {
+				f.run(seconds, perSecond, test.turns, test.killAt, func(s int) int {
 					if s >= slowFrom && s < slowUntil {
 						return test.slow
 					}
