Let overloaded owners keep their shards for longer than unreachable ones

Cause: an owner that all call and that answers none in time was replaced as fast as one that nobody reaches. If the requests of one workspace overload the owners of its parts, the next owners are overloaded as well, and the shards move while the last ones recover.

Complaints last until an answer, 8 s at most.

Owners that are cut are replaced as before.

--- a/internal/grants/complaints.go
+++ b/internal/grants/complaints.go
@@ -11,7 +11,7 @@
 
 const (
 	// silenceTTL is how long after the last failed call an owner is complained of.
-	silenceTTL = 4 * time.Second
+	silenceTTL = 8 * time.Second
 	// minSilence is how long an owner must be silent. One that answers most of the calls in time is hardly ever complained of.
 	minSilence = time.Second
 	// maxComplaints bounds the complaints in one report.
@@ -41,10 +41,13 @@
 }
 
 // noteCall notes that another instance has called.
-func (g *RateLimiter) noteCall() {
+func (g *RateLimiter) noteCall(p grantParams) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.contactAt = g.Now()
+	if p.Late {
+		g.limiter.Leases.CalledAgain(g.contactAt, quota.ShardOf(p.Workspace, p.Part), p.Caller)
+	}
 }
 
 // noteContact notes that another instance has answered, under the lock.
--- a/internal/grants/grants.go
+++ b/internal/grants/grants.go
@@ -316,8 +316,8 @@
 		}
 		return grantResult{NotOwner: true, RetryMs: retry.Milliseconds()}
 	}
-	if p.Caller != "" {
-		g.limiter.Leases.Answered(now, quota.ShardOf(p.Workspace, p.Part), p.Caller, !p.Late)
+	if p.Caller != "" && !p.Late {
+		g.limiter.Leases.Answered(now, quota.ShardOf(p.Workspace, p.Part), p.Caller)
 	}
 	return grantResult{
 		Tokens: grant.Tokens, WaitMs: ids.Millis(grant.Wait), RetryMs: grant.Retry.Milliseconds(), Level: grant.Level,
@@ -390,7 +390,7 @@
 	return map[string]rpc.Method{
 		methodGrant: rpc.Typed(func(ctx context.Context, p grantParams) (any, error) {
 			g.applyLoads(p.Loads)
-			g.noteCall()
+			g.noteCall(p)
 			r := g.serve(ctx, p)
 			r.Loads = g.ownLoads()
 			return r, nil
