--- a/internal/reports/claims.go
+++ b/internal/reports/claims.go
@@ -39,10 +39,15 @@
 	decided := r.decided
 	r.decided = make(chan struct{})
 	wait := r.Now().Before(r.appendAfter)
+	givenUp := r.givenUp && !wait
+	r.givenUp = r.givenUp && wait
 	r.mu.Unlock()
 	defer close(decided)
-	if len(wanted) == 0 || wait {
-		return nil
+	if givenUp {
+		_, err = r.Write(ctx) // releases them
+	}
+	if len(wanted) == 0 || wait || err != nil {
+		return err
 	}
 	slices.Sort(wanted)
 	for range claimTries {
@@ -75,6 +80,22 @@
 	return err == nil, err
 }
 
+// giveUpShards gives up the shards of this instance that others complain of, under r.mu. They are released without waiting for
+// the next report.
+func (r *Reports) giveUpShards(now time.Time) {
+	var shards []quota.Shard
+	r.Grants.View(func(l *quota.Limiter) { shards = l.Leases.GiveUp(now) })
+	if len(shards) == 0 {
+		return
+	}
+	events.Log(r.Logger, events.ShardsGivenUp, zap.Any("shards", shards))
+	r.givenUp = true
+	select {
+	case r.wakeup <- struct{}{}:
+	default:
+	}
+}
+
 // applyLease applies the part of a report that concerns leases, and logs what it changes for this instance.
 func (r *Reports) applyLease(now time.Time, report quota.Report) {
 	var gained, lost []quota.Shard
