--- a/internal/recordgate/recordgate.go
+++ b/internal/recordgate/recordgate.go
@@ -135,7 +135,8 @@
 	now := g.Now()
 	delete(g.waiting, w)
 	if err == nil {
-		g.succeeded(now, now.Sub(w.began))
+		clear(g.failing)
+		g.gate.Succeeded(now, now.Sub(w.began))
 	} else if g.manyFail(w) {
 		g.failed(now, err)
 	}
@@ -150,20 +151,45 @@
 	return len(g.failing) >= min(failedPartitions, g.Partitions/2+1)
 }
 
-// succeeded records a success. The caller holds the lock.
-func (g *Gate) succeeded(now time.Time, took time.Duration) {
+// Succeeded records a write that was not announced by Begin and is no record of a request.
+func (g *Gate) Succeeded(took time.Duration) {
+	if g == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	clear(g.failing)
-	g.gate.Succeeded(now, took)
+	g.gate.SucceededElsewhere(g.Now(), took)
 }
 
-// Succeeded records a write that was not announced by Begin.
-func (g *Gate) Succeeded(took time.Duration) {
+// Answered records that the log has answered a read of nothing, and how long that took.
+func (g *Gate) Answered(took time.Duration) {
+	if g == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.gate.Answered(g.Now(), took)
+}
+
+// Unanswered records that the log has not answered a read of nothing in time.
+func (g *Gate) Unanswered() {
 	if g == nil {
 		return
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.succeeded(g.Now(), took)
+	g.gate.Unanswered(g.Now())
+}
+
+// ExpectedWrite returns how long a write is expected to take, 0 if that is not known.
+func (g *Gate) ExpectedWrite() time.Duration {
+	if g == nil {
+		return 0
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.gate.ExpectedWrite(g.Now())
 }
 
 // GiveUp records that a write ends without success, after AttemptFailed got the error of each attempt.
--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -23,6 +23,10 @@
 	// expected time of a write, and at least minStall.
 	stallFactor = 4
 	minStall    = 300 * time.Millisecond
+	// answerFactor is how many times as long as an answer of the log a write may wait until the log is taken not to take writes, and
+	// maxAnswerAge how old that answer may be. A write waits for the one before it, and a conflict adds a read and another one.
+	answerFactor = 6
+	maxAnswerAge = time.Second
 	// usualWrite is the expected time of a write up to which the log is never the reason for a refusal.
 	usualWrite = 100 * time.Millisecond
 	// probeInterval is the time without a success or a failure after which a request may be a probe. Reports are written once a
@@ -98,12 +102,14 @@
 	score       int       // of the failures since the last success
 	failedAt    time.Time // the first of these failures
 	lastResult  time.Time // time of the last success or failure, or the start
-	healthyAt   time.Time // end of the last outage, or the start
+	healthyAt   time.Time // end of the last outage, when the log last did not answer a read, or the start
 	down        bool      // an outage was found and no write has succeeded since
 	downAt      time.Time
 	waiting     int
-	oldestAt    time.Time // when the oldest waiting write began
-	lastSuccess time.Time // time of the last success, or the start
+	oldestAt    time.Time     // when the oldest waiting write began
+	lastSuccess time.Time     // time of the last success, or the start
+	answer      time.Duration // how long the log took to answer a read at answeredAt
+	answeredAt  time.Time
 	probedAt    time.Time
 	probeEnd    time.Time // until when the result of the last probe is awaited
 }
@@ -123,7 +129,17 @@
 		g.healthyAt = now
 		return
 	}
-	g.write.add(min(took, now.Sub(g.healthyAt)))
+	g.write.add(now, min(took, now.Sub(g.healthyAt)))
+}
+
+// SucceededElsewhere records a write that the log accepted and that is no record of a request. It ends an outage as any other. It may
+// have waited in a queue of its own, so it replaces a longer expected time of a write, but does not raise it.
+func (g *Gate) SucceededElsewhere(now time.Time, took time.Duration) {
+	expected := g.write.expected(now)
+	if took < expected {
+		g.write = latency{}
+	}
+	g.Succeeded(now, min(took, expected))
 }
 
 // Failed records an attempt at a write that failed. The write may be tried again.
@@ -147,15 +163,38 @@
 	g.waiting, g.oldestAt = count, now.Add(-oldest)
 }
 
-// stalled reports whether a write waits for longer than writes usually take while none succeeds.
+// Answered records that the log has answered a read, and how long that took. A log that answers late is not taken for one that does not
+// answer.
+func (g *Gate) Answered(now time.Time, took time.Duration) {
+	g.answer, g.answeredAt = took, now
+	if g.down && g.score == 0 && !g.stalled(now) {
+		g.down = false
+	}
+}
+
+// Unanswered records that the log has not answered a read in time. What writes have waited before that says nothing about a log that
+// answers again.
+func (g *Gate) Unanswered(now time.Time) { g.healthyAt = now }
+
+// MaxWait returns how long a write may wait until the log is taken not to take writes.
+func (g *Gate) MaxWait(now time.Time) time.Duration {
+	limit := max(minStall, stallFactor*g.write.expected(now))
+	if now.Sub(g.answeredAt) <= maxAnswerAge {
+		limit = max(limit, answerFactor*g.answer)
+	}
+	return limit
+}
+
+// stalled reports whether a write waits for longer than writes usually take, and than the answers of the log explain, while none
+// succeeds.
 func (g *Gate) stalled(now time.Time) bool {
-	limit := max(minStall, stallFactor*g.write.expected())
+	limit := g.MaxWait(now)
 	return g.waiting > 0 && now.Sub(g.oldestAt) >= limit && now.Sub(g.lastSuccess) >= limit
 }
 
-// expectedWrite returns the expected time of a write. What waited since before the end of an outage counts from that end.
-func (g *Gate) expectedWrite(now time.Time) time.Duration {
-	expected := g.write.expected()
+// ExpectedWrite returns the expected time of a write. What waited since before the end of an outage counts from that end.
+func (g *Gate) ExpectedWrite(now time.Time) time.Duration {
+	expected := g.write.expected(now)
 	if g.waiting > 0 {
 		expected = max(expected, min(now.Sub(g.oldestAt), now.Sub(g.healthyAt)))
 	}
@@ -167,7 +206,7 @@
 	if !g.down && g.stalled(now) {
 		g.down, g.downAt = true, later(g.oldestAt, g.lastSuccess)
 	}
-	a := Answer{Write: g.expectedWrite(now)}
+	a := Answer{Write: g.ExpectedWrite(now)}
 	switch {
 	case g.down && g.score > 0:
 		a.Reason = Failing
@@ -186,8 +225,8 @@
 	return a
 }
 
-// lateness returns how much later than its deadline the record of a request would be written, or 0. First requests of
-// programs need twice the expected time, so that they are refused before others.
+// lateness returns how much later than its deadline the record of a request would be written, or 0. First requests of programs need
+// twice the expected time: their reservation is written before they are sent, and they are refused before others.
 func (g *Gate) lateness(now time.Time, r Request, write time.Duration) time.Duration {
 	if r.Deadline.IsZero() || write <= usualWrite {
 		return 0
