--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -36,6 +36,7 @@
 	"github.com/comfreylink/comfreylink/internal/waitqueue"
 	"github.com/comfreylink/comfreylink/pkg/account"
 	"github.com/comfreylink/comfreylink/pkg/ids"
+	"github.com/comfreylink/comfreylink/pkg/leader"
 	"github.com/comfreylink/comfreylink/pkg/quota"
 	"github.com/comfreylink/comfreylink/pkg/retry"
 )
@@ -136,7 +137,7 @@
 		})
 	}
 	g.followed = logcache.New(logcache.Config{
-		Self: c.Settings.Instance.ID, Zone: c.Settings.Instance.Zone, Log: c.Source.Log, Members: g.zoneReaders,
+		Self: c.Settings.Instance.ID, Zone: c.Settings.Instance.Zone, Log: c.Source.Log, Members: func() []leader.Member { return g.reports.Members() },
 		Discovered: func() bool { return g.reports.PeersKnown() }, Caller: c.RPC, ReadRate: sharedReadRate(c.Settings), Now: c.Clock.Now,
 		Backlogs:  map[partlog.Partition]ids.Offset{c.Source.Config: 0, c.Source.Targets: 0, reports.Partition: reports.ReaderBacklog},
 		Discovery: reports.Partition, Directory: c.Readers, Logger: c.Logger,
@@ -185,9 +186,9 @@
 
 // leaderCandidates returns the instances that may lead partitions. The bodies of turns must not leave the region, so each
 // region has leaders of its own.
-func (g *Gateway) leaderCandidates() []leaders.Member {
+func (g *Gateway) leaderCandidates() []leader.Member {
 	region := g.Settings.Instance.Region
-	return slices.DeleteFunc(g.reports.Members(), func(m leaders.Member) bool {
+	return slices.DeleteFunc(g.reports.Members(), func(m leader.Member) bool {
 		other, ok := g.Settings.Zones[m.Zone]
 		return ok && other != region
 	})
@@ -205,14 +206,6 @@
 	return s.Store.ReadRate
 }
 
-// zoneReaders returns the instances that may read for others.
-func (g *Gateway) zoneReaders() (l []logcache.Member) {
-	for _, m := range g.reports.Members() {
-		l = append(l, logcache.Member(m))
-	}
-	return l
-}
-
 // Peers returns the other instances.
 func (g *Gateway) Peers() []relay.Peer { return g.reports.Peers() }
 
--- a/internal/grants/fleet_test.go
+++ b/internal/grants/fleet_test.go
@@ -29,6 +29,7 @@
 	"github.com/comfreylink/comfreylink/internal/reports"
 	"github.com/comfreylink/comfreylink/internal/rpc"
 	"github.com/comfreylink/comfreylink/pkg/ids"
+	"github.com/comfreylink/comfreylink/pkg/leader"
 	"github.com/comfreylink/comfreylink/pkg/quota"
 )
 
@@ -248,7 +249,7 @@
 		readRate = f.readRate
 	}
 	p.followed = logcache.New(logcache.Config{
-		Self: i.id, Zone: i.zone, Log: p.relayed, Members: p.readers, Discovered: func() bool { return p.reports.PeersKnown() }, Caller: p,
+		Self: i.id, Zone: i.zone, Log: p.relayed, Members: func() []leader.Member { return p.reports.Members() }, Discovered: func() bool { return p.reports.PeersKnown() }, Caller: p,
 		Discovery: reports.Partition, Directory: logcache.Directory{Partition: directoryPartition, Encode: encodeKeyed},
 		ReadRate: readRate, Backlogs: map[partlog.Partition]ids.Offset{configPartition: 0, targetsPartition: 0, reports.Partition: reports.ReaderBacklog}, Now: now, Logger: zap.NewNop(),
 	})
@@ -288,14 +289,6 @@
 	return f.runs > len(f.instances)
 }
 
-// readers returns the instances that may read the log for others.
-func (p *simProcess) readers() (l []logcache.Member) {
-	for _, m := range p.reports.Members() {
-		l = append(l, logcache.Member(m))
-	}
-	return l
-}
-
 func (p *simProcess) configure(limit quota.Limit) {
 	limits := p.fleet.limits
 	if limits == nil {
--- a/internal/leaders/health.go
+++ b/internal/leaders/health.go
@@ -11,6 +11,7 @@
 	"github.com/comfreylink/comfreylink/internal/events"
 	"github.com/comfreylink/comfreylink/internal/partlog"
 	"github.com/comfreylink/comfreylink/pkg/ids"
+	"github.com/comfreylink/comfreylink/pkg/leader"
 )
 
 const (
@@ -28,19 +29,19 @@
 }
 
 // call calls a method of a member. The call ends early if the member does not answer that it is alive.
-func (c *Client) call(ctx context.Context, m Member, method string, params, result any) error {
+func (c *Client) call(ctx context.Context, m leader.Member, method string, params, result any) error {
 	ctx, stop := alive.Watch(ctx, c.Caller, m.Address, alive.Interval)
 	defer stop()
 	return c.Caller.Call(ctx, m.Address, method, params, result)
 }
 
-func (c *Client) askAlive(ctx context.Context, m Member) error {
+func (c *Client) askAlive(ctx context.Context, m leader.Member) error {
 	return alive.Ask(ctx, c.Caller, m.Address)
 }
 
 // paused reports whether a member is not called because it did not answer. When its pause has passed, it is asked whether it is
 // alive, and it stays paused until it has answered.
-func (c *Client) paused(m Member) bool {
+func (c *Client) paused(m leader.Member) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	f, ok := c.failed[m.Instance]
@@ -52,7 +53,7 @@
 }
 
 // probe ends the pause of a member if it is alive, or else begins it anew.
-func (c *Client) probe(m Member) {
+func (c *Client) probe(m leader.Member) {
 	err := c.askAlive(context.Background(), m)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -64,7 +65,7 @@
 }
 
 // recordFailure records and logs that a member did not answer, so that it is not called for failedPause.
-func (c *Client) recordFailure(m Member, p partlog.Partition, err error) {
+func (c *Client) recordFailure(m leader.Member, p partlog.Partition, err error) {
 	c.mu.Lock()
 	now := c.Now()
 	maps.DeleteFunc(c.failed, func(_ ids.InstanceID, f failure) bool { return !f.probing && now.Sub(f.at) > healthMaxAge })
--- a/internal/leaders/leaders.go
+++ b/internal/leaders/leaders.go
@@ -10,7 +10,6 @@
 	"sync"
 	"time"
 
-	"github.com/sourcegraph/jsonrpc2"
 	"go.uber.org/zap"
 
 	"github.com/comfreylink/comfreylink/internal/partlog"
@@ -23,19 +22,12 @@
 // whole partition, so a few others come first.
 const maxLeaders = 4
 
-// Member is an instance that may lead partitions.
-type Member struct {
-	leader.Candidate
-	Address string
-	Zone    ids.Zone
-}
-
 // Config holds a client's dependencies.
 type Config struct {
 	Self ids.InstanceID
 	Zone ids.Zone
 	// Members returns the instances that may lead partitions, this one included.
-	Members func() []Member
+	Members func() []leader.Member
 	// Discovered is closed when Members returns more than this instance if there are more; nil if it always does.
 	Discovered <-chan struct{}
 	Caller     Caller
@@ -128,7 +120,7 @@
 		return false, errNoOther
 	default:
 		unanswered, err = c.callTwice(ctx, next, method, params, result)
-		if err != nil && !isAnswer(err) && ctx.Err() == nil {
+		if err != nil && !rpc.IsAnswer(err) && ctx.Err() == nil {
 			c.recordFailure(next, p, err)
 		}
 		if errors.Is(err, rpc.ErrUnreachable) && !unanswered {
@@ -139,7 +131,7 @@
 }
 
 // try calls the members in turn until one answers. If none does, or this instance comes before them, it calls local instead.
-func (c *Client) try(ctx context.Context, p partlog.Partition, members []Member, method string, params, result any, local func() error) (unanswered bool, err error) {
+func (c *Client) try(ctx context.Context, p partlog.Partition, members []leader.Member, method string, params, result any, local func() error) (unanswered bool, err error) {
 	tried := 0
 	for _, m := range members {
 		if m.Instance == c.Self || tried == maxLeaders {
@@ -150,7 +142,7 @@
 		}
 		tried++
 		sent, err := c.callTwice(ctx, m, method, params, result)
-		if err == nil || isAnswer(err) {
+		if err == nil || rpc.IsAnswer(err) {
 			return unanswered, err
 		}
 		unanswered = unanswered || sent
@@ -164,10 +156,10 @@
 
 // callTwice calls a method of a member, and once more if the member is alive but that call got no answer: its connection may be
 // broken or silent. sent reports whether a call without an answer may have reached the member.
-func (c *Client) callTwice(ctx context.Context, m Member, method string, params, result any) (sent bool, err error) {
+func (c *Client) callTwice(ctx context.Context, m leader.Member, method string, params, result any) (sent bool, err error) {
 	for try := range 2 {
 		err = c.call(ctx, m, method, params, result)
-		if err == nil || isAnswer(err) {
+		if err == nil || rpc.IsAnswer(err) {
 			return sent, err
 		}
 		if errors.Is(err, rpc.ErrUnreachable) {
@@ -181,12 +173,6 @@
 	return sent, err
 }
 
-// isAnswer reports whether the error of a call is the member's answer.
-func isAnswer(err error) bool {
-	var answered *jsonrpc2.Error
-	return errors.As(err, &answered)
-}
-
 // Rank returns the place of this instance in the order for a partition, from 0 for the leader. Until the other instances are
 // known, it is behind all of them.
 func (c *Client) Rank(p partlog.Partition) int {
--- a/internal/leaders/leaders_test.go
+++ b/internal/leaders/leaders_test.go
@@ -89,17 +89,17 @@
 
 // newClientOf returns a client of members that lead in the given order, itself last unless it is among them.
 func newClientOf(p *peers, order ...ids.InstanceID) *leaders.Client {
-	var members []leaders.Member
+	var members []leader.Member
 	if !slices.Contains(order, "self") {
-		members = append(members, leaders.Member{Candidate: leader.Candidate{Instance: "self"}, Address: "self"})
+		members = append(members, leader.Member{Candidate: leader.Candidate{Instance: "self"}, Address: "self"})
 	}
 	weight := 1e9
 	for _, id := range order {
-		members = append(members, leaders.Member{Candidate: leader.Candidate{Instance: id, Weight: weight}, Address: string(id)})
+		members = append(members, leader.Member{Candidate: leader.Candidate{Instance: id, Weight: weight}, Address: string(id)})
 		weight /= 1e5 // so far apart that the order is certain
 	}
 	return leaders.New(leaders.Config{
-		Self: "self", Members: func() []leaders.Member { return members }, Caller: p, Now: time.Now, Logger: zap.NewNop(),
+		Self: "self", Members: func() []leader.Member { return members }, Caller: p, Now: time.Now, Logger: zap.NewNop(),
 	})
 }
 
@@ -173,10 +173,10 @@
 // the time of a small one, and against one that keeps calling a leader that is about to stop.
 func TestOrderIsComputedSeldom(t *testing.T) {
 	c := qt.New(t)
-	now, asked, members := time.Unix(1, 0), 0, []leaders.Member{{Candidate: leader.Candidate{Instance: "a", Weight: 1}, Zone: "z"}}
+	now, asked, members := time.Unix(1, 0), 0, []leader.Member{{Candidate: leader.Candidate{Instance: "a", Weight: 1}, Zone: "z"}}
 	r := leaders.New(leaders.Config{
 		Self: "self", Zone: "z", Now: func() time.Time { return now },
-		Members: func() []leaders.Member { asked++; return members },
+		Members: func() []leader.Member { asked++; return members },
 	})
 	for range 50 {
 		c.Assert(r.Near([]partlog.Partition{part}), qt.HasLen, 1)
--- a/internal/leaders/order.go
+++ b/internal/leaders/order.go
@@ -17,14 +17,14 @@
 
 // order is the order of a partition's leaders, as it was at a time.
 type order struct {
-	members []Member
+	members []leader.Member
 	at      time.Time
 	// discovered is false if the other instances were not known yet.
 	discovered bool
 }
 
 // leaders returns the members in the order in which they may lead a partition. The caller must not change the list.
-func (c *Client) leaders(p partlog.Partition) []Member {
+func (c *Client) leaders(p partlog.Partition) []leader.Member {
 	now := c.Now()
 	c.mu.Lock()
 	o, ok := c.orders[p]
@@ -43,9 +43,9 @@
 // computeOrder returns the members in the order in which they may lead a partition. The partitions of a topic are dealt to the
 // zones in turn, and the members of the partition's zone come first, so that each zone has leaders of its own. Members
 // without a weight come last, whatever their zone.
-func (c *Client) computeOrder(p partlog.Partition) (list []Member) {
+func (c *Client) computeOrder(p partlog.Partition) (list []leader.Member) {
 	members := c.Members()
-	byID := make(map[ids.InstanceID]Member, len(members))
+	byID := make(map[ids.InstanceID]leader.Member, len(members))
 	zones := make(map[ids.Zone]bool)
 	for _, m := range members {
 		byID[m.Instance] = m
--- a/internal/leaders/query.go
+++ b/internal/leaders/query.go
@@ -8,6 +8,8 @@
 
 	"github.com/comfreylink/comfreylink/internal/hedge"
 	"github.com/comfreylink/comfreylink/internal/partlog"
+	"github.com/comfreylink/comfreylink/internal/rpc"
+	"github.com/comfreylink/comfreylink/pkg/leader"
 )
 
 const (
@@ -26,7 +28,7 @@
 		return decodeResult(o.Result, result)
 	}
 	for _, failed := range o.Errors {
-		if isAnswer(failed) {
+		if rpc.IsAnswer(failed) {
 			err = failed
 		}
 	}
@@ -54,7 +56,7 @@
 	p       partlog.Partition
 	method  string
 	params  any
-	members []Member
+	members []leader.Member
 	tried   int
 }
 
@@ -72,9 +74,9 @@
 	return nil
 }
 
-func (q *round) ask(m Member) (result json.RawMessage, err error) {
+func (q *round) ask(m leader.Member) (result json.RawMessage, err error) {
 	_, err = q.client.callTwice(q.ctx, m, q.method, q.params, &result)
-	if err != nil && !isAnswer(err) && q.ctx.Err() == nil {
+	if err != nil && !rpc.IsAnswer(err) && q.ctx.Err() == nil {
 		q.client.recordFailure(m, q.p, err)
 	}
 	return result, err
--- a/internal/logcache/choose.go
+++ b/internal/logcache/choose.go
@@ -26,8 +26,8 @@
 }
 
 // orderZone returns the instances of a zone that reach the log, in the order in which they read for the others.
-func orderZone(members []Member, zone ids.Zone) (order []Member) {
-	byID := make(map[ids.InstanceID]Member)
+func orderZone(members []leader.Member, zone ids.Zone) (order []leader.Member) {
+	byID := make(map[ids.InstanceID]leader.Member)
 	var candidates []leader.Candidate
 	for _, m := range members {
 		if m.Zone == zone && m.Weight > 0 {
@@ -42,7 +42,7 @@
 }
 
 // zoneReaders returns the instances that read and append for the others of a zone. A small zone has none.
-func zoneReaders(members []Member, zone ids.Zone) (readers []Member) {
+func zoneReaders(members []leader.Member, zone ids.Zone) (readers []leader.Member) {
 	order := orderZone(members, zone)
 	if len(order) < minZoneMembers {
 		return nil
--- a/internal/logcache/combine.go
+++ b/internal/logcache/combine.go
@@ -11,6 +11,7 @@
 	"github.com/comfreylink/comfreylink/internal/partlog"
 	"github.com/comfreylink/comfreylink/internal/rpc"
 	"github.com/comfreylink/comfreylink/pkg/ids"
+	"github.com/comfreylink/comfreylink/pkg/leader"
 )
 
 const (
@@ -174,7 +175,7 @@
 }
 
 // appendThrough appends records through another instance.
-func (l *Log) appendThrough(ctx context.Context, m Member, p partlog.Partition, records [][]byte) (first ids.Offset, err error) {
+func (l *Log) appendThrough(ctx context.Context, m leader.Member, p partlog.Partition, records [][]byte) (first ids.Offset, err error) {
 	var r appendResult
 	params := appendParams{Partition: p, Records: records, TimeoutMs: maxAnswerTime.Milliseconds()}
 	if deadline, ok := ctx.Deadline(); ok {
--- a/internal/logcache/directory.go
+++ b/internal/logcache/directory.go
@@ -55,7 +55,7 @@
 type directory struct {
 	loaded chan struct{} // closed once the directory was read, or is not needed any more
 	// zones and instances are set before loaded is closed.
-	zones     map[ids.Zone][]Member
+	zones     map[ids.Zone][]leader.Member
 	instances int
 }
 
@@ -87,7 +87,7 @@
 
 // apply sets what the directory holds. Records that cannot be read are left out.
 func (d *directory) apply(entries []partlog.Entry) {
-	d.zones = make(map[ids.Zone][]Member)
+	d.zones = make(map[ids.Zone][]leader.Member)
 	for _, e := range entries {
 		var r zoneRecord
 		if json.Unmarshal(e.Value, &r) != nil {
@@ -96,14 +96,14 @@
 		d.instances = max(d.instances, r.Instances)
 		for _, reader := range r.Readers[:min(len(r.Readers), maxCandidates)] {
 			zone := ids.Zone(e.Key)
-			d.zones[zone] = append(d.zones[zone], Member{Candidate: leader.Candidate{Instance: reader.Instance, Weight: 1}, Address: reader.Address, Zone: zone})
+			d.zones[zone] = append(d.zones[zone], leader.Member{Candidate: leader.Candidate{Instance: reader.Instance, Weight: 1}, Address: reader.Address, Zone: zone})
 		}
 	}
 }
 
 // readersOf returns the readers of a partition for a zone: those of the zone and then one of each other zone, which is asked only if
 // none of the zone can be.
-func (d *directory) readersOf(zone ids.Zone, p partlog.Partition) (readers []Member) {
+func (d *directory) readersOf(zone ids.Zone, p partlog.Partition) (readers []leader.Member) {
 	readers = rotate(d.zones[zone], p)
 	if len(readers) == 0 {
 		return nil
@@ -117,7 +117,7 @@
 }
 
 // rotate returns the readers of a zone in the order in which they are asked for a partition. Each reads other partitions first.
-func rotate(readers []Member, p partlog.Partition) []Member {
+func rotate(readers []leader.Member, p partlog.Partition) []leader.Member {
 	if len(readers) == 0 {
 		return nil
 	}
--- a/internal/logcache/directory_test.go
+++ b/internal/logcache/directory_test.go
@@ -15,6 +15,7 @@
 	"github.com/comfreylink/comfreylink/internal/partlog"
 	"github.com/comfreylink/comfreylink/internal/partlog/partlogtest"
 	"github.com/comfreylink/comfreylink/pkg/ids"
+	"github.com/comfreylink/comfreylink/pkg/leader"
 )
 
 var directoryPartition = partlog.Partition{Topic: "readers"}
@@ -47,7 +48,7 @@
 	self := f.instances[f.members[0].Address]
 	l := logcache.New(logcache.Config{
 		Self: f.members[0].Instance, Zone: "z", Log: &directoryLog{self, unavailable}, Discovered: discovered, Caller: f, ReadRate: 1 << 20,
-		Members: func() []logcache.Member {
+		Members: func() []leader.Member {
 			if discovered() {
 				return f.members
 			}
--- a/internal/logcache/logcache.go
+++ b/internal/logcache/logcache.go
@@ -3,7 +3,10 @@
 // itself, the reads of a start, or of a few configurations in a row, take longer together than each of them waits: they are given
 // up and made again, while the log still sends what was asked for before.
 //
-// A reader of a zone is chosen by hashing, without agreement. It only saves reads: an instance whose reader does not answer asks
+// Appends to these partitions go through the readers as well, which append what waits in one call. A directory in the log tells new runs
+// the readers of each zone (docs/design/shared-reads.md).
+//
+// A reader of a zone is chosen by hashing, without agreement. It only saves calls: an instance whose reader does not answer asks
 // the next one, and then the log. What a reader returns is what the log had at a stated time, so a reader that has lost the log
 // makes nobody believe that old state is new.
 package logcache
@@ -16,7 +19,6 @@
 	"sync"
 	"time"
 
-	"github.com/sourcegraph/jsonrpc2"
 	"go.uber.org/zap"
 
 	"github.com/comfreylink/comfreylink/internal/events"
@@ -51,13 +53,6 @@
 	orderTTL = 500 * time.Millisecond
 )
 
-// Member is an instance that may read for others. One with a weight of 0 does not reach the log.
-type Member struct {
-	leader.Candidate
-	Address string
-	Zone    ids.Zone
-}
-
 // Caller calls methods of other instances.
 type Caller interface {
 	Call(ctx context.Context, address, method string, params, result any) error
@@ -70,7 +65,7 @@
 	// Log is read by this instance if it is the reader, or if no reader answers.
 	Log partlog.Log
 	// Members returns the instances that are known, this one included.
-	Members func() []Member
+	Members func() []leader.Member
 	// Discovered reports whether Members has looked for other instances since the start.
 	Discovered func() bool
 	Caller     Caller
@@ -120,7 +115,7 @@
 
 // order is the order of a partition's readers, and the number of instances, as it was at a time.
 type order struct {
-	readers   []Member
+	readers   []leader.Member
 	instances int
 	at        time.Time
 }
@@ -145,7 +140,7 @@
 
 // Read implements partlog.Log.
 func (l *Log) Read(ctx context.Context, p partlog.Partition, from ids.Offset, wait time.Duration) (page partlog.Page, err error) {
-	done, err := l.askReaders(ctx, p, func(m Member) (err error) {
+	done, err := l.askReaders(ctx, p, func(m leader.Member) (err error) {
 		if m.Instance == l.Self {
 			page, err = l.tailOf(p).read(ctx, from, wait)
 		} else {
@@ -170,7 +165,7 @@
 
 // Newest implements partlog.Log.
 func (l *Log) Newest(ctx context.Context, p partlog.Partition) (entries []partlog.Entry, end ids.Offset, err error) {
-	done, err := l.askReaders(ctx, p, func(m Member) (err error) {
+	done, err := l.askReaders(ctx, p, func(m leader.Member) (err error) {
 		if m.Instance != l.Self {
 			entries, end, err = l.newestThrough(ctx, m, p)
 			return err
@@ -203,7 +198,7 @@
 var errRefused = errors.Join(partlog.ErrNotApplied, partlog.ErrUnavailable, errors.New("no instance that reads for this one can read the log"))
 
 // askReaders asks readers of a partition until one answers. done is false if the partition is to be read directly.
-func (l *Log) askReaders(ctx context.Context, p partlog.Partition, ask func(m Member) error) (done bool, err error) {
+func (l *Log) askReaders(ctx context.Context, p partlog.Partition, ask func(m leader.Member) error) (done bool, err error) {
 	for {
 		readers, state := l.readersToAsk(ctx, p, false)
 		for _, m := range readers {
@@ -290,7 +285,7 @@
 }
 
 // readersToAsk returns the instances through which a partition should be read now, or appended to.
-func (l *Log) readersToAsk(ctx context.Context, p partlog.Partition, appending bool) (readers []Member, s readerState) {
+func (l *Log) readersToAsk(ctx context.Context, p partlog.Partition, appending bool) (readers []leader.Member, s readerState) {
 	if _, shared := l.Backlogs[p]; !shared || l.ReadRate == 0 {
 		return nil, s
 	}
@@ -361,8 +356,8 @@
 
 // recordFailure records that a reader did not answer, or that it answered that it cannot read a partition, which refused reports. One
 // that is alive and did not answer before the caller's time was over counts as refusing.
-func (l *Log) recordFailure(ctx context.Context, m Member, p partlog.Partition, err error) (refused bool) {
-	refused = m.Instance == l.Self || isAnswer(err) || ctx.Err() != nil
+func (l *Log) recordFailure(ctx context.Context, m leader.Member, p partlog.Partition, err error) (refused bool) {
+	refused = m.Instance == l.Self || rpc.IsAnswer(err) || ctx.Err() != nil
 	l.mu.Lock()
 	now := l.Now()
 	length := silentPause
@@ -387,9 +382,3 @@
 func (l *Log) mayBeStarting(err error) bool {
 	return errors.Is(err, rpc.ErrUnreachable) && l.Now().Sub(l.began) < startTime
 }
-
-// isAnswer reports whether the error of a call is the answer of the called instance.
-func isAnswer(err error) bool {
-	var answered *jsonrpc2.Error
-	return errors.As(err, &answered)
-}
--- a/internal/logcache/logcache_test.go
+++ b/internal/logcache/logcache_test.go
@@ -29,7 +29,7 @@
 // fleet is a zone of instances in one process.
 type fleet struct {
 	instances map[string]*instance
-	members   []logcache.Member
+	members   []leader.Member
 }
 
 // instance is one instance. While it is silent it does not answer calls. While its log is down its reads hang, and while that refuses
@@ -60,12 +60,12 @@
 	f := &fleet{instances: make(map[string]*instance)}
 	for n := range size {
 		id := fmt.Sprint("i", n)
-		f.members = append(f.members, logcache.Member{Candidate: leader.Candidate{Instance: ids.InstanceID(id), Weight: 1}, Address: id, Zone: "z"})
+		f.members = append(f.members, leader.Member{Candidate: leader.Candidate{Instance: ids.InstanceID(id), Weight: 1}, Address: id, Zone: "z"})
 	}
 	for _, m := range f.members {
 		i := &instance{fleet: f, Log: log}
 		i.cache = logcache.New(logcache.Config{
-			Self: m.Instance, Zone: "z", Log: i, Members: func() []logcache.Member { return f.members }, Discovered: func() bool { return true },
+			Self: m.Instance, Zone: "z", Log: i, Members: func() []leader.Member { return f.members }, Discovered: func() bool { return true },
 			Caller: f, ReadRate: 1 << 20, Backlogs: map[partlog.Partition]ids.Offset{shared: 0}, Now: time.Now, Logger: zap.NewNop(),
 		})
 		f.instances[m.Address] = i
--- a/internal/logcache/rpc.go
+++ b/internal/logcache/rpc.go
@@ -17,6 +17,7 @@
 	"github.com/comfreylink/comfreylink/internal/partlog"
 	"github.com/comfreylink/comfreylink/internal/rpc"
 	"github.com/comfreylink/comfreylink/pkg/ids"
+	"github.com/comfreylink/comfreylink/pkg/leader"
 )
 
 // Names of methods.
@@ -149,7 +150,7 @@
 }
 
 // readThrough reads a partition through another instance.
-func (l *Log) readThrough(ctx context.Context, m Member, p partlog.Partition, from ids.Offset, wait time.Duration) (page partlog.Page, err error) {
+func (l *Log) readThrough(ctx context.Context, m leader.Member, p partlog.Partition, from ids.Offset, wait time.Duration) (page partlog.Page, err error) {
 	var r readResult
 	asked := l.Now()
 	if err = l.call(ctx, m, wait, methodRead, readParams{Partition: p, From: from, WaitMs: wait.Milliseconds()}, &r); err == nil {
@@ -162,7 +163,7 @@
 	return page, err
 }
 
-func (l *Log) newestThrough(ctx context.Context, m Member, p partlog.Partition) (entries []partlog.Entry, end ids.Offset, err error) {
+func (l *Log) newestThrough(ctx context.Context, m leader.Member, p partlog.Partition) (entries []partlog.Entry, end ids.Offset, err error) {
 	var r newestResult
 	if err = l.call(ctx, m, 0, methodNewest, newestParams{Partition: p}, &r); err == nil {
 		err = unpack(r.Entries, &entries)
@@ -170,7 +171,7 @@
 	return entries, r.End, err
 }
 
-func (l *Log) call(ctx context.Context, m Member, wait time.Duration, method string, params, result any) error {
+func (l *Log) call(ctx context.Context, m leader.Member, wait time.Duration, method string, params, result any) error {
 	ctx, cancel := context.WithTimeout(ctx, wait+maxAnswerTime)
 	defer cancel()
 	ctx, stop := alive.Watch(ctx, l.Caller, m.Address, wait+answerTimeout)
--- a/internal/programs/simulation_test.go
+++ b/internal/programs/simulation_test.go
@@ -209,7 +209,7 @@
 )
 
 // members is the view of one instance on the fleet. The weights make the instance with the lowest number the first of its zone.
-func (r *simRun) members() (l []leaders.Member) {
+func (r *simRun) members() (l []leader.Member) {
 	s := r.instance.sim
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -222,7 +222,7 @@
 			}
 		}
 		weight := 1 + 1e9/float64(uint64(1)<<(8*min(in.index/simZones, 5)))
-		l = append(l, leaders.Member{
+		l = append(l, leader.Member{
 			Candidate: leader.Candidate{Instance: in.id(), Weight: weight}, Address: fmt.Sprint(in.index), Zone: in.zone(),
 		})
 	}
--- a/internal/programs/slowlog_test.go
+++ b/internal/programs/slowlog_test.go
@@ -114,7 +114,7 @@
 	random  *rand.Rand
 	stores  []*programs.Store
 	gates   []*recordgate.Gate
-	members []leaders.Member
+	members []leader.Member
 	clients []*leaders.Client
 	tasks   sync.WaitGroup
 	mu      sync.Mutex
@@ -193,14 +193,14 @@
 		random: rand.New(rand.NewPCG(seed, 1)), killed: -1,
 	}
 	for i := range size {
-		f.members = append(f.members, leaders.Member{
+		f.members = append(f.members, leader.Member{
 			Candidate: leader.Candidate{Instance: ids.InstanceID(fmt.Sprint("i", i)), Weight: 1}, Address: fmt.Sprint(i),
 			Zone: ids.Zone(fmt.Sprint("z", i%simZones)),
 		})
 	}
 	for _, m := range f.members {
 		client := leaders.New(leaders.Config{
-			Self: m.Instance, Zone: m.Zone, Members: func() []leaders.Member { return f.members }, Caller: slowCaller{f}, Now: time.Now,
+			Self: m.Instance, Zone: m.Zone, Members: func() []leader.Member { return f.members }, Caller: slowCaller{f}, Now: time.Now,
 			Logger: zap.NewNop(),
 		})
 		f.clients = append(f.clients, client)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -15,6 +15,7 @@
 
 	"github.com/comfreylink/comfreylink/internal/hedge"
 	"github.com/comfreylink/comfreylink/internal/partlog"
+	"github.com/comfreylink/comfreylink/internal/rpc"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 )
 
@@ -181,7 +182,7 @@
 		return
 	}
 	pause := failedPause
-	if isAnswer(err) {
+	if rpc.IsAnswer(err) {
 		pause = refusedPause
 	}
 	now := l.Now()
--- a/internal/relay/rpc.go
+++ b/internal/relay/rpc.go
@@ -78,12 +78,6 @@
 	}
 }
 
-// isAnswer reports whether an error is what another instance has answered.
-func isAnswer(err error) bool {
-	var answered *jsonrpc2.Error
-	return errors.As(err, &answered)
-}
-
 func (p *peerLog) Append(ctx context.Context, part partlog.Partition, at ids.Offset, records ...[]byte) (ids.Offset, error) {
 	var r appendResult
 	err := p.call(ctx, methodAppend, appendParams{Partition: part, At: at, Records: records}, &r)
--- a/internal/reports/peers.go
+++ b/internal/reports/peers.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/comfreylink/comfreylink/internal/leaders"
 	"github.com/comfreylink/comfreylink/internal/relay"
 	"github.com/comfreylink/comfreylink/pkg/ids"
 	"github.com/comfreylink/comfreylink/pkg/leader"
@@ -51,7 +50,7 @@
 
 // Members returns the instances that may lead partitions of the log: this one and the others that have reported recently
 // and are not about to stop. An instance that is stopping does not lead either.
-func (r *Reports) Members() (l []leaders.Member) {
+func (r *Reports) Members() (l []leader.Member) {
 	if !r.Leaving() {
 		self := r.Self
 		self.ReachesLog = r.Reachable()
@@ -68,8 +67,8 @@
 }
 
 // newMember returns an instance as a member. One that reaches the log only through others leads if nobody else can.
-func newMember(p relay.Peer) leaders.Member {
-	m := leaders.Member{Candidate: leader.Candidate{Instance: p.Instance}, Address: p.Address, Zone: p.Zone}
+func newMember(p relay.Peer) leader.Member {
+	m := leader.Member{Candidate: leader.Candidate{Instance: p.Instance}, Address: p.Address, Zone: p.Zone}
 	if p.ReachesLog {
 		m.Weight = p.CPU
 	}
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"log"
 	"time"
@@ -54,3 +55,9 @@
 		return do(ctx, p)
 	}
 }
+
+// IsAnswer reports whether the error of a call is the answer of the called instance.
+func IsAnswer(err error) bool {
+	var answered *jsonrpc2.Error
+	return errors.As(err, &answered)
+}
--- a/pkg/leader/leader.go
+++ b/pkg/leader/leader.go
@@ -19,6 +19,13 @@
 	Weight float64
 }
 
+// Member is an instance that may act for others. One with a weight of 0 does not reach the log.
+type Member struct {
+	Candidate
+	Address string
+	Zone    ids.Zone
+}
+
 // smallFraction is the fraction of the largest weight below which a candidate leads only if no larger one is left. A leader
 // works for many instances, and one that is too small for that slows all of them down.
 const smallFraction = 0.5
