Keep the second write for a leader that fails, and bound batches to 5 s

The second write of a reservation was spent after five times the time of an answer although it was not made, so that a leader that answered later that it could not write was not followed by the next instance. A batch was tried until the deadline of its callers, however late that was, and the batches after it waited. A turn was not counted as tried at the next partition until it was written there, so an instance with one waiting turn did not notice that the log does not answer.

In a slow log the second write now waits until the leader has failed, batches and reservations are tried for 5 s at most, and a turn counts as tried while the next partition is asked. Requests that need nothing of the log do not prepare for it.

Found by reading; no test shows the three faults one by one.

--- a/internal/gateway/prepare.go
+++ b/internal/gateway/prepare.go
@@ -14,6 +14,9 @@
 
 // prepare loads the earlier turns that the request continues, and reserves its tokens in the program's budget.
 func (e *exchange) prepare() *refusal {
+	if !e.route.Remembered && !e.needsReservation() {
+		return nil
+	}
 	request := admission.Request{Deadline: e.deadline, Run: e.queues.MeanDuration(e.route.Backend(e.backendKey())), First: e.firstCall}
 	if r := e.checkRecordable(request); r != nil {
 		return r
@@ -39,9 +42,6 @@
 // checkRecordable refuses a request whose result would probably not be recorded in the log before its deadline, so that no
 // target runs it for nothing.
 func (e *exchange) checkRecordable(request admission.Request) *refusal {
-	if !e.route.Remembered && !e.needsReservation() {
-		return nil
-	}
 	a := e.recordGate.Decide(request)
 	if a.Admitted {
 		return nil
--- a/internal/programs/firstwrite.go
+++ b/internal/programs/firstwrite.go
@@ -54,17 +54,19 @@
 }
 
 // awaitSlow blocks until the first attempt has failed, or has taken much longer than this instance waits for an answer of the log
-// about a partition. If the log is slow for this instance too, it is slow for the leader. Then late is true, and an append of this
-// instance's own would take its time from the leaders' and conflict with them. The error wraps partlog.ErrNotApplied and means that there
-// must be no second attempt.
-func (f *firstWrite) awaitSlow(p *partition, budget *hedge.Budget) (late bool, err error) {
+// about a partition. If the log is slow for this instance too, it is slow for the leader, and an append of this instance's own would take
+// its time from the leaders' and conflict with them. Then late is true; unless evenLate, only a failure ends the wait. The error wraps
+// partlog.ErrNotApplied and means that there must be no second attempt.
+func (f *firstWrite) awaitSlow(p *partition, budget *hedge.Budget, evenLate bool) (late bool, err error) {
 	answer := p.ask()
 	select {
 	case <-answer.done:
-		if err := f.awaitAge(slowLeaderFactor * answer.took); err == nil && answer.err != nil {
-			return false, errors.Join(partlog.ErrNotApplied, answer.err)
-		}
 		late = answer.took >= askDelay
+		if late && !evenLate {
+			<-f.failed.Done()
+		} else if f.awaitAge(slowLeaderFactor*answer.took) == nil && answer.err != nil {
+			return late, errors.Join(partlog.ErrNotApplied, answer.err)
+		}
 	case <-f.failed.Done():
 	}
 	if f.ctx.Err() != nil {
--- a/internal/programs/hedge.go
+++ b/internal/programs/hedge.go
@@ -50,11 +50,11 @@
 			return nil
 		}
 		return func() (*partition, error) {
-			late, err := first.awaitSlow(spare, s.turnHedges)
+			w.Try(spare.id)
+			late, err := first.awaitSlow(spare, s.turnHedges, true)
 			if err != nil {
 				return nil, err
 			}
-			w.Try(spare.id)
 			if late {
 				_, err = s.writeThrough(callCtx, s.Leaders.Do, spare, b)
 			} else {
@@ -101,11 +101,8 @@
 			return nil
 		}
 		return func() ([]grant, error) {
-			switch late, err := first.awaitSlow(p, s.accountHedges); {
-			case err != nil:
+			if _, err := first.awaitSlow(p, s.accountHedges, false); err != nil {
 				return nil, err
-			case late && first.failed.Err() == nil:
-				return nil, errLogLate
 			}
 			return next()
 		}
@@ -119,9 +116,6 @@
 	return o.Result, nil
 }
 
-// errLogLate is the error of a second write that is not made because the log is slow.
-var errLogLate = errors.Join(partlog.ErrNotApplied, errors.New("the log is slow, so its partition's leader may be"))
-
 // mayApply reports whether a call that failed, or has not ended, may have an effect.
 func mayApply[T any](o hedge.Outcome[T]) bool {
 	for _, err := range o.Errors {
--- a/internal/programs/send.go
+++ b/internal/programs/send.go
@@ -13,8 +13,8 @@
 // collects what is written. Without a leader they are written at once.
 const settleDelay = 200 * time.Millisecond
 
-// sendPool writes the reservation of a new pool, together with the settlements that wait. It tries until the deadline, or for
-// writeTimeout if that is longer. The caller holds the lock.
+// sendPool writes the reservation of a new pool, together with the settlements that wait. It tries until the deadline, but for
+// writeTimeout at least and maxLeaderTimeout at most. The caller holds the lock.
 func (p *partition) sendPool(pl *pool, deadline time.Time) {
 	b := batch{
 		reservations: []reservation{{key: pl.key, turn: pl.id, budget: pl.budget, tokens: pl.tokens, least: pl.firstTurnTokens}},
@@ -24,7 +24,7 @@
 	go func() {
 		defer p.endSend()
 		w := p.store.Writes.Begin(p.id)
-		granted, err := p.send(b, max(writeTimeout, deadline.Sub(p.store.Now())))
+		granted, err := p.send(b, min(max(writeTimeout, deadline.Sub(p.store.Now())), maxLeaderTimeout))
 		w.End(err)
 		if err != nil {
 			p.failPool(pl, err)
--- a/internal/programs/writer.go
+++ b/internal/programs/writer.go
@@ -80,7 +80,8 @@
 	}
 }
 
-// timeFor returns how long batches are worth writing: until nobody waits for them any more, and for writeTimeout at least.
+// timeFor returns how long batches are tried: until nobody waits for them any more, but for writeTimeout at least and maxLeaderTimeout at
+// most.
 func (p *partition) timeFor(batches []*submission) time.Duration {
 	left := writeTimeout
 	for _, s := range batches {
@@ -88,7 +89,7 @@
 			left = max(left, time.Until(deadline))
 		}
 	}
-	return left
+	return min(left, maxLeaderTimeout)
 }
 
 // waitForWrite waits until the next append may start, so that what arrives meanwhile is written with it.
