--- a/internal/programs/slowlog_test.go
+++ b/internal/programs/slowlog_test.go
@@ -363,3 +363,39 @@
 		})
 	}
 }
+
+// failingLeader is a leader that answers after a time that it could not write.
+type failingLeader struct {
+	stuckLeader
+	after time.Duration
+}
+
+func (l failingLeader) Do(_ context.Context, _ partlog.Partition, _ string, _, result any, _ func() error) (unanswered bool, err error) {
+	time.Sleep(l.after)
+	return false, json.Unmarshal([]byte(`{"failure":"notApplied"}`), result)
+}
+
+func (failingLeader) DoNext(_ context.Context, _ partlog.Partition, _ string, _, _ any, local func() error) (unanswered bool, err error) {
+	return false, local()
+}
+
+// Guards against reservations that are refused because their leader fails in a slow log later than it would have been replaced in a
+// fast one.
+func TestLeaderThatFailsInASlowLogIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newSlowFleet(0, 1, 1)
+		f.log.slow = 50
+		s := programs.New(programs.Config{
+			Log: f.log, Programs: partlog.Keyspace{Name: "records", Topics: 1, Parts: 1}, Leaders: failingLeader{after: 1500 * time.Millisecond},
+			Now: time.Now, Logger: zap.NewNop(),
+		})
+		ctx, cancel := context.WithTimeout(context.Background(), requestTime)
+		defer cancel()
+		deadline := time.Now().Add(requestTime)
+		r, err := s.Reserve(ctx, programs.ReserveRequest{Key: program, Turn: "t", Budget: 100, Tokens: 10, Deadline: deadline})
+		c.Assert(err, qt.IsNil)
+		r.Settle(1)
+		time.Sleep(leftoverTime)
+	})
+}
