Bound the calls to the owners of a limit that is asked for far above its rate

Cause: each request above a limit is one call or several to the owners of its parts. With 195 instances and 14 times the limit the owners do not answer in time: the tokens that they grant late are lost, callers ask others to call the owners too, and all requests are refused with 503 although the limit is exhausted.

Change: an owner's refusal says for how long the caller refuses alike requests without a call. A caller makes one call at a time for a contended part, asks it once per request, and probes an owner that does not answer less often in a large fleet. Owners grant nothing to calls whose time is over.

--- a/internal/grants/grants.go
+++ b/internal/grants/grants.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -59,6 +60,9 @@
 	// WaitMs is how long to wait before the request is sent.
 	WaitMs  int64 `json:"waitMs,omitempty"`
 	RetryMs int64 `json:"retryMs,omitempty"`
+	// HoldMs is how long the caller refuses requests that can't wait longer and leave as much headroom, without a call: the tokens of
+	// that time are asked for by more instances than there are tokens.
+	HoldMs int64 `json:"holdMs,omitempty"`
 	// Level is the number of tokens that the part's bucket held before the grant.
 	Level float64 `json:"level,omitempty"`
 	// Bucket is where the tokens were taken from.
@@ -95,9 +99,11 @@
 	mu       sync.Mutex
 	limiter  *quota.Limiter
 	spare    spareTokens
-	empty    emptyParts
 	breakers map[ids.InstanceID]*callBreaker // of instances that did not answer their last call
 	silent   map[quota.Shard]silentClaim
+	// partStates are of parts that others own, demands of those that this instance owns.
+	partStates map[partKey]*partState
+	demands    map[partKey]*demand
 	// contactAt is when another instance has answered or called last.
 	contactAt time.Time
 }
@@ -105,7 +111,8 @@
 // New returns a rate limiter without limits.
 func New(c Config) *RateLimiter {
 	return &RateLimiter{
-		Config: c, limiter: quota.New(quota.NewLeases(c.Now(), c.Self)), spare: make(spareTokens), empty: make(emptyParts),
+		Config: c, limiter: quota.New(quota.NewLeases(c.Now(), c.Self)), spare: make(spareTokens),
+		partStates: make(map[partKey]*partState), demands: make(map[partKey]*demand),
 		breakers: make(map[ids.InstanceID]*callBreaker), silent: make(map[quota.Shard]silentClaim),
 	}
 }
@@ -114,6 +121,8 @@
 type callBreaker struct {
 	breaker.Breaker
 	since time.Time
+	// nextProbe is when the next call may be made while the breaker is open, if many instances call.
+	nextProbe time.Time
 }
 
 // View runs f with the limiter under the lock.
@@ -145,8 +154,8 @@
 }
 
 // Take takes a token for one request of a workspace. The fraction headroom of the workspace's burst must be left after it. It
-// tries the parts of the limit in an order that differs between instances. If none has a token now, it waits for the part that
-// has one first, but at most maxWait.
+// tries the parts of the limit in an order that differs between instances, the contended ones last. If none has a token now, it waits for
+// the part that has one first, but at most maxWait. A contended part is asked once, for a token now or later.
 func (g *RateLimiter) Take(ctx context.Context, ws ids.WorkspaceID, headroom float64, maxWait time.Duration) (d Decision) {
 	now := g.Now()
 	if expires, ok := g.takeSpare(now, ws); ok {
@@ -154,9 +163,11 @@
 	}
 	parts := g.parts(now, ws)
 	p := grantParams{Workspace: ws, Headroom: headroom}
+	waited := false // whether the part asked last was asked for a token of the near future
 	for i, part := range parts {
-		p.Part = part
-		if len(parts) == 1 {
+		p.Part, p.WaitMs = part, 0
+		waited = len(parts) == 1 || g.contended(now, ws, part)
+		if waited {
 			p.WaitMs = maxWait.Milliseconds()
 		}
 		partial := g.takeFrom(ctx, p)
@@ -165,7 +176,7 @@
 		}
 		d.addRefusal(i, partial)
 	}
-	if len(parts) == 1 || d.Retry > maxWait {
+	if waited || d.Retry > maxWait {
 		return d
 	}
 	p.Part, p.WaitMs = d.part, maxWait.Milliseconds()
@@ -178,17 +189,33 @@
 // takeFrom takes a token from one part of a limit, and waits until it may be used.
 func (g *RateLimiter) takeFrom(ctx context.Context, p grantParams) (d Decision) {
 	asked := g.Now()
-	if retry, empty := g.knownEmpty(asked, p); empty && retry.Milliseconds() > p.WaitMs {
-		return Decision{Retry: retry, part: p.Part}
+	if d, refused := g.refusal(asked, p); refused {
+		return d
 	}
 	unanswered := g.describe(p)
-	r, granter := g.requestGrant(ctx, p, &unanswered)
+	r, granter := grantResult{NotOwner: true, RetryMs: claimRetry.Milliseconds()}, g.Self.Instance
+	if done, ok := g.awaitTurn(ctx, p); ok {
+		waited := g.Now().Sub(asked)
+		asked = asked.Add(waited)
+		p.WaitMs = max(p.WaitMs-waited.Milliseconds(), 0)
+		d, refused := g.refusal(asked, p)
+		switch {
+		case refused:
+		case g.unanswered(asked, p):
+			r = g.grant(p)
+		default:
+			r, granter = g.requestGrant(ctx, p, &unanswered)
+			g.noteResult(asked, p, r)
+		}
+		done()
+		if refused {
+			return d
+		}
+	}
 	if r.Tokens == 0 {
 		d = Decision{Unavailable: r.NotOwner, Retry: time.Duration(r.RetryMs) * time.Millisecond, Granter: granter, Level: r.Level, part: p.Part}
 		if r.NotOwner {
 			d.Unanswered = []UnansweredPart{unanswered}
-		} else {
-			g.noteEmpty(asked, p, d.Retry)
 		}
 		return d
 	}
@@ -244,6 +271,9 @@
 			others = append(others, part)
 		}
 	}
+	slices.SortStableFunc(others, func(a, b int) int {
+		return g.contention(now, partKey{ws, a}).Compare(g.contention(now, partKey{ws, b}))
+	})
 	return append(order, others...)
 }
 
@@ -316,12 +346,16 @@
 		}
 		return grantResult{NotOwner: true, RetryMs: retry.Milliseconds()}
 	}
-	if p.Caller != "" && !p.Late {
-		g.limiter.Leases.Answered(now, quota.ShardOf(p.Workspace, p.Part), p.Caller)
+	hold := time.Duration(0)
+	if p.Caller != "" {
+		hold = g.holdFor(now, p, grant.Tokens == 0)
+		if !p.Late {
+			g.limiter.Leases.Answered(now, quota.ShardOf(p.Workspace, p.Part), p.Caller)
+		}
 	}
 	return grantResult{
 		Tokens: grant.Tokens, WaitMs: ids.Millis(grant.Wait), RetryMs: grant.Retry.Milliseconds(), Level: grant.Level,
-		Bucket: grant.Bucket,
+		Bucket: grant.Bucket, HoldMs: hold.Milliseconds(),
 	}
 }
 
@@ -352,8 +386,15 @@
 func (g *RateLimiter) allow(id ids.InstanceID) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	br := g.breakers[id]
-	return br == nil || br.Allow(g.Now())
+	br, now := g.breakers[id], g.Now()
+	switch {
+	case br == nil:
+		return true
+	case br.Open() && now.Before(br.nextProbe) || !br.Allow(now):
+		return false
+	}
+	br.nextProbe = now.Add(g.probePause(now))
+	return true
 }
 
 // late reports whether an instance did not answer its last call.
@@ -382,7 +423,9 @@
 	if g.breakers[id] == nil {
 		g.breakers[id] = &callBreaker{since: g.Now()}
 	}
-	g.breakers[id].Failed(g.Now())
+	if now := g.Now(); g.breakers[id].Failed(now) {
+		g.breakers[id].nextProbe = now.Add(g.probePause(now))
+	}
 }
 
 // Methods returns the methods that other instances call.
@@ -391,6 +434,9 @@
 		methodGrant: rpc.Typed(func(ctx context.Context, p grantParams) (any, error) {
 			g.applyLoads(p.Loads)
 			g.noteCall(p)
+			if err := ctx.Err(); err != nil { // the caller would not get the tokens
+				return nil, err
+			}
 			r := g.serve(ctx, p)
 			r.Loads = g.ownLoads()
 			return r, nil
