Let stronger instances claim shards first

Cause: the instance that claims a shard is chosen by a hash alone, so the weakest machines own parts of limits that all instances call.

Change: of the candidates for a claim the half with the larger shares of a core comes first, at least four instances, so that the parts of a limit keep different owners. Only the order changes; any instance may still claim, and owners do not move.

Result: in TestCandidatesAreStrong (10 instances with 0.2 of a core, 10 with a whole one) the first candidates of all parts are strong; by the hash alone the test fails. Not played in the fleet, whose instances have equal shares.

--- a/internal/reports/wire.go
+++ b/internal/reports/wire.go
@@ -59,7 +59,7 @@
 
 func (w wireReport) lease() quota.Report {
 	r := quota.Report{
-		Run: quota.Run{Instance: w.Instance, ID: w.Run}, Seq: w.Seq, Read: w.Read, Leaving: w.Leaving,
+		Run: quota.Run{Instance: w.Instance, ID: w.Run}, Seq: w.Seq, Read: w.Read, CPU: w.CPU, Leaving: w.Leaving,
 		Owned: fromPairs(w.Owned), Claimed: w.Claimed, Released: fromPairs(w.Released),
 	}
 	for _, p := range w.Unanswered {
--- a/pkg/quota/apply.go
+++ b/pkg/quota/apply.go
@@ -10,7 +10,7 @@
 func (l *Leases) Apply(now time.Time, r Report) (gained, lost []Shard) {
 	at := l.next
 	l.next++
-	l.members[r.Run.Instance] = member{readAt: now, leaving: r.Leaving}
+	l.members[r.Run.Instance] = member{readAt: now, cpu: r.CPU, leaving: r.Leaving}
 	l.applyComplaints(now, r)
 	emptyAt, until := l.renew(r)
 	owned := make(map[Shard]bool)
--- a/pkg/quota/lease.go
+++ b/pkg/quota/lease.go
@@ -42,6 +42,8 @@
 	Seq uint64
 	// Read is the offset up to which the run had applied all reports when it wrote this one.
 	Read ids.Offset
+	// CPU is the instance's share of a core; 0 if that is not known.
+	CPU float64
 	// Leaving is set if the run is about to end. It claims nothing more.
 	Leaving bool
 	Owned   []Owned
@@ -110,6 +112,7 @@
 // member is what an instance's last report says of it.
 type member struct {
 	readAt  time.Time
+	cpu     float64
 	leaving bool
 }
 
@@ -293,7 +296,8 @@
 const memberTimeout = 4 * time.Second
 
 // Candidates returns up to limit instances other than its owner that should claim a shard, in order. They differ between
-// the parts of a workspace's limit. The order only spreads the shards; any instance may claim.
+// the parts of a workspace's limit. The stronger half comes first, because owners answer the calls of all instances. The order only
+// spreads the shards; any instance may claim.
 func (l *Leases) Candidates(now time.Time, s Shard, owner ids.InstanceID, limit int) (candidates []ids.InstanceID) {
 	group := strconv.Itoa(s.group())
 	for id, m := range l.members {
@@ -314,11 +318,30 @@
 		}
 		return 0
 	})
-	first := s.part() % len(candidates)
-	candidates = append(candidates[first:], candidates[:first]...)
+	strong, weak := l.splitByCPU(candidates)
+	first := s.part() % len(strong)
+	candidates = slices.Concat(strong[first:], strong[:first], weak)
 	return candidates[:min(len(candidates), limit)]
 }
 
+// splitByCPU splits instances into the stronger half, but at least one for each part of a limit, and the others. Both keep their order.
+func (l *Leases) splitByCPU(list []ids.InstanceID) (strong, weak []ids.InstanceID) {
+	var shares []float64
+	for _, id := range list {
+		shares = append(shares, l.members[id].cpu)
+	}
+	slices.Sort(shares)
+	least := shares[max(min(len(shares)/2, len(shares)-Parts), 0)]
+	for _, id := range list {
+		if l.members[id].cpu >= least {
+			strong = append(strong, id)
+		} else {
+			weak = append(weak, id)
+		}
+	}
+	return strong, weak
+}
+
 // Members returns the number of instances that have reported in the last memberTimeout, and forgets the others.
 func (l *Leases) Members(now time.Time) int {
 	for id, m := range l.members {
--- a/pkg/quota/lease_test.go
+++ b/pkg/quota/lease_test.go
@@ -1,6 +1,7 @@
 package quota_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -162,3 +163,35 @@
 	}
 	c.Assert(first, qt.HasLen, 4)
 }
+
+// Guards against owners on the weakest instances, which all instances call, and against parts of a limit at fewer owners because few
+// instances are strong.
+func TestCandidatesAreStrong(t *testing.T) {
+	for name, x := range map[string]struct{ weak, strong, want int }{
+		"half":       {weak: 10, strong: 10, want: 4},
+		"few strong": {weak: 18, strong: 2, want: 4},
+		"one strong": {weak: 3, strong: 1, want: 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			l := &logOf{}
+			a := l.join(start, "a", "1")
+			cpu := make(map[ids.InstanceID]float64)
+			for i := range x.weak + x.strong {
+				id := ids.InstanceID(fmt.Sprint("i", i))
+				if cpu[id] = 0.2; i >= x.weak {
+					cpu[id] = 1
+				}
+				l.append(start, quota.Report{Run: quota.Run{Instance: id, ID: "1"}, CPU: cpu[id]})
+			}
+			first := make(map[ids.InstanceID]bool)
+			for part := range quota.Parts {
+				id := a.Candidates(start, quota.ShardOf("w", part), "", 1)[0]
+				first[id] = true
+				c.Check(x.strong < x.weak || cpu[id] == 1, qt.IsTrue, qt.Commentf("%s is weak", id))
+			}
+			c.Check(first, qt.HasLen, x.want)
+			c.Check(a.Candidates(start, quota.ShardOf("w", 0), "", 100), qt.HasLen, x.weak+x.strong)
+		})
+	}
+}
