--- a/internal/grants/contention.go
+++ b/internal/grants/contention.go
@@ -256,7 +256,9 @@
 		g.demands[key] = d
 	}
 	d.asked++
-	d.callers[p.Caller] = struct{}{}
+	if time.Duration(len(d.callers))*holdPerCaller < maxHold { // more would not change the hold
+		d.callers[p.Caller] = struct{}{}
+	}
 	if !refused {
 		return 0
 	}
