Do not append through a reader again that has not answered

An instance that appended a report through its zone's reader and had no answer did not note that. In a fleet that reads directly (76 instances or less at 80 MB/s) nothing else did, so all reports of the zone went to a frozen reader until its own reports were missed. With a single zone they were never missed: that is counted from the newest report of any instance, and no report was written any more. A reader that is cut off from the others and reaches the log kept its place for as long as that lasted.

Now a reader that neither answers nor says that it is alive is not asked for 2 s, as after a read. One that is alive and waits for a slow log keeps its place. The append itself still ends with an unknown outcome.

TestAppendsDoNotGoThroughASilentReaderAgain: the second append of 500 ms after the reader went silent was not answered either before, and is answered now.

--- a/internal/logcache/combine.go
+++ b/internal/logcache/combine.go
@@ -159,12 +159,13 @@
 			return l.combinerOf(p).append(ctx, records)
 		}
 		first, err = l.appendThrough(ctx, m, p, records)
-		if err == nil || !errors.Is(err, partlog.ErrNotApplied) {
-			return first, err
+		notApplied := errors.Is(err, partlog.ErrNotApplied)
+		// A reader that is alive and waits for a slow log remains the one that appends for all.
+		if notApplied || err != nil && !isAnswer(err) && ctx.Err() == nil {
+			l.recordFailure(ctx, m, p, err)
 		}
-		l.recordFailure(ctx, m, p, err)
-		if ctx.Err() != nil {
-			return 0, err
+		if err == nil || !notApplied || ctx.Err() != nil {
+			return first, err
 		}
 	}
 	if state.shared {
--- a/internal/logcache/directory_test.go
+++ b/internal/logcache/directory_test.go
@@ -153,3 +153,31 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// Guards against an instance that appends through a silent reader again and again, although another one of its zone would answer.
+func TestAppendsDoNotGoThroughASilentReaderAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFleet(20, partlogtest.New())
+		for _, i := range f.instances {
+			i.appends = new(slowAppends)
+		}
+		appendOnce := func(l *logcache.Log) error {
+			ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+			defer cancel()
+			_, err := l.Append(ctx, shared, partlog.AnyOffset, []byte("r"))
+			return err
+		}
+		c.Assert(appendOnce(f.instances["i0"].cache), qt.IsNil)
+		var writer *instance
+		for _, i := range f.instances {
+			if i.appends.count.Load() > 0 {
+				i.silent.Store(true)
+			} else {
+				writer = i
+			}
+		}
+		c.Assert(appendOnce(writer.cache), qt.ErrorIs, partlog.ErrOutcomeUnknown)
+		c.Assert(appendOnce(writer.cache), qt.IsNil)
+	})
+}
