Make the smallest reads of a slow log without asking it first

After a read that was not answered in time, the next one of its partition was made only after a small read, and only if two and a half times that one's delay fitted into the time left. The small reads of internal/programs, which tell a slow log from one that does not answer, waited for such small reads as well. With 0.5 s they failed as soon as the log took 0.2 s.

A read that is answered without records is made at once now, and changes nothing for the next larger one.

--- a/internal/partlog/partlog.go
+++ b/internal/partlog/partlog.go
@@ -115,6 +115,9 @@
 	return page.End, err
 }
 
+// ReadsNothing reports whether a read from an offset is one that End makes.
+func ReadsNothing(from ids.Offset) bool { return from >= beyondEnd }
+
 // AnyOffset makes an append unconditional.
 const AnyOffset ids.Offset = -1
 
--- a/internal/relay/contact.go
+++ b/internal/relay/contact.go
@@ -10,6 +10,7 @@
 	"github.com/comfreylink/comfreylink/internal/events"
 	"github.com/comfreylink/comfreylink/internal/partlog"
 	"github.com/comfreylink/comfreylink/pkg/breaker"
+	"github.com/comfreylink/comfreylink/pkg/ids"
 )
 
 const (
@@ -104,8 +105,25 @@
 	l.recordDirect(p, began, err)
 }
 
-func (l *Log) callDirect(ctx context.Context, p partlog.Partition, read bool, do func(context.Context, partlog.Log) error) error {
-	if read && !l.awaitSlow(ctx, p) {
+// callKind is what a call asks of the log.
+type callKind int
+
+const (
+	appendCall callKind = iota
+	readCall
+	// smallRead is a read that is answered without records.
+	smallRead
+)
+
+func kindOfRead(from ids.Offset) callKind {
+	if partlog.ReadsNothing(from) {
+		return smallRead
+	}
+	return readCall
+}
+
+func (l *Log) callDirect(ctx context.Context, p partlog.Partition, kind callKind, do func(context.Context, partlog.Log) error) error {
+	if kind == readCall && !l.awaitSlow(ctx, p) {
 		return errSlow
 	}
 	began := l.Now()
@@ -113,7 +131,7 @@
 	if endedByCaller(ctx, l.Now().Sub(began)) {
 		return err
 	}
-	if read {
+	if kind == readCall {
 		l.mu.Lock()
 		l.contactOf(p).gaveUp = ctx.Err() != nil
 		l.mu.Unlock()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -93,7 +93,7 @@
 
 // Append implements partlog.Log.
 func (l *Log) Append(ctx context.Context, p partlog.Partition, at ids.Offset, records ...[]byte) (first ids.Offset, err error) {
-	err = l.call(ctx, p, 0, false, func(ctx context.Context, log partlog.Log) (err error) {
+	err = l.call(ctx, p, 0, appendCall, func(ctx context.Context, log partlog.Log) (err error) {
 		first, err = log.Append(ctx, p, at, records...)
 		return err
 	})
@@ -102,7 +102,7 @@
 
 // Read implements partlog.Log.
 func (l *Log) Read(ctx context.Context, p partlog.Partition, from ids.Offset, wait time.Duration) (page partlog.Page, err error) {
-	err = l.call(ctx, p, wait, true, func(ctx context.Context, log partlog.Log) (err error) {
+	err = l.call(ctx, p, wait, kindOfRead(from), func(ctx context.Context, log partlog.Log) (err error) {
 		page, err = log.Read(ctx, p, from, wait)
 		return err
 	})
@@ -111,7 +111,7 @@
 
 // Newest implements partlog.Log.
 func (l *Log) Newest(ctx context.Context, p partlog.Partition) (entries []partlog.Entry, end ids.Offset, err error) {
-	err = l.call(ctx, p, 0, true, func(ctx context.Context, log partlog.Log) (err error) {
+	err = l.call(ctx, p, 0, readCall, func(ctx context.Context, log partlog.Log) (err error) {
 		entries, end, err = log.Newest(ctx, p)
 		return err
 	})
@@ -121,14 +121,14 @@
 // call makes a call directly or, if it was not applied, through another instance. A direct call with an unknown outcome is
 // repeated only if it is a read and the budget for that allows it; after an append the caller must find out whether it took effect. A
 // call to a partition that is considered unavailable goes through other instances, unless the answer to a probe comes first.
-func (l *Log) call(ctx context.Context, p partlog.Partition, wait time.Duration, read bool,
+func (l *Log) call(ctx context.Context, p partlog.Partition, wait time.Duration, kind callKind,
 	do func(context.Context, partlog.Log) error,
 ) (err error) {
 	err = errUnavailable
 	l.repeats.Count()
 	if l.reachesAfterProbe(ctx, p) {
-		err = l.callDirect(ctx, p, read, do)
-		if !errors.Is(err, partlog.ErrNotApplied) && !(read && errors.Is(err, partlog.ErrOutcomeUnknown) && l.repeats.Allow(l.Now())) {
+		err = l.callDirect(ctx, p, kind, do)
+		if !errors.Is(err, partlog.ErrNotApplied) && !(kind != appendCall && errors.Is(err, partlog.ErrOutcomeUnknown) && l.repeats.Allow(l.Now())) {
 			return err
 		}
 		// Another try through another instance would only add to the load of a log that throttles.
--- a/internal/relay/rpc.go
+++ b/internal/relay/rpc.go
@@ -127,20 +127,21 @@
 	}
 }
 
-func (p appendParams) target() partlog.Partition { return p.Partition }
-func (p readParams) target() partlog.Partition   { return p.Partition }
-func (p newestParams) target() partlog.Partition { return p.Partition }
+func (p appendParams) target() (partlog.Partition, callKind) { return p.Partition, appendCall }
+func (p readParams) target() (partlog.Partition, callKind)   { return p.Partition, kindOfRead(p.From) }
+func (p newestParams) target() (partlog.Partition, callKind) { return p.Partition, readCall }
 
 // serve returns a method that runs do if this instance reaches the partition directly, and records its result. It also probes a
 // partition that is considered unavailable: this instance may have no calls of its own to it that would.
-func serve[P interface{ target() partlog.Partition }](l *Log, do func(context.Context, P) (any, error)) rpc.Method {
+func serve[P interface {
+	target() (partlog.Partition, callKind)
+}](l *Log, do func(context.Context, P) (any, error)) rpc.Method {
 	return rpc.Typed(func(ctx context.Context, params P) (result any, err error) {
-		p := params.target()
+		p, kind := params.target()
 		if !l.reachesAfterProbe(ctx, p) {
 			return nil, encodeError(errUnavailable)
 		}
-		_, isAppend := any(params).(appendParams)
-		err = l.callDirect(ctx, p, !isAppend, func(ctx context.Context, _ partlog.Log) (err error) {
+		err = l.callDirect(ctx, p, kind, func(ctx context.Context, _ partlog.Log) (err error) {
 			result, err = do(ctx, params)
 			return err
 		})
