Give later reads of the index and of dropped turns more time

The reads of the index of turns and of turns that were dropped from memory had 0.6 s each and were repeated every 40 ms, however late the log answered: work for callers who have gone, which delays all others. Since reads after an unanswered one are made only if two and a half times the log's delay fits into their time, they were not made at all any more in a log that answers in 0.24 s or more, until it was fast again.

Each read without an answer now gives the next one twice the time, as in the reads of a partition's new records.

TestTurnsAreReadFromALateLog, with answers after 0.7 s: neither read ended within 10 s before; both do now.

--- a/internal/programs/partition.go
+++ b/internal/programs/partition.go
@@ -233,8 +233,10 @@
 
 // readTurns adds all retained turns of the partition to the memory. It changes nothing else.
 func (p *partition) readTurns(ctx context.Context) error {
+	reads := partlog.Backoff{Timeout: attemptTimeout, Pause: retryPause}
 	for from := ids.Offset(0); ; {
-		page, err := partlog.ReadRetained(ctx, p.store.Log, p.id, from, attemptTimeout)
+		page, err := partlog.ReadRetained(ctx, p.store.Log, p.id, from, reads.Next())
+		reads.Record(err)
 		if err != nil {
 			if err := waitBeforeRetry(ctx, err); err != nil {
 				return err
--- a/internal/programs/turns.go
+++ b/internal/programs/turns.go
@@ -53,6 +53,7 @@
 	next     ids.Offset // offset of the next record to read
 	readAt   time.Time  // start of the last read that reached the end
 	programs map[call.ID]account.Key
+	reads    partlog.Backoff
 }
 
 // Put blocks until a turn and its index record are in the log, and retries until the context ends. A turn that is written
@@ -287,7 +288,7 @@
 	s.mu.Lock()
 	idx := s.indexes[part]
 	if idx == nil {
-		idx = &index{programs: make(map[call.ID]account.Key)}
+		idx = &index{programs: make(map[call.ID]account.Key), reads: partlog.Backoff{Timeout: attemptTimeout, Pause: retryPause}}
 		s.indexes[part] = idx
 	}
 	s.mu.Unlock()
@@ -307,7 +308,8 @@
 // readIndex reads the next page of a partition of the index.
 func (s *Store) readIndex(ctx context.Context, part partlog.Partition, idx *index) error {
 	began := s.Now()
-	page, err := partlog.ReadRetained(ctx, s.Log, part, idx.next, attemptTimeout)
+	page, err := partlog.ReadRetained(ctx, s.Log, part, idx.next, idx.reads.Next())
+	idx.reads.Record(err)
 	if err != nil {
 		return err
 	}
