Go on reading the recorded crashes after a read that failed

A new run reads up to 10,000 records of crashes directly from the log. After a read that was not answered it began again from the first record, each 0.2 s while it started, so an overloaded log sent the same pages to each of hundreds of new runs again and again.

--- a/internal/reports/crashes.go
+++ b/internal/reports/crashes.go
@@ -55,8 +55,15 @@
 	recorded map[ids.Fingerprint]recordedCrash
 	survived []ids.Fingerprint // completed requests that may have been recorded
 	wroteAt  time.Time
-	// loaded is set when the records of earlier runs were read. Only Run uses it.
-	loaded bool
+	// loaded is set when the records of earlier runs were read, and loading is what was read of them before. Only Run uses them.
+	loaded  bool
+	loading crashRecords
+}
+
+// crashRecords are the records of earlier runs by request, and which are still to be read.
+type crashRecords struct {
+	next, end ids.Offset
+	known     map[ids.Fingerprint][]wireCrash
 }
 
 // recordedCrash is the content of a record: the number of deaths and the time of the last one.
@@ -166,19 +173,23 @@
 	if r.crashes.loaded {
 		return nil
 	}
-	known := make(map[ids.Fingerprint][]wireCrash)
-	for next, end := ids.Offset(0), ids.Offset(1); next < end; {
-		page, err := partlog.ReadRetained(ctx, r.Log, crashPartition, next, timeout)
+	l := &r.crashes.loading
+	if l.known == nil {
+		l.end, l.known = 1, make(map[ids.Fingerprint][]wireCrash)
+	}
+	for l.next < l.end {
+		page, err := partlog.ReadRetained(ctx, r.Log, crashPartition, l.next, timeout)
 		if err != nil {
 			return err
 		}
-		r.mergeCrashes(known, page)
+		r.mergeCrashes(l.known, page)
 		if len(page.Records) == 0 {
 			break
 		}
-		next, end = max(page.Next(), page.End-maxLoaded), page.End
+		l.next, l.end = max(page.Next(), page.End-maxLoaded), page.End
 	}
-	r.crashes.loaded = true
+	known := l.known
+	r.crashes.loaded, r.crashes.loading = true, crashRecords{}
 	now := r.Now()
 	for f, records := range known {
 		for _, w := range records {
--- a/internal/reports/crashes_test.go
+++ b/internal/reports/crashes_test.go
@@ -1,7 +1,10 @@
 package reports_test
 
 import (
+	"context"
 	"errors"
+	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -80,3 +83,35 @@
 	eventually(c, func() bool { return log.End(partlog.Partition{Topic: "reports"}) > end+2 })
 	c.Assert(log.End(crashPartition), qt.Equals, ids.Offset(1))
 }
+
+// shortPages is a log that returns one record of crashes at a time and does not answer every second read of them.
+type shortPages struct {
+	*partlogtest.Log
+	reads atomic.Int64
+}
+
+// Read implements partlog.Log.
+func (l *shortPages) Read(ctx context.Context, p partlog.Partition, from ids.Offset, wait time.Duration) (partlog.Page, error) {
+	page, err := l.Log.Read(ctx, p, from, wait)
+	if p == crashPartition {
+		if l.reads.Add(1)%2 == 0 {
+			return partlog.Page{}, partlog.ErrOutcomeUnknown
+		}
+		page.Records = page.Records[:min(1, len(page.Records))]
+	}
+	return page, err
+}
+
+// Guards against new runs that read all crashes from the beginning again after each read that was not answered.
+func TestCrashesAreReadOnAfterAFailure(t *testing.T) {
+	c := qt.New(t)
+	log := &shortPages{Log: partlogtest.New()}
+	for _, f := range []string{"a", "b", "c", "d"} {
+		record := fmt.Sprintf(`{"fingerprint":%q,"atMs":%d,"deaths":[{"target":"t1"},{"target":"t2"},{"target":"t3"}]}`, f, time.Now().UnixMilli())
+		_, err := log.Append(c.Context(), crashPartition, partlog.AnyOffset, []byte(record))
+		c.Assert(err, qt.IsNil)
+	}
+	r := start(c, log, "a")
+	eventually(c, func() bool { return r.Quarantined("d") })
+	c.Assert(log.reads.Load() <= 8, qt.IsTrue, qt.Commentf("%d reads", log.reads.Load()))
+}
