Report again as soon as the backoff allows while leases end

An append of a report that failed was made again with the next report that was due, a second after the failed one began at the earliest. With twice the time for the second append, the third one began when the lease of four seconds ended, so two reports without an answer ended the leases of a log that worked. Before the backoff of the appends four tries of 0.5 s fitted into that time.

An instance that owns shards now reports again when the pause after the failure is over: 0.1 to 0.4 s after the first two, up to 3.2 s later on.

--- a/internal/reports/reports.go
+++ b/internal/reports/reports.go
@@ -174,9 +174,13 @@
 	case len(r.suspects.deaths) > 0:
 		wait = deathInterval
 	}
+	again := r.appendAfter.Sub(began)
 	r.mu.Unlock()
 	if n, _ := r.held(); n > 0 {
 		wait = min(wait, interval)
+		if again > 0 && r.wroteAt.Before(began) {
+			wait = min(wait, again) // the append has failed, and the leases end
+		}
 	}
 	due := time.NewTimer(wait - r.Now().Sub(began))
 	defer due.Stop()
