Count no answer complete that ends with its connection after a failed write

A target that answers a long upload at once, without a length, and resets the connection while the upload is written made callers take the part for the whole answer (MIXED). The system reports a reset once. Here the write got it, so the read that followed found the end of the connection, and a body without a length ended there.

httpwire.Conn now keeps the error of its write, and ReadAnswer takes it as an argument, so that each caller states it. After an error, a body that only the end of the connection ends fails with io.ErrUnexpectedEOF; bodies with a length or chunks are proven by these as before, so an early 413 or refusal still reaches the caller. The error of a body without a length is repeated by later reads: the connection reports a reset to a read once, too. Release closes a connection whose write failed, which the gateway checked by itself.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -114,7 +114,7 @@
 	if a.WrongTarget && res.outcome == dispatch.AnsweredLeaving {
 		e.cold = token // the request has not reached the target
 	}
-	if stop() && writeErr == nil && res.outcome == dispatch.Completed {
+	if stop() && res.outcome == dispatch.Completed {
 		conn.Release(&h, e.now())
 	} else {
 		conn.Close()
--- a/internal/httpwire/answer.go
+++ b/internal/httpwire/answer.go
@@ -19,7 +19,10 @@
 // ReadAnswer reads the head of an answer and returns a reader of its body, which returns io.EOF only if the body is complete.
 // It skips informational answers. noBody says that the request was a HEAD request, whose answer has no body. If only the end of
 // the connection ends the body, h says that the connection closes.
-func ReadAnswer(br *bufio.Reader, h *fasthttp.ResponseHeader, noBody bool) (body io.Reader, err error) {
+//
+// writeErr is the error with which the request was written, or nil. After an error, a body that only the end of the connection
+// ends is never complete: the system reports the reset of a connection once, to the write, and its end to all later reads.
+func ReadAnswer(br *bufio.Reader, h *fasthttp.ResponseHeader, noBody bool, writeErr error) (body io.Reader, err error) {
 	for range maxInformational + 1 {
 		f, err := readHead(br, h)
 		if err != nil {
@@ -38,7 +41,7 @@
 			return &fixedBody{br: br, left: f.length}, nil
 		}
 		h.SetConnectionClose()
-		return br, nil
+		return &unboundedBody{br: br, writeErr: writeErr}, nil
 	}
 	return nil, ErrFraming
 }
--- a/internal/httpwire/body.go
+++ b/internal/httpwire/body.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"net/http/httputil"
 	"sync/atomic"
@@ -85,6 +86,26 @@
 	return n, err
 }
 
+// unboundedBody reads a body that ends with its connection. If the request could not be written, it returns io.ErrUnexpectedEOF
+// there. It repeats its error: a read after that of a reset would find the end of the connection.
+type unboundedBody struct {
+	br       *bufio.Reader
+	writeErr error
+	err      error
+}
+
+func (u *unboundedBody) Read(p []byte) (n int, err error) {
+	if u.err != nil {
+		return 0, u.err
+	}
+	n, err = u.br.Read(p)
+	if errors.Is(err, io.EOF) && u.writeErr != nil {
+		err = fmt.Errorf("%w after a failed write: %w", io.ErrUnexpectedEOF, u.writeErr)
+	}
+	u.err = err
+	return n, err
+}
+
 // MemoryLimit bounds the memory of bodies that are read with it, all together. It is safe for concurrent use.
 type MemoryLimit struct{ left atomic.Int64 }
 
--- a/internal/httpwire/client.go
+++ b/internal/httpwire/client.go
@@ -73,6 +73,8 @@
 	Reused bool
 	// head is true if the last request was a HEAD request.
 	head bool
+	// writeErr is the error of writing the last request.
+	writeErr error
 }
 
 // Get returns a connection to an address. It reuses an idle connection that has been idle for no longer than maxIdle, or
@@ -191,22 +193,23 @@
 	return err == nil && open
 }
 
-// Write sends a whole request. If it fails after the first byte, the server may nevertheless have received all of it.
+// Write sends a whole request. If it fails after the first byte, the server may nevertheless have received all of it, and may
+// have answered before that.
 func (c *Conn) Write(b []byte) error {
 	c.head = bytes.HasPrefix(b, []byte("HEAD "))
-	_, err := c.conn.Write(b)
-	return err
+	_, c.writeErr = c.conn.Write(b)
+	return c.writeErr
 }
 
-// ReadHead reads the head of the answer to the request that was written last, as ReadAnswer does.
+// ReadHead reads the head of the answer to the request that was written last, as ReadAnswer does, also if the write failed.
 func (c *Conn) ReadHead(h *fasthttp.ResponseHeader) (body io.Reader, err error) {
-	return ReadAnswer(c.br, h, c.head)
+	return ReadAnswer(c.br, h, c.head, c.writeErr)
 }
 
-// Release keeps the connection for another exchange, or closes it if the answer does not allow reuse or enough connections
-// are idle. Call it after the whole body has been read.
+// Release keeps the connection for another exchange, or closes it if its write failed, the answer does not allow reuse or enough
+// connections are idle. Call it after the whole body has been read.
 func (c *Conn) Release(h *fasthttp.ResponseHeader, now time.Time) {
-	if h.ConnectionClose() || c.br.Buffered() > 0 || c.conn.SetDeadline(time.Time{}) != nil {
+	if c.writeErr != nil || h.ConnectionClose() || c.br.Buffered() > 0 || c.conn.SetDeadline(time.Time{}) != nil {
 		c.Close()
 		return
 	}
--- a/internal/httpwire/httpwiretest/target.go
+++ b/internal/httpwire/httpwiretest/target.go
@@ -15,19 +15,28 @@
 	Bytewise bool
 }
 
+// earlyBufferBytes is the receive buffer of a target that answers early, so that it takes little of a request's body.
+const earlyBufferBytes = 4 << 10
+
 // Target is a target that sends prepared bytes.
 type Target struct {
 	listener net.Listener
 	replies  chan Reply
+	early    bool
 }
 
 // NewTarget starts a target; cleanup stops it.
-func NewTarget() (t *Target, cleanup func(), err error) {
+func NewTarget() (t *Target, cleanup func(), err error) { return newTarget(false) }
+
+// NewEarlyTarget starts a target that replies as soon as it has read the head of a request, and reads nothing of its body.
+func NewEarlyTarget() (t *Target, cleanup func(), err error) { return newTarget(true) }
+
+func newTarget(early bool) (t *Target, cleanup func(), err error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, nil, err
 	}
-	t = &Target{listener: l, replies: make(chan Reply, 8)}
+	t = &Target{listener: l, replies: make(chan Reply, 8), early: early}
 	go t.serve()
 	return t, func() { _ = l.Close() }, nil
 }
@@ -50,13 +59,18 @@
 
 func (t *Target) serveConn(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
+	if t.early {
+		_ = conn.(*net.TCPConn).SetReadBuffer(earlyBufferBytes)
+	}
 	br := bufio.NewReader(conn)
 	for {
 		req, err := http.ReadRequest(br)
 		if err != nil {
 			return
 		}
-		_, _ = io.Copy(io.Discard, req.Body)
+		if !t.early {
+			_, _ = io.Copy(io.Discard, req.Body)
+		}
 		r := <-t.replies
 		if r.Bytewise {
 			for i := range len(r.Raw) {
--- a/internal/logservice/conn.go
+++ b/internal/logservice/conn.go
@@ -73,7 +73,7 @@
 	if err := c.w.Flush(); err != nil {
 		return err
 	}
-	body, err := httpwire.ReadAnswer(c.r, &resp.Header, false)
+	body, err := httpwire.ReadAnswer(c.r, &resp.Header, false, nil)
 	if err != nil {
 		return err
 	}
--- a/internal/targethttp/exchange.go
+++ b/internal/targethttp/exchange.go
@@ -132,7 +132,7 @@
 	br := pool.AcquireReader(x.conn.Conn)
 	defer pool.ReleaseReader(br)
 	var h fasthttp.ResponseHeader
-	raw, err := httpwire.ReadAnswer(br, &h, r.Method == fasthttp.MethodHead)
+	raw, err := httpwire.ReadAnswer(br, &h, r.Method == fasthttp.MethodHead, nil)
 	if err != nil {
 		return false, x.headFailure(err)
 	}
