Count no answer complete that ends with its connection before the request was received

A write succeeds when the system has taken the bytes. A target that crashes while the rest of the request waits in this side's buffers may end its connection in order: the system of the target resets it only if unread bytes were left or more arrive later. The end was read first, and the part of a body without a length counted as whole.

ReadAnswer takes a function that says whether the peer has received the request, and asks it where only the end of the connection ends the body. Received answers for a TCP connection: the write succeeded, and no sent byte is unacknowledged. An end that a peer sends after it has received the request carries the acknowledgement of all of it, so sound answers are not refused. All three users of ReadAnswer pass it. An answer without a length that a target ends deliberately before it has the whole request is refused, too.

--- a/internal/httpwire/answer.go
+++ b/internal/httpwire/answer.go
@@ -20,9 +20,9 @@
 // It skips informational answers. noBody says that the request was a HEAD request, whose answer has no body. If only the end of
 // the connection ends the body, h says that the connection closes.
 //
-// writeErr is the error with which the request was written, or nil. After an error, a body that only the end of the connection
-// ends is never complete: the system reports the reset of a connection once, to the write, and its end to all later reads.
-func ReadAnswer(br *bufio.Reader, h *fasthttp.ResponseHeader, noBody bool, writeErr error) (body io.Reader, err error) {
+// received returns an error unless the peer has received the whole request, as Received does. It is called at the end of the
+// connection if only this ends the body, which is not complete then: the peer or the network has probably failed.
+func ReadAnswer(br *bufio.Reader, h *fasthttp.ResponseHeader, noBody bool, received func() error) (body io.Reader, err error) {
 	for range maxInformational + 1 {
 		f, err := readHead(br, h)
 		if err != nil {
@@ -41,7 +41,7 @@
 			return &fixedBody{br: br, left: f.length}, nil
 		}
 		h.SetConnectionClose()
-		return &unboundedBody{br: br, writeErr: writeErr}, nil
+		return &unboundedBody{br: br, received: received}, nil
 	}
 	return nil, ErrFraming
 }
--- a/internal/httpwire/body.go
+++ b/internal/httpwire/body.go
@@ -86,11 +86,11 @@
 	return n, err
 }
 
-// unboundedBody reads a body that ends with its connection. If the request could not be written, it returns io.ErrUnexpectedEOF
-// there. It repeats its error: a read after that of a reset would find the end of the connection.
+// unboundedBody reads a body that ends with its connection. If the peer has not received the whole request by then, it returns
+// io.ErrUnexpectedEOF. It repeats its error: a read after that of a reset would find the end of the connection.
 type unboundedBody struct {
 	br       *bufio.Reader
-	writeErr error
+	received func() error
 	err      error
 }
 
@@ -99,8 +99,10 @@
 		return 0, u.err
 	}
 	n, err = u.br.Read(p)
-	if errors.Is(err, io.EOF) && u.writeErr != nil {
-		err = fmt.Errorf("%w after a failed write: %w", io.ErrUnexpectedEOF, u.writeErr)
+	if errors.Is(err, io.EOF) {
+		if cause := u.received(); cause != nil {
+			err = fmt.Errorf("%w: the request was not received: %w", io.ErrUnexpectedEOF, cause)
+		}
 	}
 	u.err = err
 	return n, err
--- a/internal/httpwire/client.go
+++ b/internal/httpwire/client.go
@@ -203,7 +203,33 @@
 
 // ReadHead reads the head of the answer to the request that was written last, as ReadAnswer does, also if the write failed.
 func (c *Conn) ReadHead(h *fasthttp.ResponseHeader) (body io.Reader, err error) {
-	return ReadAnswer(c.br, h, c.head, c.writeErr)
+	return ReadAnswer(c.br, h, c.head, func() error { return Received(c.conn, c.writeErr) })
+}
+
+// errNotReceived is the error of a request of which a part has not arrived at the peer.
+var errNotReceived = errors.New("the peer has not acknowledged all of it")
+
+// Received returns an error unless a request was written without an error, writeErr, and the peer's system has acknowledged all
+// of it. After a failed write, the end of a connection says nothing: the system reports a reset once, to the write, and the end
+// of the connection to all later reads.
+func Received(conn net.Conn, writeErr error) error {
+	if writeErr != nil {
+		return writeErr
+	}
+	sc, ok := conn.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return err
+	}
+	unacknowledged := 0
+	controlErr := raw.Control(func(fd uintptr) { unacknowledged, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+	if err = errors.Join(controlErr, err); err == nil && unacknowledged > 0 {
+		err = errNotReceived
+	}
+	return err
 }
 
 // Release keeps the connection for another exchange, or closes it if its write failed, the answer does not allow reuse or enough
--- a/internal/httpwire/fuzz_test.go
+++ b/internal/httpwire/fuzz_test.go
@@ -43,7 +43,7 @@
 
 func readAnswer(raw string) (status int, body string, err error) {
 	var h fasthttp.ResponseHeader
-	r, err := httpwire.ReadAnswer(bufio.NewReader(strings.NewReader(raw)), &h, false, nil)
+	r, err := httpwire.ReadAnswer(bufio.NewReader(strings.NewReader(raw)), &h, false, func() error { return nil })
 	if err != nil {
 		return 0, "", err
 	}
--- a/internal/httpwire/httpwiretest/target.go
+++ b/internal/httpwire/httpwiretest/target.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"time"
 )
 
 // Reply is what a target sends for a request. Afterwards it closes the connection, unless Keep is true, or resets it.
@@ -13,8 +14,13 @@
 	Keep, Reset bool
 	// Bytewise sends each byte by itself.
 	Bytewise bool
+	// HalfClose ends the answer in order, and the connection only later, which is then reset if Reset is true.
+	HalfClose bool
 }
 
+// halfClosedTime is the time between the ends of the two directions of a half-closed connection.
+const halfClosedTime = 50 * time.Millisecond
+
 // earlyBufferBytes is the receive buffer of a target that answers early, so that it takes little of a request's body.
 const earlyBufferBytes = 4 << 10
 
@@ -79,6 +85,10 @@
 		} else {
 			_, _ = io.WriteString(conn, r.Raw)
 		}
+		if r.HalfClose {
+			_ = conn.(*net.TCPConn).CloseWrite()
+			time.Sleep(halfClosedTime)
+		}
 		if r.Reset {
 			_ = conn.(*net.TCPConn).SetLinger(0)
 		}
--- a/internal/logservice/conn.go
+++ b/internal/logservice/conn.go
@@ -73,7 +73,7 @@
 	if err := c.w.Flush(); err != nil {
 		return err
 	}
-	body, err := httpwire.ReadAnswer(c.r, &resp.Header, false, nil)
+	body, err := httpwire.ReadAnswer(c.r, &resp.Header, false, func() error { return httpwire.Received(c.raw, nil) })
 	if err != nil {
 		return err
 	}
--- a/internal/targethttp/exchange.go
+++ b/internal/targethttp/exchange.go
@@ -132,7 +132,8 @@
 	br := pool.AcquireReader(x.conn.Conn)
 	defer pool.ReleaseReader(br)
 	var h fasthttp.ResponseHeader
-	raw, err := httpwire.ReadAnswer(br, &h, r.Method == fasthttp.MethodHead, nil)
+	received := func() error { return httpwire.Received(x.conn.Conn, nil) }
+	raw, err := httpwire.ReadAnswer(br, &h, r.Method == fasthttp.MethodHead, received)
 	if err != nil {
 		return false, x.headFailure(err)
 	}
