Return the answer of a target that has closed its connection before it has read the request

An exchange of targethttp ended as cut when its write failed, without a look at what the target had answered. A target that refuses a long request early, for instance with 413 or 503, looked as if it had died of it, which counts towards the quarantine of the request.

The answer is read after a failed write too, if any of the request was written. It counts if its length or chunks prove it whole, and the connection is not used again. Other answers still end as cut, with the error of the write.

--- a/internal/targethttp/exchange.go
+++ b/internal/targethttp/exchange.go
@@ -124,18 +124,20 @@
 	return err
 }
 
-// roundTrip sends the request, calls read with the answer, and reports whether the connection may be reused.
+// roundTrip sends the request, calls read with the answer, and reports whether the connection may be reused. A target may answer
+// a long request before it has read all of it, and close the connection: the answer counts although the write has failed.
 func (x *exchange) roundTrip(pool *fasthttp.HostClient, r Request, read func(Head, io.Reader) error) (reusable bool, err error) {
-	if err := x.write(pool, r); err != nil {
-		return false, x.fail(Cut, err)
+	writeErr := x.write(pool, r)
+	if writeErr != nil && x.conn.written == 0 {
+		return false, x.fail(Cut, writeErr)
 	}
 	br := pool.AcquireReader(x.conn.Conn)
 	defer pool.ReleaseReader(br)
 	var h fasthttp.ResponseHeader
-	received := func() error { return httpwire.Received(x.conn.Conn, nil) }
+	received := func() error { return httpwire.Received(x.conn.Conn, writeErr) }
 	raw, err := httpwire.ReadAnswer(br, &h, r.Method == fasthttp.MethodHead, received)
 	if err != nil {
-		return false, x.headFailure(err)
+		return false, x.headFailure(errors.Join(writeErr, err))
 	}
 	x.status = h.StatusCode()
 	body := &boundedReader{x: x, remaining: x.limit, r: raw}
@@ -147,7 +149,7 @@
 		return false, x.fail(Aborted, err)
 	}
 	// Bytes after the answer would be read as the answer to the next request on this connection.
-	return x.atEnd(body) && br.Buffered() == 0 && !h.ConnectionClose(), nil
+	return writeErr == nil && x.atEnd(body) && br.Buffered() == 0 && !h.ConnectionClose(), nil
 }
 
 // atEnd reports whether the body has ended, and waits for its end mark if necessary: the reader of an event stream stops
