--- a/internal/logservice/logservice_test.go
+++ b/internal/logservice/logservice_test.go
@@ -163,3 +163,21 @@
 		}
 	}
 }
+
+// Guards against an answer without a length that looks like an acknowledgement although the service ended or reset the connection
+// before it had received the entry.
+func TestAnswerBeforeTheEntryIsReceived(t *testing.T) {
+	c := qt.New(t)
+	const raw = "HTTP/1.1 200 OK\r\n\r\n" + `{"offset":12}`
+	for _, r := range []httpwiretest.Reply{{Raw: raw, Reset: true}, {Raw: raw, HalfClose: true}} {
+		target, cleanup, err := httpwiretest.NewEarlyTarget()
+		c.Assert(err, qt.IsNil)
+		c.Cleanup(cleanup)
+		target.Enqueue(r)
+		client, closeClient, err := logservice.New(target.Address())
+		c.Assert(err, qt.IsNil)
+		c.Cleanup(closeClient)
+		_, err = client.Append(context.Background(), "s", make([]byte, record.MaxEntryBytes))
+		c.Assert(sent(c, err), qt.IsTrue)
+	}
+}
