--- a/internal/httpwire/client.go
+++ b/internal/httpwire/client.go
@@ -212,7 +212,7 @@
 // Received returns an error unless a request was written without an error, writeErr, and the peer's system has acknowledged all
 // of it. After a failed write, the end of a connection says nothing: the system reports a reset once, to the write, and the end
 // of the connection to all later reads.
-func Received(conn net.Conn, writeErr error) error {
+func Received(conn net.Conn, writeErr error) (receivedErr error) {
 	if writeErr != nil {
 		return writeErr
 	}
@@ -224,12 +224,13 @@
 	if err != nil {
 		return err
 	}
-	unacknowledged := 0
-	controlErr := raw.Control(func(fd uintptr) { unacknowledged, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
-	if err = errors.Join(controlErr, err); err == nil && unacknowledged > 0 {
-		err = errNotReceived
-	}
-	return err
+	err = raw.Control(func(fd uintptr) {
+		// A system that cannot tell says nothing against the peer.
+		if unacknowledged, ioctlErr := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); ioctlErr == nil && unacknowledged > 0 {
+			receivedErr = errNotReceived
+		}
+	})
+	return errors.Join(err, receivedErr)
 }
 
 // Release keeps the connection for another exchange, or closes it if its write failed, the answer does not allow reuse or enough
