--- a/internal/logcache/combine.go
+++ b/internal/logcache/combine.go
@@ -162,7 +162,7 @@
 		first, err = l.appendThrough(ctx, m, p, records)
 		notApplied := errors.Is(err, partlog.ErrNotApplied)
 		// A reader that is alive and waits for a slow log remains the one that appends for all.
-		if notApplied || err != nil && !isAnswer(err) && ctx.Err() == nil {
+		if notApplied || err != nil && !rpc.IsAnswer(err) && ctx.Err() == nil {
 			l.recordFailure(ctx, m, p, err)
 		}
 		if err == nil || !notApplied || ctx.Err() != nil {
