--- a/internal/reports/reports.go
+++ b/internal/reports/reports.go
@@ -129,25 +129,11 @@
 	for ctx.Err() == nil {
 		began := r.Now()
 		err := errors.Join(r.loadCrashes(ctx), r.claimWanted(ctx))
-		due := r.writeDue(began)
-		writeBegan := r.Now()
-		var at ids.Offset
-		var writeErr error
-		if due {
-			at, writeErr = r.Write(ctx)
-		}
-		writeWaited := r.Now().Sub(writeBegan)
-		written := due && writeErr == nil
-		readErr := r.begin(ctx)
-		if readErr == nil {
-			readErr = r.read(ctx, r.Followed)
-		}
-		if readErr == nil && written {
-			readErr = r.awaitOwn(ctx, at)
-		}
-		err = errors.Join(err, writeErr, readErr, r.recordCrashesIfDue(ctx))
-		if due || err != nil {
-			r.logResult(operationReport, began, err, zap.Duration("appendWaited", writeWaited), zap.Bool("appended", written))
+		own := r.writeIfDue(ctx, began)
+		readErr := r.readNew(ctx, own)
+		err = errors.Join(err, own.err, readErr, r.recordCrashesIfDue(ctx))
+		if own.due || err != nil {
+			r.logResult(operationReport, began, err, zap.Duration("appendWaited", own.waited), zap.Bool("appended", own.written()))
 		}
 		sleep(ctx, r.reads.Record(readErr))
 		r.waitForNext(ctx, began)
@@ -155,6 +141,38 @@
 	return nil
 }
 
+// ownReport is what became of an own report.
+type ownReport struct {
+	due    bool
+	at     ids.Offset
+	waited time.Duration // for the append
+	err    error
+}
+
+func (o ownReport) written() bool { return o.due && o.err == nil }
+
+// writeIfDue writes a report if that is due.
+func (r *Reports) writeIfDue(ctx context.Context, now time.Time) (own ownReport) {
+	if own.due = r.writeDue(now); !own.due {
+		return own
+	}
+	began := r.Now()
+	own.at, own.err = r.Write(ctx)
+	own.waited = r.Now().Sub(began)
+	return own
+}
+
+// readNew reads the reports up to the end, and up to an own one that was just written.
+func (r *Reports) readNew(ctx context.Context, own ownReport) error {
+	if err := r.begin(ctx); err != nil {
+		return err
+	}
+	if err := r.read(ctx, r.Followed); err != nil || !own.written() {
+		return err
+	}
+	return r.awaitOwn(ctx, own.at)
+}
+
 // writeDue reports whether a report is to be written now: not shortly after an append that failed, nor shortly after the last report while
 // this run is starting, when it reads more often than it writes.
 func (r *Reports) writeDue(now time.Time) bool {
