Read the directory of readers again while the others are not known

A new run read the directory once. If its readers had been replaced, it read everything directly within its share of the rate, and stayed with that until its own direct read of the reports was answered, although others knew the new readers by then. And only the first reader of a zone, which might be among the last to learn the others, replaced the record.

Now a run that knows no other reads the directory again each second, and a run that knows the others replaces a record that names none of them.

TestReplacedReadersInTheDirectory failed before. TestLimitsAreBackAfterALoss, TestReadsOfAStartDoNotOverloadTheLog, TestOverloadByReadsEnds and TestSlowLogIsNoOutage pass.

--- a/internal/logcache/directory.go
+++ b/internal/logcache/directory.go
@@ -31,6 +31,8 @@
 	// last one it is written again, since other instances may have replaced it.
 	publishInterval = 2 * time.Second
 	publishAge      = 30 * time.Second
+	// rereadInterval is the time between two reads of the directory while the others are not known.
+	rereadInterval = time.Second
 	// directoryTimeout and directoryPause are the time-out and the longest pause of the first reads of the directory.
 	directoryTimeout = time.Second
 	directoryPause   = 100 * time.Millisecond
@@ -54,7 +56,7 @@
 // directory is what a run has read of the directory at its start.
 type directory struct {
 	loaded chan struct{} // closed once the directory was read, or is not needed any more
-	// zones and instances are set before loaded is closed.
+	// zones and instances are guarded by Log.mu.
 	zones     map[ids.Zone][]Member
 	instances int
 }
@@ -65,14 +67,11 @@
 	defer close(l.directory.loaded)
 	reads := partlog.Backoff{Timeout: directoryTimeout, Pause: directoryPause}
 	for ctx.Err() == nil && !l.Discovered() {
-		readCtx, cancel := context.WithTimeout(ctx, reads.Next())
-		entries, _, err := l.Log.Newest(readCtx, l.Directory.Partition)
-		cancel()
+		err := l.readDirectoryOnce(ctx, reads.Next())
 		if err == nil {
-			l.directory.apply(entries)
 			return
 		}
-		readCtx, cancel = context.WithTimeout(ctx, reads.Next())
+		readCtx, cancel := context.WithTimeout(ctx, reads.Next())
 		_, endErr := partlog.End(readCtx, l.Log, l.Discovery)
 		cancel()
 		if endErr == nil {
@@ -85,9 +84,21 @@
 	}
 }
 
+func (l *Log) readDirectoryOnce(ctx context.Context, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	entries, _, err := l.Log.Newest(ctx, l.Directory.Partition)
+	if err == nil {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.directory.apply(entries)
+	}
+	return err
+}
+
 // apply sets what the directory holds. Records that cannot be read are left out.
 func (d *directory) apply(entries []partlog.Entry) {
-	d.zones = make(map[ids.Zone][]Member)
+	d.zones, d.instances = make(map[ids.Zone][]Member), 0
 	for _, e := range entries {
 		var r zoneRecord
 		if json.Unmarshal(e.Value, &r) != nil {
@@ -127,8 +138,8 @@
 	return slices.Concat(readers[n:], readers[:n])
 }
 
-// Run reads the directory, and then keeps the record of this instance's zone up to date while this instance is the first of the zone's
-// readers, until ctx ends.
+// Run reads the directory, again while the others are not known, and then keeps the record of this instance's zone up to date while this
+// instance is the first of the zone's readers or the record names none that runs, until ctx ends.
 func (l *Log) Run(ctx context.Context) error {
 	if l.Directory.Encode == nil {
 		return nil
@@ -137,17 +148,28 @@
 	l.readDirectory(ctx)
 	var last string
 	var lastAt time.Time
-	for ctx.Err() == nil {
+	reads := partlog.Backoff{Timeout: directoryTimeout, Pause: rereadInterval}
+	for first := true; ctx.Err() == nil; first = false {
+		interval := publishInterval
+		if !l.Discovered() {
+			interval = rereadInterval
+			if !first {
+				reads.Record(l.readDirectoryOnce(ctx, reads.Next())) // what was read before still counts
+			}
+		}
 		if value := l.zoneRecord(); value != "" && (value != last || l.Now().Sub(lastAt) >= publishAge) {
 			if err := l.publish(ctx, value); err != nil {
 				events.Log(l.Logger, events.ReaderFailed, zap.String("stream", l.Directory.Partition.Topic), zap.Error(err))
 			} else {
 				last, lastAt = value, l.Now()
+				l.mu.Lock()
+				delete(l.directory.zones, l.Zone) // it is not outdated any more
+				l.mu.Unlock()
 			}
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(publishInterval):
+		case <-time.After(interval):
 		}
 	}
 	return nil
@@ -167,7 +189,7 @@
 	}
 	members := l.Members()
 	order := orderZone(members, l.Zone)
-	if len(order) == 0 || order[0].Instance != l.Self {
+	if len(order) == 0 || order[0].Instance != l.Self && !l.outdated(members) {
 		return ""
 	}
 	r := zoneRecord{Instances: len(members)}
@@ -177,3 +199,13 @@
 	data, _ := json.Marshal(r) // the type can be encoded
 	return string(data)
 }
+
+// outdated reports whether the directory named readers of this instance's zone when it was read, and none of them runs.
+func (l *Log) outdated(members []Member) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	readers := l.directory.zones[l.Zone]
+	return len(readers) > 0 && !slices.ContainsFunc(readers, func(r Member) bool {
+		return slices.ContainsFunc(members, func(m Member) bool { return m.Instance == r.Instance })
+	})
+}
--- a/internal/logcache/directory_test.go
+++ b/internal/logcache/directory_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -181,3 +182,30 @@
 		c.Assert(appendOnce(writer.cache), qt.IsNil)
 	})
 }
+
+// Guards against a run that keeps to the readers that the directory named at its start, although they have been replaced.
+func TestReplacedReadersInTheDirectory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		log := partlogtest.New()
+		f := newFleet(20, log)
+		for n := range f.members {
+			f.members[n].Weight = 0.01
+		}
+		f.members[1].Weight = 1 // the first run is not the first reader
+		f.instances["i19"].silent.Store(true)
+		_, err := log.Append(c.Context(), directoryPartition, partlog.AnyOffset, []byte(`z={"instances":20,"readers":[{"instance":"gone","address":"i19"}]}`))
+		c.Assert(err, qt.IsNil)
+		var discovered atomic.Bool
+		f.startRun(c, false, discovered.Load)
+		waiting, self := f.startRun(c, false, func() bool { return false })
+		time.Sleep(2 * time.Second)
+		discovered.Store(true)
+		time.Sleep(5 * time.Second)
+		c.Assert(int(log.End(directoryPartition)), qt.Equals, 2, qt.Commentf("a run that knows the others replaces the record once"))
+		before := self.reads.Load()
+		_, err = waiting.Read(c.Context(), shared, 0, 0)
+		c.Assert(err, qt.IsNil)
+		c.Assert(self.reads.Load(), qt.Equals, before)
+	})
+}
--- a/internal/logcache/logcache.go
+++ b/internal/logcache/logcache.go
@@ -275,13 +275,20 @@
 	if !l.Discovered() {
 		select {
 		case <-l.directory.loaded:
-			n = max(n, l.directory.instances)
+			n = max(n, l.directorySize())
 		default:
 		}
 	}
 	return n
 }
 
+// directorySize returns the number of instances in the directory.
+func (l *Log) directorySize() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.directory.instances
+}
+
 // readerState says how a partition is read.
 type readerState struct {
 	// shared is set if the partition has readers, refused if one of them has just answered that it cannot read the partition, and
@@ -346,7 +353,7 @@
 	case <-ctx.Done():
 		return
 	}
-	if l.directory.instances > 0 || p == l.Discovery || l.Directory.Encode == nil && l.Discovered() {
+	if l.directorySize() > 0 || p == l.Discovery || l.Directory.Encode == nil && l.Discovered() {
 		return
 	}
 	left := l.began.Add(discoveryTimeout).Sub(l.Now())
