--- a/internal/logcache/budget.go
+++ b/internal/logcache/budget.go
@@ -12,8 +12,10 @@
 	directShare = 0.25
 	// directBurst is how many bytes an instance may read directly ahead of its rate.
 	directBurst = 16 << 10
-	// maxSlowdown bounds the factor by which reads without an answer lower an instance's rate.
-	maxSlowdown = 16
+	// maxSlowdown bounds the factor by which reads without an answer lower an instance's rate, and maxDebt the bytes that it makes up for.
+	// An instance whose readers are away must read within seconds once the log answers again.
+	maxSlowdown = 4
+	maxDebt     = recordBytes
 )
 
 // readBudget bounds the bytes that an instance reads directly although the partition has readers, so that all instances together do not
@@ -37,10 +39,10 @@
 // record counts a read with the number of its bytes. A read without an answer counts as a record of the largest size.
 func (b *readBudget) record(bytes int, err error) {
 	if errors.Is(err, partlog.ErrOutcomeUnknown) {
-		b.debt += recordBytes
+		b.debt = min(b.debt+recordBytes, maxDebt)
 		b.slowdown = min(max(b.slowdown, 1)*2, maxSlowdown)
 		return
 	}
-	b.debt += float64(bytes)
+	b.debt = min(b.debt+float64(bytes), maxDebt)
 	b.slowdown = max(b.slowdown, 1) / 2
 }
