--- a/internal/logcache/directory.go
+++ b/internal/logcache/directory.go
@@ -201,11 +201,11 @@
 }
 
 // outdated reports whether the directory named readers of this instance's zone when it was read, and none of them runs.
-func (l *Log) outdated(members []Member) bool {
+func (l *Log) outdated(members []leader.Member) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	readers := l.directory.zones[l.Zone]
-	return len(readers) > 0 && !slices.ContainsFunc(readers, func(r Member) bool {
-		return slices.ContainsFunc(members, func(m Member) bool { return m.Instance == r.Instance })
+	return len(readers) > 0 && !slices.ContainsFunc(readers, func(r leader.Member) bool {
+		return slices.ContainsFunc(members, func(m leader.Member) bool { return m.Instance == r.Instance })
 	})
 }
