--- a/internal/grants/contention.go
+++ b/internal/grants/contention.go
@@ -256,9 +256,7 @@
 		g.demands[key] = d
 	}
 	d.asked++
-	if time.Duration(len(d.callers))*holdPerCaller < maxHold { // more would not change the hold
-		d.callers[p.Caller] = struct{}{}
-	}
+	d.callers[p.Caller] = struct{}{}
 	if !refused {
 		return 0
 	}
--- a/internal/grants/grants.go
+++ b/internal/grants/grants.go
@@ -167,8 +167,8 @@
 	for i, part := range parts {
 		p.Part, p.WaitMs = part, 0
 		waited = len(parts) == 1 || g.contended(now, ws, part)
-		if waited { // the turn at another part may have taken a part of the time
-			p.WaitMs = max(maxWait-g.Now().Sub(now), 0).Milliseconds()
+		if waited {
+			p.WaitMs = maxWait.Milliseconds()
 		}
 		partial := g.takeFrom(ctx, p)
 		if partial.OK {
