--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -192,7 +192,7 @@
 		"Report it with the fields of the event.",
 		"requestId", "turn")
 	RateRefused = define(615, "rateRefused", info,
-		"A request was refused because too little of the workspace's burst was left at the instances that grant its requests: less than one request, or less than the reserve (spare) for running programs. Without a granter, the owners were not asked, because their last answers refuse requests of this kind for a time. With unavailable, parts of the limit could not be asked: unanswered has the owner of each, the age of its last report, and the calls that failed.",
+		"A request was refused because too little of the workspace's burst was left at the instances that grant its requests: less than one request, or less than the reserve (spare) for running programs. With unavailable, parts of the limit could not be asked: unanswered has the owner of each, the age of its last report, and the calls that failed.",
 		"Compare tokens with rate and burst; raise the workspace's rate, or find the programs that use it up. With unavailable, look for the owner of the part (618, 619). A call with the outcome paused was not made, because the instance had not answered the last ones.",
 		"requestId", "workspace", "granter", "tokens", "unavailable", "rate", "burst", "spare", "programRequests", "maxWait", "retryAfter", "unanswered")
 	ReportFailed = define(616, "reportFailed", warn,
--- a/internal/grants/grants.go
+++ b/internal/grants/grants.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"sync"
 	"time"
 
@@ -60,9 +59,6 @@
 	// WaitMs is how long to wait before the request is sent.
 	WaitMs  int64 `json:"waitMs,omitempty"`
 	RetryMs int64 `json:"retryMs,omitempty"`
-	// HoldMs is how long the caller refuses requests that can't wait longer and leave as much headroom, without a call: the tokens of
-	// that time are asked for by more instances than there are tokens.
-	HoldMs int64 `json:"holdMs,omitempty"`
 	// Level is the number of tokens that the part's bucket held before the grant.
 	Level float64 `json:"level,omitempty"`
 	// Bucket is where the tokens were taken from.
@@ -99,11 +95,9 @@
 	mu       sync.Mutex
 	limiter  *quota.Limiter
 	spare    spareTokens
+	empty    emptyParts
 	breakers map[ids.InstanceID]*callBreaker // of instances that did not answer their last call
 	silent   map[quota.Shard]silentClaim
-	// partStates are of parts that others own, demands of those that this instance owns.
-	partStates map[partKey]*partState
-	demands    map[partKey]*demand
 	// contactAt is when another instance has answered or called last.
 	contactAt time.Time
 }
@@ -111,8 +105,7 @@
 // New returns a rate limiter without limits.
 func New(c Config) *RateLimiter {
 	return &RateLimiter{
-		Config: c, limiter: quota.New(quota.NewLeases(c.Now(), c.Self)), spare: make(spareTokens),
-		partStates: make(map[partKey]*partState), demands: make(map[partKey]*demand),
+		Config: c, limiter: quota.New(quota.NewLeases(c.Now(), c.Self)), spare: make(spareTokens), empty: make(emptyParts),
 		breakers: make(map[ids.InstanceID]*callBreaker), silent: make(map[quota.Shard]silentClaim),
 	}
 }
@@ -121,8 +114,6 @@
 type callBreaker struct {
 	breaker.Breaker
 	since time.Time
-	// nextProbe is when the next call may be made while the breaker is open, if many instances call.
-	nextProbe time.Time
 }
 
 // View runs f with the limiter under the lock.
@@ -154,8 +145,8 @@
 }
 
 // Take takes a token for one request of a workspace. The fraction headroom of the workspace's burst must be left after it. It
-// tries the parts of the limit in an order that differs between instances, the contended ones last. If none has a token now, it waits for
-// the part that has one first, but at most maxWait. A contended part is asked once, for a token now or later.
+// tries the parts of the limit in an order that differs between instances. If none has a token now, it waits for the part that
+// has one first, but at most maxWait.
 func (g *RateLimiter) Take(ctx context.Context, ws ids.WorkspaceID, headroom float64, maxWait time.Duration) (d Decision) {
 	now := g.Now()
 	if expires, ok := g.takeSpare(now, ws); ok {
@@ -163,11 +154,9 @@
 	}
 	parts := g.parts(now, ws)
 	p := grantParams{Workspace: ws, Headroom: headroom}
-	waited := false // whether the part asked last was asked for a token of the near future
 	for i, part := range parts {
-		p.Part, p.WaitMs = part, 0
-		waited = len(parts) == 1 || g.contended(now, ws, part)
-		if waited {
+		p.Part = part
+		if len(parts) == 1 {
 			p.WaitMs = maxWait.Milliseconds()
 		}
 		partial := g.takeFrom(ctx, p)
@@ -176,7 +165,7 @@
 		}
 		d.addRefusal(i, partial)
 	}
-	if waited || d.Retry > maxWait {
+	if len(parts) == 1 || d.Retry > maxWait {
 		return d
 	}
 	p.Part, p.WaitMs = d.part, maxWait.Milliseconds()
@@ -189,33 +178,17 @@
 // takeFrom takes a token from one part of a limit, and waits until it may be used.
 func (g *RateLimiter) takeFrom(ctx context.Context, p grantParams) (d Decision) {
 	asked := g.Now()
-	if d, refused := g.refusal(asked, p); refused {
-		return d
+	if retry, empty := g.knownEmpty(asked, p); empty && retry.Milliseconds() > p.WaitMs {
+		return Decision{Retry: retry, part: p.Part}
 	}
 	unanswered := g.describe(p)
-	r, granter := grantResult{NotOwner: true, RetryMs: claimRetry.Milliseconds()}, g.Self.Instance
-	if done, ok := g.awaitTurn(ctx, p); ok {
-		waited := g.Now().Sub(asked)
-		asked = asked.Add(waited)
-		p.WaitMs = max(p.WaitMs-waited.Milliseconds(), 0)
-		d, refused := g.refusal(asked, p)
-		switch {
-		case refused:
-		case g.unanswered(asked, p):
-			r = g.grant(p)
-		default:
-			r, granter = g.requestGrant(ctx, p, &unanswered)
-			g.noteResult(asked, p, r)
-		}
-		done()
-		if refused {
-			return d
-		}
-	}
+	r, granter := g.requestGrant(ctx, p, &unanswered)
 	if r.Tokens == 0 {
 		d = Decision{Unavailable: r.NotOwner, Retry: time.Duration(r.RetryMs) * time.Millisecond, Granter: granter, Level: r.Level, part: p.Part}
 		if r.NotOwner {
 			d.Unanswered = []UnansweredPart{unanswered}
+		} else {
+			g.noteEmpty(asked, p, d.Retry)
 		}
 		return d
 	}
@@ -271,9 +244,6 @@
 			others = append(others, part)
 		}
 	}
-	slices.SortStableFunc(others, func(a, b int) int {
-		return g.contention(now, partKey{ws, a}).Compare(g.contention(now, partKey{ws, b}))
-	})
 	return append(order, others...)
 }
 
@@ -346,16 +316,12 @@
 		}
 		return grantResult{NotOwner: true, RetryMs: retry.Milliseconds()}
 	}
-	hold := time.Duration(0)
-	if p.Caller != "" {
-		hold = g.holdFor(now, p, grant.Tokens == 0)
-		if !p.Late {
-			g.limiter.Leases.Answered(now, quota.ShardOf(p.Workspace, p.Part), p.Caller)
-		}
+	if p.Caller != "" && !p.Late {
+		g.limiter.Leases.Answered(now, quota.ShardOf(p.Workspace, p.Part), p.Caller)
 	}
 	return grantResult{
 		Tokens: grant.Tokens, WaitMs: ids.Millis(grant.Wait), RetryMs: grant.Retry.Milliseconds(), Level: grant.Level,
-		Bucket: grant.Bucket, HoldMs: hold.Milliseconds(),
+		Bucket: grant.Bucket,
 	}
 }
 
@@ -386,15 +352,8 @@
 func (g *RateLimiter) allow(id ids.InstanceID) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	br, now := g.breakers[id], g.Now()
-	switch {
-	case br == nil:
-		return true
-	case br.Open() && now.Before(br.nextProbe) || !br.Allow(now):
-		return false
-	}
-	br.nextProbe = now.Add(g.probePause(now))
-	return true
+	br := g.breakers[id]
+	return br == nil || br.Allow(g.Now())
 }
 
 // late reports whether an instance did not answer its last call.
@@ -423,9 +382,7 @@
 	if g.breakers[id] == nil {
 		g.breakers[id] = &callBreaker{since: g.Now()}
 	}
-	if now := g.Now(); g.breakers[id].Failed(now) {
-		g.breakers[id].nextProbe = now.Add(g.probePause(now))
-	}
+	g.breakers[id].Failed(g.Now())
 }
 
 // Methods returns the methods that other instances call.
@@ -434,9 +391,6 @@
 		methodGrant: rpc.Typed(func(ctx context.Context, p grantParams) (any, error) {
 			g.applyLoads(p.Loads)
 			g.noteCall(p)
-			if err := ctx.Err(); err != nil { // the caller would not get the tokens
-				return nil, err
-			}
 			r := g.serve(ctx, p)
 			r.Loads = g.ownLoads()
 			return r, nil
--- a/internal/grants/tokens.go
+++ b/internal/grants/tokens.go
@@ -46,3 +46,37 @@
 		}
 	}
 }
+
+// emptyParts holds which parts had too few tokens for a request, so that they are not asked again before they have enough.
+type emptyParts map[partKey]emptyPart
+
+type partKey struct {
+	workspace ids.WorkspaceID
+	part      int
+}
+
+type emptyPart struct {
+	until    time.Time
+	headroom float64
+}
+
+// knownEmpty reports whether a part has too few tokens for a request, and for how long.
+func (g *RateLimiter) knownEmpty(now time.Time, p grantParams) (retry time.Duration, empty bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	e, ok := g.empty[partKey{p.Workspace, p.Part}]
+	if !ok || !now.Before(e.until) || p.Headroom < e.headroom {
+		return 0, false
+	}
+	return e.until.Sub(now), true
+}
+
+// noteEmpty notes that a part had too few tokens for a request. The own parts are not noted, because asking them is cheap.
+func (g *RateLimiter) noteEmpty(now time.Time, p grantParams, retry time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if _, _, own := g.limiter.Leases.Holds(now, quota.ShardOf(p.Workspace, p.Part)); own {
+		return
+	}
+	g.empty[partKey{p.Workspace, p.Part}] = emptyPart{until: now.Add(retry), headroom: p.Headroom}
+}
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -174,9 +174,6 @@
 // PartsOf returns the number of parts of a workspace's limit.
 func (l *Limiter) PartsOf(ws ids.WorkspaceID) int { return l.limits[ws].parts() }
 
-// PartRate returns the rate of each part of a workspace's limit, in requests a second.
-func (l *Limiter) PartRate(ws ids.WorkspaceID) float64 { return l.limits[ws].part().Rate }
-
 // Ask describes a request for tokens from one part of a workspace's limit.
 type Ask struct {
 	Workspace ids.WorkspaceID
