Order members in one place for leaders and readers

leaders.computeOrder and logcache.orderZone both turned members into candidates, ordered these and looked the members up again. leader.OrderMembers does that for both. The orders are the same.

--- a/internal/leaders/order.go
+++ b/internal/leaders/order.go
@@ -43,29 +43,24 @@
 // computeOrder returns the members in the order in which they may lead a partition. The partitions of a topic are dealt to the
 // zones in turn, and the members of the partition's zone come first, so that each zone has leaders of its own. Members
 // without a weight come last, whatever their zone.
-func (c *Client) computeOrder(p partlog.Partition) (list []leader.Member) {
+func (c *Client) computeOrder(p partlog.Partition) []leader.Member {
 	members := c.Members()
-	byID := make(map[ids.InstanceID]leader.Member, len(members))
 	zones := make(map[ids.Zone]bool)
 	for _, m := range members {
-		byID[m.Instance] = m
 		zones[m.Zone] = true
 	}
 	if len(zones) == 0 {
 		return nil
 	}
 	home := slices.Sorted(maps.Keys(zones))[p.Part%len(zones)]
-	var near, far []leader.Candidate
+	var near, far []leader.Member
 	for _, m := range members {
 		if m.Zone == home && m.Weight > 0 {
-			near = append(near, m.Candidate)
+			near = append(near, m)
 		} else {
-			far = append(far, m.Candidate)
+			far = append(far, m)
 		}
 	}
 	key := fmt.Sprintf("%s/%d", p.Topic, p.Part)
-	for _, candidate := range slices.Concat(leader.Order(near, key), leader.Order(far, key)) {
-		list = append(list, byID[candidate.Instance])
-	}
-	return list
+	return slices.Concat(leader.OrderMembers(near, key), leader.OrderMembers(far, key))
 }
--- a/internal/logcache/choose.go
+++ b/internal/logcache/choose.go
@@ -26,19 +26,14 @@
 }
 
 // orderZone returns the instances of a zone that reach the log, in the order in which they read for the others.
-func orderZone(members []leader.Member, zone ids.Zone) (order []leader.Member) {
-	byID := make(map[ids.InstanceID]leader.Member)
-	var candidates []leader.Candidate
+func orderZone(members []leader.Member, zone ids.Zone) []leader.Member {
+	var candidates []leader.Member
 	for _, m := range members {
 		if m.Zone == zone && m.Weight > 0 {
-			byID[m.Instance] = m
-			candidates = append(candidates, m.Candidate)
+			candidates = append(candidates, m)
 		}
 	}
-	for _, c := range leader.Order(candidates, readersOrder) {
-		order = append(order, byID[c.Instance])
-	}
-	return order
+	return leader.OrderMembers(candidates, readersOrder)
 }
 
 // zoneReaders returns the instances that read and append for the others of a zone. A small zone has none.
--- a/pkg/leader/leader.go
+++ b/pkg/leader/leader.go
@@ -60,6 +60,20 @@
 	return ordered
 }
 
+// OrderMembers sorts members as Order sorts their candidates.
+func OrderMembers(list []Member, partition string) (ordered []Member) {
+	byID := make(map[ids.InstanceID]Member, len(list))
+	candidates := make([]Candidate, 0, len(list))
+	for _, m := range list {
+		byID[m.Instance] = m
+		candidates = append(candidates, m.Candidate)
+	}
+	for _, c := range Order(candidates, partition) {
+		ordered = append(ordered, byID[c.Instance])
+	}
+	return ordered
+}
+
 // cost is exponentially distributed with the candidate's weight as its rate, so the smallest cost is the candidate's with a
 // probability in proportion to its weight.
 func cost(c Candidate, partition string) float64 {
